--- /dev/null
+++ b/crates/gradeloft_daemon/src/agent/deploy.rs
@@ -0,0 +1,401 @@
+//! Brings the engine to what the bundle wants of it, and keeps it there.
+//!
+//! A version goes through its phases one after the other: its chunks are fetched and staged, the
+//! engine is ordered to load it, and what the engine then says it serves is read back. Only what
+//! was read back is told to entries. A newer bundle ends the work on an older one wherever it is.
+
+use std::{rc::Rc, time::Duration};
+
+use gradeloft_platform::{Fault, endpoint::Engine};
+use gradeloft_policy::version::placement::{self, Replica};
+use gradeloft_wire::{
+    border::{
+        bundle::{Bundle, Objective},
+        caller::VersionStatus,
+        platform::{Action, EngineState, Fence, InstanceRole, InstanceState, Order, Weights},
+    },
+    frame::Pin,
+    id::Digest,
+};
+use slog::{info, warn};
+
+use super::{
+    Agent,
+    fetch::{self, Member, Members},
+};
+use crate::entry::border::adapted;
+
+/// Time between two looks at the engine while nothing is to be done.
+const POLL: Duration = Duration::from_millis(500);
+/// Pause after a failure.
+const RETRY: Duration = Duration::from_millis(150);
+/// Orders to load a version that may fail before it counts as failed on this replica.
+const MAX_ORDERS: u32 = 5;
+/// How often a replica that is to unload a version looks whether requests still run on it.
+const DRAIN_STEP: Duration = Duration::from_millis(20);
+
+/// Weights that the bundle wants on this replica.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Target {
+    pin: Pin,
+    manifest: Digest,
+}
+
+/// Works as long as the agent runs.
+pub async fn run(agent: Rc<Agent>, engine: Rc<dyn Engine>) {
+    loop {
+        let targets = agent.targets();
+        tokio::select! {
+            () = converge(&agent, &engine, &targets) => {}
+            () = changed(&agent, &targets) => {}
+        }
+    }
+}
+
+/// Waits until the bundle and the members give other targets than these.
+async fn changed(agent: &Agent, targets: &[Target]) {
+    let mut bundle = agent.node.bundle.subscribe();
+    let mut members = agent.node.members.subscribe();
+    loop {
+        if agent.targets() != targets {
+            return;
+        }
+        tokio::select! {
+            it = bundle.changed() => if it.is_err() { return },
+            it = members.changed() => if it.is_err() { return },
+        }
+    }
+}
+
+async fn converge(agent: &Rc<Agent>, engine: &Rc<dyn Engine>, targets: &[Target]) {
+    agent.show(targets);
+    let mut failures = vec![0; targets.len()];
+    loop {
+        let pause = match step(agent, engine, targets, &mut failures).await {
+            Ok(()) => POLL,
+            Err(why) => {
+                info!(agent.node.log, "deployment waits"; "why" => why);
+                RETRY
+            }
+        };
+        actix_rt::time::sleep(pause).await;
+    }
+}
+
+/// One look at the engine, and the work that it shows to be needed.
+async fn step(
+    agent: &Rc<Agent>,
+    engine: &Rc<dyn Engine>,
+    targets: &[Target],
+    failures: &mut [u32],
+) -> Result<(), String> {
+    let state = observe(agent, &**engine).await?;
+    for (idx, target) in targets.iter().enumerate() {
+        if failures[idx] == MAX_ORDERS || serves(&state, target) {
+            continue;
+        }
+        agent.phase(target, "fetching");
+        let objective = agent.objective();
+        let members = members(agent, &target.pin.model);
+        fetch::run(agent, engine, target.manifest, objective, members).await?;
+        if let Err(why) = load(agent, engine, target, targets).await {
+            failures[idx] += 1;
+            if failures[idx] == MAX_ORDERS {
+                agent.fail(target, &why);
+            }
+            return Err(why);
+        }
+        failures[idx] = 0;
+    }
+    Ok(())
+}
+
+async fn load(
+    agent: &Rc<Agent>,
+    engine: &Rc<dyn Engine>,
+    target: &Target,
+    targets: &[Target],
+) -> Result<(), String> {
+    let manifest = agent.chunks.borrow().get(target.manifest);
+    let manifest = manifest.ok_or("the manifest was dropped")?;
+    let staged = engine.stage(target.manifest, manifest).await;
+    staged.map_err(|it| format!("engine: {it}"))?;
+    make_room(agent, engine, target, targets).await?;
+    agent.phase(target, "loading");
+    let ordered = order(agent, engine, Action::Load, weights(target)).await;
+    // Whatever the reply, what counts is what the engine serves now.
+    let state = observe(agent, &**engine).await?;
+    if !serves(&state, target) {
+        return Err(match ordered {
+            Ok(()) => "the engine took the order and does not serve the version".to_owned(),
+            Err(why) => why,
+        });
+    }
+    agent.phase(target, "serving");
+    info!(agent.node.log, "version in service"; "model" => &target.pin.model,
+        "version" => &target.pin.version);
+    Ok(())
+}
+
+/// Unloads a version that the bundle no longer wants, if the engine has no memory for another:
+/// entries are told first, and the requests that run on it end.
+async fn make_room(
+    agent: &Rc<Agent>,
+    engine: &Rc<dyn Engine>,
+    target: &Target,
+    targets: &[Target],
+) -> Result<(), String> {
+    let state = observe(agent, &**engine).await?;
+    let models = state.serving.iter().filter(|it| it.adapter.is_none());
+    if target.pin.adapter.is_some() || models.count() < state.capacity as usize {
+        return Ok(());
+    }
+    let unwanted = state
+        .serving
+        .iter()
+        .find(|it| !targets.iter().any(|t| weights(t) == **it));
+    let Some(victim) = unwanted.cloned() else {
+        return Err("the engine has no memory for another version".to_owned());
+    };
+    let pin = pin(&victim);
+    info!(agent.node.log, "version withdrawn"; "model" => &pin.model, "version" => &pin.version);
+    agent
+        .node
+        .notice
+        .send_modify(|it| it.serving.retain(|it| *it != pin));
+    while 0 < agent.running_on(&pin) {
+        actix_rt::time::sleep(DRAIN_STEP).await;
+    }
+    order(agent, engine, Action::Unload, victim).await
+}
+
+async fn order(
+    agent: &Agent,
+    engine: &Rc<dyn Engine>,
+    action: Action,
+    weights: Weights,
+) -> Result<(), String> {
+    let epoch = agent.epoch.get();
+    if epoch == 0 {
+        return Err("no epoch from the log yet, so no order can be given".to_owned());
+    }
+    let fence = Fence {
+        bundle: agent.node.chain.borrow().number(),
+        epoch,
+    };
+    let order = Order {
+        fence,
+        action,
+        weights,
+    };
+    engine.order(&order).await.map_err(|it| match it {
+        Fault::Refused(reason) => format!("the engine refused the order: {reason}"),
+        other => format!("engine: {other}"),
+    })
+}
+
+/// Reads the engine's state, and tells watchers what of it can be relied on.
+async fn observe(agent: &Agent, engine: &dyn Engine) -> Result<EngineState, String> {
+    let result = engine.state().await;
+    let serving: Vec<Pin> = match &result {
+        Ok(state) => state
+            .serving
+            .iter()
+            .filter(|it| agent.knows(it))
+            .map(pin)
+            .collect(),
+        Err(_) => Vec::new(),
+    };
+    if let Ok(state) = &result {
+        for unknown in state.serving.iter().filter(|it| !agent.knows(it)) {
+            warn!(agent.node.log, "unknown weights"; "model" => &unknown.model,
+                "version" => &unknown.version, "manifest" => &unknown.manifest);
+        }
+    }
+    agent.node.notice.send_if_modified(|it| {
+        let changed = it.serving != serving;
+        it.serving.clone_from(&serving);
+        changed
+    });
+    result.map_err(|it| format!("engine: {it}"))
+}
+
+fn members(agent: &Rc<Agent>, model: &str) -> Members {
+    let agent = Rc::clone(agent);
+    let model = model.to_owned();
+    Rc::new(move || agent.members_of(&model))
+}
+
+fn serves(state: &EngineState, target: &Target) -> bool {
+    state.serving.contains(&weights(target))
+}
+
+fn weights(target: &Target) -> Weights {
+    Weights {
+        model: target.pin.model.clone(),
+        adapter: target.pin.adapter.clone(),
+        version: target.pin.version.clone(),
+        manifest: target.manifest.to_string(),
+    }
+}
+
+fn pin(weights: &Weights) -> Pin {
+    Pin {
+        model: weights.model.clone(),
+        adapter: weights.adapter.clone(),
+        version: weights.version.clone(),
+    }
+}
+
+/// Everything that a bundle names of one model: the model first, since its adapters need it.
+fn named(bundle: &Bundle, model: usize) -> Vec<Target> {
+    let model = &bundle.models[model];
+    let target = |adapter: Option<&String>, version: String, manifest: &str| {
+        let pin = Pin {
+            model: model.name.clone(),
+            adapter: adapter.cloned(),
+            version,
+        };
+        Some(Target {
+            pin,
+            manifest: manifest.parse().ok()?,
+        })
+    };
+    let base = target(None, model.version.clone(), &model.manifest);
+    let adapters = model.adapters.iter().map(|it| {
+        target(
+            Some(&it.name),
+            adapted(&model.version, &it.version),
+            &it.manifest,
+        )
+    });
+    base.into_iter().chain(adapters.flatten()).collect()
+}
+
+impl Agent {
+    /// What the bundle wants on this replica.
+    fn targets(&self) -> Vec<Target> {
+        let chain = self.node.chain.borrow();
+        let Some(head) = chain.head() else {
+            return Vec::new();
+        };
+        let mut known = self.known.borrow_mut();
+        for model in 0..head.bundle.models.len() {
+            known.extend(
+                named(&head.bundle, model)
+                    .into_iter()
+                    .map(|it| (it.pin, it.manifest)),
+            );
+        }
+        let own = &self.node.settings.node.id;
+        let placed = self.placed(&head.bundle);
+        let model = placed
+            .iter()
+            .find(|(member, _)| member.0 == *own)
+            .and_then(|it| it.1);
+        model.map(|it| named(&head.bundle, it)).unwrap_or_default()
+    }
+
+    /// Every engine's instance (name, availability zone, peer address) and the model placed there.
+    fn placed(&self, bundle: &Bundle) -> Vec<((String, String, String), Option<usize>)> {
+        let settings = &self.node.settings;
+        let membership = self.node.membership.borrow();
+        let others = membership.of(InstanceRole::Agent).filter(|(_, it)| {
+            it.instance.service.is_none() && it.instance.state == InstanceState::Live
+        });
+        let mut members: Vec<(String, String, String)> = others
+            .map(|(_, it)| &it.instance)
+            .map(|it| (it.id.clone(), it.zone.clone(), it.peer.clone()))
+            .collect();
+        members.push((
+            settings.node.id.clone(),
+            settings.node.zone.clone(),
+            String::new(),
+        ));
+        members.sort_unstable();
+        let replicas: Vec<Replica<'_>> = members
+            .iter()
+            .map(|(node, zone, _)| Replica { node, zone })
+            .collect();
+        let placed = placement::place(bundle, &replicas);
+        members.into_iter().zip(placed).collect()
+    }
+
+    /// The other agents that a model is placed on.
+    fn members_of(&self, model: &str) -> Vec<Member> {
+        let chain = self.node.chain.borrow();
+        let Some(head) = chain.head() else {
+            return Vec::new();
+        };
+        let wanted = head.bundle.models.iter().position(|it| it.name == model);
+        let settings = &self.node.settings.node;
+        let placed = self.placed(&head.bundle).into_iter();
+        let others = placed.filter(|(it, model)| *model == wanted && it.0 != settings.id);
+        others
+            .map(|((node, zone, address), _)| Member {
+                node: gradeloft_policy::rendezvous::hash(node.as_bytes()),
+                address,
+                near: zone == settings.zone,
+            })
+            .collect()
+    }
+
+    fn objective(&self) -> Objective {
+        let chain = self.node.chain.borrow();
+        let rollout = chain.head().and_then(|it| it.bundle.rollout.as_ref());
+        rollout
+            .and_then(|it| it.objective)
+            .unwrap_or(Objective::Time)
+    }
+
+    /// Whether weights that the engine reports are what a bundle named.
+    fn knows(&self, weights: &Weights) -> bool {
+        let manifest = weights.manifest.parse().ok();
+        let known = self.known.borrow().get(&pin(weights)).copied();
+        known.is_some() && known == manifest
+    }
+
+    /// Shows targets in the status.
+    fn show(&self, targets: &[Target]) {
+        let status = |it: &Target| VersionStatus {
+            model: it.pin.model.clone(),
+            adapter: it.pin.adapter.clone(),
+            version: it.pin.version.clone(),
+            phase: "waiting".to_owned(),
+            fault: None,
+            from_origin: 0,
+            from_store: 0,
+            from_peers: 0,
+        };
+        *self.versions.borrow_mut() = targets.iter().map(status).collect();
+    }
+
+    fn phase(&self, target: &Target, phase: &str) {
+        let status = |it: &mut VersionStatus| phase.clone_into(&mut it.phase);
+        self.with_version(target.manifest, status);
+    }
+
+    fn fail(&self, target: &Target, why: &str) {
+        warn!(self.node.log, "version failed"; "model" => &target.pin.model,
+            "version" => &target.pin.version, "why" => why);
+        self.with_version(target.manifest, |it| {
+            "failed".clone_into(&mut it.phase);
+            it.fault = Some(why.to_owned());
+        });
+    }
+
+    /// Changes the status of the versions of a manifest.
+    pub(super) fn with_version(&self, manifest: Digest, change: impl Fn(&mut VersionStatus)) {
+        let known = self.known.borrow();
+        for status in self.versions.borrow_mut().iter_mut() {
+            let pin = Pin {
+                model: status.model.clone(),
+                adapter: status.adapter.clone(),
+                version: status.version.clone(),
+            };
+            if known.get(&pin) == Some(&manifest) {
+                change(status);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gradeloft_daemon/src/agent/fetch.rs
@@ -0,0 +1,574 @@
+//! Gets a version's chunks: carries out what `gradeloft_policy::version::fetch` decides.
+
+use std::{
+    cell::RefCell,
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures_util::{
+    StreamExt,
+    future::{FutureExt, LocalBoxFuture},
+    stream::FuturesUnordered,
+};
+use gradeloft_platform::{Fault, endpoint::Engine, weights::Weights};
+use gradeloft_policy::{
+    rendezvous,
+    version::{
+        fetch::{Ask, Failure, Fetch, From, SourceKey, Tuning},
+        manifest::Manifest,
+    },
+};
+use gradeloft_wire::{
+    border::bundle::Objective,
+    frame::{Absence, Call, Reply},
+    id::Digest,
+};
+use rand::{Rng, seq::SliceRandom};
+use slog::{debug, warn};
+use tokio::time::timeout;
+
+use super::Agent;
+use crate::{
+    metrics::{self, Source},
+    transport::client::{Fault as PeerFault, Incoming, Lane},
+};
+
+/// Partners in the own availability zone that are asked what they hold.
+const NEAR_PARTNERS: usize = 8;
+/// Partners elsewhere.
+const FAR_PARTNERS: usize = 6;
+/// Chunks read from the store or the origin at once by one agent.
+const ORIGIN_SLOTS: usize = 2;
+/// Chunks asked of one peer at once.
+const PER_SOURCE: u32 = 3;
+/// Shortest time after which an ask counts as stalled, in milliseconds.
+const LEAST_STALL_MS: u64 = 1_500;
+/// Chunks that may be queued before one's own at a peer, for the stall time.
+const QUEUED_CHUNKS: u64 = 24;
+/// Time given to an owner, for each rank, in milliseconds.
+const TAKEOVER_MS: u64 = 600;
+/// How often asks are looked at again without an event.
+const TICK: Duration = Duration::from_millis(20);
+/// Pause before the manifest is asked for again.
+const MANIFEST_RETRY: Duration = Duration::from_millis(60);
+/// Owners of a manifest that are asked for it.
+const MANIFEST_OWNERS: usize = 3;
+/// Largest manifest, in bytes.
+const MAX_MANIFEST: usize = 8 << 20;
+/// Silence after which a followed peer counts as gone.
+const FOLLOW_SILENCE: Duration = Duration::from_secs(3);
+
+/// Another agent that fetches the same version.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Member {
+    /// Hash of its name.
+    pub node: u64,
+    /// Peer address.
+    pub address: String,
+    /// Whether it is in the own availability zone.
+    pub near: bool,
+}
+
+/// Tells a fetch who its members are now, the own agent left out.
+pub type Members = Rc<dyn Fn() -> Vec<Member>>;
+
+enum Event {
+    Asked {
+        ask: Ask,
+        result: Result<Bytes, Failure>,
+        took: Duration,
+    },
+    Followed {
+        key: SourceKey,
+        node: u64,
+        incoming: Option<Incoming>,
+        positions: Vec<u32>,
+    },
+    Staged {
+        digest: Digest,
+        done: bool,
+    },
+}
+
+/// Fetches a version until the engine holds all of it; gives the manifest.
+pub async fn run(
+    agent: &Rc<Agent>,
+    engine: &Rc<dyn Engine>,
+    manifest: Digest,
+    objective: Objective,
+    members: Members,
+) -> Result<Rc<Manifest>, String> {
+    let manifest = manifest_of(agent, manifest, &members).await?;
+    agent.chunks.borrow_mut().learn(Rc::clone(&manifest));
+    let staged: HashSet<Digest> = match engine.staged().await {
+        Ok(staged) => staged.into_iter().collect(),
+        Err(fault) => return Err(format!("engine: {fault}")),
+    };
+    let missing = |it: Digest| agent.chunks.borrow().holds(it) && !staged.contains(&it);
+    let to_stage: Vec<Digest> = manifest
+        .distinct()
+        .iter()
+        .map(|it| it.digest)
+        .filter(|it| missing(*it))
+        .collect();
+    let mut driver = Driver::new(agent, engine, &manifest, objective, members, &staged);
+    for digest in to_stage {
+        driver.stage(digest);
+    }
+    let _fetching = Fetching::new(agent, &driver.fetch);
+    driver.run().await;
+    Ok(manifest)
+}
+
+/// Shows the fetch to peers that ask, until it is dropped.
+struct Fetching(Rc<Agent>);
+
+impl Fetching {
+    fn new(agent: &Rc<Agent>, fetch: &Rc<RefCell<Fetch>>) -> Fetching {
+        *agent.fetching.borrow_mut() = Some(Rc::clone(fetch));
+        Fetching(Rc::clone(agent))
+    }
+}
+
+impl Drop for Fetching {
+    fn drop(&mut self) {
+        *self.0.fetching.borrow_mut() = None;
+    }
+}
+
+struct Driver<'a> {
+    agent: &'a Rc<Agent>,
+    engine: &'a Rc<dyn Engine>,
+    manifest: &'a Rc<Manifest>,
+    members: Members,
+    known: Vec<Member>,
+    fetch: Rc<RefCell<Fetch>>,
+    followed: HashMap<u64, SourceKey>,
+    events: FuturesUnordered<LocalBoxFuture<'static, Event>>,
+    /// Chunks that the engine does not hold yet.
+    staging: usize,
+}
+
+impl<'a> Driver<'a> {
+    fn new(
+        agent: &'a Rc<Agent>,
+        engine: &'a Rc<dyn Engine>,
+        manifest: &'a Rc<Manifest>,
+        objective: Objective,
+        members: Members,
+        staged: &HashSet<Digest>,
+    ) -> Driver<'a> {
+        let held = |it: Digest| staged.contains(&it) || agent.chunks.borrow().holds(it);
+        let tuning = tuning(agent, manifest, objective);
+        let now = agent.node.clock.now();
+        let fetch = Fetch::new(agent.own, manifest, held, tuning, now);
+        Driver {
+            agent,
+            engine,
+            manifest,
+            members,
+            known: Vec::new(),
+            fetch: Rc::new(RefCell::new(fetch)),
+            followed: HashMap::new(),
+            events: FuturesUnordered::new(),
+            staging: 0,
+        }
+    }
+
+    async fn run(&mut self) {
+        let mut changed = self.agent.node.members.subscribe();
+        self.meet();
+        while !(self.fetch.borrow().complete() && self.staging == 0) {
+            self.pump();
+            tokio::select! {
+                Some(event) = self.events.next() => self.handle(event),
+                Ok(()) = changed.changed() => {
+                    changed.borrow_and_update();
+                    self.meet();
+                }
+                () = actix_rt::time::sleep(TICK) => self.expire(),
+            }
+            self.report();
+        }
+    }
+
+    /// Takes over the members, and follows partners among them.
+    fn meet(&mut self) {
+        let members = (self.members)();
+        if members == self.known {
+            return;
+        }
+        let nodes = members
+            .iter()
+            .map(|it| it.node)
+            .chain([self.agent.own])
+            .collect();
+        self.fetch.borrow_mut().set_members(nodes);
+        self.known = members;
+        let now = self.agent.node.clock.now();
+        let gone: Vec<u64> = self
+            .followed
+            .keys()
+            .copied()
+            .filter(|node| !self.known.iter().any(|it| it.node == *node))
+            .collect();
+        for node in gone {
+            if let Some(key) = self.followed.remove(&node) {
+                self.fetch.borrow_mut().leave(key, now);
+            }
+        }
+        self.follow_partners();
+    }
+
+    fn follow_partners(&mut self) {
+        let key = rendezvous::score(self.manifest.digest.short(), self.agent.own);
+        for (near, wanted) in [(true, NEAR_PARTNERS), (false, FAR_PARTNERS)] {
+            let group: Vec<Member> = self
+                .known
+                .iter()
+                .filter(|it| it.near == near)
+                .cloned()
+                .collect();
+            let nodes: Vec<u64> = group.iter().map(|it| it.node).collect();
+            let ranked = rendezvous::order(key, &nodes).into_iter().take(wanted);
+            for member in ranked.map(|idx| &group[idx]) {
+                self.follow(member);
+            }
+        }
+    }
+
+    fn follow(&mut self, member: &Member) {
+        if self.followed.contains_key(&member.node) {
+            return;
+        }
+        let key = self.fetch.borrow_mut().join(member.near);
+        self.followed.insert(member.node, key);
+        let node = member.node;
+        let address = member.address.clone();
+        let agent = Rc::clone(self.agent);
+        let manifest = self.manifest.digest;
+        let opening = async move {
+            let call = Call::Follow { manifest };
+            let incoming = agent.node.pool.open(&address, Lane::Live, &call).await.ok();
+            Event::Followed {
+                key,
+                node,
+                incoming,
+                positions: Vec::new(),
+            }
+        };
+        self.events.push(opening.boxed_local());
+    }
+
+    /// Makes every ask that can be made now.
+    fn pump(&mut self) {
+        loop {
+            let now = self.agent.node.clock.now();
+            let next = self
+                .agent
+                .node
+                .with_rng(|rng| self.fetch.borrow_mut().next(now, rng));
+            let Some(ask) = next else {
+                return;
+            };
+            let agent = Rc::clone(self.agent);
+            let address = self.address(ask.from);
+            let asking = async move {
+                let started = agent.node.clock.now();
+                let result = read(&agent, ask, address).await;
+                let took = agent.node.clock.now().since(started);
+                Event::Asked { ask, result, took }
+            };
+            self.events.push(asking.boxed_local());
+        }
+    }
+
+    fn address(&self, from: From) -> Option<String> {
+        let node = match from {
+            From::Owner(node) => node,
+            From::Source(key) => *self.followed.iter().find(|(_, it)| **it == key)?.0,
+            From::Origin | From::Store => return None,
+        };
+        let member = self.known.iter().find(|it| it.node == node);
+        member.map(|it| it.address.clone())
+    }
+
+    fn expire(&mut self) {
+        let now = self.agent.node.clock.now();
+        let mut fetch = self.fetch.borrow_mut();
+        for (idx, from) in fetch.stalled(now) {
+            fetch.failed(idx, from, Failure::Stalled, now);
+        }
+        drop(fetch);
+        self.follow_partners();
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.agent.node.clock.now();
+        match event {
+            Event::Asked {
+                ask,
+                result: Ok(content),
+                took,
+            } => self.arrived(ask, content, took),
+            Event::Asked {
+                ask,
+                result: Err(failure),
+                ..
+            } => {
+                if failure == Failure::Corrupt {
+                    self.agent.node.metrics.corrupt_chunks.inc();
+                    warn!(self.agent.node.log, "corrupt chunk"; "digest" => %ask.chunk.digest,
+                        "from" => source(ask.from));
+                }
+                self.fetch
+                    .borrow_mut()
+                    .failed(ask.idx, ask.from, failure, now);
+            }
+            Event::Followed {
+                key,
+                node,
+                incoming,
+                positions,
+            } => {
+                let positions = positions.into_iter().map(|it| it as usize);
+                self.fetch.borrow_mut().have(key, positions);
+                match incoming {
+                    Some(incoming) => self.events.push(followed(key, node, incoming)),
+                    None => {
+                        self.followed.remove(&node);
+                        self.fetch.borrow_mut().leave(key, now);
+                    }
+                }
+            }
+            Event::Staged { digest, done } => {
+                self.staging -= 1;
+                if !done {
+                    self.stage(digest);
+                }
+            }
+        }
+    }
+
+    fn arrived(&mut self, ask: Ask, content: Bytes, took: Duration) {
+        let now = self.agent.node.clock.now();
+        let label = Source {
+            source: source(ask.from),
+        };
+        metrics::observe(&self.agent.node.metrics.chunk_fetch, &label, took);
+        let bytes = content.len() as u64;
+        self.agent
+            .node
+            .metrics
+            .chunk_bytes
+            .get_or_create(&label)
+            .inc_by(bytes);
+        if !self.fetch.borrow_mut().arrived(ask.idx, ask.from, now) {
+            return;
+        }
+        self.agent
+            .chunks
+            .borrow_mut()
+            .insert(ask.chunk.digest, content);
+        self.agent.arrivals.send_modify(|it| *it += 1);
+        self.stage(ask.chunk.digest);
+    }
+
+    /// Hands a chunk to the engine; tried again until it takes it.
+    fn stage(&mut self, digest: Digest) {
+        let Some(content) = self.agent.chunks.borrow().get(digest) else {
+            return;
+        };
+        self.staging += 1;
+        let engine = Rc::clone(self.engine);
+        let staging = async move {
+            let done = engine.stage(digest, content).await.is_ok();
+            if !done {
+                actix_rt::time::sleep(MANIFEST_RETRY).await;
+            }
+            Event::Staged { digest, done }
+        };
+        self.events.push(staging.boxed_local());
+    }
+
+    fn report(&self) {
+        let tally = self.fetch.borrow().tally();
+        self.agent.with_version(self.manifest.digest, |it| {
+            it.from_origin = tally.origin;
+            it.from_store = tally.store;
+            it.from_peers = tally.peers;
+        });
+    }
+}
+
+fn followed(key: SourceKey, node: u64, mut incoming: Incoming) -> LocalBoxFuture<'static, Event> {
+    async move {
+        match timeout(FOLLOW_SILENCE, incoming.next()).await {
+            Ok(Ok(Some(Reply::Have(positions)))) => Event::Followed {
+                key,
+                node,
+                incoming: Some(incoming),
+                positions,
+            },
+            _ => Event::Followed {
+                key,
+                node,
+                incoming: None,
+                positions: Vec::new(),
+            },
+        }
+    }
+    .boxed_local()
+}
+
+fn tuning(agent: &Agent, manifest: &Manifest, objective: Objective) -> Tuning {
+    let largest = manifest
+        .chunks
+        .iter()
+        .map(|it| it.size_bytes)
+        .max()
+        .unwrap_or_default();
+    let chunk_ms = largest * 1000 / agent.settings.link_bytes_per_s.max(1);
+    Tuning {
+        slots: agent.settings.fetch_slots as usize,
+        origin_slots: ORIGIN_SLOTS,
+        per_source: PER_SOURCE,
+        stall_ms: LEAST_STALL_MS + QUEUED_CHUNKS * chunk_ms,
+        takeover_ms: TAKEOVER_MS,
+        objective,
+    }
+}
+
+fn source(from: From) -> &'static str {
+    match from {
+        From::Origin => "origin",
+        From::Owner(_) | From::Source(_) => "peer",
+        From::Store => "store",
+    }
+}
+
+async fn read(agent: &Agent, ask: Ask, address: Option<String>) -> Result<Bytes, Failure> {
+    let size = ask.chunk.size_bytes;
+    let wait = agent
+        .pace_in
+        .borrow_mut()
+        .delay(size, agent.node.clock.now());
+    actix_rt::time::sleep(wait).await;
+    let content = match ask.from {
+        From::Origin => outside(&*agent.node.platform.origin, ask.chunk.digest, size).await?,
+        From::Store => outside(&*agent.node.platform.store, ask.chunk.digest, size).await?,
+        From::Owner(_) | From::Source(_) => {
+            let address = address.ok_or(Failure::Gone)?;
+            peer(agent, &address, ask.chunk.digest).await?
+        }
+    };
+    if Digest::of(&content) != ask.chunk.digest {
+        return Err(Failure::Corrupt);
+    }
+    Ok(content)
+}
+
+async fn outside(from: &dyn Weights, digest: Digest, size: u64) -> Result<Bytes, Failure> {
+    from.content(digest, size as usize)
+        .await
+        .map_err(|it| match it {
+            Fault::Limited { retry_after_ms } => Failure::Limited(retry_after_ms),
+            Fault::Malformed => Failure::Corrupt,
+            Fault::Missing => Failure::NotHeld,
+            Fault::Lost | Fault::Refused(_) | Fault::Status(_) | Fault::Unreachable => {
+                Failure::Gone
+            }
+        })
+}
+
+async fn peer(agent: &Agent, address: &str, digest: Digest) -> Result<Bytes, Failure> {
+    let call = Call::Chunk { digest };
+    match agent.node.pool.ask(address, Lane::Bulk, &call).await {
+        Ok(Reply::Chunk(content)) => Ok(Bytes::from(content)),
+        Ok(Reply::Absent(Absence::Busy)) => Err(Failure::Busy),
+        Ok(Reply::Absent(Absence::NotHeld)) => Err(Failure::NotHeld),
+        Ok(Reply::Absent(Absence::Pending)) => Err(Failure::Pending),
+        Ok(Reply::Absent(Absence::Leaving)) => Err(Failure::Gone),
+        Ok(_) | Err(PeerFault::Lost | PeerFault::Unsent) => Err(Failure::Gone),
+    }
+}
+
+/// Gets a manifest: its first owners read it from the store or the origin, the others ask an
+/// owner or any member, so that it spreads like a rumour and the owners are not swamped.
+async fn manifest_of(
+    agent: &Rc<Agent>,
+    digest: Digest,
+    members: &Members,
+) -> Result<Rc<Manifest>, String> {
+    if let Some(manifest) = agent.chunks.borrow().manifest(digest) {
+        return Ok(manifest);
+    }
+    let mut tries = 0;
+    let content = loop {
+        if let Some(content) = agent.chunks.borrow().get(digest) {
+            break content;
+        }
+        let content = manifest_try(agent, digest, &members(), tries).await;
+        match content {
+            Some(content) if Digest::of(&content) == digest => break content,
+            Some(_) => warn!(agent.node.log, "corrupt manifest"; "digest" => %digest),
+            None => debug!(agent.node.log, "no manifest yet"; "digest" => %digest),
+        }
+        tries += 1;
+        actix_rt::time::sleep(MANIFEST_RETRY).await;
+    };
+    let manifest = Manifest::parse(&content, agent.node.limits.chunk_bytes);
+    let manifest = manifest.map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        format!("manifest: {}", lines.join("; "))
+    })?;
+    agent.chunks.borrow_mut().insert(digest, content);
+    Ok(Rc::new(manifest))
+}
+
+async fn manifest_try(
+    agent: &Agent,
+    digest: Digest,
+    members: &[Member],
+    tries: usize,
+) -> Option<Bytes> {
+    let nodes: Vec<u64> = members.iter().map(|it| it.node).collect();
+    let key = digest.short();
+    let rank = rendezvous::rank(key, agent.own, nodes.iter().copied());
+    if rank == 0 || MANIFEST_OWNERS * 4 * rank < tries {
+        let store = agent
+            .node
+            .platform
+            .store
+            .content(digest, MAX_MANIFEST)
+            .await;
+        if let Ok(content) = store {
+            return Some(content);
+        }
+        return agent
+            .node
+            .platform
+            .origin
+            .content(digest, MAX_MANIFEST)
+            .await
+            .ok();
+    }
+    let mut asked: Vec<usize> = rendezvous::order(key, &nodes)
+        .into_iter()
+        .take(MANIFEST_OWNERS)
+        .collect();
+    agent.node.with_rng(|rng| {
+        asked.push(rng.random_range(0..members.len()));
+        asked.shuffle(rng);
+    });
+    for idx in asked.into_iter().take(2) {
+        let asking = peer(agent, &members[idx].address, digest);
+        if let Ok(Ok(content)) = timeout(Duration::from_secs(1), asking).await {
+            return Some(content);
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/gradeloft_daemon/src/main.rs
@@ -0,0 +1,156 @@
+//! `gradeloftd`: the daemon, as an entry or as an agent.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use clap::{Parser, Subcommand};
+use gradeloft_daemon::{
+    agent::{self, Endpoint},
+    entry, logging,
+    node::{Node, Platform},
+    settings::{self, Invalid},
+};
+use gradeloft_wire::border::settings::{Role, Settings};
+use slog::{error, info};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+};
+
+/// Exit code when the settings can't be used.
+const BAD_SETTINGS: u8 = 2;
+/// Exit code when the process can't start.
+const NO_START: u8 = 1;
+/// Exit code when the shutdown cut requests off.
+const CUT_OFF: u8 = 3;
+
+/// The gradeloft daemon.
+///
+/// Exit codes: 0 after a shutdown that cut nothing off; 1 when it can't start; 2 when the settings
+/// can't be used; 3 when the shutdown cut requests off.
+#[derive(Debug, Parser)]
+#[command(
+    version,
+    after_help = "Example:\n  gradeloftd entry --settings config/entry.yaml"
+)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run as the agent beside an endpoint.
+    Agent(Source),
+    /// Check a settings file and report every fault in it.
+    Check(Source),
+    /// Run as an entry.
+    Entry(Source),
+}
+
+#[derive(clap::Args, Debug)]
+struct Source {
+    /// The settings file, in YAML.
+    #[arg(long)]
+    settings: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let (source, role) = match Args::parse().command {
+        Command::Agent(source) => (source, Some(Role::Agent)),
+        Command::Check(source) => (source, None),
+        Command::Entry(source) => (source, Some(Role::Entry)),
+    };
+    let settings = match settings::read(&source.settings) {
+        Ok(settings) => settings,
+        Err(invalid) => return report(&source, &invalid),
+    };
+    let Some(role) = role else {
+        println!("{}: ok, role {}", source.settings.display(), settings.role);
+        return ExitCode::SUCCESS;
+    };
+    if settings.role != role {
+        eprintln!(
+            "{}: /role: {}, but {role} was asked for",
+            source.settings.display(),
+            settings.role
+        );
+        return ExitCode::from(BAD_SETTINGS);
+    }
+    actix_rt::System::new().block_on(run(settings))
+}
+
+fn report(source: &Source, invalid: &Invalid) -> ExitCode {
+    let path = source.settings.display();
+    match invalid {
+        Invalid::Unreadable { .. } => eprintln!("{invalid}"),
+        Invalid::Faulty(faults) => {
+            for fault in faults {
+                eprintln!("{path}: {fault}");
+            }
+        }
+    }
+    ExitCode::from(BAD_SETTINGS)
+}
+
+async fn run(settings: Settings) -> ExitCode {
+    let log = logging::to_stderr(settings.log_level, &settings.node.id);
+    let Ok(seed) = getrandom::u64() else {
+        error!(log, "no randomness from the system");
+        return ExitCode::from(NO_START);
+    };
+    let platform = Platform::http(&settings);
+    let role = settings.role;
+    let agent = settings.agent.clone();
+    let node = Node::new(settings, platform, log.clone(), seed);
+    let result = match (role, agent) {
+        (Role::Agent, Some(agent)) => run_agent(node, agent).await,
+        _ => run_entry(node).await,
+    };
+    match result {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(CUT_OFF),
+        Err(why) => {
+            error!(log, "can't start"; "why" => %why);
+            eprintln!("can't start: {why}");
+            ExitCode::from(NO_START)
+        }
+    }
+}
+
+async fn run_agent(
+    node: Node,
+    settings: gradeloft_wire::border::settings::Agent,
+) -> std::io::Result<usize> {
+    let endpoint = Endpoint::http(&settings.endpoint);
+    let handle = agent::start(node, settings, endpoint).await?;
+    let forced = stop(handle.node()).await?;
+    Ok(handle.drain(forced).await as usize)
+}
+
+async fn run_entry(node: Node) -> std::io::Result<usize> {
+    let handle = entry::start(node).await?;
+    let forced = stop(handle.node()).await?;
+    Ok(handle.drain(forced).await)
+}
+
+/// Waits for the first SIGTERM or SIGINT; what it gives turns true with the second.
+async fn stop(node: &Node) -> std::io::Result<watch::Receiver<bool>> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    info!(node.log, "signal"; "action" => "drain");
+    let (force, forced) = watch::channel(false);
+    let log = node.log.clone();
+    actix_rt::spawn(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        info!(log, "signal"; "action" => "force");
+        let _ = force.send(true);
+    });
+    Ok(forced)
+}
--- /dev/null
+++ b/crates/gradeloft_daemon/src/node/admin.rs
@@ -0,0 +1,93 @@
+//! The admin port: health, metrics and status.
+
+use std::rc::Rc;
+
+use futures_util::FutureExt;
+use gradeloft_http::{
+    message::{Answer, Request, bytes_of, json, text},
+    server::{Handler, Limits, Server},
+};
+use gradeloft_wire::border::{
+    caller::{BundleStatus, Status, VersionStatus},
+    settings::Role,
+};
+
+use super::Node;
+
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// What a role adds to the status.
+pub trait Report {
+    /// Whether it takes work; the reason if not.
+    fn ready(&self) -> Result<(), &'static str>;
+    /// Versions that it holds.
+    fn versions(&self) -> Vec<VersionStatus>;
+    /// Its epoch; 0 for none.
+    fn epoch(&self) -> u64;
+}
+
+/// Starts the admin port.
+pub async fn start(node: Rc<Node>, report: Rc<dyn Report>) -> std::io::Result<Server> {
+    let address = node.settings.listen.admin.clone();
+    let limits = Limits {
+        header_bytes: node.limits.header_bytes as usize,
+        body_bytes: 0,
+        connections: node.limits.connections as usize,
+        idle: node.idle(),
+    };
+    let handler: Handler = Rc::new(move |request| {
+        let res = answer(&node, &*report, &request);
+        async { res }.boxed_local()
+    });
+    Server::start(&address, limits, handler).await
+}
+
+fn answer(node: &Node, report: &dyn Report, request: &Request) -> Answer {
+    if request.method != "GET" {
+        return text(405, "only GET\n");
+    }
+    match request.path.as_str() {
+        "/healthz" => text(200, "ok\n"),
+        "/readyz" => match report.ready() {
+            Ok(()) => text(
+                200,
+                &format!("ready, bundle from {}\n", node.learned.get().name()),
+            ),
+            Err(why) => text(503, &format!("{why}\n")),
+        },
+        "/metrics" => bytes_of(200, METRICS_TYPE, node.metrics.text()),
+        "/v1/status" => json(200, &status(node, report)),
+        _ => text(404, "try /healthz, /readyz, /metrics or /v1/status\n"),
+    }
+}
+
+fn status(node: &Node, report: &dyn Report) -> Status {
+    let settings = &node.settings.node;
+    let chain = node.chain.borrow();
+    let bundle = chain.head().map(|it| BundleStatus {
+        number: it.bundle.number,
+        digest: it.digest.to_string(),
+        signer: it.signed.signer.clone(),
+    });
+    let peers = node
+        .membership
+        .borrow()
+        .iter()
+        .filter(|(_, it)| it.connected)
+        .count();
+    Status {
+        node: settings.id.clone(),
+        role: match node.settings.role {
+            Role::Agent => "agent".to_owned(),
+            Role::Entry => "entry".to_owned(),
+        },
+        zone: settings.zone.clone(),
+        ready: report.ready().is_ok(),
+        leaving: node.leaving(),
+        bundle,
+        source: node.learned.get().name().to_owned(),
+        versions: report.versions(),
+        peers: peers as u64,
+        epoch: report.epoch(),
+    }
+}
--- /dev/null
+++ b/crates/gradeloft_daemon/src/node/calls.rs
@@ -0,0 +1,39 @@
+//! The listener for peers, and the calls that every node answers alike.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use gradeloft_wire::frame::{Call, Reply};
+
+use super::{Node, config, peers};
+use crate::transport::server::{Handler, Limits, Outgoing, Server};
+
+/// Starts a node's listener for peers.
+pub async fn listen(node: &Rc<Node>, handler: Rc<dyn Handler>) -> std::io::Result<SocketAddr> {
+    let limits = Limits {
+        frame_bytes: node.limits.frame_bytes as usize,
+        streams: node.limits.streams_per_connection,
+        connections: node.limits.connections as usize,
+    };
+    let scope = Rc::clone(&node.scope);
+    let server = Server::start(&node.settings.listen.peer, limits, scope, handler).await?;
+    Ok(server.address())
+}
+
+/// Answers the calls that every node answers alike; others end without an answer.
+pub async fn answer(node: Rc<Node>, call: Call, outgoing: Outgoing) {
+    match call {
+        Call::Watch => peers::serve_watch(node, outgoing).await,
+        Call::Sync { number } => {
+            let head = node.chain.borrow().head().map(|it| it.signed.clone());
+            let newer = head.filter(|_| number < node.chain.borrow().number());
+            outgoing
+                .finish(&Reply::Bundles(newer.into_iter().collect()))
+                .await;
+        }
+        Call::Push(signed) => {
+            config::adopt(&node, &signed);
+            outgoing.finish(&Reply::Bundles(Vec::new())).await;
+        }
+        Call::Chunk { .. } | Call::Follow { .. } | Call::Work(_) => {}
+    }
+}
--- /dev/null
+++ b/crates/gradeloft_daemon/src/node/config.rs
@@ -0,0 +1,176 @@
+//! How a node learns which bundle is in force.
+//!
+//! Entries tail the log. Every node also asks a random peer now and then, passes on what it has
+//! accepted, and looks at the notices of the peers that it watches; so an outage of the log stops
+//! new bundles, and neither the spread of the accepted one nor the start of new nodes. Agents read
+//! the log themselves only while they have no bundle, or hear of none from peers.
+
+use std::{rc::Rc, time::Duration};
+
+use gradeloft_policy::version::chain::{Refusal, Verdict};
+use gradeloft_wire::{
+    border::settings::Role,
+    frame::{Call, Reply},
+    record::{CONFIG, Record, SignedBundle},
+};
+use rand::{Rng, seq::IteratorRandom};
+use slog::{info, warn};
+
+use super::{Learned, Node, peers};
+use crate::transport::client::Lane;
+
+/// How long the log is asked to wait for something new, in milliseconds.
+const TAIL_WAIT_MS: u64 = 2_000;
+/// First and longest pause after the log failed, in milliseconds.
+const RETRY_MS: std::ops::Range<u64> = 100..1_000;
+/// Mean time between two questions to random peers, in milliseconds.
+const GOSSIP_MS: u64 = 1_000;
+/// Time without word of the bundle from a peer after which an agent reads the log, in seconds.
+const AGENT_LOG_S: u64 = 5;
+
+/// Starts to learn.
+pub fn start(node: &Rc<Node>) {
+    node.scope.spawn(tail(Rc::clone(node)));
+    node.scope.spawn(gossip(Rc::clone(node)));
+}
+
+/// Takes over a bundle that a peer says is in force.
+pub fn adopt(node: &Node, signed: &SignedBundle) {
+    let verdict = node.chain.borrow_mut().adopt(signed);
+    settle(node, signed, &verdict, Learned::Peer);
+}
+
+/// Asks a peer for the bundle in force.
+pub async fn sync(node: &Node, address: &str) -> bool {
+    let number = node.chain.borrow().number();
+    let call = Call::Sync { number };
+    let asking = node.pool.ask(address, Lane::Live, &call);
+    let Ok(Ok(Reply::Bundles(bundles))) = tokio::time::timeout(node.idle(), asking).await else {
+        return false;
+    };
+    for signed in &bundles {
+        adopt(node, signed);
+    }
+    true
+}
+
+async fn tail(node: Rc<Node>) {
+    let mut from = 0;
+    let mut pause_ms = RETRY_MS.start;
+    let entry = node.settings.role == Role::Entry;
+    loop {
+        if !entry && node.learned.get() != Learned::Nothing {
+            let jitter = node.with_rng(|it| it.random_range(0..1000));
+            let pause = Duration::from_millis(AGENT_LOG_S * 1000 + jitter);
+            actix_rt::time::sleep(pause).await;
+        }
+        let wait_ms = if entry { TAIL_WAIT_MS } else { 0 };
+        match node.platform.log.read(CONFIG, from, wait_ms).await {
+            Ok(page) => {
+                pause_ms = RETRY_MS.start;
+                let whole = page.oldest <= from;
+                for record in &page.records {
+                    fold(&node, whole, record.offset, &record.data);
+                    from = record.offset + 1;
+                }
+                from = from.max(page.oldest);
+                if entry || node.learned.get() != Learned::Nothing {
+                    continue;
+                }
+            }
+            Err(_) => node.platform_fault("log"),
+        }
+        let jitter = node.with_rng(|it| it.random_range(0..pause_ms));
+        actix_rt::time::sleep(Duration::from_millis(pause_ms / 2 + jitter)).await;
+        pause_ms = (pause_ms * 2).min(RETRY_MS.end);
+    }
+}
+
+/// Folds one record; `whole` tells whether no record before it is missing.
+fn fold(node: &Node, whole: bool, offset: u64, data: &[u8]) {
+    let (signed, verdict) = match Record::decode(data) {
+        Ok(Record::Bundle(signed)) => {
+            // With records missing, a bundle without its parent may be one that lost a race.
+            let known = whole || node.chain.borrow().head().is_some();
+            if !known {
+                return;
+            }
+            let verdict = node.chain.borrow_mut().fold(&signed);
+            (signed, verdict)
+        }
+        Ok(Record::Checkpoint(signed)) => {
+            let verdict = node.chain.borrow_mut().adopt(&signed);
+            (signed, verdict)
+        }
+        Ok(_) => return,
+        Err(why) => {
+            warn!(node.log, "record skipped"; "offset" => offset, "why" => ?why);
+            return;
+        }
+    };
+    settle(node, &signed, &verdict, Learned::Log);
+}
+
+fn settle(node: &Node, signed: &SignedBundle, verdict: &Verdict, learned: Learned) {
+    match verdict {
+        Verdict::Accepted => {
+            let number = node.chain.borrow().number();
+            node.learned.set(learned);
+            node.metrics.bundle.set(number as i64);
+            node.notice.send_modify(|it| it.bundle = number);
+            node.bundle.send_replace(number);
+            info!(node.log, "bundle in force"; "number" => number, "signer" => &signed.signer,
+                "digest" => %signed.digest(), "source" => learned.name());
+        }
+        Verdict::Known => {}
+        // What was accepted before looks outrun when the log is read again.
+        Verdict::Refused(Refusal::Outrun { .. }) if learned == Learned::Peer => {}
+        Verdict::Refused(why) => {
+            node.metrics.bundles_refused.inc();
+            info!(node.log, "bundle refused"; "signer" => &signed.signer,
+                "digest" => %signed.digest(), "why" => ?why);
+        }
+    }
+}
+
+async fn gossip(node: Rc<Node>) {
+    let mut bundle = node.bundle.subscribe();
+    loop {
+        let pause = node.with_rng(|it| it.random_range(GOSSIP_MS / 2..GOSSIP_MS * 3 / 2));
+        tokio::select! {
+            () = actix_rt::time::sleep(Duration::from_millis(pause)) => {
+                if let Some(address) = random_peer(&node) {
+                    sync(&node, &address).await;
+                }
+            }
+            Ok(()) = bundle.changed() => {
+                bundle.borrow_and_update();
+                push(&node);
+            }
+        }
+    }
+}
+
+fn random_peer(node: &Node) -> Option<String> {
+    let membership = node.membership.borrow();
+    let now = node.clock.now();
+    let peers = membership.iter().filter(|(_, it)| !it.health.suspect(now));
+    node.with_rng(|rng| peers.choose(rng))
+        .map(|(_, it)| it.instance.peer.clone())
+}
+
+/// Passes the bundle in force on to the peers that this node watches.
+fn push(node: &Rc<Node>) {
+    let Some(signed) = node.chain.borrow().head().map(|it| it.signed.clone()) else {
+        return;
+    };
+    for address in peers::connected(node) {
+        let node = Rc::clone(node);
+        let call = Call::Push(signed.clone());
+        let scope = Rc::clone(&node.scope);
+        scope.spawn(async move {
+            let asking = node.pool.ask(&address, Lane::Live, &call);
+            let _ = tokio::time::timeout(node.idle(), asking).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/gradeloft_daemon/src/node/peers.rs
@@ -0,0 +1,149 @@
+//! The list, the connections to peers and the notices that come over them.
+
+use std::{rc::Rc, time::Duration};
+
+use gradeloft_policy::process::membership::PeerKey;
+use gradeloft_wire::{
+    border::platform::InstanceRole,
+    border::settings::Role,
+    frame::{Call, Notice, Reply},
+};
+use slog::{debug, info};
+
+use super::{Node, config};
+use crate::transport::{client::Lane, server::Outgoing};
+
+/// Time between two readings of the list.
+const LIST_EVERY: Duration = Duration::from_millis(500);
+/// Longest time between two notices on one stream.
+pub const HEARTBEAT: Duration = Duration::from_secs(1);
+/// Silent heartbeats after which a connection counts as lost.
+const MISSED_HEARTBEATS: u32 = 3;
+
+/// Starts to follow the list and to watch the peers that this node has to know.
+pub fn start(node: &Rc<Node>) {
+    node.scope.spawn(follow_list(Rc::clone(node)));
+}
+
+/// Addresses of the peers whose connections stand.
+pub fn connected(node: &Node) -> Vec<String> {
+    let membership = node.membership.borrow();
+    let connected = membership.iter().filter(|(_, it)| it.connected);
+    connected.map(|(_, it)| it.instance.peer.clone()).collect()
+}
+
+/// Sends this node's notice now, on each change and as a heartbeat, until the watcher goes.
+pub async fn serve_watch(node: Rc<Node>, outgoing: Outgoing) {
+    let mut notices = node.notice.subscribe();
+    loop {
+        let notice = notices.borrow_and_update().clone();
+        if !outgoing.send(&Reply::Notice(notice)).await {
+            return;
+        }
+        tokio::select! {
+            changed = notices.changed() => if changed.is_err() { return },
+            () = actix_rt::time::sleep(HEARTBEAT) => {}
+            () = outgoing.gone() => return,
+        }
+    }
+}
+
+async fn follow_list(node: Rc<Node>) {
+    loop {
+        match node.platform.list.instances().await {
+            Ok(instances) => {
+                let fresh = node.membership.borrow_mut().listed(instances);
+                for key in fresh {
+                    watch(&node, key);
+                }
+                node.members.send_modify(|it| *it += 1);
+            }
+            Err(_) => node.platform_fault("list"),
+        }
+        actix_rt::time::sleep(LIST_EVERY).await;
+    }
+}
+
+fn watch(node: &Rc<Node>, key: PeerKey) {
+    let role = node.membership.borrow().get(key).map(|it| it.instance.role);
+    // Agents hear from entries by their own gossip, and from other agents when they share chunks.
+    let wanted = node.settings.role == Role::Entry || role == Some(InstanceRole::Entry);
+    if wanted {
+        node.scope.spawn(watch_peer(Rc::clone(node), key));
+    }
+}
+
+async fn watch_peer(node: Rc<Node>, key: PeerKey) {
+    let first = address(&node, key);
+    loop {
+        let Some(address) = address(&node, key) else {
+            return;
+        };
+        if first.as_ref() != Some(&address) {
+            // It moved; a task for its new address has been started.
+            return;
+        }
+        let reason = watch_once(&node, key, &address).await;
+        let now = node.clock.now();
+        node.membership.borrow_mut().lost(key, now);
+        node.members.send_modify(|it| *it += 1);
+        debug!(node.log, "peer lost"; "peer" => &address, "why" => reason);
+        let retry_at = node
+            .membership
+            .borrow()
+            .get(key)
+            .map(|it| it.health.retry_at());
+        let Some(retry_at) = retry_at else {
+            return;
+        };
+        actix_rt::time::sleep(node.clock.until(retry_at)).await;
+    }
+}
+
+async fn watch_once(node: &Node, key: PeerKey, address: &str) -> &'static str {
+    let Ok(mut incoming) = node.pool.open(address, Lane::Live, &Call::Watch).await else {
+        return "unreachable";
+    };
+    loop {
+        let silence = HEARTBEAT * MISSED_HEARTBEATS;
+        let Ok(next) = tokio::time::timeout(silence, incoming.next()).await else {
+            return "silent";
+        };
+        let Ok(Some(Reply::Notice(notice))) = next else {
+            return "closed";
+        };
+        noticed(node, key, notice);
+        let ahead = node
+            .membership
+            .borrow()
+            .get(key)
+            .and_then(|it| it.notice.clone());
+        if ahead.is_some_and(|it| node.chain.borrow().number() < it.bundle) {
+            config::sync(node, address).await;
+        }
+    }
+}
+
+fn noticed(node: &Node, key: PeerKey, notice: Notice) {
+    let now = node.clock.now();
+    let mut membership = node.membership.borrow_mut();
+    let before = membership.get(key).and_then(|it| it.notice.clone());
+    let told = |it: &Notice| (it.leaving, it.serving.clone(), it.service.clone());
+    let changed = before.as_ref().map(told) != Some(told(&notice));
+    if changed {
+        info!(node.log, "peer state"; "peer" => &notice.node, "leaving" => notice.leaving,
+            "serving" => notice.serving.len(), "bundle" => notice.bundle);
+    }
+    membership.noticed(key, notice, now);
+    drop(membership);
+    if changed {
+        node.members.send_modify(|it| *it += 1);
+    }
+}
+
+fn address(node: &Node, key: PeerKey) -> Option<String> {
+    node.membership
+        .borrow()
+        .get(key)
+        .map(|it| it.instance.peer.clone())
+}
--- /dev/null
+++ b/crates/gradeloft_daemon/src/transport/client.rs
@@ -0,0 +1,174 @@
+//! A pool of connections to peers, and the answers that come over them.
+
+use std::{cell::RefCell, collections::HashMap, io, time::Duration};
+
+use bytes::Bytes;
+use gradeloft_wire::{
+    codec::{self, Decoder},
+    frame::{Call, Reply},
+};
+use h2::{Reason, RecvStream, SendStream, client::SendRequest};
+use tokio::{net::TcpStream, time::timeout};
+
+use super::{CONNECTION_WINDOW, MAX_H2_FRAME, STREAM_WINDOW};
+
+/// Keeps weights and everything else on connections of their own, so that a request never waits
+/// behind a chunk.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Lane {
+    /// Chunks.
+    Bulk,
+    /// Requests and control.
+    Live,
+}
+
+/// Why a call got no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// The connection broke after the call was sent, or the answer can't be read.
+    Lost,
+    /// The call was not sent, or the peer's transport refused it unread.
+    Unsent,
+}
+
+/// Connections to peers, one for each address and lane, made when they are needed.
+pub struct Pool {
+    connections: RefCell<HashMap<(String, Lane), SendRequest<Bytes>>>,
+    max_frame: usize,
+    connect_timeout: Duration,
+}
+
+impl Pool {
+    /// A pool whose answers have frames of at most `max_frame` bytes.
+    pub fn new(max_frame: usize, connect_timeout: Duration) -> Pool {
+        Pool {
+            connections: RefCell::default(),
+            max_frame,
+            connect_timeout,
+        }
+    }
+
+    /// Sends a call and gives its answer, as it comes. Dropping the answer cancels the call.
+    pub async fn open(&self, address: &str, lane: Lane, call: &Call) -> Result<Incoming, Fault> {
+        let sender = self.sender(address, lane).await?;
+        let result = send(sender, call).await;
+        if result.is_err() {
+            self.forget(address, lane);
+        }
+        let (response, sending) = result?;
+        Ok(Incoming {
+            head: Some(response),
+            body: None,
+            decoder: Decoder::new(self.max_frame),
+            _sending: sending,
+        })
+    }
+
+    /// As [`Pool::open`], for calls that are answered with one frame.
+    pub async fn ask(&self, address: &str, lane: Lane, call: &Call) -> Result<Reply, Fault> {
+        self.open(address, lane, call)
+            .await?
+            .next()
+            .await?
+            .ok_or(Fault::Lost)
+    }
+
+    async fn sender(&self, address: &str, lane: Lane) -> Result<SendRequest<Bytes>, Fault> {
+        let key = (address.to_owned(), lane);
+        let kept = self.connections.borrow().get(&key).cloned();
+        if let Some(kept) = kept
+            && let Ok(ready) = kept.ready().await
+        {
+            return Ok(ready);
+        }
+        let connecting = timeout(self.connect_timeout, connect(address));
+        let fresh = connecting
+            .await
+            .map_err(|_| Fault::Unsent)?
+            .map_err(|_| Fault::Unsent)?;
+        self.connections.borrow_mut().insert(key, fresh.clone());
+        fresh.ready().await.map_err(|_| Fault::Unsent)
+    }
+
+    fn forget(&self, address: &str, lane: Lane) {
+        self.connections
+            .borrow_mut()
+            .remove(&(address.to_owned(), lane));
+    }
+}
+
+async fn connect(address: &str) -> io::Result<SendRequest<Bytes>> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let mut builder = h2::client::Builder::new();
+    builder
+        .initial_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_frame_size(MAX_H2_FRAME)
+        .enable_push(false);
+    let (sender, connection) = builder.handshake(stream).await.map_err(io::Error::other)?;
+    // Ends by itself once the pool and every answer have let go of the connection.
+    actix_rt::spawn(async move {
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+type Sent = (h2::client::ResponseFuture, SendStream<Bytes>);
+
+async fn send(mut sender: SendRequest<Bytes>, call: &Call) -> Result<Sent, Fault> {
+    let request = http::Request::post("http://peer/")
+        .body(())
+        .map_err(|_| Fault::Unsent)?;
+    let (response, mut sending) = sender
+        .send_request(request, false)
+        .map_err(|_| Fault::Unsent)?;
+    sending
+        .send_data(codec::frame(call), true)
+        .map_err(|_| Fault::Unsent)?;
+    Ok((response, sending))
+}
+
+/// An answer as it comes.
+pub struct Incoming {
+    head: Option<h2::client::ResponseFuture>,
+    body: Option<RecvStream>,
+    decoder: Decoder,
+    _sending: SendStream<Bytes>,
+}
+
+impl Incoming {
+    /// The next frame; `None` at the regular end.
+    pub async fn next(&mut self) -> Result<Option<Reply>, Fault> {
+        if let Some(head) = &mut self.head {
+            let response = head.await.map_err(|it| fault(&it))?;
+            self.head = None;
+            self.body = Some(response.into_body());
+        }
+        loop {
+            if let Some(reply) = self.decoder.pop().map_err(|_| Fault::Lost)? {
+                return Ok(Some(reply));
+            }
+            let Some(body) = &mut self.body else {
+                return Ok(None);
+            };
+            match body.data().await {
+                Some(Ok(bytes)) => {
+                    let _ = body.flow_control().release_capacity(bytes.len());
+                    self.decoder.feed(&bytes);
+                }
+                Some(Err(_)) => return Err(Fault::Lost),
+                None => return Ok(None),
+            }
+        }
+    }
+}
+
+fn fault(error: &h2::Error) -> Fault {
+    // By the h2 standard a refused stream was not processed at all.
+    if error.reason() == Some(Reason::REFUSED_STREAM) {
+        Fault::Unsent
+    } else {
+        Fault::Lost
+    }
+}
--- /dev/null
+++ b/crates/gradeloft_daemon/src/transport/mod.rs
@@ -0,0 +1,19 @@
+//! Streams of bincode frames over h2 between gradeloft's own processes.
+//!
+//! - [`client`]: a pool of connections, and the answers that come over them.
+//! - [`server`]: the listener, and the answers that go out.
+
+pub mod client;
+pub mod server;
+
+const STREAM_WINDOW: u32 = 1 << 20;
+const CONNECTION_WINDOW: u32 = 8 << 20;
+const MAX_H2_FRAME: u32 = 64 << 10;
+/// Bytes that a chunk's frame adds to its content.
+const CHUNK_FRAME_SLACK: usize = 64;
+
+/// Largest frame read, given the bounds of the settings.
+pub fn max_frame(limits: &gradeloft_wire::border::settings::Limits) -> usize {
+    let chunk = limits.chunk_bytes as usize + CHUNK_FRAME_SLACK;
+    chunk.max(limits.frame_bytes as usize)
+}
--- /dev/null
+++ b/crates/gradeloft_http/src/lib.rs
@@ -0,0 +1,19 @@
+//! A bounded HTTP/1 server on one thread, on top of `actix-http`.
+//!
+//! - [`message`]: requests as handlers get them, and answers as they give them.
+//! - [`server`]: the listener.
+//!
+//! ```
+//! use gradeloft_http::{message, server::{Limits, Server}};
+//! use std::rc::Rc;
+//!
+//! actix_rt::System::new().block_on(async {
+//!     let handler = Rc::new(|_request| Box::pin(async { message::text(200, "hello") }) as _);
+//!     let server = Server::start("127.0.0.1:0", Limits::default(), handler).await?;
+//!     assert_ne!(server.address().port(), 0);
+//!     std::io::Result::Ok(())
+//! }).unwrap();
+//! ```
+
+pub mod message;
+pub mod server;
--- /dev/null
+++ b/crates/gradeloft_platform/src/http.rs
@@ -0,0 +1,159 @@
+//! The HTTP client that the adapters share.
+
+use std::time::Duration;
+
+use awc::{
+    Client, ClientResponse, Connector,
+    error::{JsonPayloadError, PayloadError, SendRequestError},
+    http::{StatusCode, header},
+};
+use bytes::Bytes;
+use futures_util::Stream;
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::Fault;
+
+/// Largest JSON answer read, in bytes.
+const MAX_JSON: usize = 8 << 20;
+const DEFAULT_RETRY_AFTER_MS: u64 = 1000;
+
+/// Whether a connection serves several calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reuse {
+    /// Kept open for the next call.
+    Kept,
+    /// A fresh one for each call, so that a connection that the other side closed meanwhile
+    /// can't be mistaken for a lost reply.
+    Fresh,
+}
+
+/// One service's base URL and the client for it.
+#[derive(Clone)]
+pub struct Base {
+    client: Client,
+    url: String,
+}
+
+impl Base {
+    /// A client for `url` whose answers begin within `timeout`.
+    pub fn new(url: &str, timeout: Duration, reuse: Reuse) -> Base {
+        let mut connector = Connector::new().timeout(timeout).limit(0);
+        if reuse == Reuse::Fresh {
+            connector = connector.conn_keep_alive(Duration::ZERO);
+        }
+        let client = Client::builder()
+            .connector(connector)
+            .timeout(timeout)
+            .finish();
+        Base {
+            client,
+            url: url.trim_end_matches('/').to_owned(),
+        }
+    }
+
+    /// The client, for calls that are no plain JSON.
+    pub fn client(&self) -> &Client {
+        &self.client
+    }
+
+    /// Whole URL of `path`, which begins with a slash.
+    pub fn url(&self, path: &str) -> String {
+        format!("{}{path}", self.url)
+    }
+
+    /// Gets JSON.
+    pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Fault> {
+        let res = self.client.get(self.url(path)).send().await.map_err(sent)?;
+        json(success(res).await?).await
+    }
+
+    /// Gets bytes, at most `max_bytes` of them.
+    pub async fn bytes(&self, path: &str, max_bytes: usize) -> Result<Bytes, Fault> {
+        let res = self.client.get(self.url(path)).send().await.map_err(sent)?;
+        success(res)
+            .await?
+            .body()
+            .limit(max_bytes)
+            .await
+            .map_err(received)
+    }
+
+    /// Posts JSON and reads JSON.
+    pub async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, Fault> {
+        let res = self
+            .client
+            .post(self.url(path))
+            .send_json(body)
+            .await
+            .map_err(sent)?;
+        json(success(res).await?).await
+    }
+}
+
+/// Gives the answer back if it is a success, else the fault that it stands for.
+pub async fn success<S>(mut res: ClientResponse<S>) -> Result<ClientResponse<S>, Fault>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin + 'static,
+{
+    let status = res.status();
+    if status.is_success() {
+        return Ok(res);
+    }
+    match status {
+        StatusCode::NOT_FOUND => Err(Fault::Missing),
+        StatusCode::TOO_MANY_REQUESTS => Err(Fault::Limited {
+            retry_after_ms: retry_after(&res),
+        }),
+        StatusCode::CONFLICT | StatusCode::SERVICE_UNAVAILABLE => {
+            let body = res.body().limit(MAX_JSON).await.unwrap_or_default();
+            Err(Fault::Refused(reason(&body)))
+        }
+        _ => Err(Fault::Status(status.as_u16())),
+    }
+}
+
+/// The fault behind a failure to send.
+pub fn sent(error: SendRequestError) -> Fault {
+    match error {
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => Fault::Unreachable,
+        _ => Fault::Lost,
+    }
+}
+
+async fn json<T, S>(mut res: ClientResponse<S>) -> Result<T, Fault>
+where
+    T: DeserializeOwned,
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin + 'static,
+{
+    res.json().limit(MAX_JSON).await.map_err(|it| match it {
+        JsonPayloadError::Payload(it) => received(it),
+        _ => Fault::Malformed,
+    })
+}
+
+fn received(error: PayloadError) -> Fault {
+    match error {
+        PayloadError::Overflow | PayloadError::EncodingCorrupted => Fault::Malformed,
+        _ => Fault::Lost,
+    }
+}
+
+fn retry_after<S>(res: &ClientResponse<S>) -> u64 {
+    let seconds = res
+        .headers()
+        .get(header::RETRY_AFTER)
+        .and_then(|it| it.to_str().ok());
+    seconds
+        .and_then(|it| it.parse::<f64>().ok())
+        .map_or(DEFAULT_RETRY_AFTER_MS, |it| (it * 1000.0) as u64)
+}
+
+fn reason(body: &[u8]) -> String {
+    let refused: Result<gradeloft_wire::border::platform::Refused, _> =
+        serde_json::from_slice(body);
+    refused.map_or_else(|_| "no reason given".to_owned(), |it| it.reason)
+}
--- /dev/null
+++ b/crates/gradeloft_platform/src/weights.rs
@@ -0,0 +1,40 @@
+//! The weight store and the origin: content by digest.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use gradeloft_wire::id::Digest;
+
+use crate::{
+    Answer,
+    http::{Base, Reuse},
+};
+
+/// A source of weights outside the fleet.
+pub trait Weights {
+    /// Content named by a digest, at most `max_bytes`; the caller checks the digest.
+    fn content(&self, digest: Digest, max_bytes: usize) -> Answer<'_, Bytes>;
+}
+
+/// A source over HTTP.
+#[derive(Clone)]
+pub struct Http(Base);
+
+impl Http {
+    /// A source at a base URL.
+    pub fn new(url: &str, timeout: Duration) -> Http {
+        Http(Base::new(url, timeout, Reuse::Kept))
+    }
+}
+
+impl Weights for Http {
+    fn content(&self, digest: Digest, max_bytes: usize) -> Answer<'_, Bytes> {
+        async move {
+            self.0
+                .bytes(&format!("/v1/content/{digest}"), max_bytes)
+                .await
+        }
+        .boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/gradeloft_policy/src/request/admission.rs
@@ -0,0 +1,161 @@
+//! Rates of teams and the shedding of classes.
+
+use std::collections::HashMap;
+
+use gradeloft_wire::error::Kind;
+
+use crate::clock::Time;
+
+/// Seconds of its rate that a bucket holds when full.
+const BURST_S: f64 = 2.0;
+/// Share of the fleet's slots that each class below the first leaves free for those above it.
+const HEADROOM: f64 = 0.1;
+
+/// A token bucket, filled at a rate and drained by what is admitted.
+///
+/// ```
+/// use gradeloft_policy::{clock::Time, request::admission::Bucket};
+/// let mut bucket = Bucket::new(1.0, Time::ZERO);
+/// assert!(bucket.take(2.0, Time::ZERO));
+/// assert!(!bucket.take(1.0, Time::ZERO));
+/// assert!(bucket.take(1.0, Time::ZERO.after_ms(1000)));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    rate: f64,
+    /// At most [`BURST_S`] seconds of `rate`, and at least one; below zero after a debt.
+    level: f64,
+    filled: Time,
+}
+
+impl Bucket {
+    /// A full bucket of `rate` units a second.
+    pub fn new(rate: f64, now: Time) -> Bucket {
+        Bucket {
+            rate,
+            level: capacity(rate),
+            filled: now,
+        }
+    }
+
+    /// Changes the rate; what is in stays, up to the new capacity.
+    pub fn set_rate(&mut self, rate: f64, now: Time) {
+        self.fill(now);
+        self.rate = rate;
+        self.level = self.level.min(capacity(rate));
+    }
+
+    /// Takes `amount`, if it is there.
+    pub fn take(&mut self, amount: f64, now: Time) -> bool {
+        self.fill(now);
+        if self.level < amount {
+            return false;
+        }
+        self.level -= amount;
+        true
+    }
+
+    /// Takes `amount` whether or not it is there: for costs that are known only afterwards.
+    pub fn charge(&mut self, amount: f64, now: Time) {
+        self.fill(now);
+        self.level -= amount;
+    }
+
+    /// Whether nothing is left.
+    pub fn is_empty(&mut self, now: Time) -> bool {
+        self.fill(now);
+        self.level <= 0.0
+    }
+
+    fn fill(&mut self, now: Time) {
+        let added = self.rate * now.seconds_since(self.filled);
+        self.level = (self.level + added).min(capacity(self.rate));
+        self.filled = self.filled.max(now);
+    }
+}
+
+fn capacity(rate: f64) -> f64 {
+    (rate * BURST_S).max(1.0)
+}
+
+/// Rate of one team, over all entries.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rate {
+    /// Requests a second.
+    pub requests: f64,
+    /// Tokens a second, of prompts and answers.
+    pub tokens: f64,
+}
+
+impl Rate {
+    fn scaled(self, share: f64) -> Rate {
+        Rate {
+            requests: self.requests * share,
+            tokens: self.tokens * share,
+        }
+    }
+}
+
+struct Account {
+    requests: Bucket,
+    tokens: Bucket,
+}
+
+/// Buckets of all teams at one entry.
+///
+/// Each entry grants `share` of every rate. A request is charged its prompt when it is admitted
+/// and its answer when it is done, so a team may overdraw its tokens by what runs and then waits.
+#[derive(Default)]
+pub struct Ledger {
+    /// Only teams of the bundle in force.
+    accounts: HashMap<String, Account>,
+}
+
+impl Ledger {
+    /// Takes over the teams and rates of a bundle, and this entry's share of them.
+    pub fn configure(&mut self, rates: &[(String, Rate)], share: f64, now: Time) {
+        self.accounts
+            .retain(|team, _| rates.iter().any(|(it, _)| it == team));
+        for (team, rate) in rates {
+            let rate = rate.scaled(share);
+            match self.accounts.get_mut(team) {
+                Some(account) => {
+                    account.requests.set_rate(rate.requests, now);
+                    account.tokens.set_rate(rate.tokens, now);
+                }
+                None => {
+                    let account = Account {
+                        requests: Bucket::new(rate.requests, now),
+                        tokens: Bucket::new(rate.tokens, now),
+                    };
+                    self.accounts.insert(team.clone(), account);
+                }
+            }
+        }
+    }
+
+    /// Admits a request with a prompt of `tokens`, or says why not.
+    pub fn admit(&mut self, team: &str, tokens: f64, now: Time) -> Result<(), Kind> {
+        let account = self.accounts.get_mut(team).ok_or(Kind::NotFound)?;
+        if account.tokens.is_empty(now) || !account.requests.take(1.0, now) {
+            return Err(Kind::RateLimited);
+        }
+        account.tokens.charge(tokens, now);
+        Ok(())
+    }
+
+    /// Charges the tokens of an answer.
+    pub fn charge(&mut self, team: &str, tokens: f64, now: Time) {
+        if let Some(account) = self.accounts.get_mut(team) {
+            account.tokens.charge(tokens, now);
+        }
+    }
+}
+
+/// Whether a request of a class (0 is the most important) is shed while `running` of `slots` are
+/// taken: each class leaves a share of the slots to those above it, so the lowest goes first.
+pub fn sheds(class: u8, running: u32, slots: u32) -> bool {
+    let usable = 1.0 - HEADROOM * f64::from(class);
+    let bound = (f64::from(slots) * usable.max(HEADROOM)).max(1.0);
+    bound <= f64::from(running)
+}
--- /dev/null
+++ b/crates/gradeloft_policy/src/request/mod.rs
@@ -0,0 +1,13 @@
+//! What lives for a request.
+//!
+//! - [`admission`]: rates of teams and the shedding of classes.
+//! - [`answer`]: whether the frames of an answer are whole and its own.
+//! - [`once`]: calls that run at most once.
+//! - [`retry`]: whether a failed attempt is tried again.
+//! - [`route`]: which replica gets it.
+
+pub mod admission;
+pub mod answer;
+pub mod once;
+pub mod retry;
+pub mod route;
--- /dev/null
+++ b/crates/gradeloft_policy/src/version/bundle.rs
@@ -0,0 +1,178 @@
+//! Checks, canonical form and signatures of bundles.
+
+use std::collections::HashSet;
+
+use ed25519_dalek::{Signature, Signer, SigningKey, VerifyingKey};
+use gradeloft_wire::{
+    border::bundle::{Bundle, Team},
+    id::Digest,
+    record::SignedBundle,
+    schema::{self, Fault, Schema},
+};
+
+/// The bytes that are signed and digested: JSON with fields in the schema's order.
+pub fn canonical(bundle: &Bundle) -> Vec<u8> {
+    // Plain data with text keys always serializes.
+    serde_json::to_vec(bundle).unwrap_or_default()
+}
+
+/// Reads a YAML bundle and gives every fault of it.
+pub fn parse(yaml: &str) -> Result<Bundle, Vec<Fault>> {
+    let bundle = schema::from_yaml(Schema::Bundle, yaml)?;
+    let faults = check(&bundle);
+    if faults.is_empty() {
+        Ok(bundle)
+    } else {
+        Err(faults)
+    }
+}
+
+/// Reads the canonical form.
+pub fn parse_canonical(payload: &[u8]) -> Result<Bundle, Vec<Fault>> {
+    let bundle = schema::from_json(Schema::Bundle, payload)?;
+    let faults = check(&bundle);
+    if faults.is_empty() {
+        Ok(bundle)
+    } else {
+        Err(faults)
+    }
+}
+
+/// Faults that the schema can't express: names that are used twice or not defined.
+pub fn check(bundle: &Bundle) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    unique(
+        "/publishers",
+        bundle.publishers.iter().map(|it| &it.name),
+        &mut faults,
+    );
+    unique("/classes", bundle.classes.iter(), &mut faults);
+    unique(
+        "/teams",
+        bundle.teams.iter().map(|it| &it.name),
+        &mut faults,
+    );
+    unique(
+        "/models",
+        bundle.models.iter().map(|it| &it.name),
+        &mut faults,
+    );
+    unique(
+        "/services",
+        bundle.services.iter().map(|it| &it.name),
+        &mut faults,
+    );
+    for (idx, team) in bundle.teams.iter().enumerate() {
+        check_team(bundle, team, &format!("/teams/{idx}"), &mut faults);
+    }
+    for (idx, model) in bundle.models.iter().enumerate() {
+        let names = model.adapters.iter().map(|it| &it.name);
+        unique(&format!("/models/{idx}/adapters"), names, &mut faults);
+    }
+    if (bundle.number == 1) != bundle.parent.is_none() {
+        faults.push(Fault::new(
+            "/parent",
+            "the first bundle has no parent, every later one has",
+        ));
+    }
+    faults
+}
+
+fn check_team(bundle: &Bundle, team: &Team, path: &str, faults: &mut Vec<Fault>) {
+    if !bundle.classes.contains(&team.class) {
+        let classes = bundle.classes.join(", ");
+        let message = format!("\"{}\" is no class of this bundle: {classes}", team.class);
+        faults.push(Fault::new(format!("{path}/class"), message));
+    }
+    for (idx, name) in team.models.iter().enumerate() {
+        if !bundle.models.iter().any(|it| it.name == *name) {
+            let message = format!("\"{name}\" is no model of this bundle");
+            faults.push(Fault::new(format!("{path}/models/{idx}"), message));
+        }
+    }
+    for (idx, name) in team.services.iter().enumerate() {
+        if !bundle.services.iter().any(|it| it.name == *name) {
+            let message = format!("\"{name}\" is no service of this bundle");
+            faults.push(Fault::new(format!("{path}/services/{idx}"), message));
+        }
+    }
+}
+
+fn unique<'a>(path: &str, names: impl Iterator<Item = &'a String>, faults: &mut Vec<Fault>) {
+    let mut seen = HashSet::new();
+    for (idx, name) in names.enumerate() {
+        if !seen.insert(name) {
+            faults.push(Fault::new(
+                format!("{path}/{idx}"),
+                format!("\"{name}\" stands twice"),
+            ));
+        }
+    }
+}
+
+/// A key that signs bundles.
+pub struct Key(SigningKey);
+
+impl Key {
+    /// A key from its 32 secret bytes.
+    pub fn new(secret: [u8; 32]) -> Key {
+        Key(SigningKey::from_bytes(&secret))
+    }
+
+    /// The public key, in hex.
+    pub fn public(&self) -> String {
+        hex::encode(self.0.verifying_key().as_bytes())
+    }
+
+    /// Signs a bundle in the name of a publisher.
+    pub fn sign(&self, bundle: &Bundle, signer: &str) -> SignedBundle {
+        let payload = canonical(bundle);
+        let signature = self.0.sign(&payload).to_bytes();
+        SignedBundle {
+            payload,
+            signer: signer.to_owned(),
+            signature,
+        }
+    }
+}
+
+/// A publisher whose bundles are trusted.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Publisher {
+    /// Name.
+    pub name: String,
+    key: VerifyingKey,
+}
+
+impl Publisher {
+    /// A publisher by name and public key in hex; `None` when that is no key.
+    pub fn new(name: &str, key: &str) -> Option<Publisher> {
+        let mut bytes = [0; 32];
+        hex::decode_to_slice(key, &mut bytes).ok()?;
+        let key = VerifyingKey::from_bytes(&bytes).ok()?;
+        Some(Publisher {
+            name: name.to_owned(),
+            key,
+        })
+    }
+
+    /// Whether the publisher signed it.
+    pub fn signed(&self, bundle: &SignedBundle) -> bool {
+        let signature = Signature::from_bytes(&bundle.signature);
+        self.name == bundle.signer && self.key.verify_strict(&bundle.payload, &signature).is_ok()
+    }
+}
+
+/// The publishers that a bundle names for its successor.
+pub fn publishers(bundle: &Bundle) -> Vec<Publisher> {
+    bundle
+        .publishers
+        .iter()
+        .filter_map(|it| Publisher::new(&it.name, &it.key))
+        .collect()
+}
+
+/// Digest of a parent field.
+pub fn parent(bundle: &Bundle) -> Option<Digest> {
+    bundle.parent.as_ref().and_then(|it| it.parse().ok())
+}
--- /dev/null
+++ b/crates/gradeloft_policy/src/version/fetch.rs
@@ -0,0 +1,565 @@
+//! Which chunk of a version to fetch next, and from where.
+//!
+//! Each chunk has its agents ranked by rendezvous. The first of them reads it from the weight
+//! store or the origin; all others take it from peers that have it, the rarest chunk first. An
+//! agent of a lower rank reads the origin only after the better ones, asked directly, turned out
+//! to be gone. So changes of membership, or views of it that differ, cost few extra copies.
+
+use std::collections::{HashMap, HashSet};
+
+use gradeloft_wire::{border::bundle::Objective, id::Digest};
+use rand::Rng;
+use slotmap::{SlotMap, new_key_type};
+
+use super::manifest::{Chunk, Manifest};
+use crate::{clock::Time, rendezvous};
+
+/// Strikes after which a source is left alone for the rest of the fetch.
+const MAX_STRIKES: u32 = 4;
+/// First wait after the store or the origin failed, in milliseconds.
+const FIRST_BACKOFF_MS: u64 = 200;
+/// Longest wait after the store or the origin failed, in milliseconds.
+const LONGEST_BACKOFF_MS: u64 = 5_000;
+/// Wait before a peer that had no free slot is asked again, in milliseconds.
+const BUSY_WAIT_MS: u64 = 40;
+/// How long a store that lacked a chunk is passed over, in milliseconds.
+const MISSING_WAIT_MS: u64 = 10_000;
+/// How many more times the objective `origin_bytes` waits before it doubts an owner.
+const PATIENCE: u64 = 4;
+
+new_key_type! {
+    /// Names a peer that tells us what it holds.
+    pub struct SourceKey;
+}
+
+/// Bounds of one fetch.
+#[derive(Clone, Copy, Debug)]
+pub struct Tuning {
+    /// Chunks asked for at once.
+    pub slots: usize,
+    /// Of those, chunks read from the store or the origin at once.
+    pub origin_slots: usize,
+    /// Chunks asked of one peer at once.
+    pub per_source: u32,
+    /// An ask that takes longer is given up, in milliseconds.
+    pub stall_ms: u64,
+    /// Wait before an owner's silence is looked into, in milliseconds, for each rank.
+    pub takeover_ms: u64,
+    /// What the rollout spends.
+    pub objective: Objective,
+}
+
+/// Where a chunk is asked for.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum From {
+    /// The origin.
+    Origin,
+    /// A better-ranked owner, by the hash of its name, which did not say that it has the chunk.
+    Owner(u64),
+    /// A peer that said it has the chunk.
+    Source(SourceKey),
+    /// The weight store.
+    Store,
+}
+
+/// An order to ask for a chunk.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Ask {
+    /// Position among the manifest's distinct chunks.
+    pub idx: usize,
+    /// The chunk.
+    pub chunk: Chunk,
+    /// Whom to ask.
+    pub from: From,
+}
+
+/// How an ask failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// No slot free now.
+    Busy,
+    /// The content does not have the digest.
+    Corrupt,
+    /// The connection failed, or can't be made.
+    Gone,
+    /// Asked to come back after so many milliseconds.
+    Limited(u64),
+    /// It does not hold the chunk.
+    NotHeld,
+    /// It is the owner and is about to read the chunk.
+    Pending,
+    /// Nothing came for too long.
+    Stalled,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    Asked { from: From, at: Time },
+    Held,
+    Missing { not_before: Time },
+}
+
+struct Item {
+    chunk: Chunk,
+    state: State,
+    /// Sources in good standing that hold it.
+    holders: u32,
+    /// How many members come before this one for the chunk.
+    rank: usize,
+    /// When its owners were last given time.
+    waiting_since: Time,
+    /// Better-ranked owners that turned out not to be reading it.
+    absent: HashSet<u64>,
+}
+
+struct Source {
+    /// Whether it is in this agent's availability zone.
+    near: bool,
+    held: Vec<bool>,
+    asked: u32,
+    strikes: u32,
+    not_before: Time,
+}
+
+/// The store or the origin as seen from here.
+#[derive(Clone, Copy, Debug, Default)]
+struct Gate {
+    closed_until: Time,
+    failures: u32,
+}
+
+impl Gate {
+    fn close(&mut self, now: Time) {
+        let wait = (FIRST_BACKOFF_MS << self.failures.min(6)).min(LONGEST_BACKOFF_MS);
+        self.failures += 1;
+        self.closed_until = now.after_ms(wait);
+    }
+
+    fn open(&self, now: Time) -> bool {
+        self.closed_until <= now
+    }
+}
+
+/// Chunks by where they came from.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Tally {
+    /// Chunks whose content did not have its digest.
+    pub corrupt: u64,
+    /// From the origin.
+    pub origin: u64,
+    /// From peers.
+    pub peers: u64,
+    /// From the weight store.
+    pub store: u64,
+}
+
+/// The fetch of one version by one agent.
+pub struct Fetch {
+    own: u64,
+    tuning: Tuning,
+    items: Vec<Item>,
+    index: HashMap<Digest, usize>,
+    sources: SlotMap<SourceKey, Source>,
+    members: Vec<u64>,
+    origin: Gate,
+    store: Gate,
+    asked: usize,
+    asked_origin: usize,
+    left: usize,
+    tally: Tally,
+}
+
+impl Fetch {
+    /// A fetch by the agent whose name hashes to `own`; `held` tells which chunks it has already.
+    pub fn new(
+        own: u64,
+        manifest: &Manifest,
+        held: impl Fn(Digest) -> bool,
+        tuning: Tuning,
+        now: Time,
+    ) -> Fetch {
+        let items: Vec<Item> = manifest
+            .distinct()
+            .into_iter()
+            .map(|it| item(it, held(it.digest), now))
+            .collect();
+        let index = items
+            .iter()
+            .enumerate()
+            .map(|(idx, it)| (it.chunk.digest, idx))
+            .collect();
+        let left = items.iter().filter(|it| it.state != State::Held).count();
+        Fetch {
+            own,
+            tuning,
+            items,
+            index,
+            sources: SlotMap::with_key(),
+            members: Vec::new(),
+            origin: Gate::default(),
+            store: Gate::default(),
+            asked: 0,
+            asked_origin: 0,
+            left,
+            tally: Tally::default(),
+        }
+    }
+
+    /// Whether every chunk is held.
+    pub fn complete(&self) -> bool {
+        self.left == 0
+    }
+
+    /// Chunks not held yet.
+    pub fn left(&self) -> usize {
+        self.left
+    }
+
+    /// Where the chunks came from.
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+
+    /// Position of a chunk.
+    pub fn position(&self, digest: Digest) -> Option<usize> {
+        self.index.get(&digest).copied()
+    }
+
+    /// Whether this agent is the one to read a chunk from the origin, as far as it knows.
+    pub fn owns(&self, digest: Digest) -> bool {
+        self.position(digest)
+            .is_some_and(|idx| self.items[idx].effective_rank() == 0)
+    }
+
+    /// Takes over the agents that fetch this version, by the hashes of their names.
+    pub fn set_members(&mut self, members: Vec<u64>) {
+        if self.members == members {
+            return;
+        }
+        for item in &mut self.items {
+            let others = members.iter().copied().filter(|it| *it != self.own);
+            item.rank = rendezvous::rank(item.chunk.digest.short(), self.own, others);
+            item.absent.retain(|it| members.contains(it));
+        }
+        self.members = members;
+    }
+
+    /// A peer begins to tell what it holds.
+    pub fn join(&mut self, near: bool) -> SourceKey {
+        let held = vec![false; self.items.len()];
+        self.sources.insert(Source {
+            near,
+            held,
+            asked: 0,
+            strikes: 0,
+            not_before: Time::ZERO,
+        })
+    }
+
+    /// A peer has gone; what it was asked for is missing again.
+    pub fn leave(&mut self, key: SourceKey, now: Time) {
+        let asked: Vec<usize> = (0..self.items.len())
+            .filter(|&idx| self.items[idx].asked_of() == Some(From::Source(key)))
+            .collect();
+        for idx in asked {
+            self.release(idx, now);
+        }
+        if let Some(source) = self.sources.remove(key) {
+            self.forget(&source);
+        }
+    }
+
+    /// A peer has these chunks, by position.
+    pub fn have(&mut self, key: SourceKey, positions: impl Iterator<Item = usize>) {
+        let Some(source) = self.sources.get_mut(key) else {
+            return;
+        };
+        for idx in positions {
+            if let Some(held @ false) = source.held.get_mut(idx) {
+                *held = true;
+                if source.strikes < MAX_STRIKES {
+                    self.items[idx].holders += 1;
+                }
+            }
+        }
+    }
+
+    /// The next ask, if there is one to make now. Call until it gives none.
+    pub fn next(&mut self, now: Time, rng: &mut impl Rng) -> Option<Ask> {
+        if self.tuning.slots <= self.asked {
+            return None;
+        }
+        let (idx, from) = self
+            .owner_ask(now, rng)
+            .or_else(|| self.peer_ask(now, rng))?;
+        self.asked += 1;
+        match from {
+            From::Origin | From::Store => self.asked_origin += 1,
+            From::Source(key) => self.sources[key].asked += 1,
+            From::Owner(_) => {}
+        }
+        self.items[idx].state = State::Asked { from, at: now };
+        Some(Ask {
+            idx,
+            chunk: self.items[idx].chunk,
+            from,
+        })
+    }
+
+    /// Asks that have stalled; report each with [`Fetch::failed`].
+    pub fn stalled(&self, now: Time) -> Vec<(usize, From)> {
+        let late = |it: &Item| match it.state {
+            State::Asked { from, at } if at.after_ms(self.tuning.stall_ms) <= now => Some(from),
+            _ => None,
+        };
+        self.items
+            .iter()
+            .enumerate()
+            .filter_map(|(idx, it)| Some((idx, late(it)?)))
+            .collect()
+    }
+
+    /// A chunk came, and its content has its digest. Gives whether it was still missing.
+    pub fn arrived(&mut self, idx: usize, from: From, now: Time) -> bool {
+        match from {
+            From::Origin => {
+                self.tally.origin += 1;
+                self.origin = Gate::default();
+            }
+            From::Store => {
+                self.tally.store += 1;
+                self.store = Gate::default();
+            }
+            From::Owner(_) | From::Source(_) => self.tally.peers += 1,
+        }
+        if self.items[idx].state == State::Held {
+            return false;
+        }
+        self.release(idx, now);
+        self.items[idx].state = State::Held;
+        self.left -= 1;
+        true
+    }
+
+    /// An ask failed. Does nothing when it was given up before.
+    pub fn failed(&mut self, idx: usize, from: From, failure: Failure, now: Time) {
+        if failure == Failure::Corrupt {
+            self.tally.corrupt += 1;
+        }
+        if self.items[idx].asked_of() != Some(from) {
+            return;
+        }
+        self.release(idx, now);
+        match from {
+            From::Origin => self.gate_failed(From::Origin, failure, now),
+            From::Owner(node) => self.owner_failed(idx, node, failure, now),
+            From::Source(key) => self.source_failed(idx, key, failure, now),
+            From::Store => self.gate_failed(From::Store, failure, now),
+        }
+    }
+
+    /// Where to read from outside the fleet, if that can be done now.
+    fn outside(&self, now: Time) -> Option<From> {
+        if self.store.open(now) {
+            return Some(From::Store);
+        }
+        self.origin.open(now).then_some(From::Origin)
+    }
+
+    fn owner_ask(&self, now: Time, rng: &mut impl Rng) -> Option<(usize, From)> {
+        let mut best = None;
+        let mut ties = 0;
+        for (idx, item) in self.items.iter().enumerate() {
+            if 0 < item.holders || !item.askable(now) {
+                continue;
+            }
+            let from = match item.effective_rank() {
+                0 if self.asked_origin < self.tuning.origin_slots => self.outside(now),
+                0 => None,
+                rank => self.doubted(item, rank, now),
+            };
+            let Some(from) = from else {
+                continue;
+            };
+            ties += 1;
+            if rng.random_range(0..ties) == 0 {
+                best = Some((idx, from));
+            }
+        }
+        best
+    }
+
+    /// The best owner of a chunk that has kept silent for too long.
+    fn doubted(&self, item: &Item, rank: usize, now: Time) -> Option<From> {
+        let patience = match self.tuning.objective {
+            Objective::OriginBytes => PATIENCE,
+            Objective::Time => 1,
+        };
+        let wait = self.tuning.takeover_ms * patience * rank as u64;
+        if now < item.waiting_since.after_ms(wait) {
+            return None;
+        }
+        let key = item.chunk.digest.short();
+        let better = self
+            .members
+            .iter()
+            .filter(|it| **it != self.own && !item.absent.contains(it));
+        better
+            .max_by_key(|it| (rendezvous::score(key, **it), **it))
+            .map(|it| From::Owner(*it))
+    }
+
+    fn peer_ask(&self, now: Time, rng: &mut impl Rng) -> Option<(usize, From)> {
+        let free: Vec<(SourceKey, &Source)> = self
+            .sources
+            .iter()
+            .filter(|(_, it)| self.free(it, now))
+            .collect();
+        if free.is_empty() {
+            return None;
+        }
+        let mut rarest = u32::MAX;
+        let mut best = None;
+        let mut ties = 0;
+        for (idx, item) in self.items.iter().enumerate() {
+            let wanted = 0 < item.holders && item.holders <= rarest && item.askable(now);
+            if !wanted || !free.iter().any(|(_, it)| it.held[idx]) {
+                continue;
+            }
+            if item.holders < rarest {
+                rarest = item.holders;
+                ties = 0;
+            }
+            ties += 1;
+            if rng.random_range(0..ties) == 0 {
+                best = Some(idx);
+            }
+        }
+        let idx = best?;
+        let offset = rng.random_range(0..free.len());
+        let holders = free.iter().cycle().skip(offset).take(free.len());
+        let holders = holders.filter(|(_, it)| it.held[idx]);
+        let chosen = holders.min_by_key(|(_, it)| (it.asked, !it.near))?;
+        Some((idx, From::Source(chosen.0)))
+    }
+
+    fn free(&self, source: &Source, now: Time) -> bool {
+        source.strikes < MAX_STRIKES
+            && source.asked < self.tuning.per_source
+            && source.not_before <= now
+    }
+
+    /// Takes back an ask, whatever came of it.
+    fn release(&mut self, idx: usize, now: Time) {
+        let Some(from) = self.items[idx].asked_of() else {
+            return;
+        };
+        self.items[idx].state = State::Missing { not_before: now };
+        self.asked -= 1;
+        match from {
+            From::Origin | From::Store => self.asked_origin -= 1,
+            From::Source(key) => {
+                if let Some(source) = self.sources.get_mut(key) {
+                    source.asked -= 1;
+                }
+            }
+            From::Owner(_) => {}
+        }
+    }
+
+    fn gate_failed(&mut self, from: From, failure: Failure, now: Time) {
+        let gate = if from == From::Store {
+            &mut self.store
+        } else {
+            &mut self.origin
+        };
+        match failure {
+            Failure::Limited(ms) => gate.closed_until = now.after_ms(ms.max(FIRST_BACKOFF_MS)),
+            Failure::NotHeld => gate.closed_until = now.after_ms(MISSING_WAIT_MS),
+            _ => gate.close(now),
+        }
+    }
+
+    fn owner_failed(&mut self, idx: usize, node: u64, failure: Failure, now: Time) {
+        let item = &mut self.items[idx];
+        match failure {
+            Failure::Busy | Failure::Pending => item.waiting_since = now,
+            _ => {
+                item.absent.insert(node);
+            }
+        }
+    }
+
+    fn source_failed(&mut self, idx: usize, key: SourceKey, failure: Failure, now: Time) {
+        let stall_ms = self.tuning.stall_ms;
+        let Some(source) = self.sources.get_mut(key) else {
+            return;
+        };
+        let standing = source.strikes < MAX_STRIKES;
+        match failure {
+            Failure::Busy => source.not_before = now.after_ms(BUSY_WAIT_MS),
+            Failure::Limited(ms) => source.not_before = now.after_ms(ms),
+            Failure::Gone | Failure::Stalled => {
+                source.strikes += 1;
+                source.not_before = now.after_ms(stall_ms);
+            }
+            Failure::Corrupt => source.strikes += 1,
+            Failure::NotHeld | Failure::Pending => {}
+        }
+        if matches!(failure, Failure::Corrupt | Failure::NotHeld) && source.held[idx] {
+            source.held[idx] = false;
+            if standing {
+                self.items[idx].holders -= 1;
+            }
+        }
+        if standing && MAX_STRIKES <= source.strikes {
+            let held = source.held.clone();
+            self.uncount(&held);
+        }
+    }
+
+    fn forget(&mut self, source: &Source) {
+        if source.strikes < MAX_STRIKES {
+            self.uncount(&source.held);
+        }
+    }
+
+    fn uncount(&mut self, held: &[bool]) {
+        for (item, held) in self.items.iter_mut().zip(held) {
+            item.holders -= u32::from(*held);
+        }
+    }
+}
+
+impl Item {
+    fn asked_of(&self) -> Option<From> {
+        match self.state {
+            State::Asked { from, .. } => Some(from),
+            _ => None,
+        }
+    }
+
+    fn askable(&self, now: Time) -> bool {
+        matches!(self.state, State::Missing { not_before } if not_before <= now)
+    }
+
+    fn effective_rank(&self) -> usize {
+        self.rank.saturating_sub(self.absent.len())
+    }
+}
+
+fn item(chunk: Chunk, held: bool, now: Time) -> Item {
+    let state = if held {
+        State::Held
+    } else {
+        State::Missing { not_before: now }
+    };
+    Item {
+        chunk,
+        state,
+        holders: 0,
+        rank: 0,
+        waiting_since: now,
+        absent: HashSet::new(),
+    }
+}
--- /dev/null
+++ b/crates/gradeloft_policy/src/version/mod.rs
@@ -0,0 +1,17 @@
+//! What lives for a bundle or a version of weights.
+//!
+//! - [`bundle`]: checks, canonical form, signatures.
+//! - [`chain`]: which published bundle is in force.
+//! - [`manifest`]: the chunks of a version.
+//! - [`placement`]: which replica holds which model.
+//! - [`fetch`]: which chunk to fetch next, and from where.
+//! - [`upload`]: which peer's request for a chunk is served when.
+//! - [`rollout`]: which version requests are pinned to, and which replica may go down.
+
+pub mod bundle;
+pub mod chain;
+pub mod fetch;
+pub mod manifest;
+pub mod placement;
+pub mod rollout;
+pub mod upload;
--- /dev/null
+++ b/crates/gradeloft_standin/src/fleet.rs
@@ -0,0 +1,441 @@
+//! All of it in one process: the platform's fakes, engines and services, and the shipped entries
+//! and agents between them, each on ports of its own.
+
+use std::{net::SocketAddr, time::Duration};
+
+use gradeloft_cli::publish::{self, Failure};
+use gradeloft_daemon::{
+    agent::{self, Endpoint},
+    entry, logging,
+    node::{Node, Platform},
+    settings,
+};
+use gradeloft_platform::log::Http;
+use gradeloft_policy::version::bundle::{self, Key, Publisher};
+use gradeloft_wire::{
+    border::{
+        bundle::{Bundle, Model, Service as ServiceEntry, Team},
+        platform::{Instance, InstanceRole, InstanceState},
+        settings::Settings,
+    },
+    id::Digest,
+    record::SignedBundle,
+};
+use slog::Logger;
+
+use crate::{
+    caller::Caller,
+    engine::Engine,
+    list::List,
+    log::Log,
+    service::Service,
+    weights::{Version, Weights},
+};
+
+/// Team of the fleet's bundles.
+pub const TEAM: &str = "duty";
+/// Its token.
+pub const TOKEN: &str = "duty-token";
+/// Model of the fleet's bundles.
+pub const MODEL: &str = "bulletin";
+/// Service of the fleet's bundles.
+pub const SERVICE: &str = "booking";
+/// Publisher of the fleet's bundles.
+pub const SIGNER: &str = "ops";
+
+const WAIT_STEP: Duration = Duration::from_millis(5);
+const WAIT_BOUND: Duration = Duration::from_secs(30);
+
+/// How many of what to start.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// Entries.
+    pub entries: usize,
+    /// Engines, each with its agent.
+    pub engines: usize,
+    /// Plain services, each with its agent.
+    pub services: usize,
+    /// Availability zones, over which all are spread in turn.
+    pub zones: usize,
+    /// Lines added to the settings of every process, as YAML at the top level.
+    pub settings: String,
+    /// Lines added to the part of every agent, indented by two spaces.
+    pub agent_settings: String,
+    /// Logger of all processes.
+    pub log: Logger,
+}
+
+impl Default for Shape {
+    fn default() -> Shape {
+        Shape {
+            entries: 2,
+            engines: 4,
+            services: 1,
+            zones: 2,
+            settings: String::new(),
+            agent_settings: String::new(),
+            log: logging::none(),
+        }
+    }
+}
+
+/// An endpoint and its agent.
+pub struct Replica<E> {
+    /// Instance.
+    pub id: String,
+    /// The endpoint.
+    pub endpoint: E,
+    /// The agent; none while it is dead.
+    pub agent: Option<agent::Handle>,
+    zone: String,
+    kind: &'static str,
+    url: String,
+}
+
+/// The whole fleet.
+pub struct Fleet {
+    /// The log.
+    pub log: Log,
+    /// The list.
+    pub list: List,
+    /// The weight store.
+    pub store: Weights,
+    /// The origin.
+    pub origin: Weights,
+    /// Engines and their agents.
+    pub engines: Vec<Replica<Engine>>,
+    /// Services and their agents.
+    pub services: Vec<Replica<Service>>,
+    /// Entries; none while one is dead.
+    pub entries: Vec<Option<entry::Handle>>,
+    /// The publisher's key.
+    pub key: Key,
+    shape: Shape,
+    starts: u64,
+}
+
+impl Fleet {
+    /// Starts the platform, the endpoints, and all agents and entries; no bundle is published.
+    pub async fn start(shape: Shape) -> std::io::Result<Fleet> {
+        let mut fleet = Fleet {
+            log: Log::start().await?,
+            list: List::start().await?,
+            store: Weights::start().await?,
+            origin: Weights::start().await?,
+            engines: Vec::new(),
+            services: Vec::new(),
+            entries: Vec::new(),
+            key: Key::new([7; 32]),
+            shape: shape.clone(),
+            starts: 0,
+        };
+        for idx in 0..shape.engines {
+            let engine = Engine::start().await?;
+            let (id, url) = (format!("engine-{idx}"), engine.url());
+            let replica = fleet.replica(id, idx, engine, "engine", url).await?;
+            fleet.engines.push(replica);
+        }
+        for idx in 0..shape.services {
+            let service = Service::start().await?;
+            let (id, url) = (format!("service-{idx}"), service.url());
+            let replica = fleet.replica(id, idx, service, "service", url).await?;
+            fleet.services.push(replica);
+        }
+        for idx in 0..shape.entries {
+            fleet.entries.push(None);
+            fleet.start_entry(idx).await?;
+        }
+        Ok(fleet)
+    }
+
+    async fn replica<E>(
+        &mut self,
+        id: String,
+        idx: usize,
+        endpoint: E,
+        kind: &'static str,
+        url: String,
+    ) -> std::io::Result<Replica<E>> {
+        let zone = self.zone(idx);
+        let agent = self.agent(&id, &zone, kind, &url).await?;
+        Ok(Replica {
+            id,
+            endpoint,
+            agent: Some(agent),
+            zone,
+            kind,
+            url,
+        })
+    }
+
+    /// Starts the agent of an engine again, as a new process that knows nothing.
+    pub async fn restart_agent(&mut self, idx: usize) -> std::io::Result<()> {
+        self.engines[idx].agent = None;
+        let it = &self.engines[idx];
+        let (id, zone, kind, url) = (it.id.clone(), it.zone.clone(), it.kind, it.url.clone());
+        let agent = self.agent(&id, &zone, kind, &url).await?;
+        self.engines[idx].agent = Some(agent);
+        Ok(())
+    }
+
+    /// Starts the agent of a service again, as a new process that knows nothing.
+    pub async fn restart_service_agent(&mut self, idx: usize) -> std::io::Result<()> {
+        self.services[idx].agent = None;
+        let it = &self.services[idx];
+        let (id, zone, kind, url) = (it.id.clone(), it.zone.clone(), it.kind, it.url.clone());
+        let agent = self.agent(&id, &zone, kind, &url).await?;
+        self.services[idx].agent = Some(agent);
+        Ok(())
+    }
+
+    async fn agent(
+        &mut self,
+        id: &str,
+        zone: &str,
+        kind: &str,
+        url: &str,
+    ) -> std::io::Result<agent::Handle> {
+        let service = if kind == "service" {
+            format!(", service: {SERVICE}")
+        } else {
+            String::new()
+        };
+        let extra = &self.shape.agent_settings;
+        let part =
+            format!("agent:\n  endpoint: {{kind: {kind}, url: \"{url}\"{service}}}\n{extra}");
+        let settings = self.settings("agent", id, zone, "", &part)?;
+        let agent = settings
+            .agent
+            .clone()
+            .ok_or_else(|| std::io::Error::other("no agent part"))?;
+        let endpoint = Endpoint::http(&agent.endpoint);
+        let node = self.node(settings, id);
+        let handle = agent::start(node, agent, endpoint).await?;
+        let service = (kind == "service").then(|| SERVICE.to_owned());
+        let role = InstanceRole::Agent;
+        self.list_it(id, zone, role, handle.peer(), None, handle.admin(), service);
+        Ok(handle)
+    }
+
+    /// Starts an entry, again if it is dead.
+    pub async fn start_entry(&mut self, idx: usize) -> std::io::Result<()> {
+        self.entries[idx] = None;
+        let (id, zone) = (format!("entry-{idx}"), self.zone(idx));
+        let settings = self.settings("entry", &id, &zone, ", public: \"127.0.0.1:0\"", "")?;
+        let node = self.node(settings, &id);
+        let handle = entry::start(node).await?;
+        let public = Some(handle.public());
+        let role = InstanceRole::Entry;
+        self.list_it(
+            &id,
+            &zone,
+            role,
+            handle.peer(),
+            public,
+            handle.admin(),
+            None,
+        );
+        self.entries[idx] = Some(handle);
+        Ok(())
+    }
+
+    fn zone(&self, idx: usize) -> String {
+        format!("zone-{}", idx % self.shape.zones.max(1))
+    }
+
+    fn settings(
+        &self,
+        role: &str,
+        id: &str,
+        zone: &str,
+        public: &str,
+        part: &str,
+    ) -> std::io::Result<Settings> {
+        let (log, list) = (self.log.url(), self.list.url());
+        let (store, origin) = (self.store.url(), self.origin.url());
+        let (key, extra) = (self.key.public(), &self.shape.settings);
+        let yaml = format!(
+            "role: {role}\nnode: {{id: {id}, zone: {zone}, region: region-0}}\nlisten: {{peer: \
+             \"127.0.0.1:0\", admin: \"127.0.0.1:0\"{public}}}\nplatform: {{log: \"{log}\", list: \
+             \"{list}\", store: \"{store}\", origin: \"{origin}\"}}\npublishers: [{{name: {SIGNER}, \
+             key: {key}}}]\n{extra}\n{part}\n"
+        );
+        settings::parse(&yaml).map_err(|faults| {
+            let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+            std::io::Error::other(lines.join("; "))
+        })
+    }
+
+    fn node(&mut self, settings: Settings, id: &str) -> Node {
+        self.starts += 1;
+        let platform = Platform::http(&settings);
+        let log = self.shape.log.new(slog::o!("node" => id.to_owned()));
+        Node::new(settings, platform, log, self.starts)
+    }
+
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "one for each field of the list's entry"
+    )]
+    fn list_it(
+        &self,
+        id: &str,
+        zone: &str,
+        role: InstanceRole,
+        peer: SocketAddr,
+        public: Option<SocketAddr>,
+        admin: SocketAddr,
+        service: Option<String>,
+    ) {
+        self.list.state.add(Instance {
+            id: id.to_owned(),
+            zone: zone.to_owned(),
+            region: "region-0".to_owned(),
+            role,
+            state: InstanceState::Live,
+            peer: peer.to_string(),
+            public: public.map(|it| it.to_string()),
+            admin: Some(admin.to_string()),
+            service,
+        });
+    }
+
+    /// Puts a version into the origin.
+    pub fn upload(&self, version: &Version) {
+        self.origin.state.put(version);
+    }
+
+    /// A bundle with one team, one model on every engine and one service.
+    pub fn bundle(&self, number: u64, parent: Option<Digest>, version: &Version) -> Bundle {
+        Bundle {
+            format: 1,
+            number,
+            parent: parent.map(|it| it.to_string()),
+            note: None,
+            publishers: vec![gradeloft_wire::border::bundle::Publisher {
+                name: SIGNER.to_owned(),
+                key: self.key.public(),
+            }],
+            classes: vec!["critical".to_owned(), "normal".to_owned()],
+            teams: vec![team(TEAM, TOKEN)],
+            models: vec![Model {
+                name: version.model.clone(),
+                version: version.version.clone(),
+                manifest: version.digest(),
+                replicas: self.engines.len() as u32,
+                zones: Vec::new(),
+                adapters: Vec::new(),
+            }],
+            services: vec![ServiceEntry {
+                name: SERVICE.to_owned(),
+                at_most_once: Vec::new(),
+            }],
+            rollout: None,
+        }
+    }
+
+    /// Signs and publishes a bundle; gives its signed form.
+    pub async fn publish(&self, bundle: &Bundle) -> Result<SignedBundle, Failure> {
+        let signed = self.key.sign(bundle, SIGNER);
+        let log = Http::new(&self.log.url(), Duration::from_secs(2));
+        let trusted = Publisher::new(SIGNER, &self.key.public());
+        publish::publish(&log, trusted.as_slice(), &signed).await?;
+        Ok(signed)
+    }
+
+    /// Uploads a version, publishes the first bundle with it and waits until every engine and
+    /// service is ready at every entry.
+    pub async fn deploy(&self, version: &Version) -> Bundle {
+        self.upload(version);
+        let bundle = self.bundle(1, None, version);
+        let published = self.publish(&bundle).await;
+        assert!(published.is_ok(), "the first bundle is refused");
+        self.until("every replica is ready", || {
+            self.serving(version) == self.engines.len()
+        })
+        .await;
+        self.until("every entry knows every replica", || self.known(version))
+            .await;
+        bundle
+    }
+
+    /// How many agents tell that they serve a version.
+    pub fn serving(&self, version: &Version) -> usize {
+        let agents = self.engines.iter().filter_map(|it| it.agent.as_ref());
+        let serves = |it: &&agent::Handle| {
+            let notice = it.node().notice.borrow().clone();
+            notice
+                .serving
+                .iter()
+                .any(|it| it.version == version.version)
+        };
+        agents.filter(serves).count()
+    }
+
+    /// Whether every live entry sees every engine serve a version, and every service.
+    pub fn known(&self, version: &Version) -> bool {
+        let wanted = self.engines.iter().filter(|it| it.agent.is_some()).count();
+        let services = self.services.iter().filter(|it| it.agent.is_some()).count();
+        self.entries.iter().flatten().all(|entry| {
+            let membership = entry.node().membership.borrow();
+            let notices: Vec<_> = membership
+                .iter()
+                .filter_map(|(_, it)| it.notice.as_ref())
+                .collect();
+            let serves = |it: &&&gradeloft_wire::frame::Notice| {
+                it.serving.iter().any(|it| it.version == version.version)
+            };
+            notices.iter().filter(serves).count() == wanted
+                && notices.iter().filter(|it| it.service.is_some()).count() == services
+        })
+    }
+
+    /// Public address of an entry.
+    pub fn entry(&self, idx: usize) -> SocketAddr {
+        self.entries[idx]
+            .as_ref()
+            .expect("the entry is alive")
+            .public()
+    }
+
+    /// A caller of the fleet's team.
+    pub fn caller(&self) -> Caller {
+        Caller::new(TEAM, TOKEN)
+    }
+
+    /// Waits for a condition; panics when it does not come true.
+    pub async fn until(&self, what: &str, condition: impl Fn() -> bool) {
+        until(what, condition).await;
+    }
+}
+
+/// Waits for a condition; panics when it does not come true.
+pub async fn until(what: &str, condition: impl Fn() -> bool) {
+    let give_up = tokio::time::Instant::now() + WAIT_BOUND;
+    while !condition() {
+        assert!(
+            tokio::time::Instant::now() < give_up,
+            "waited in vain: {what}"
+        );
+        actix_rt::time::sleep(WAIT_STEP).await;
+    }
+}
+
+/// A team that may call the fleet's model and service.
+pub fn team(name: &str, token: &str) -> Team {
+    Team {
+        name: name.to_owned(),
+        token_digest: blake3::hash(token.as_bytes()).to_hex().to_string(),
+        class: "critical".to_owned(),
+        requests_per_s: 100_000,
+        tokens_per_s: 10_000_000,
+        models: vec![MODEL.to_owned()],
+        services: vec![SERVICE.to_owned()],
+        zones: Vec::new(),
+    }
+}
+
+/// Digest of a bundle, as the next one names it as its parent.
+pub fn digest(bundle: &Bundle) -> Digest {
+    Digest::of(&bundle::canonical(bundle))
+}
--- /dev/null
+++ b/crates/gradeloft_wire/src/frame.rs
@@ -0,0 +1,194 @@
+//! Messages between gradeloft's own processes.
+//!
+//! Every h2 stream opens with one [`Call`]; the other side answers with [`Reply`] frames until it
+//! closes the stream.
+
+use bincode::{Decode, Encode};
+
+use crate::{
+    error::Kind,
+    id::{Digest, RequestId},
+    record::SignedBundle,
+};
+
+/// First frame of a stream: what its opener wants.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub enum Call {
+    /// Tell me your state now and whenever it changes: [`Reply::Notice`] frames without end.
+    Watch,
+    /// Run a request: [`Reply::Refused`], or [`Reply::Head`], [`Reply::Piece`]s and a
+    /// [`Reply::End`].
+    Work(Work),
+    /// Send this content: one [`Reply::Chunk`] or [`Reply::Absent`].
+    Chunk {
+        /// The content wanted.
+        digest: Digest,
+    },
+    /// Tell me which chunks of a manifest you hold, now and whenever there are more:
+    /// [`Reply::Have`] frames without end.
+    Follow {
+        /// Digest of the manifest.
+        manifest: Digest,
+    },
+    /// Send the bundle in force if its number is above this one: one [`Reply::Bundles`].
+    Sync {
+        /// Highest number that the caller has; 0 for none.
+        number: u64,
+    },
+    /// Here is a bundle that is in force: one [`Reply::Bundles`], empty.
+    Push(SignedBundle),
+}
+
+/// Frames of an answer.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub enum Reply {
+    /// Not run, or not known to have run; [`Kind::ran`] tells which.
+    Refused {
+        /// Attempt.
+        request: RequestId,
+        /// Why.
+        kind: Kind,
+    },
+    /// The endpoint's answer begins.
+    Head {
+        /// Attempt.
+        request: RequestId,
+        /// HTTP status.
+        status: u16,
+        /// Content type; empty for none.
+        content_type: String,
+    },
+    /// A piece of the answer.
+    Piece {
+        /// Attempt.
+        request: RequestId,
+        /// Version whose weights made it; empty for services.
+        version: String,
+        /// Position, from 0 without gaps.
+        seq: u64,
+        /// Text of a token, or bytes of a body.
+        data: Vec<u8>,
+    },
+    /// The answer is whole.
+    End {
+        /// Attempt.
+        request: RequestId,
+        /// Version whose weights made it; empty for services.
+        version: String,
+        /// Number of pieces.
+        count: u64,
+        /// Digest of all pieces' data, in order.
+        digest: Digest,
+    },
+    /// A chunk's content.
+    Chunk(Vec<u8>),
+    /// The sender does not hold it, or has no slot free now.
+    Absent(Absence),
+    /// Positions, among the manifest's distinct chunks, that the sender holds since its last
+    /// such frame.
+    Have(Vec<u32>),
+    /// Signed bundles, lowest number first.
+    Bundles(Vec<SignedBundle>),
+    /// State of the sender.
+    Notice(Notice),
+}
+
+/// Why a peer gives no chunk.
+#[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
+pub enum Absence {
+    /// Every upload slot is taken: ask again soon.
+    Busy,
+    /// It is shutting down.
+    Leaving,
+    /// It does not hold the chunk.
+    NotHeld,
+    /// It is about to read the chunk from the origin.
+    Pending,
+}
+
+/// What a request is pinned to when it is admitted, for its whole life.
+#[derive(Clone, Debug, Decode, Encode, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Pin {
+    /// Model.
+    pub model: String,
+    /// Adapter, if one is used.
+    pub adapter: Option<String>,
+    /// Version of the model, or of the adapter where one is used.
+    pub version: String,
+}
+
+/// One attempt at a request, from an entry to an agent.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct Work {
+    /// This attempt.
+    pub request: RequestId,
+    /// Team, for logs and metrics.
+    pub team: String,
+    /// Position of the class in the bundle's list; 0 is the most important.
+    pub class: u8,
+    /// Milliseconds left until the caller's deadline, when sent.
+    pub deadline_ms: u32,
+    /// What to run.
+    pub job: Job,
+}
+
+/// What an attempt asks of its endpoint.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub enum Job {
+    /// Generate text.
+    Generate {
+        /// Weights to use.
+        pin: Pin,
+        /// Prompt.
+        prompt: String,
+        /// Most tokens.
+        max_tokens: u32,
+    },
+    /// Call a plain service.
+    Service {
+        /// Service.
+        service: String,
+        /// HTTP method.
+        method: String,
+        /// Path and query below the service.
+        path: String,
+        /// Content type; empty for none.
+        content_type: String,
+        /// Body.
+        body: Vec<u8>,
+        /// Whether it may run more than once.
+        repeat: Repeat,
+    },
+}
+
+/// Whether a call may run more than once.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub enum Repeat {
+    /// Idempotent: may run again.
+    Allowed,
+    /// At most once; a lost reply leaves its outcome unknown.
+    Never,
+    /// At most once for all calls with this key.
+    Key(String),
+}
+
+/// State of an agent, pushed to those who watch it.
+#[derive(Clone, Debug, Decode, Default, Encode, Eq, PartialEq)]
+pub struct Notice {
+    /// Instance.
+    pub node: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Number of the bundle in force there; 0 for none.
+    pub bundle: u64,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Weights that it serves, checked against the engine.
+    pub serving: Vec<Pin>,
+    /// Plain service that it serves.
+    pub service: Option<String>,
+    /// Requests running at the endpoint.
+    pub running: u32,
+    /// Requests that the endpoint can run at once.
+    pub capacity: u32,
+}
