--- /dev/null
+++ b/crates/gradeloft_daemon/tests/rollout.rs
@@ -0,0 +1,371 @@
+//! New versions and bundles under failures.
+
+mod support;
+
+use gradeloft_daemon::node::Learned;
+use gradeloft_platform::log::{Http, Log};
+use gradeloft_standin::{
+    fleet::{Fleet, MODEL, digest},
+    weights::Version,
+};
+use gradeloft_wire::{
+    border::{
+        bundle::Bundle,
+        platform::{InstanceRole, Weights},
+    },
+    record::{CONFIG, Record},
+};
+use support::{CHUNKS, fleet, generated, shape, version};
+
+fn whole(version: &Version) -> String {
+    let name = &version.version;
+    format!("200 the version's own text, end of 2 tokens by bulletin/{name}, no error")
+}
+
+async fn answers(fleet: &Fleet, version: &Version) {
+    let answer = fleet.caller().generate(fleet.entry(0), MODEL, "p", 2).await;
+    assert_eq!(generated(&answer, version, "p", 2), whole(version));
+}
+
+async fn next(fleet: &Fleet, before: &Bundle, version: &Version) -> Bundle {
+    fleet.upload(version);
+    let bundle = fleet.bundle(before.number + 1, Some(digest(before)), version);
+    fleet.publish(&bundle).await.expect("it is accepted");
+    bundle
+}
+
+#[actix_rt::test]
+async fn a_chunk_corrupted_at_the_origin_is_fetched_again_and_never_loaded() {
+    let fleet = fleet(shape(1, 3, 0)).await;
+    fleet.origin.state.corrupt_every.set(4);
+    let v1 = version("v1");
+    fleet.deploy(&v1).await;
+    answers(&fleet, &v1).await;
+    let agents = fleet.engines.iter().filter_map(|it| it.agent.as_ref());
+    let corrupt: u64 = agents
+        .map(|it| it.node().metrics.corrupt_chunks.get())
+        .sum();
+    assert!(
+        (3..=4).contains(&corrupt),
+        "{corrupt} of 12 chunks and as many again as were bad"
+    );
+}
+
+#[actix_rt::test]
+async fn an_origin_that_is_down_or_refuses_for_rate_delays_a_rollout_and_nothing_else() {
+    let fleet = fleet(shape(1, 2, 0)).await;
+    let v1 = version("v1");
+    let first = fleet.deploy(&v1).await;
+    fleet.origin.state.down.set(true);
+    fleet.store.state.limited.set(true);
+    let v2 = version("v2");
+    next(&fleet, &first, &v2).await;
+    let in_force = || {
+        fleet
+            .entries
+            .iter()
+            .flatten()
+            .all(|it| *it.node().bundle.borrow() == 2)
+    };
+    fleet.until("bundle 2 is in force", in_force).await;
+    answers(&fleet, &v1).await;
+    fleet.origin.state.down.set(false);
+    fleet.origin.state.limited.set(true);
+    answers(&fleet, &v1).await;
+    fleet.origin.state.limited.set(false);
+    fleet.store.state.limited.set(false);
+    fleet.until("v2 is everywhere", || fleet.known(&v2)).await;
+    answers(&fleet, &v2).await;
+}
+
+#[actix_rt::test]
+async fn chunks_in_the_store_are_not_read_from_the_origin() {
+    let fleet = fleet(shape(1, 2, 0)).await;
+    let v1 = version("v1");
+    fleet.store.state.put(&v1);
+    fleet.deploy(&v1).await;
+    assert_eq!(fleet.origin.state.bytes_read.get(), 0);
+    answers(&fleet, &v1).await;
+}
+
+#[actix_rt::test]
+async fn a_version_replaced_in_mid_flight_is_dropped_and_shared_chunks_are_kept() {
+    let fleet = fleet(shape(1, 2, 0)).await;
+    let v1 = version("v1");
+    fleet.upload(&v1);
+    fleet.origin.state.bytes_per_s.set(100 << 10);
+    let first = fleet.bundle(1, None, &v1);
+    fleet.publish(&first).await.unwrap();
+    let begun = || 3 * 8192 < fleet.origin.state.bytes_read.get();
+    fleet.until("v1 is in flight", begun).await;
+
+    // Version 2 has the chunks of version 1 but for the last.
+    let mut v2 = Version::new(MODEL, "v2", CHUNKS, 8 << 10);
+    v2.chunks[..CHUNKS - 1].clone_from_slice(&v1.chunks[..CHUNKS - 1]);
+    let mut manifest: gradeloft_wire::border::manifest::Manifest =
+        serde_json::from_slice(&v2.manifest).unwrap();
+    for (chunk, content) in manifest.chunks.iter_mut().zip(&v2.chunks) {
+        chunk.digest = gradeloft_wire::id::Digest::of(content).to_string();
+    }
+    v2.manifest = serde_json::to_vec(&manifest).unwrap().into();
+    next(&fleet, &first, &v2).await;
+    fleet.until("v2 is everywhere", || fleet.known(&v2)).await;
+    answers(&fleet, &v2).await;
+    assert_eq!(fleet.serving(&v1), 0, "v1 never got into service");
+    let reads = fleet.origin.state.reads.borrow();
+    let most = v2
+        .chunks
+        .iter()
+        .map(|it| reads[&gradeloft_wire::id::Digest::of(it).to_string()]);
+    assert!(
+        most.sum::<u64>() <= CHUNKS as u64 + 3,
+        "shared chunks are read once, but for those cut off"
+    );
+}
+
+#[actix_rt::test]
+async fn an_order_whose_reply_is_lost_is_settled_by_reading_back() {
+    let fleet = fleet(shape(1, 1, 0)).await;
+    fleet.engines[0].endpoint.state.lose_replies.set(1);
+    let v1 = version("v1");
+    fleet.deploy(&v1).await;
+    assert_eq!(fleet.engines[0].endpoint.state.orders.get(), 1);
+    answers(&fleet, &v1).await;
+}
+
+#[actix_rt::test]
+async fn an_order_that_is_answered_well_and_not_carried_out_is_given_again() {
+    let fleet = fleet(shape(1, 1, 0)).await;
+    fleet.engines[0].endpoint.state.ignore_orders.set(2);
+    let v1 = version("v1");
+    fleet.deploy(&v1).await;
+    assert_eq!(fleet.engines[0].endpoint.state.orders.get(), 3);
+    answers(&fleet, &v1).await;
+}
+
+#[actix_rt::test]
+async fn a_version_that_fails_on_a_replica_stops_there_and_the_old_one_serves_on() {
+    let fleet = fleet(shape(1, 2, 0)).await;
+    let v1 = version("v1");
+    let first = fleet.deploy(&v1).await;
+    fleet.engines[0].endpoint.state.ignore_orders.set(1_000);
+    let v2 = version("v2");
+    next(&fleet, &first, &v2).await;
+    let failed = || {
+        let versions = fleet.engines[0].agent.as_ref().unwrap().versions();
+        versions
+            .iter()
+            .any(|it| it.version == "v2" && it.phase == "failed" && it.fault.is_some())
+    };
+    fleet.until("the failure shows in the status", failed).await;
+    fleet
+        .until("the other replica serves v2", || fleet.serving(&v2) == 1)
+        .await;
+    assert_eq!(fleet.serving(&v1), 2, "both still serve v1");
+    let pinned = || {
+        let node = fleet.entries[0].as_ref().unwrap().node();
+        let membership = node.membership.borrow();
+        membership.iter().any(|(_, it)| {
+            it.notice
+                .as_ref()
+                .is_some_and(|it| it.serving.iter().any(|it| it.version == "v2"))
+        })
+    };
+    fleet.until("the entry knows", pinned).await;
+    answers(&fleet, &v2).await;
+    let orders = fleet.engines[0].endpoint.state.orders.get();
+    assert_eq!(orders, 6, "one for v1, five tries of v2, and no more");
+}
+
+#[actix_rt::test]
+async fn an_engine_that_holds_one_version_is_drained_before_it_switches() {
+    let fleet = fleet(shape(1, 1, 0)).await;
+    let engine = &fleet.engines[0].endpoint.state;
+    engine.capacity.set(1);
+    let v1 = version("v1");
+    let first = fleet.deploy(&v1).await;
+    engine.token_ms.set(10);
+    let caller = fleet.caller();
+    let running = caller.generate(fleet.entry(0), MODEL, "p", 50);
+    let switch = async {
+        fleet
+            .until("a request runs", || engine.running.get() == 1)
+            .await;
+        next(&fleet, &first, &version("v2")).await;
+        fleet
+            .until("v2 serves", || fleet.serving(&version("v2")) == 1)
+            .await;
+    };
+    let (answer, ()) = futures_util::future::join(running, switch).await;
+    let expected = "200 the version's own text, end of 50 tokens by bulletin/v1, no error";
+    assert_eq!(generated(&answer, &v1, "p", 50), expected);
+    assert_eq!(engine.serves(), ["bulletin/v2"]);
+}
+
+#[actix_rt::test]
+async fn an_engine_that_lost_its_weights_gets_no_work_and_is_brought_back() {
+    let fleet = fleet(shape(1, 2, 0)).await;
+    let v1 = version("v1");
+    fleet.deploy(&v1).await;
+    fleet.engines[0].endpoint.state.force(Vec::new());
+    answers(&fleet, &v1).await;
+    let back = || fleet.engines[0].endpoint.state.serves() == ["bulletin/v1"];
+    fleet.until("it serves again", back).await;
+}
+
+#[actix_rt::test]
+async fn weights_that_no_bundle_named_get_no_work() {
+    let fleet = fleet(shape(1, 1, 0)).await;
+    let v1 = version("v1");
+    fleet.deploy(&v1).await;
+    let foreign = Weights {
+        model: MODEL.to_owned(),
+        adapter: None,
+        version: "v1".to_owned(),
+        manifest: "00".repeat(32),
+    };
+    fleet.engines[0]
+        .endpoint
+        .state
+        .force(vec![foreign.clone(), foreign]);
+    let told = || fleet.serving(&v1) == 0;
+    fleet
+        .until("the agent no longer says that it serves v1", told)
+        .await;
+    assert_eq!(
+        fleet
+            .caller()
+            .generate(fleet.entry(0), MODEL, "p", 2)
+            .await
+            .status,
+        503
+    );
+}
+
+#[actix_rt::test]
+async fn a_rival_with_an_older_epoch_loses_its_orders() {
+    let fleet = fleet(shape(1, 1, 0)).await;
+    let v1 = version("v1");
+    fleet.deploy(&v1).await;
+    let url = fleet.engines[0].endpoint.url();
+    let engine =
+        gradeloft_platform::endpoint::HttpEngine::new(&url, std::time::Duration::from_secs(1));
+    let weights = Weights {
+        model: MODEL.to_owned(),
+        adapter: None,
+        version: "v1".to_owned(),
+        manifest: v1.digest(),
+    };
+    let order = gradeloft_wire::border::platform::Order {
+        fence: gradeloft_wire::border::platform::Fence {
+            bundle: 9,
+            epoch: 0,
+        },
+        action: gradeloft_wire::border::platform::Action::Unload,
+        weights,
+    };
+    use gradeloft_platform::endpoint::Engine;
+    let refused = engine.order(&order).await;
+    assert!(
+        matches!(refused, Err(gradeloft_platform::Fault::Refused(_))),
+        "{refused:?}"
+    );
+
+    // An engine that ignores fences obeys the rival; the agent sees it and repairs it.
+    fleet.engines[0].endpoint.state.ignores_fence.set(true);
+    engine.order(&order).await.unwrap();
+    assert!(fleet.engines[0].endpoint.state.serves().is_empty());
+    let back = || fleet.engines[0].endpoint.state.serves() == ["bulletin/v1"];
+    fleet.until("the agent repairs it", back).await;
+    fleet
+        .until("the agent says so", || fleet.serving(&v1) == 1)
+        .await;
+}
+
+#[actix_rt::test]
+async fn an_accepted_bundle_spreads_and_serves_while_the_log_is_down() {
+    let mut fleet = fleet(shape(2, 2, 0)).await;
+    let v1 = version("v1");
+    let first = fleet.deploy(&v1).await;
+    fleet.log.state.down.set(true);
+    let v2 = version("v2");
+    fleet.upload(&v2);
+    let second = fleet.bundle(2, Some(digest(&first)), &v2);
+    let signed = fleet.key.sign(&second, "ops");
+    // One node heard of it just before the log went down.
+    gradeloft_daemon::node::config::adopt(fleet.entries[0].as_ref().unwrap().node(), &signed);
+    fleet.until("v2 is everywhere", || fleet.known(&v2)).await;
+    answers(&fleet, &v2).await;
+
+    fleet.start_entry(1).await.unwrap();
+    let node = fleet.entries[1].as_ref().unwrap().node();
+    let learned = || node.learned.get() == Learned::Peer && *node.bundle.borrow() == 2;
+    fleet
+        .until("an entry started meanwhile learns it from peers", learned)
+        .await;
+}
+
+#[actix_rt::test]
+async fn records_that_are_broken_newer_or_repeated_change_nothing() {
+    let fleet = fleet(shape(2, 1, 0)).await;
+    let v1 = version("v1");
+    let first = fleet.deploy(&v1).await;
+    let again = Record::Bundle(fleet.key.sign(&first, "ops")).encode();
+    let forged = Record::Bundle(
+        gradeloft_policy::version::bundle::Key::new([9; 32])
+            .sign(&fleet.bundle(2, Some(digest(&first)), &v1), "ops"),
+    );
+    let mut newer = again.clone();
+    newer[0] = 200;
+    let cut = again[..again.len() / 2].to_vec();
+    let log = Http::new(&fleet.log.url(), std::time::Duration::from_secs(1));
+    log.append(CONFIG, &[again, forged.encode(), newer, cut, Vec::new()])
+        .await
+        .unwrap();
+    let v2 = version("v2");
+    next(&fleet, &first, &v2).await;
+    fleet.until("v2 is everywhere", || fleet.known(&v2)).await;
+    assert!(
+        fleet
+            .entries
+            .iter()
+            .flatten()
+            .all(|it| *it.node().bundle.borrow() == 2)
+    );
+}
+
+#[actix_rt::test]
+async fn a_list_that_is_down_or_frozen_empties_nothing() {
+    let mut fleet = fleet(shape(2, 2, 0)).await;
+    let v1 = version("v1");
+    fleet.deploy(&v1).await;
+    fleet.list.state.down.set(true);
+    answers(&fleet, &v1).await;
+    fleet.engines[1].agent = None;
+    for _ in 0..6 {
+        answers(&fleet, &v1).await;
+    }
+    fleet.list.state.down.set(false);
+    fleet.list.state.frozen.set(true);
+    fleet.entries[1] = None;
+    let alone = || {
+        let node = fleet.entries[0].as_ref().unwrap().node();
+        let membership = node.membership.borrow();
+        membership
+            .of(InstanceRole::Entry)
+            .all(|(_, it)| !it.connected)
+    };
+    fleet
+        .until("entry-0 sees that entry-1 is gone", alone)
+        .await;
+    let addresses = fleet
+        .caller()
+        .addresses(fleet.entry(0), "zone-0")
+        .await
+        .unwrap();
+    assert_eq!(
+        addresses.addresses.len(),
+        1,
+        "an entry that does not answer is not given out"
+    );
+}
--- /dev/null
+++ b/crates/gradeloft_daemon/tests/serving.rs
@@ -0,0 +1,372 @@
+//! Live requests under failures: right, whole, at most once.
+
+mod support;
+
+use std::time::Duration;
+
+use futures_util::{StreamExt, future::join};
+use gradeloft_standin::{
+    engine::Fault,
+    fleet::{Fleet, MODEL, SERVICE, until},
+};
+use rstest::rstest;
+use support::{called, fleet, generated, shape, version};
+use tokio::{io::AsyncWriteExt, sync::watch};
+
+const CHARGE: &str = "POST /charges two seats";
+
+async fn charge(fleet: &Fleet, entry: usize, key: &str) -> gradeloft_standin::caller::Called {
+    let caller = match key {
+        "" => fleet.caller(),
+        key => fleet.caller().with("idempotency-key", key),
+    };
+    caller
+        .call(
+            fleet.entry(entry),
+            "POST",
+            &format!("{SERVICE}/charges"),
+            "two seats",
+        )
+        .await
+}
+
+fn ran(fleet: &Fleet) -> u64 {
+    fleet
+        .services
+        .iter()
+        .map(|it| it.endpoint.state.count(CHARGE))
+        .sum()
+}
+
+/// A bad answer of one engine is never given to the caller as a whole one: before any token went
+/// out, another replica answers; after it, the caller gets an error.
+#[rstest]
+#[case::crossed(
+    Fault::Crossed,
+    "200 the version's own text, end of 4 tokens by bulletin/v1, no error"
+)]
+#[case::mixed(
+    Fault::Mixed,
+    "200 not the whole text, no end, mismatch ran unknown retryable false"
+)]
+#[case::repeated(
+    Fault::Repeated,
+    "200 not the whole text, no end, mismatch ran unknown retryable false"
+)]
+#[case::cut(
+    Fault::Cut,
+    "200 not the whole text, no end, cut ran yes retryable false"
+)]
+#[case::stalled(
+    Fault::Stalled,
+    "200 not the whole text, no end, cut ran yes retryable false"
+)]
+#[actix_rt::test]
+async fn a_bad_answer_is_never_passed_off_as_whole(#[case] fault: Fault, #[case] expected: &str) {
+    let mut shape = shape(1, 2, 0);
+    shape.settings = "limits: {idle_ms: 300}".to_owned();
+    let fleet = fleet(shape).await;
+    let v1 = version("v1");
+    fleet.deploy(&v1).await;
+    // The prompt's prefix decides which replica is tried first: find it, and break that one.
+    let probe = fleet.caller().generate(fleet.entry(0), MODEL, "p", 4).await;
+    assert_eq!(probe.tokens, 4);
+    let first = usize::from(fleet.engines[1].endpoint.state.finished.get() == 1);
+    fleet.engines[first].endpoint.state.fault.set(fault);
+    let answer = fleet.caller().generate(fleet.entry(0), MODEL, "p", 4).await;
+    assert_eq!(generated(&answer, &v1, "p", 4), expected);
+}
+
+#[actix_rt::test]
+async fn a_killed_agent_costs_no_request_that_may_be_repeated() {
+    let mut fleet = fleet(shape(2, 3, 0)).await;
+    let v1 = version("v1");
+    fleet.deploy(&v1).await;
+    fleet.engines[0].agent = None;
+    for idx in 0..30 {
+        let prompt = format!("p{idx}");
+        let answer = fleet
+            .caller()
+            .generate(fleet.entry(idx % 2), MODEL, &prompt, 2)
+            .await;
+        let expected = "200 the version's own text, end of 2 tokens by bulletin/v1, no error";
+        assert_eq!(generated(&answer, &v1, &prompt, 2), expected);
+    }
+}
+
+#[actix_rt::test]
+async fn a_reply_lost_after_the_effect_is_unknown_and_not_run_again() {
+    let fleet = fleet(shape(1, 1, 2)).await;
+    fleet.deploy(&version("v1")).await;
+    for service in &fleet.services {
+        service.endpoint.state.lose_replies.set(1);
+    }
+    let answer = charge(&fleet, 0, "").await;
+    assert_eq!(
+        called(&answer),
+        "502 reply_lost ran unknown retryable false"
+    );
+    assert_eq!(ran(&fleet), 1);
+}
+
+#[actix_rt::test]
+async fn a_lost_reply_of_a_repeatable_call_is_tried_elsewhere() {
+    let fleet = fleet(shape(1, 1, 2)).await;
+    fleet.deploy(&version("v1")).await;
+    fleet.services[0].endpoint.state.lose_replies.set(1);
+    for _ in 0..4 {
+        let path = format!("{SERVICE}/rooms");
+        let answer = fleet.caller().call(fleet.entry(0), "GET", &path, "").await;
+        assert_eq!(called(&answer), "200 done: GET /rooms");
+    }
+}
+
+#[actix_rt::test]
+async fn the_same_key_gets_the_first_outcome_at_any_entry() {
+    let fleet = fleet(shape(2, 1, 2)).await;
+    fleet.deploy(&version("v1")).await;
+    let first = charge(&fleet, 0, "k").await;
+    let second = charge(&fleet, 1, "k").await;
+    assert_eq!(called(&first), format!("200 done: {CHARGE}"));
+    assert_eq!(called(&second), called(&first));
+    assert_eq!(ran(&fleet), 1);
+}
+
+#[actix_rt::test]
+async fn the_same_key_at_once_at_two_entries_runs_once() {
+    let fleet = fleet(shape(2, 1, 2)).await;
+    fleet.deploy(&version("v1")).await;
+    for service in &fleet.services {
+        service.endpoint.state.delay_ms.set(50);
+    }
+    let (first, second) = join(charge(&fleet, 0, "k"), charge(&fleet, 1, "k")).await;
+    let mut both = [called(&first), called(&second)];
+    both.sort();
+    assert_eq!(
+        both,
+        [
+            format!("200 done: {CHARGE}"),
+            "409 duplicate ran unknown retryable false".to_owned()
+        ]
+    );
+    assert_eq!(ran(&fleet), 1);
+}
+
+#[actix_rt::test]
+async fn an_agent_that_restarts_does_not_run_a_claimed_call_again() {
+    let mut fleet = fleet(shape(1, 1, 1)).await;
+    let v1 = version("v1");
+    fleet.deploy(&v1).await;
+    fleet.services[0].endpoint.state.lose_replies.set(1);
+    assert_eq!(
+        called(&charge(&fleet, 0, "k").await),
+        "502 reply_lost ran unknown retryable false"
+    );
+    fleet.restart_service_agent(0).await.unwrap();
+    fleet
+        .until("the restarted agent is known", || fleet.known(&v1))
+        .await;
+    assert_eq!(
+        called(&charge(&fleet, 0, "k").await),
+        "409 duplicate ran unknown retryable false"
+    );
+    assert_eq!(ran(&fleet), 1);
+}
+
+#[actix_rt::test]
+async fn with_the_log_down_a_keyed_call_is_refused_as_not_run_and_works_later() {
+    let fleet = fleet(shape(1, 1, 1)).await;
+    fleet.deploy(&version("v1")).await;
+    fleet.log.state.down.set(true);
+    assert_eq!(
+        called(&charge(&fleet, 0, "k").await),
+        "503 log_unavailable ran no retryable true"
+    );
+    assert_eq!(ran(&fleet), 0);
+    let unkeyed = charge(&fleet, 0, "").await;
+    assert_eq!(
+        called(&unkeyed),
+        format!("200 done: {CHARGE}"),
+        "needs no log"
+    );
+    fleet.log.state.down.set(false);
+    assert_eq!(
+        called(&charge(&fleet, 0, "k").await),
+        format!("200 done: {CHARGE}")
+    );
+    assert_eq!(ran(&fleet), 2);
+}
+
+#[actix_rt::test]
+async fn a_claim_whose_append_lost_its_reply_runs_once() {
+    let fleet = fleet(shape(1, 1, 1)).await;
+    fleet.deploy(&version("v1")).await;
+    fleet.log.state.lose_replies.set(1);
+    assert_eq!(
+        called(&charge(&fleet, 0, "k").await),
+        format!("200 done: {CHARGE}")
+    );
+    assert_eq!(
+        called(&charge(&fleet, 0, "k").await),
+        format!("200 done: {CHARGE}")
+    );
+    assert_eq!(ran(&fleet), 1);
+}
+
+#[actix_rt::test]
+async fn a_wrong_echo_of_a_service_is_an_error_and_not_somebody_elses_answer() {
+    let fleet = fleet(shape(1, 1, 1)).await;
+    fleet.deploy(&version("v1")).await;
+    fleet.services[0].endpoint.state.wrong_echo.set(true);
+    assert_eq!(
+        called(&charge(&fleet, 0, "").await),
+        "502 mismatch ran unknown retryable false"
+    );
+}
+
+#[actix_rt::test]
+async fn a_client_that_goes_away_cancels_its_request_down_to_the_engine() {
+    let fleet = fleet(shape(1, 1, 0)).await;
+    fleet.deploy(&version("v1")).await;
+    let engine = &fleet.engines[0].endpoint.state;
+    engine.token_ms.set(5);
+    let stream = fleet
+        .caller()
+        .generate_stream(fleet.entry(0), MODEL, 100_000)
+        .await;
+    let mut stream = stream.expect("an answer");
+    stream.next().await.expect("a first token").unwrap();
+    assert_eq!(engine.running.get(), 1);
+    drop(stream);
+    until("the engine's request is cancelled", || {
+        engine.cancelled.get() == 1
+    })
+    .await;
+    assert_eq!(engine.running.get(), 0);
+}
+
+#[actix_rt::test]
+async fn a_draining_agent_finishes_what_runs_and_gets_nothing_new() {
+    let fleet = fleet(shape(1, 2, 0)).await;
+    let v1 = version("v1");
+    fleet.deploy(&v1).await;
+    for engine in &fleet.engines {
+        engine.endpoint.state.token_ms.set(10);
+    }
+    let caller = fleet.caller();
+    let prompts: Vec<String> = (0..8).map(|it| format!("p{it}")).collect();
+    let running = prompts
+        .iter()
+        .map(|it| caller.generate(fleet.entry(0), MODEL, it, 60));
+    let running = futures_util::future::join_all(running);
+    let drained = async {
+        let busy = || 0 < fleet.engines[0].endpoint.state.running.get();
+        until("the agent is busy", busy).await;
+        let (_force, forced) = watch::channel(false);
+        let cut = fleet.engines[0].agent.as_ref().unwrap().drain(forced).await;
+        let before = fleet.engines[0].endpoint.state.finished.get();
+        for idx in 0..10 {
+            let prompt = format!("later {idx}");
+            let answer = caller.generate(fleet.entry(0), MODEL, &prompt, 1).await;
+            assert_eq!(answer.tokens, 1);
+        }
+        (cut, before, fleet.engines[0].endpoint.state.finished.get())
+    };
+    let (answers, (cut, before, after)) = join(running, drained).await;
+    let expected = "200 the version's own text, end of 60 tokens by bulletin/v1, no error";
+    for (answer, prompt) in answers.iter().zip(&prompts) {
+        assert_eq!(generated(answer, &v1, prompt, 60), expected);
+    }
+    assert_eq!((cut, before), (0, after));
+}
+
+#[actix_rt::test]
+async fn a_draining_entry_finishes_what_runs_and_the_bound_ends_what_does_not() {
+    let mut shape = shape(2, 1, 0);
+    shape.settings = "limits: {drain_ms: 4500}".to_owned();
+    let fleet = fleet(shape).await;
+    let v1 = version("v1");
+    fleet.deploy(&v1).await;
+    fleet.engines[0].endpoint.state.token_ms.set(20);
+    let caller = fleet.caller();
+    let short = caller.generate(fleet.entry(0), MODEL, "short", 100);
+    let drain = async {
+        let busy = || 0 < fleet.engines[0].endpoint.state.running.get();
+        until("a request runs", busy).await;
+        let (_force, forced) = watch::channel(false);
+        fleet.entries[0].as_ref().unwrap().drain(forced).await
+    };
+    let (answer, cut) = join(short, drain).await;
+    let expected = "200 the version's own text, end of 100 tokens by bulletin/v1, no error";
+    assert_eq!(generated(&answer, &v1, "short", 100), expected);
+    assert_eq!(cut, 0);
+
+    let endless = caller.generate_stream(fleet.entry(1), MODEL, 100_000).await;
+    let mut endless = endless.expect("an answer");
+    endless.next().await.expect("a first token").unwrap();
+    let (force, forced) = watch::channel(false);
+    let drain = fleet.entries[1].as_ref().unwrap().drain(forced);
+    let (cut, ()) = join(drain, async { force.send(true).unwrap() }).await;
+    assert!(
+        0 < cut,
+        "a second signal ends it, and what it cut off is told"
+    );
+}
+
+#[actix_rt::test]
+async fn a_malformed_frame_costs_its_connection_and_nothing_else() {
+    let fleet = fleet(shape(1, 1, 0)).await;
+    let v1 = version("v1");
+    fleet.deploy(&v1).await;
+    let agent = fleet.engines[0].agent.as_ref().unwrap();
+    let malformed = || agent.node().metrics.malformed.get();
+    let mut socket = tokio::net::TcpStream::connect(agent.peer()).await.unwrap();
+    socket.write_all(b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
+    until("no h2 at all is counted", || malformed() == 1).await;
+
+    let socket = tokio::net::TcpStream::connect(agent.peer()).await.unwrap();
+    let (sender, connection) = h2::client::handshake(socket).await.unwrap();
+    let connection = actix_rt::spawn(connection);
+    let request = http::Request::post("http://peer/").body(()).unwrap();
+    let (_response, mut body) = sender
+        .ready()
+        .await
+        .unwrap()
+        .send_request(request, false)
+        .unwrap();
+    body.send_data(bytes::Bytes::from_static(&[0, 0, 0, 2, 0xff, 0xff]), true)
+        .unwrap();
+    until("a broken frame is counted", || malformed() == 2).await;
+    let _ = tokio::time::timeout(Duration::from_secs(5), connection)
+        .await
+        .expect("it is dropped");
+
+    let answer = fleet.caller().generate(fleet.entry(0), MODEL, "p", 2).await;
+    let expected = "200 the version's own text, end of 2 tokens by bulletin/v1, no error";
+    assert_eq!(generated(&answer, &v1, "p", 2), expected);
+}
+
+#[actix_rt::test]
+async fn an_engine_that_refuses_costs_a_retry_and_no_error() {
+    let fleet = fleet(shape(1, 2, 0)).await;
+    let v1 = version("v1");
+    fleet.deploy(&v1).await;
+    fleet.engines[0].endpoint.state.slots.set(0);
+    for idx in 0..8 {
+        let prompt = format!("p{idx}");
+        let answer = fleet
+            .caller()
+            .generate(fleet.entry(0), MODEL, &prompt, 1)
+            .await;
+        let expected = "200 the version's own text, end of 1 tokens by bulletin/v1, no error";
+        assert_eq!(generated(&answer, &v1, &prompt, 1), expected);
+    }
+    fleet.engines[1].endpoint.state.slots.set(0);
+    let answer = fleet.caller().generate(fleet.entry(0), MODEL, "p", 1).await;
+    let error = answer.error.expect("an error");
+    assert_eq!(
+        (answer.status, error.kind.as_str()),
+        (503, "endpoint_refused")
+    );
+    assert_eq!(error.retry_after_s, Some(1));
+}
--- a/crates/gradeloft_http/src/message.rs
+++ b/crates/gradeloft_http/src/message.rs
@@ -26,9 +26,10 @@
 pub struct Hangup(pub(crate) Rc<Notify>);
 
 impl Hangup {
-    /// Ends it.
-    pub fn now(&self) {
+    /// Ends it; what the handler would have answered is never sent, so this never returns.
+    pub async fn now(&self) -> Answer {
         self.0.notify_one();
+        std::future::pending().await
     }
 }
 
--- a/crates/gradeloft_platform/src/http.rs
+++ b/crates/gradeloft_platform/src/http.rs
@@ -4,7 +4,7 @@
 
 use awc::{
     Client, ClientResponse, Connector,
-    error::{JsonPayloadError, PayloadError, SendRequestError},
+    error::{ConnectError, JsonPayloadError, PayloadError, SendRequestError},
     http::{StatusCode, header},
 };
 use bytes::Bytes;
@@ -119,6 +119,8 @@
 /// The fault behind a failure to send.
 pub fn sent(error: SendRequestError) -> Fault {
     match error {
+        // The client's name for a connection that closed after the request went out.
+        SendRequestError::Connect(ConnectError::Disconnected) => Fault::Lost,
         SendRequestError::Connect(_) | SendRequestError::Url(_) => Fault::Unreachable,
         _ => Fault::Lost,
     }
--- a/crates/gradeloft_policy/src/process/membership.rs
+++ b/crates/gradeloft_policy/src/process/membership.rs
@@ -106,6 +106,7 @@
             }
             peer.connected = false;
             peer.notice = None;
+            peer.health = Health::default();
             return Some(key);
         }
         let node = rendezvous::hash(instance.id.as_bytes());
--- a/crates/gradeloft_standin/src/engine.rs
+++ b/crates/gradeloft_standin/src/engine.rs
@@ -253,7 +253,7 @@
     let res = obey(state, &order);
     if 0 < state.lose_replies.get() {
         state.lose_replies.set(state.lose_replies.get() - 1);
-        request.hangup.now();
+        return request.hangup.now().await;
     }
     res
 }
--- a/crates/gradeloft_standin/src/fleet.rs
+++ b/crates/gradeloft_standin/src/fleet.rs
@@ -372,16 +372,18 @@
         agents.filter(serves).count()
     }
 
-    /// Whether every live entry sees every engine serve a version, and every service.
+    /// Whether every live entry can give work to every live engine on a version, and to every live
+    /// service.
     pub fn known(&self, version: &Version) -> bool {
         let wanted = self.engines.iter().filter(|it| it.agent.is_some()).count();
         let services = self.services.iter().filter(|it| it.agent.is_some()).count();
         self.entries.iter().flatten().all(|entry| {
             let membership = entry.node().membership.borrow();
-            let notices: Vec<_> = membership
-                .iter()
-                .filter_map(|(_, it)| it.notice.as_ref())
-                .collect();
+            let now = entry.node().clock.now();
+            let peers = membership
+                .of(InstanceRole::Agent)
+                .filter(|(_, it)| it.takes_work(now));
+            let notices: Vec<_> = peers.filter_map(|(_, it)| it.notice.as_ref()).collect();
             let serves = |it: &&&gradeloft_wire::frame::Notice| {
                 it.serving.iter().any(|it| it.version == version.version)
             };
--- a/crates/gradeloft_standin/src/log.rs
+++ b/crates/gradeloft_standin/src/log.rs
@@ -130,13 +130,13 @@
     }
     let segments = request.segments();
     match (request.method.as_str(), segments.as_slice()) {
-        ("POST", ["v1", "streams", stream, "records"]) => append(&state, stream, &request),
+        ("POST", ["v1", "streams", stream, "records"]) => append(&state, stream, &request).await,
         ("GET", ["v1", "streams", stream, "records"]) => read(&state, stream, &request).await,
         _ => refused(404, "no such call"),
     }
 }
 
-fn append(state: &State, stream: &str, request: &Request) -> Answer {
+async fn append(state: &State, stream: &str, request: &Request) -> Answer {
     let body = request.body.as_ref().ok();
     let Some(body) = body.and_then(|it| serde_json::from_slice::<Append>(it).ok()) else {
         return refused(400, "no append");
@@ -149,7 +149,7 @@
     state.appends.set(state.appends.get() + 1);
     if 0 < state.lose_replies.get() {
         state.lose_replies.set(state.lose_replies.get() - 1);
-        request.hangup.now();
+        return request.hangup.now().await;
     }
     json(200, &Appended { first_offset })
 }
--- a/crates/gradeloft_standin/src/service.rs
+++ b/crates/gradeloft_standin/src/service.rs
@@ -75,7 +75,7 @@
     *state.ran.borrow_mut().entry(call.clone()).or_default() += 1;
     if 0 < state.lose_replies.get() {
         state.lose_replies.set(state.lose_replies.get() - 1);
-        request.hangup.now();
+        return request.hangup.now().await;
     }
     let echo = if state.wrong_echo.get() {
         "0".repeat(32)
--- a/crates/gradeloft_standin/src/weights.rs
+++ b/crates/gradeloft_standin/src/weights.rs
@@ -87,8 +87,10 @@
     pub down: Cell<bool>,
     /// Answers 429 while set.
     pub limited: Cell<bool>,
-    /// So many next answers are corrupted.
-    pub corrupt: Cell<u32>,
+    /// Every so-many-th answer is corrupted; 0 for none.
+    pub corrupt_every: Cell<u64>,
+    /// Answers so far.
+    pub answers: Cell<u64>,
     /// So many next answers stall for good.
     pub stall: Cell<u32>,
     /// Speed of its link in bytes a second; 0 for no limit.
@@ -176,7 +178,10 @@
         .borrow_mut()
         .entry((*digest).to_owned())
         .or_default() += 1;
-    if one_of(&state.corrupt) {
+    let answers = state.answers.get() + 1;
+    state.answers.set(answers);
+    let every = state.corrupt_every.get();
+    if 0 < every && answers.is_multiple_of(every) {
         let mut broken = content.to_vec();
         broken[0] ^= 1;
         return bytes_of(200, "application/octet-stream", broken);
