--- /dev/null
+++ b/crates/gradeloft_cli/tests/cli.rs
@@ -0,0 +1,268 @@
+//! The operators' tool as operators run it.
+
+use std::{
+    fs,
+    os::unix::fs::PermissionsExt,
+    path::{Path, PathBuf},
+    process::Command,
+};
+
+use gradeloft_policy::version::bundle::canonical;
+use gradeloft_standin::{
+    fleet::{Fleet, MODEL, SIGNER, Shape, digest},
+    weights::Version,
+};
+use gradeloft_wire::{border::bundle::Bundle, schema::Schema};
+
+/// A folder of its own for each test.
+fn folder(name: &str) -> PathBuf {
+    let folder =
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
+    fs::create_dir_all(&folder).expect("the folder is made");
+    folder
+}
+
+fn write(folder: &Path, name: &str, text: &str) -> PathBuf {
+    let path = folder.join(name);
+    fs::write(&path, text).expect("the file is written");
+    path
+}
+
+/// Runs the tool in a folder, and gives its arguments, exit code and output.
+fn run(folder: &Path, env: &[(&str, String)], args: &[&str]) -> String {
+    let output = Command::new(env!("CARGO_BIN_EXE_gradeloft"))
+        .args(args)
+        .envs(env.iter().map(|(key, value)| (*key, value.clone())))
+        .current_dir(folder)
+        .output()
+        .expect("the tool runs");
+    let text = String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned();
+    format!(
+        "$ gradeloft {}\n{text}exit {}\n",
+        args.join(" "),
+        output.status.code().unwrap_or(-1)
+    )
+}
+
+fn golden(name: &str, text: &str) {
+    let mut settings = insta::Settings::clone_current();
+    settings.add_filter(r"127\.0\.0\.1:\d+", "[address]");
+    settings.add_filter(r"\b[0-9a-f]{64}\b", "[digest]");
+    settings.add_filter(r"\b[0-9a-f]{12}\b", "[short]");
+    settings.add_filter(r#""time_ms":\d+"#, r#""time_ms":0"#);
+    settings.set_prepend_module_to_snapshot(false);
+    settings.bind(|| insta::assert_snapshot!(name, text));
+}
+
+#[test]
+fn bad_bundles_are_refused_with_every_fault() {
+    let folder = folder("bundles");
+    let good = include_str!("../../../config/bundle.yaml");
+    write(&folder, "good.yaml", good);
+    write(&folder, "broken.yaml", "format: [1\n");
+    let unknown = good.replace("models: [bulletin]", "models: [bulletin, narrator]");
+    write(
+        &folder,
+        "unknown.yaml",
+        &unknown.replace("class: critical ", "class: urgent "),
+    );
+    let fields = good.replace("replicas: 12", "replicas: -1\n    colour: red");
+    write(
+        &folder,
+        "fields.yaml",
+        &fields.replace("origin_copies: 4.0", "origin_copies: 0.5"),
+    );
+    write(
+        &folder,
+        "parent.yaml",
+        &good.replace("number: 1", "number: 2"),
+    );
+    let text: String = ["good", "broken", "unknown", "fields", "parent"]
+        .iter()
+        .map(|it| run(&folder, &[], &["bundle", "check", &format!("{it}.yaml")]))
+        .collect();
+    golden("bundle_check", &text);
+}
+
+#[test]
+fn keys_that_others_can_read_or_that_are_missing_are_refused() {
+    let folder = folder("keys");
+    write(
+        &folder,
+        "bundle.yaml",
+        include_str!("../../../config/bundle.yaml"),
+    );
+    let sign = [
+        "bundle",
+        "sign",
+        "bundle.yaml",
+        "--key",
+        "k",
+        "--signer",
+        "ops",
+        "--out",
+        "signed",
+    ];
+    let mut text = run(&folder, &[], &sign);
+    text += &run(&folder, &[], &["keygen", "--out", "k"]);
+    text += &run(&folder, &[], &["keygen", "--out", "k"]);
+    fs::set_permissions(folder.join("k"), fs::Permissions::from_mode(0o644)).unwrap();
+    text += &run(&folder, &[], &sign);
+    fs::set_permissions(folder.join("k"), fs::Permissions::from_mode(0o600)).unwrap();
+    text += &run(&folder, &[], &sign);
+    write(&folder, "k", "not a key");
+    text += &run(&folder, &[], &sign);
+    golden("keys", &text);
+}
+
+#[test]
+fn help_and_completions_are_there() {
+    let folder = folder("help");
+    let text =
+        run(&folder, &[], &["--help"]) + &run(&folder, &[], &["bundle", "publish", "--help"]);
+    golden("help", &text);
+    for shell in ["bash", "zsh", "fish"] {
+        assert!(run(&folder, &[], &["completions", shell]).contains("publish"));
+    }
+}
+
+#[test]
+fn a_platform_that_is_down_has_its_own_exit_code() {
+    let folder = folder("down");
+    let env = [
+        ("GRADELOFT_LOG", "http://127.0.0.1:1".to_owned()),
+        ("GRADELOFT_LIST", "http://127.0.0.1:1".to_owned()),
+    ];
+    let text = run(&folder, &env, &["bundle", "status"])
+        + &run(&folder, &env, &["fleet", "status", "--json"])
+        + &run(&folder, &env, &["bundle", "history"]);
+    golden("platform_down", &text);
+}
+
+/// Runs the tool while the fleet runs on this thread.
+async fn beside(folder: &Path, env: &[(&'static str, String)], args: &[&str]) -> String {
+    let (folder, env) = (folder.to_owned(), env.to_vec());
+    let args: Vec<String> = args.iter().map(|it| (*it).to_owned()).collect();
+    let task = actix_rt::task::spawn_blocking(move || {
+        let args: Vec<&str> = args.iter().map(String::as_str).collect();
+        run(&folder, &env, &args)
+    });
+    task.await.expect("the tool ends")
+}
+
+fn yaml(bundle: &Bundle) -> String {
+    // JSON is YAML.
+    String::from_utf8(canonical(bundle)).expect("text")
+}
+
+#[actix_rt::test]
+async fn an_operators_day() {
+    let folder = folder("day");
+    let shape = Shape {
+        entries: 1,
+        engines: 2,
+        services: 1,
+        ..Shape::default()
+    };
+    let fleet = Fleet::start(shape).await.expect("the fleet starts");
+    let env = [
+        ("GRADELOFT_LOG", fleet.log.url()),
+        ("GRADELOFT_LIST", fleet.list.url()),
+        (
+            "GRADELOFT_TRUST",
+            format!("{SIGNER}={}", fleet.key.public()),
+        ),
+    ];
+    let key = write(&folder, "ops.key", &"07".repeat(32));
+    fs::set_permissions(key, fs::Permissions::from_mode(0o600)).unwrap();
+    let (v1, v2) = (
+        Version::new(MODEL, "v1", 4, 1024),
+        Version::new(MODEL, "v2", 4, 1024),
+    );
+    fleet.upload(&v1);
+    fleet.upload(&v2);
+    let first = fleet.bundle(1, None, &v1);
+    let second = fleet.bundle(2, Some(digest(&first)), &v2);
+    write(&folder, "first.yaml", &yaml(&first));
+    write(&folder, "second.yaml", &yaml(&second));
+    write(
+        &folder,
+        "rival.yaml",
+        &yaml(&fleet.bundle(2, Some(digest(&first)), &v1)),
+    );
+    let with_key = ["--key", "ops.key", "--signer", SIGNER];
+    let publish =
+        |file: &'static str| [vec!["bundle", "publish", file], with_key.to_vec()].concat();
+
+    let mut text = beside(&folder, &env, &["bundle", "status"]).await;
+    text += &beside(&folder, &env, &["bundle", "publish", "first.yaml"]).await;
+    text += &beside(&folder, &env, &publish("first.yaml")).await;
+    fleet.until("v1 is everywhere", || fleet.known(&v1)).await;
+    text += &beside(&folder, &env, &["fleet", "status"]).await;
+    let sign = [
+        vec!["bundle", "sign", "second.yaml", "--out", "second.signed"],
+        with_key.to_vec(),
+    ];
+    text += &beside(&folder, &env, &sign.concat()).await;
+    text += &beside(&folder, &env, &["bundle", "publish", "second.signed"]).await;
+    text += &beside(&folder, &env, &publish("rival.yaml")).await;
+    text += &beside(
+        &folder,
+        &env,
+        &[publish("rival.yaml"), vec!["--renumber", "--json"]].concat(),
+    )
+    .await;
+    text += &beside(&folder, &env, &["bundle", "history"]).await;
+    text += &beside(&folder, &env, &["bundle", "status", "--json"]).await;
+    golden("operators_day", &text);
+}
+
+#[actix_rt::test]
+async fn a_bundle_that_is_not_in_force_everywhere_in_time_names_the_nodes_that_lag() {
+    let folder = folder("lag");
+    let shape = Shape {
+        entries: 1,
+        engines: 1,
+        services: 0,
+        ..Shape::default()
+    };
+    let mut fleet = Fleet::start(shape).await.expect("the fleet starts");
+    let env = [
+        ("GRADELOFT_LOG", fleet.log.url()),
+        ("GRADELOFT_LIST", fleet.list.url()),
+        (
+            "GRADELOFT_TRUST",
+            format!("{SIGNER}={}", fleet.key.public()),
+        ),
+    ];
+    fleet.engines[0].agent = None;
+    let bundle = fleet.bundle(1, None, &Version::new(MODEL, "v1", 1, 1024));
+    write(
+        &folder,
+        "first.signed",
+        &gradeloft_cli::bundles::signed_text(&fleet.key.sign(&bundle, SIGNER)),
+    );
+    let publish = ["bundle", "publish", "first.signed", "--wait", "1"];
+    golden("lagging", &beside(&folder, &env, &publish).await);
+}
+
+#[test]
+fn a_signed_file_survives_its_text_form() {
+    let folder = folder("signed");
+    let bundle: Bundle = gradeloft_wire::schema::from_yaml(
+        Schema::Bundle,
+        include_str!("../../../config/bundle.yaml"),
+    )
+    .expect("the sample");
+    let key = gradeloft_policy::version::bundle::Key::new([3; 32]);
+    let signed = key.sign(&bundle, "ops");
+    let path = write(
+        &folder,
+        "signed",
+        &gradeloft_cli::bundles::signed_text(&signed),
+    );
+    assert_eq!(
+        gradeloft_cli::bundles::read_signed(&path).expect("it reads"),
+        signed
+    );
+}
--- a/crates/gradeloft_daemon/tests/sessions.rs
+++ b/crates/gradeloft_daemon/tests/sessions.rs
@@ -51,7 +51,7 @@
     let refused = fleet.publish(&rival).await;
     transcript.add(format!(
         "a rival bundle 2: {}",
-        refused.err().expect("it lost")
+        refused.expect_err("it lost")
     ));
     fleet.until("v2 is everywhere", || fleet.known(&v2)).await;
     let answer = caller.generate(fleet.entry(1), MODEL, "p", 3).await;
--- a/crates/gradeloft_daemon/tests/support/mod.rs
+++ b/crates/gradeloft_daemon/tests/support/mod.rs
@@ -12,21 +12,21 @@
 };
 
 /// Chunks of the test versions.
-pub const CHUNKS: usize = 12;
+pub(crate) const CHUNKS: usize = 12;
 const CHUNK_BYTES: usize = 8 << 10;
 
 /// A small version of the fleet's model.
-pub fn version(name: &str) -> Version {
+pub(crate) fn version(name: &str) -> Version {
     Version::new(MODEL, name, CHUNKS, CHUNK_BYTES)
 }
 
 /// Starts a fleet of a shape.
-pub async fn fleet(shape: Shape) -> Fleet {
+pub(crate) async fn fleet(shape: Shape) -> Fleet {
     Fleet::start(shape).await.expect("the fleet starts")
 }
 
 /// A shape of so many entries, engines and services.
-pub fn shape(entries: usize, engines: usize, services: usize) -> Shape {
+pub(crate) fn shape(entries: usize, engines: usize, services: usize) -> Shape {
     Shape {
         entries,
         engines,
@@ -37,22 +37,27 @@
 
 /// Lines of a session, for a golden file.
 #[derive(Default)]
-pub struct Transcript(Vec<String>);
+pub(crate) struct Transcript(Vec<String>);
 
 impl Transcript {
     /// Adds a line.
-    pub fn add(&mut self, line: impl Display) {
+    pub(crate) fn add(&mut self, line: impl Display) {
         self.0.push(line.to_string());
     }
 
     /// The session's text.
-    pub fn text(&self) -> String {
+    pub(crate) fn text(&self) -> String {
         self.0.join("\n")
     }
 }
 
 /// A generate answer in one line; tells whether the text is what the version's weights give.
-pub fn generated(answer: &Generated, version: &Version, prompt: &str, tokens: u32) -> String {
+pub(crate) fn generated(
+    answer: &Generated,
+    version: &Version,
+    prompt: &str,
+    tokens: u32,
+) -> String {
     let right = answer.text == engine::expected(&version.chunks, prompt, tokens).concat();
     let text = if right {
         "the version's own text"
@@ -69,7 +74,7 @@
 }
 
 /// A service answer in one line.
-pub fn called(answer: &Called) -> String {
+pub(crate) fn called(answer: &Called) -> String {
     match &answer.error {
         Some(it) => format!(
             "{} {} ran {} retryable {}",
@@ -80,7 +85,7 @@
 }
 
 /// Asserts a golden file with ids, ports and digests redacted.
-pub fn golden(name: &str, text: &str) {
+pub(crate) fn golden(name: &str, text: &str) {
     let mut settings = insta::Settings::clone_current();
     settings.add_filter(r"127\.0\.0\.1:\d+", "[address]");
     settings.add_filter(r"[0-9a-f]{64}", "[digest]");
--- /dev/null
+++ b/crates/gradeloft_wire/tests/wire.rs
@@ -0,0 +1,188 @@
+//! Frames, records, documents and the table of errors.
+
+use std::{fs, path::Path};
+
+use gradeloft_wire::{
+    border::{bundle::Bundle, settings::Settings},
+    codec::{self, Decoder, Malformed},
+    error::{Kind, Ran, Retry},
+    frame::{Call, Job, Pin, Repeat, Reply, Work},
+    id::{Digest, RequestId},
+    record::{FORMAT, Record, SignedBundle, Unreadable},
+    schema::{self, Schema},
+};
+use proptest::prelude::*;
+
+fn work() -> Call {
+    Call::Work(Work {
+        request: RequestId(5),
+        team: "duty".to_owned(),
+        class: 1,
+        deadline_ms: 900,
+        job: Job::Service {
+            service: "booking".to_owned(),
+            method: "POST".to_owned(),
+            path: "/charges".to_owned(),
+            content_type: String::new(),
+            body: vec![1, 2, 3],
+            repeat: Repeat::Key("k".to_owned()),
+        },
+    })
+}
+
+#[test]
+fn frames_survive_being_cut_anywhere() {
+    let pin = Pin {
+        model: "m".to_owned(),
+        adapter: None,
+        version: "v1".to_owned(),
+    };
+    let job = Job::Generate {
+        pin,
+        prompt: "p".to_owned(),
+        max_tokens: 3,
+    };
+    let Call::Work(generate) = work() else {
+        unreachable!()
+    };
+    let calls = [Call::Watch, work(), Call::Work(Work { job, ..generate })];
+    let bytes: Vec<u8> = calls
+        .iter()
+        .flat_map(|it| codec::frame(it).to_vec())
+        .collect();
+    for cut in 0..bytes.len() {
+        let mut decoder = Decoder::new(1 << 16);
+        let mut seen: Vec<Call> = Vec::new();
+        for part in [&bytes[..cut], &bytes[cut..]] {
+            decoder.feed(part);
+            while let Some(call) = decoder.pop().unwrap() {
+                seen.push(call);
+            }
+        }
+        assert_eq!(seen, calls);
+    }
+}
+
+#[test]
+fn frames_that_are_too_long_or_have_trailing_bytes_are_refused() {
+    let mut decoder = Decoder::new(8);
+    decoder.feed(&codec::frame(&work()));
+    assert_eq!(decoder.pop::<Call>(), Err(Malformed::Length));
+    let mut body = codec::body(&Call::Watch);
+    body.push(0);
+    assert_eq!(codec::parse::<Call>(&body), Err(Malformed::Trailing));
+}
+
+#[test]
+fn a_length_that_claims_more_memory_than_there_is_is_refused() {
+    // A vector of 2^60 bytes, in five bytes of frame.
+    let mut body = codec::body(&Reply::Chunk(Vec::new()));
+    body.truncate(1);
+    body.push(253);
+    body.extend((1u64 << 60).to_le_bytes());
+    assert_eq!(codec::parse::<Reply>(&body), Err(Malformed::Body));
+}
+
+#[test]
+fn records_of_a_newer_format_are_told_from_broken_ones() {
+    let record = Record::Epoch {
+        node: "a".to_owned(),
+        nonce: 7,
+    };
+    let mut bytes = record.encode();
+    assert_eq!(Record::decode(&bytes), Ok(record));
+    bytes[0] = FORMAT + 1;
+    assert_eq!(Record::decode(&bytes), Err(Unreadable::Newer));
+    bytes[0] = 0;
+    assert_eq!(Record::decode(&bytes), Err(Unreadable::Malformed));
+    assert_eq!(Record::decode(&[]), Err(Unreadable::Malformed));
+}
+
+#[test]
+fn what_is_said_not_to_have_run_is_always_safe_to_retry_and_nothing_else_is() {
+    for kind in Kind::ALL {
+        let row = kind.row();
+        if row.retry == Retry::Elsewhere || row.caller_may_retry {
+            assert_eq!(row.ran, Ran::No, "{kind:?}");
+        }
+        assert!((400..600).contains(&row.status), "{kind:?}");
+        assert_eq!(
+            Kind::ALL.iter().filter(|it| it.name() == row.name).count(),
+            1,
+            "{kind:?}"
+        );
+        assert!(row.message.ends_with('.'), "{kind:?}");
+        if row.retry_after_s.is_some() {
+            assert!(row.caller_may_retry, "{kind:?}");
+        }
+    }
+}
+
+#[test]
+fn the_page_of_errors_shows_the_table() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/ERRORS.md");
+    let page = fs::read_to_string(path).expect("the page is there");
+    let table = page
+        .split_once("\n| kind")
+        .map(|(_, it)| format!("| kind{it}"));
+    assert_eq!(
+        table.expect("a table"),
+        Kind::table(),
+        "copy the table into docs/ERRORS.md"
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(20_000))]
+
+    /// Arbitrary bytes from a peer or from the log give an error or a message, and no panic.
+    #[test]
+    fn arbitrary_bytes_are_no_harm(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = codec::parse::<Call>(&bytes);
+        let _ = codec::parse::<Reply>(&bytes);
+        let _ = Record::decode(&bytes);
+        let mut formatted = vec![FORMAT];
+        formatted.extend(&bytes);
+        let _ = Record::decode(&formatted);
+        let mut decoder = Decoder::new(64);
+        decoder.feed(&bytes);
+        while let Ok(Some(_)) = decoder.pop::<Call>() {}
+    }
+
+    /// Flipping any byte of a valid record never gives another bundle with the same digest.
+    #[test]
+    fn a_flipped_byte_shows(at in 0usize..120, flip in 1u8..) {
+        let signed = SignedBundle {
+            payload: b"{\"number\":1}".to_vec(),
+            signer: "ops".to_owned(),
+            signature: [3; 64],
+        };
+        let mut bytes = Record::Bundle(signed.clone()).encode();
+        let at = at % bytes.len();
+        bytes[at] ^= flip;
+        if let Ok(Record::Bundle(read)) = Record::decode(&bytes) {
+            prop_assert_ne!(read, signed);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(1_000))]
+
+    /// Arbitrary text as settings or as a bundle gives faults, and no panic.
+    #[test]
+    fn arbitrary_text_is_no_harm(text in "[ -~\\n]{0,120}") {
+        let _ = schema::from_yaml::<Settings>(Schema::Settings, &text);
+        let _ = schema::from_yaml::<Bundle>(Schema::Bundle, &text);
+    }
+}
+
+#[test]
+fn digests_and_ids_survive_their_text_form() {
+    let digest = Digest::of(b"x");
+    assert_eq!(digest.to_string().parse(), Ok(digest));
+    assert!("zz".parse::<Digest>().is_err());
+    let id = RequestId(1 << 100);
+    assert_eq!(id.to_string().parse(), Ok(id));
+    assert!("1".parse::<RequestId>().is_err());
+}
