Measure the distribution over paced links, beside baselines

Partners are chosen in the policy crate. Processes can be told which address their connections come from.

--- a/crates/gradeloft_daemon/src/agent/deploy.rs
+++ b/crates/gradeloft_daemon/src/agent/deploy.rs
@@ -7,7 +7,13 @@
 use std::{rc::Rc, time::Duration};
 
 use gradeloft_platform::{Fault, endpoint::Engine};
-use gradeloft_policy::version::placement::{self, Replica};
+use gradeloft_policy::{
+    rendezvous,
+    version::{
+        partners::Member,
+        placement::{self, Replica},
+    },
+};
 use gradeloft_wire::{
     border::{
         bundle::{Bundle, Objective},
@@ -21,7 +27,7 @@
 
 use super::{
     Agent,
-    fetch::{self, Member, Members},
+    fetch::{self, Members},
 };
 use crate::entry::border::adapted;
 
@@ -333,7 +339,7 @@
         let others = placed.filter(|(it, model)| *model == wanted && it.0 != settings.id);
         others
             .map(|((node, zone, address), _)| Member {
-                node: gradeloft_policy::rendezvous::hash(node.as_bytes()),
+                node: rendezvous::hash(node.as_bytes()),
                 address,
                 near: zone == settings.zone,
             })
--- a/crates/gradeloft_daemon/src/agent/fetch.rs
+++ b/crates/gradeloft_daemon/src/agent/fetch.rs
@@ -19,6 +19,7 @@
     version::{
         fetch::{Ask, Failure, Fetch, From, SourceKey, Tuning},
         manifest::Manifest,
+        partners::{self, Member},
     },
 };
 use gradeloft_wire::{
@@ -36,10 +37,6 @@
     transport::client::{Fault as PeerFault, Incoming, Lane},
 };
 
-/// Partners in the own availability zone that are asked what they hold.
-const NEAR_PARTNERS: usize = 8;
-/// Partners elsewhere.
-const FAR_PARTNERS: usize = 6;
 /// Chunks read from the store or the origin at once by one agent.
 const ORIGIN_SLOTS: usize = 2;
 /// Chunks asked of one peer at once.
@@ -61,17 +58,6 @@
 /// Silence after which a followed peer counts as gone.
 const FOLLOW_SILENCE: Duration = Duration::from_secs(3);
 
-/// Another agent that fetches the same version.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Member {
-    /// Hash of its name.
-    pub node: u64,
-    /// Peer address.
-    pub address: String,
-    /// Whether it is in the own availability zone.
-    pub near: bool,
-}
-
 /// Tells a fetch who its members are now, the own agent left out.
 pub type Members = Rc<dyn Fn() -> Vec<Member>>;
 
@@ -224,19 +210,10 @@
     }
 
     fn follow_partners(&mut self) {
-        let key = rendezvous::score(self.manifest.digest.short(), self.agent.own);
-        for (near, wanted) in [(true, NEAR_PARTNERS), (false, FAR_PARTNERS)] {
-            let group: Vec<Member> = self
-                .known
-                .iter()
-                .filter(|it| it.near == near)
-                .cloned()
-                .collect();
-            let nodes: Vec<u64> = group.iter().map(|it| it.node).collect();
-            let ranked = rendezvous::order(key, &nodes).into_iter().take(wanted);
-            for member in ranked.map(|idx| &group[idx]) {
-                self.follow(member);
-            }
+        let version = self.manifest.digest.short();
+        let partners = partners::choose(self.agent.scheme, self.agent.own, version, &self.known);
+        for member in &partners {
+            self.follow(member);
         }
     }
 
@@ -433,6 +410,7 @@
         .unwrap_or_default();
     let chunk_ms = largest * 1000 / agent.settings.link_bytes_per_s.max(1);
     Tuning {
+        scheme: agent.scheme,
         slots: agent.settings.fetch_slots as usize,
         origin_slots: ORIGIN_SLOTS,
         per_source: PER_SOURCE,
--- a/crates/gradeloft_daemon/src/agent/mod.rs
+++ b/crates/gradeloft_daemon/src/agent/mod.rs
@@ -31,7 +31,10 @@
 use gradeloft_policy::{
     connection::pace::Pacer,
     rendezvous,
-    version::{fetch::Fetch, upload::Slots},
+    version::{
+        fetch::{Fetch, Scheme},
+        upload::Slots,
+    },
 };
 use gradeloft_wire::{
     border::{
@@ -95,6 +98,7 @@
     settings: settings::Agent,
     /// Hash of the instance's name.
     own: u64,
+    scheme: Scheme,
     endpoint: Endpoint,
     /// From the log; 0 until it is known. Orders carry it, so that those of an earlier process
     /// of this agent lose.
@@ -128,41 +132,77 @@
     peer: SocketAddr,
 }
 
-/// Starts an agent. It is ready once its endpoint serves something.
-pub async fn start(
+/// An agent about to start.
+///
+/// [`Builder::new`] takes what every agent needs; the rest has defaults.
+pub struct Builder {
     node: Node,
     settings: settings::Agent,
     endpoint: Endpoint,
-) -> std::io::Result<Handle> {
-    let node = Rc::new(node);
-    let agent = Rc::new(Agent {
-        own: rendezvous::hash(node.settings.node.id.as_bytes()),
-        endpoint,
-        epoch: Cell::default(),
-        running: Cell::default(),
-        running_on: RefCell::default(),
-        told_running: Cell::default(),
-        chunks: RefCell::new(Chunks::new(settings.chunk_memory_bytes)),
-        arrivals: watch::Sender::new(0),
-        uploads: RefCell::new(Slots::new(settings.upload_slots as usize)),
-        fetching: RefCell::default(),
-        pace_out: RefCell::new(Pacer::new(settings.link_bytes_per_s)),
-        pace_in: RefCell::new(Pacer::new(settings.link_bytes_per_s)),
-        claims: Claims::default(),
-        versions: RefCell::default(),
-        known: RefCell::default(),
-        settings,
-        node: Rc::clone(&node),
-    });
-    node.notice
-        .send_modify(|it| it.capacity = agent.settings.running as u32);
-    let peer = calls::listen(&node, Rc::new(PeerCalls(Rc::clone(&agent)))).await?;
-    let admin = admin::start(Rc::clone(&node), Rc::clone(&agent) as Rc<dyn admin::Report>).await?;
-    config::start(&node);
-    peers::start(&node);
-    start_endpoint(&agent);
-    info!(node.log, "agent started"; "peer" => %peer, "admin" => %admin.address());
-    Ok(Handle { agent, admin, peer })
+    scheme: Scheme,
+}
+
+impl Builder {
+    /// An agent beside an endpoint.
+    pub fn new(node: Node, settings: settings::Agent, endpoint: Endpoint) -> Builder {
+        Builder {
+            node,
+            settings,
+            endpoint,
+            scheme: Scheme::default(),
+        }
+    }
+
+    /// Spreads chunks in another way, to measure against it.
+    pub fn scheme(mut self, scheme: Scheme) -> Builder {
+        self.scheme = scheme;
+        self
+    }
+
+    /// Starts the agent. It is ready once its endpoint serves something.
+    pub async fn start(self) -> std::io::Result<Handle> {
+        let agent = Rc::new(self.agent());
+        let node = &agent.node;
+        node.notice
+            .send_modify(|it| it.capacity = agent.settings.running as u32);
+        let peer = calls::listen(node, Rc::new(PeerCalls(Rc::clone(&agent)))).await?;
+        let report = Rc::clone(&agent) as Rc<dyn admin::Report>;
+        let admin = admin::start(Rc::clone(node), report).await?;
+        config::start(node);
+        peers::start(node);
+        start_endpoint(&agent);
+        info!(node.log, "agent started"; "peer" => %peer, "admin" => %admin.address());
+        Ok(Handle { agent, admin, peer })
+    }
+
+    fn agent(self) -> Agent {
+        let Builder {
+            node,
+            settings,
+            endpoint,
+            scheme,
+        } = self;
+        Agent {
+            own: rendezvous::hash(node.settings.node.id.as_bytes()),
+            scheme,
+            endpoint,
+            epoch: Cell::default(),
+            running: Cell::default(),
+            running_on: RefCell::default(),
+            told_running: Cell::default(),
+            chunks: RefCell::new(Chunks::new(settings.chunk_memory_bytes)),
+            arrivals: watch::Sender::new(0),
+            uploads: RefCell::new(Slots::new(settings.upload_slots as usize)),
+            fetching: RefCell::default(),
+            pace_out: RefCell::new(Pacer::new(settings.link_bytes_per_s)),
+            pace_in: RefCell::new(Pacer::new(settings.link_bytes_per_s)),
+            claims: Claims::default(),
+            versions: RefCell::default(),
+            known: RefCell::default(),
+            settings,
+            node: Rc::new(node),
+        }
+    }
 }
 
 fn start_endpoint(agent: &Rc<Agent>) {
--- a/crates/gradeloft_daemon/src/main.rs
+++ b/crates/gradeloft_daemon/src/main.rs
@@ -122,7 +122,9 @@
     settings: gradeloft_wire::border::settings::Agent,
 ) -> std::io::Result<usize> {
     let endpoint = Endpoint::http(&settings.endpoint);
-    let handle = agent::start(node, settings, endpoint).await?;
+    let handle = agent::Builder::new(node, settings, endpoint)
+        .start()
+        .await?;
     let forced = stop(handle.node()).await?;
     Ok(handle.drain(forced).await as usize)
 }
--- a/crates/gradeloft_daemon/src/node/mod.rs
+++ b/crates/gradeloft_daemon/src/node/mod.rs
@@ -37,6 +37,8 @@
 
 /// Time for a platform service to begin its answer.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for the weight store or the origin to begin an answer; their links are shared by many.
+const WEIGHTS_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time to connect to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -56,11 +58,16 @@
     /// The services over HTTP, at the addresses of the settings.
     pub fn http(settings: &Settings) -> Platform {
         let urls = &settings.platform;
+        let source = settings
+            .listen
+            .source
+            .as_ref()
+            .and_then(|it| it.parse().ok());
         Platform {
             log: Rc::new(log::Http::new(&urls.log, PLATFORM_TIMEOUT)),
             list: Rc::new(list::Http::new(&urls.list, PLATFORM_TIMEOUT)),
-            store: Rc::new(weights::Http::new(&urls.store, PLATFORM_TIMEOUT)),
-            origin: Rc::new(weights::Http::new(&urls.origin, PLATFORM_TIMEOUT)),
+            store: Rc::new(weights::Http::new(&urls.store, WEIGHTS_TIMEOUT, source)),
+            origin: Rc::new(weights::Http::new(&urls.origin, WEIGHTS_TIMEOUT, source)),
         }
     }
 }
@@ -125,13 +132,18 @@
     /// A node that knows nothing yet.
     pub fn new(settings: Settings, platform: Platform, log: Logger, seed: u64) -> Node {
         let limits = settings.limits.clone().unwrap_or_default();
+        let source = settings
+            .listen
+            .source
+            .as_ref()
+            .and_then(|it| it.parse().ok());
         let notice = Notice {
             node: settings.node.id.clone(),
             zone: settings.node.zone.clone(),
             ..Notice::default()
         };
         Node {
-            pool: Pool::new(transport::max_frame(&limits), CONNECT_TIMEOUT),
+            pool: Pool::new(transport::max_frame(&limits), CONNECT_TIMEOUT, source),
             limits,
             clock: Clock::start(),
             log,
--- a/crates/gradeloft_daemon/src/settings.rs
+++ b/crates/gradeloft_daemon/src/settings.rs
@@ -87,6 +87,12 @@
         ("/listen/admin", Some(&listen.admin)),
         ("/listen/public", listen.public.as_ref()),
     ];
+    if let Some(source) = &listen.source
+        && source.parse::<std::net::IpAddr>().is_err()
+    {
+        let message = format!("\"{source}\" is no IP address");
+        faults.push(Fault::new("/listen/source", message));
+    }
     for (path, address) in addresses {
         if let Some(address) = address
             && address.parse::<std::net::SocketAddr>().is_err()
--- a/crates/gradeloft_daemon/src/transport/client.rs
+++ b/crates/gradeloft_daemon/src/transport/client.rs
@@ -1,6 +1,12 @@
 //! A pool of connections to peers, and the answers that come over them.
 
-use std::{cell::RefCell, collections::HashMap, io, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    io,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use gradeloft_wire::{
@@ -8,7 +14,7 @@
     frame::{Call, Reply},
 };
 use h2::{Reason, RecvStream, SendStream, client::SendRequest};
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{net::TcpSocket, time::timeout};
 
 use super::{CONNECTION_WINDOW, MAX_H2_FRAME, STREAM_WINDOW};
 
@@ -36,12 +42,16 @@
     connections: RefCell<HashMap<(String, Lane), SendRequest<Bytes>>>,
     max_frame: usize,
     connect_timeout: Duration,
+    /// Address of this instance that connections come from.
+    source: Option<IpAddr>,
 }
 
 impl Pool {
-    /// A pool whose answers have frames of at most `max_frame` bytes.
-    pub fn new(max_frame: usize, connect_timeout: Duration) -> Pool {
+    /// A pool whose answers have frames of at most `max_frame` bytes, with connections that come
+    /// from `source` if it is given.
+    pub fn new(max_frame: usize, connect_timeout: Duration, source: Option<IpAddr>) -> Pool {
         Pool {
+            source,
             connections: RefCell::default(),
             max_frame,
             connect_timeout,
@@ -81,7 +91,7 @@
         {
             return Ok(ready);
         }
-        let connecting = timeout(self.connect_timeout, connect(address));
+        let connecting = timeout(self.connect_timeout, connect(address, self.source));
         let fresh = connecting
             .await
             .map_err(|_| Fault::Unsent)?
@@ -97,8 +107,17 @@
     }
 }
 
-async fn connect(address: &str) -> io::Result<SendRequest<Bytes>> {
-    let stream = TcpStream::connect(address).await?;
+async fn connect(address: &str, source: Option<IpAddr>) -> io::Result<SendRequest<Bytes>> {
+    let address: SocketAddr = address.parse().map_err(io::Error::other)?;
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    if let Some(source) = source {
+        socket.bind(SocketAddr::new(source, 0))?;
+    }
+    let stream = socket.connect(address).await?;
     stream.set_nodelay(true)?;
     let mut builder = h2::client::Builder::new();
     builder
--- a/crates/gradeloft_platform/src/http.rs
+++ b/crates/gradeloft_platform/src/http.rs
@@ -1,6 +1,6 @@
 //! The HTTP client that the adapters share.
 
-use std::time::Duration;
+use std::{net::IpAddr, time::Duration};
 
 use awc::{
     Client, ClientResponse, Connector,
@@ -37,7 +37,15 @@
 impl Base {
     /// A client for `url` whose answers begin within `timeout`.
     pub fn new(url: &str, timeout: Duration, reuse: Reuse) -> Base {
+        Base::from(url, timeout, reuse, None)
+    }
+
+    /// As [`Base::new`], with connections that come from an address of this instance.
+    pub fn from(url: &str, timeout: Duration, reuse: Reuse, source: Option<IpAddr>) -> Base {
         let mut connector = Connector::new().timeout(timeout).limit(0);
+        if let Some(source) = source {
+            connector = connector.local_address(source);
+        }
         if reuse == Reuse::Fresh {
             connector = connector.conn_keep_alive(Duration::ZERO);
         }
--- a/crates/gradeloft_platform/src/weights.rs
+++ b/crates/gradeloft_platform/src/weights.rs
@@ -1,6 +1,6 @@
 //! The weight store and the origin: content by digest.
 
-use std::time::Duration;
+use std::{net::IpAddr, time::Duration};
 
 use bytes::Bytes;
 use futures_util::FutureExt;
@@ -22,9 +22,9 @@
 pub struct Http(Base);
 
 impl Http {
-    /// A source at a base URL.
-    pub fn new(url: &str, timeout: Duration) -> Http {
-        Http(Base::new(url, timeout, Reuse::Kept))
+    /// A source at a base URL, read from an address of this instance if one is given.
+    pub fn new(url: &str, timeout: Duration, source: Option<IpAddr>) -> Http {
+        Http(Base::from(url, timeout, Reuse::Kept, source))
     }
 }
 
--- a/crates/gradeloft_policy/src/version/fetch.rs
+++ b/crates/gradeloft_policy/src/version/fetch.rs
@@ -11,7 +11,10 @@
 use rand::Rng;
 use slotmap::{SlotMap, new_key_type};
 
-use super::manifest::{Chunk, Manifest};
+use super::{
+    manifest::{Chunk, Manifest},
+    partners,
+};
 use crate::{clock::Time, rendezvous};
 
 /// Strikes after which a source is left alone for the rest of the fetch.
@@ -32,9 +35,25 @@
     pub struct SourceKey;
 }
 
+/// How chunks are spread. All but [`Scheme::Owners`] are baselines to measure against.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Scheme {
+    /// Every agent reads everything from outside.
+    Origin,
+    /// Each chunk has its owner; the rest comes from peers, rarest first.
+    #[default]
+    Owners,
+    /// Any chunk of any peer that has it, at random; from outside if no known peer has it.
+    Random,
+    /// Everything comes from one parent; the root reads from outside.
+    Tree,
+}
+
 /// Bounds of one fetch.
 #[derive(Clone, Copy, Debug)]
 pub struct Tuning {
+    /// How chunks are spread.
+    pub scheme: Scheme,
     /// Chunks asked for at once.
     pub slots: usize,
     /// Of those, chunks read from the store or the origin at once.
@@ -373,7 +392,7 @@
             if 0 < item.holders || !item.askable(now) {
                 continue;
             }
-            let from = match item.effective_rank() {
+            let from = match self.rank(item) {
                 0 if self.asked_origin < self.tuning.origin_slots => self.outside(now),
                 0 => None,
                 rank => self.doubted(item, rank, now),
@@ -389,12 +408,24 @@
         best
     }
 
+    /// How many agents come before this one for a chunk.
+    fn rank(&self, item: &Item) -> usize {
+        match self.tuning.scheme {
+            Scheme::Origin | Scheme::Random => 0,
+            Scheme::Owners => item.effective_rank(),
+            Scheme::Tree => partners::tree_position(self.own, &self.members),
+        }
+    }
+
     /// The best owner of a chunk that has kept silent for too long.
     fn doubted(&self, item: &Item, rank: usize, now: Time) -> Option<From> {
         let patience = match self.tuning.objective {
             Objective::OriginBytes => PATIENCE,
             Objective::Time => 1,
         };
+        if self.tuning.scheme != Scheme::Owners {
+            return None;
+        }
         let wait = self.tuning.takeover_ms * patience * rank as u64;
         if now < item.waiting_since.after_ms(wait) {
             return None;
@@ -422,13 +453,18 @@
         let mut best = None;
         let mut ties = 0;
         for (idx, item) in self.items.iter().enumerate() {
-            let wanted = 0 < item.holders && item.holders <= rarest && item.askable(now);
+            let rare = item.holders <= rarest || self.tuning.scheme == Scheme::Random;
+            let wanted = 0 < item.holders && rare && item.askable(now);
             if !wanted || !free.iter().any(|(_, it)| it.held[idx]) {
                 continue;
             }
             if item.holders < rarest {
                 rarest = item.holders;
-                ties = 0;
+                ties = if self.tuning.scheme == Scheme::Random {
+                    ties
+                } else {
+                    0
+                };
             }
             ties += 1;
             if rng.random_range(0..ties) == 0 {
--- a/crates/gradeloft_policy/src/version/mod.rs
+++ b/crates/gradeloft_policy/src/version/mod.rs
@@ -3,6 +3,7 @@
 //! - [`bundle`]: checks, canonical form, signatures.
 //! - [`chain`]: which published bundle is in force.
 //! - [`manifest`]: the chunks of a version.
+//! - [`partners`]: which agents tell each other what they hold.
 //! - [`placement`]: which replica holds which model.
 //! - [`fetch`]: which chunk to fetch next, and from where.
 //! - [`upload`]: which peer's request for a chunk is served when.
@@ -12,6 +13,7 @@
 pub mod chain;
 pub mod fetch;
 pub mod manifest;
+pub mod partners;
 pub mod placement;
 pub mod rollout;
 pub mod upload;
--- a/crates/gradeloft_policy/tests/fetch.rs
+++ b/crates/gradeloft_policy/tests/fetch.rs
@@ -4,8 +4,9 @@
     clock::Time,
     rendezvous,
     version::{
-        fetch::{Ask, Failure, Fetch, From, Tuning},
+        fetch::{Ask, Failure, Fetch, From, Scheme, Tuning},
         manifest::{Chunk, Manifest},
+        partners::{self, Member},
     },
 };
 use gradeloft_wire::{border::bundle::Objective, id::Digest};
@@ -14,6 +15,7 @@
 
 const OWN: u64 = 1;
 const TUNING: Tuning = Tuning {
+    scheme: Scheme::Owners,
     slots: 4,
     origin_slots: 2,
     per_source: 2,
@@ -275,3 +277,31 @@
             .all(|it| it.from != From::Source(bad))
     );
 }
+
+#[test]
+fn partners_are_few_and_mostly_near_and_connect_the_fleet() {
+    let zone = |node: u64| node % 4;
+    let mut reached = vec![0];
+    let mut seen = std::collections::BTreeSet::from([0]);
+    while let Some(own) = reached.pop() {
+        let member = |node: u64| {
+            let near = zone(node) == zone(own);
+            Member {
+                node,
+                address: String::new(),
+                near,
+            }
+        };
+        let others: Vec<Member> = (0..400).filter(|it| *it != own).map(member).collect();
+        let chosen = partners::choose(Scheme::Owners, own, 9, &others);
+        assert_eq!(chosen.len(), 14);
+        assert_eq!(chosen.iter().filter(|it| it.near).count(), 8);
+        reached.extend(
+            chosen
+                .iter()
+                .map(|it| it.node)
+                .filter(|it| seen.insert(*it)),
+        );
+    }
+    assert_eq!(seen.len(), 400);
+}
--- a/crates/gradeloft_standin/src/fleet.rs
+++ b/crates/gradeloft_standin/src/fleet.rs
@@ -210,7 +210,7 @@
             .ok_or_else(|| std::io::Error::other("no agent part"))?;
         let endpoint = Endpoint::http(&agent.endpoint);
         let node = self.node(settings, id);
-        let handle = agent::start(node, agent, endpoint).await?;
+        let handle = agent::Builder::new(node, agent, endpoint).start().await?;
         let service = (kind == "service").then(|| SERVICE.to_owned());
         let role = InstanceRole::Agent;
         self.list_it(id, zone, role, handle.peer(), None, handle.admin(), service);
--- a/crates/gradeloft_standin/src/lib.rs
+++ b/crates/gradeloft_standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`caller`]: a caller of the entries.
 //! - [`engine`]: a model engine.
 //! - [`fleet`]: all of it, with entries and agents between, in one process.
+//! - [`link`]: links of a certain speed.
 //! - [`list`]: the list of instances.
 //! - [`log`]: the append-only log.
 //! - [`service`]: a plain service some of whose calls may not be repeated.
@@ -15,6 +16,7 @@
 pub mod caller;
 pub mod engine;
 pub mod fleet;
+pub mod link;
 pub mod list;
 pub mod log;
 pub mod service;
--- a/crates/gradeloft_standin/src/weights.rs
+++ b/crates/gradeloft_standin/src/weights.rs
@@ -3,7 +3,9 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    net::IpAddr,
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
@@ -20,7 +22,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
-use crate::{listen, refused, url};
+use crate::{link::Links, listen, refused, url};
 
 /// Weights of one version, made up from a seed.
 #[derive(Clone, Debug)]
@@ -95,6 +97,8 @@
     pub stall: Cell<u32>,
     /// Speed of its link in bytes a second; 0 for no limit.
     pub bytes_per_s: Cell<u64>,
+    /// The links that answers cross, and the own address on them.
+    pub links: RefCell<Option<(Arc<Links>, IpAddr)>>,
     link_free_at: Cell<Option<Instant>>,
     /// Bytes of content read so far.
     pub bytes_read: Cell<u64>,
@@ -170,6 +174,10 @@
         std::future::pending::<()>().await;
     }
     state.carry(content.len() as u64).await;
+    let links = state.links.borrow().clone();
+    if let (Some((links, own)), Some(to)) = (links, request.from) {
+        links.carry(own, to, content.len()).await;
+    }
     state
         .bytes_read
         .set(state.bytes_read.get() + content.len() as u64);
--- a/crates/gradeloft_wire/src/border/settings.rs
+++ b/crates/gradeloft_wire/src/border/settings.rs
@@ -171,6 +171,9 @@
     #[doc = "Where callers connect; entries only."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub public: ::std::option::Option<::std::string::String>,
+    #[doc = "IP address that connections to peers and to the platform come from; chosen by the system if absent."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub source: ::std::option::Option<::std::string::String>,
 }
 #[doc = "Least severe level that is logged."]
 #[derive(
