Take turns on the log, and keep connections few

Cause: (1) nothing kept replicas that hold one version from going down together, nor the zones in order. (3) An engine that drops staged chunks when a version is unloaded made the load order fail five times, so a good version counted as failed.

Change: turns are leases folded from the log, with the bundle's bound and order of zones; a replica on which a version failed keeps its turn. Gossip goes to 4 peers and 2 entries drawn by rendezvous, idle connections are let go, and what a partner holds comes over the connection of its chunks. Chunks are staged again before each load order.

--- a/crates/gradeloft_bench/src/distribute.rs
+++ b/crates/gradeloft_bench/src/distribute.rs
@@ -134,6 +134,7 @@
     t100_over_floor: f64,
     origin_copies: f64,
     ready: usize,
+    corrupt_chunks: u64,
     #[serde(skip_serializing_if = "Option::is_none")]
     live: Option<Live>,
 }
@@ -272,12 +273,12 @@
         fleet.upload(&version);
         *fleet.origin.state.links.borrow_mut() = Some((Arc::clone(&links), ORIGIN));
         fleet.origin.state.bytes_read.set(0);
-        if 0 < self.args.corrupt_percent {
-            // One slice of 4 KiB of so many, so that this percentage of chunks is hit.
-            let slices = (self.args.chunk_bytes as u64).div_ceil(4 << 10).max(1);
-            let every = slices * 100 / self.args.corrupt_percent;
-            links.corrupt_every.store(every, Ordering::Relaxed);
-        }
+        // One slice of 4 KiB of so many, so that this percentage of chunks is hit.
+        let slices = (self.args.chunk_bytes as u64).div_ceil(4 << 10).max(1);
+        let every = (slices * 100).checked_div(self.args.corrupt_percent);
+        links
+            .corrupt_every
+            .store(every.unwrap_or(0), Ordering::Relaxed);
         let started = Instant::now();
         let second = self.bundle(&fleet, 2, Some(digest(&first)), &version);
         fleet
@@ -293,6 +294,11 @@
         let times = seen.times("v1", &killed, started);
         let report = self.report(&fleet, &version, &times, killed.len(), &live);
         live.stop();
+        let corrupt_chunks = links.corrupted.load(Ordering::Relaxed);
+        let report = Report {
+            corrupt_chunks,
+            ..report
+        };
         workers.into_iter().for_each(Worker::stop);
         let points = times
             .iter()
@@ -420,6 +426,7 @@
             t100_over_floor: at(1.0) / floor_s,
             origin_copies: fleet.origin.state.bytes_read.get() as f64 / version.size_bytes() as f64,
             ready: times.len(),
+            corrupt_chunks: 0,
             live: self.args.live.then(|| live.report()),
         }
     }
@@ -427,10 +434,11 @@
 
 /// When each agent served each version.
 #[derive(Default)]
-struct Seen(BTreeMap<(String, usize), Instant>);
+pub(crate) struct Seen(BTreeMap<(String, usize), Instant>);
 
 impl Seen {
-    fn count(&self, version: &str) -> usize {
+    /// How many agents serve a version.
+    pub(crate) fn count(&self, version: &str) -> usize {
         self.without(version, &[])
     }
 
@@ -456,7 +464,7 @@
 }
 
 /// Takes in news until a condition holds or it takes too long.
-async fn wait(
+pub(crate) async fn wait(
     fleet: &Fleet,
     received: &mpsc::Receiver<News>,
     seen: &mut Seen,
@@ -476,13 +484,15 @@
     }
 }
 
-fn serves(peer: &gradeloft_policy::process::membership::Peer) -> bool {
+/// Whether an entry sees a peer serve anything.
+pub(crate) fn serves(peer: &gradeloft_policy::process::membership::Peer) -> bool {
     peer.notice
         .as_ref()
         .is_some_and(|it| !it.serving.is_empty())
 }
 
-fn platform(fleet: &Fleet) -> String {
+/// What all settings say of the platform, in YAML.
+pub(crate) fn platform(fleet: &Fleet) -> String {
     format!(
         "platform: {{log: \"{}\", list: \"{}\", store: \"{}\", origin: \"{}\"}}\npublishers: [{{name: \
          {SIGNER}, key: {}}}]",
@@ -494,7 +504,8 @@
     )
 }
 
-async fn start_entry(fleet: &Fleet) -> entry::Handle {
+/// Starts an entry on an address of its own, whose link is not limited.
+pub(crate) async fn start_entry(fleet: &Fleet) -> entry::Handle {
     let yaml = format!(
         "role: entry\nnode: {{id: entry-0, zone: zone-0, region: r}}\nlisten: {{peer: \"{ENTRY}:0\", \
          admin: \"{ENTRY}:0\", public: \"{ENTRY}:0\", source: \"{ENTRY}\"}}\n{}\n",
--- a/crates/gradeloft_bench/src/main.rs
+++ b/crates/gradeloft_bench/src/main.rs
@@ -1,13 +1,23 @@
 //! `gradeloft_bench`: measurements on one machine, as ratios to baselines of the same run.
 //!
 //! - [`distribute`]: a new version reaches many agents.
+//! - [`footprint`]: state, messages and time for each replica, team, chunk and bundle.
 //! - [`plot`]: curves as SVG.
 
 mod distribute;
+mod footprint;
+mod idle;
 mod plot;
 mod worker;
 
+use std::alloc::System;
+
 use clap::{Parser, Subcommand};
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+
+/// Counts bytes, for [`footprint`].
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
 /// Measures gradeloft with real agents on loopback, over links that stand-ins pace.
 #[derive(Debug, Parser)]
@@ -21,9 +31,13 @@
 enum Command {
     /// Time until replicas serve a new version, and bytes read from the origin.
     Distribute(distribute::Args),
+    /// Bytes of state, bytes of messages and time, at several sizes each, with the fitted slopes.
+    Footprint(footprint::Args),
 }
 
 fn main() {
-    let Command::Distribute(args) = Args::parse().command;
-    distribute::run(&args);
+    match Args::parse().command {
+        Command::Distribute(args) => distribute::run(&args),
+        Command::Footprint(args) => footprint::run(&args),
+    }
 }
--- a/crates/gradeloft_daemon/src/agent/deploy.rs
+++ b/crates/gradeloft_daemon/src/agent/deploy.rs
@@ -22,12 +22,14 @@
     },
     frame::Pin,
     id::Digest,
+    record::Step,
 };
 use slog::{info, warn};
 
 use super::{
     Agent,
     fetch::{self, Members},
+    turn,
 };
 use crate::entry::border::adapted;
 
@@ -40,6 +42,8 @@
 /// How often a replica that is to unload a version looks whether requests still run on it.
 const DRAIN_STEP: Duration = Duration::from_millis(20);
 
+const NO_EPOCH: &str = "no epoch from the log yet, so no order can be given";
+
 /// Weights that the bundle wants on this replica.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Target {
@@ -75,10 +79,14 @@
 
 async fn converge(agent: &Rc<Agent>, engine: &Rc<dyn Engine>, targets: &[Target]) {
     agent.show(targets);
-    let mut failures = vec![0; targets.len()];
+    let mut failed = vec![false; targets.len()];
+    let mut told = false;
     loop {
-        let pause = match step(agent, engine, targets, &mut failures).await {
-            Ok(()) => POLL,
+        let pause = match step(agent, engine, targets, &mut failed).await {
+            Ok(()) => {
+                told = told || tell_done(agent, targets, &failed).await;
+                POLL
+            }
             Err(why) => {
                 info!(agent.node.log, "deployment waits"; "why" => why);
                 RETRY
@@ -88,81 +96,146 @@
     }
 }
 
-/// One look at the engine, and the work that it shows to be needed.
+/// Lets the next availability zones go on, also where this replica served the versions before the
+/// agent started. Gives whether there is nothing left to tell.
+async fn tell_done(agent: &Agent, targets: &[Target], failed: &[bool]) -> bool {
+    let mut told = agent.ordered();
+    for (target, _) in targets.iter().zip(failed).filter(|(_, failed)| !**failed) {
+        let version = turn::Version::new(&target.pin, target.manifest);
+        told = told && turn::done(agent, &version).await.is_ok();
+    }
+    told
+}
+
+/// One look at the engine, and the work that it shows to be needed. A version that failed here is
+/// left alone until the bundle changes.
 async fn step(
     agent: &Rc<Agent>,
     engine: &Rc<dyn Engine>,
     targets: &[Target],
-    failures: &mut [u32],
+    failed: &mut [bool],
 ) -> Result<(), String> {
     let state = observe(agent, &**engine).await?;
     for (idx, target) in targets.iter().enumerate() {
-        if failures[idx] == MAX_ORDERS || serves(&state, target) {
+        if failed[idx] || serves(&state, target) {
             continue;
         }
         agent.phase(target, "fetching");
-        let objective = agent.objective();
-        let members = members(agent, &target.pin.model);
-        fetch::run(agent, engine, target.manifest, objective, members).await?;
-        if let Err(why) = load(agent, engine, target, targets).await {
-            failures[idx] += 1;
-            if failures[idx] == MAX_ORDERS {
-                agent.fail(target, &why);
-            }
-            return Err(why);
-        }
-        failures[idx] = 0;
+        prepare(agent, engine, target).await?;
+        let result = load(agent, engine, target, targets).await;
+        failed[idx] = agent.failed(target);
+        result?;
     }
     Ok(())
 }
 
-async fn load(
+/// Brings every chunk and the manifest to the engine; quick when it holds them already.
+async fn prepare(
     agent: &Rc<Agent>,
     engine: &Rc<dyn Engine>,
     target: &Target,
-    targets: &[Target],
 ) -> Result<(), String> {
+    let members = members(agent, &target.pin.model);
+    let objective = agent.objective();
+    fetch::run(agent, engine, target.manifest, objective, members).await?;
     let manifest = agent.chunks.borrow().get(target.manifest);
     let manifest = manifest.ok_or("the manifest was dropped")?;
     let staged = engine.stage(target.manifest, manifest).await;
-    staged.map_err(|it| format!("engine: {it}"))?;
-    make_room(agent, engine, target, targets).await?;
+    staged.map_err(|it| format!("engine: {it}"))
+}
+
+async fn load(
+    agent: &Rc<Agent>,
+    engine: &Rc<dyn Engine>,
+    target: &Target,
+    targets: &[Target],
+) -> Result<(), String> {
+    if agent.epoch.get() == 0 {
+        return Err(NO_EPOCH.to_owned());
+    }
+    let victim = victim(agent, engine, target, targets).await?;
+    let turn = if agent.ordered() || victim.is_some() {
+        agent.phase(target, "waiting for its turn");
+        Some(turn::take(agent, turn::Version::new(&target.pin, target.manifest)).await?)
+    } else {
+        None
+    };
+    let result = switch(agent, engine, target, victim).await;
+    let step = if result.is_ok() {
+        Step::Done
+    } else {
+        Step::Failed
+    };
+    if let Some(turn) = turn {
+        turn.end(step).await;
+    }
+    result
+}
+
+/// Gives the orders, and reads back what the engine then serves. Tried a few times, because orders
+/// and their replies can be lost.
+async fn switch(
+    agent: &Rc<Agent>,
+    engine: &Rc<dyn Engine>,
+    target: &Target,
+    victim: Option<Weights>,
+) -> Result<(), String> {
+    if let Some(victim) = victim {
+        withdraw(agent, engine, victim).await?;
+    }
     agent.phase(target, "loading");
-    let ordered = order(agent, engine, Action::Load, weights(target)).await;
-    // Whatever the reply, what counts is what the engine serves now.
-    let state = observe(agent, &**engine).await?;
-    if !serves(&state, target) {
-        return Err(match ordered {
+    let mut why = String::new();
+    for _ in 0..MAX_ORDERS {
+        // An engine may have dropped what was staged together with the version withdrawn.
+        prepare(agent, engine, target).await?;
+        let ordered = order(agent, engine, Action::Load, weights(target)).await;
+        // Whatever the reply, what counts is what the engine serves now.
+        let state = observe(agent, &**engine).await?;
+        if serves(&state, target) {
+            agent.phase(target, "serving");
+            info!(agent.node.log, "version in service"; "model" => &target.pin.model,
+                "version" => &target.pin.version);
+            return Ok(());
+        }
+        why = match ordered {
             Ok(()) => "the engine took the order and does not serve the version".to_owned(),
             Err(why) => why,
-        });
+        };
+        actix_rt::time::sleep(RETRY).await;
     }
-    agent.phase(target, "serving");
-    info!(agent.node.log, "version in service"; "model" => &target.pin.model,
-        "version" => &target.pin.version);
-    Ok(())
+    agent.fail(target, &why);
+    Err(why)
 }
 
-/// Unloads a version that the bundle no longer wants, if the engine has no memory for another:
-/// entries are told first, and the requests that run on it end.
-async fn make_room(
-    agent: &Rc<Agent>,
+/// A version that the bundle no longer wants and that has to go, if the engine has no memory for
+/// another one.
+async fn victim(
+    agent: &Agent,
     engine: &Rc<dyn Engine>,
     target: &Target,
     targets: &[Target],
-) -> Result<(), String> {
+) -> Result<Option<Weights>, String> {
     let state = observe(agent, &**engine).await?;
     let models = state.serving.iter().filter(|it| it.adapter.is_none());
     if target.pin.adapter.is_some() || models.count() < state.capacity as usize {
-        return Ok(());
+        return Ok(None);
     }
     let unwanted = state
         .serving
         .iter()
         .find(|it| !targets.iter().any(|t| weights(t) == **it));
-    let Some(victim) = unwanted.cloned() else {
-        return Err("the engine has no memory for another version".to_owned());
-    };
+    match unwanted {
+        Some(victim) => Ok(Some(victim.clone())),
+        None => Err("the engine has no memory for another version".to_owned()),
+    }
+}
+
+/// Takes a version out of service: entries are told first, and the requests that run on it end.
+async fn withdraw(
+    agent: &Rc<Agent>,
+    engine: &Rc<dyn Engine>,
+    victim: Weights,
+) -> Result<(), String> {
     let pin = pin(&victim);
     info!(agent.node.log, "version withdrawn"; "model" => &pin.model, "version" => &pin.version);
     agent
@@ -183,7 +256,7 @@
 ) -> Result<(), String> {
     let epoch = agent.epoch.get();
     if epoch == 0 {
-        return Err("no epoch from the log yet, so no order can be given".to_owned());
+        return Err(NO_EPOCH.to_owned());
     }
     let fence = Fence {
         bundle: agent.node.chain.borrow().number(),
@@ -346,12 +419,22 @@
             .collect()
     }
 
-    fn objective(&self) -> Objective {
+    /// Name and availability zone of every instance that a model is placed on.
+    pub(super) fn placed_on(&self, model: &str) -> Vec<(String, String)> {
         let chain = self.node.chain.borrow();
-        let rollout = chain.head().and_then(|it| it.bundle.rollout.as_ref());
-        rollout
-            .and_then(|it| it.objective)
-            .unwrap_or(Objective::Time)
+        let Some(head) = chain.head() else {
+            return Vec::new();
+        };
+        let wanted = head.bundle.models.iter().position(|it| it.name == model);
+        let placed = self
+            .placed(&head.bundle)
+            .into_iter()
+            .filter(|(_, it)| *it == wanted);
+        placed.map(|((node, zone, _), _)| (node, zone)).collect()
+    }
+
+    fn objective(&self) -> Objective {
+        self.rollout().objective.unwrap_or(Objective::Time)
     }
 
     /// Whether weights that the engine reports are what a bundle named.
@@ -381,6 +464,25 @@
         self.with_version(target.manifest, status);
     }
 
+    /// Whether the bundle orders the availability zones.
+    fn ordered(&self) -> bool {
+        !self.rollout().zone_order.is_empty()
+    }
+
+    /// Whether a version failed on this replica.
+    fn failed(&self, target: &Target) -> bool {
+        let versions = self.versions.borrow();
+        let same = |it: &&VersionStatus| {
+            it.model == target.pin.model
+                && it.adapter == target.pin.adapter
+                && it.version == target.pin.version
+        };
+        versions
+            .iter()
+            .find(same)
+            .is_some_and(|it| it.fault.is_some())
+    }
+
     fn fail(&self, target: &Target, why: &str) {
         warn!(self.node.log, "version failed"; "model" => &target.pin.model,
             "version" => &target.pin.version, "why" => why);
--- a/crates/gradeloft_daemon/src/agent/fetch.rs
+++ b/crates/gradeloft_daemon/src/agent/fetch.rs
@@ -229,7 +229,8 @@
         let manifest = self.manifest.digest;
         let opening = async move {
             let call = Call::Follow { manifest };
-            let incoming = agent.node.pool.open(&address, Lane::Live, &call).await.ok();
+            // What a partner holds goes over the connection that its chunks come on.
+            let incoming = agent.node.pool.open(&address, Lane::Bulk, &call).await.ok();
             Event::Followed {
                 key,
                 node,
--- a/crates/gradeloft_daemon/src/agent/mod.rs
+++ b/crates/gradeloft_daemon/src/agent/mod.rs
@@ -7,6 +7,7 @@
 //! - [`generate`]: generate requests at the engine.
 //! - [`service`]: calls at a plain service.
 //! - [`share`]: gives chunks to peers.
+//! - [`turn`]: turns to switch versions.
 //! - [`work`]: takes or refuses work.
 
 pub mod chunks;
@@ -16,6 +17,7 @@
 pub mod generate;
 pub mod service;
 pub mod share;
+pub mod turn;
 pub mod work;
 
 use std::{
--- a/crates/gradeloft_daemon/src/node/config.rs
+++ b/crates/gradeloft_daemon/src/node/config.rs
@@ -7,8 +7,13 @@
 
 use std::{rc::Rc, time::Duration};
 
-use gradeloft_policy::version::chain::{Refusal, Verdict};
+use gradeloft_policy::{
+    process::membership::Peer,
+    rendezvous,
+    version::chain::{Refusal, Verdict},
+};
 use gradeloft_wire::{
+    border::platform::InstanceRole,
     border::settings::Role,
     frame::{Call, Reply},
     record::{CONFIG, Record, SignedBundle},
@@ -25,6 +30,10 @@
 const RETRY_MS: std::ops::Range<u64> = 100..1_000;
 /// Mean time between two questions to random peers, in milliseconds.
 const GOSSIP_MS: u64 = 1_000;
+/// Peers of any role that a node gossips with.
+const GOSSIP_PEERS: usize = 4;
+/// Entries that it gossips with besides.
+const GOSSIP_ENTRIES: usize = 2;
 /// Time without word of the bundle from a peer after which an agent reads the log, in seconds.
 const AGENT_LOG_S: u64 = 5;
 
@@ -151,12 +160,30 @@
     }
 }
 
+/// One of the few peers that this node gossips with. They are drawn by rendezvous and stay the same
+/// while members do, so that a large fleet does not end up with a connection for every pair.
 fn random_peer(node: &Node) -> Option<String> {
     let membership = node.membership.borrow();
     let now = node.clock.now();
-    let peers = membership.iter().filter(|(_, it)| !it.health.suspect(now));
-    node.with_rng(|rng| peers.choose(rng))
-        .map(|(_, it)| it.instance.peer.clone())
+    let key = rendezvous::hash(node.settings.node.id.as_bytes());
+    let peers: Vec<&Peer> = membership
+        .iter()
+        .map(|(_, it)| it)
+        .filter(|it| !it.health.suspect(now))
+        .collect();
+    let nodes: Vec<u64> = peers.iter().map(|it| it.node).collect();
+    let mut drawn: Vec<&Peer> = Vec::with_capacity(GOSSIP_PEERS + 1);
+    let ranked: Vec<&Peer> = rendezvous::order(key, &nodes)
+        .into_iter()
+        .map(|idx| peers[idx])
+        .collect();
+    drawn.extend(ranked.iter().take(GOSSIP_PEERS));
+    let entries = ranked
+        .iter()
+        .filter(|it| it.instance.role == InstanceRole::Entry);
+    drawn.extend(entries.take(GOSSIP_ENTRIES));
+    let chosen = node.with_rng(|rng| drawn.into_iter().choose(rng));
+    chosen.map(|it| it.instance.peer.clone())
 }
 
 /// Passes the bundle in force on to the peers that this node watches.
--- a/crates/gradeloft_daemon/src/transport/client.rs
+++ b/crates/gradeloft_daemon/src/transport/client.rs
@@ -5,7 +5,7 @@
     collections::HashMap,
     io,
     net::{IpAddr, SocketAddr},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -37,9 +37,18 @@
     Unsent,
 }
 
-/// Connections to peers, one for each address and lane, made when they are needed.
+/// Time after which a connection that nothing was sent on is let go.
+const IDLE: Duration = Duration::from_secs(60);
+
+struct Connection {
+    sender: SendRequest<Bytes>,
+    used: Instant,
+}
+
+/// Connections to peers, one for each address and lane, made when they are needed and let go when
+/// they have not been used for a while; answers that still come keep theirs.
 pub struct Pool {
-    connections: RefCell<HashMap<(String, Lane), SendRequest<Bytes>>>,
+    connections: RefCell<HashMap<(String, Lane), Connection>>,
     max_frame: usize,
     connect_timeout: Duration,
     /// Address of this instance that connections come from.
@@ -85,7 +94,7 @@
 
     async fn sender(&self, address: &str, lane: Lane) -> Result<SendRequest<Bytes>, Fault> {
         let key = (address.to_owned(), lane);
-        let kept = self.connections.borrow().get(&key).cloned();
+        let kept = self.kept(&key);
         if let Some(kept) = kept
             && let Ok(ready) = kept.ready().await
         {
@@ -96,10 +105,23 @@
             .await
             .map_err(|_| Fault::Unsent)?
             .map_err(|_| Fault::Unsent)?;
-        self.connections.borrow_mut().insert(key, fresh.clone());
+        let connection = Connection {
+            sender: fresh.clone(),
+            used: Instant::now(),
+        };
+        self.connections.borrow_mut().insert(key, connection);
         fresh.ready().await.map_err(|_| Fault::Unsent)
     }
 
+    fn kept(&self, key: &(String, Lane)) -> Option<SendRequest<Bytes>> {
+        let mut connections = self.connections.borrow_mut();
+        let now = Instant::now();
+        connections.retain(|it, kept| it == key || now < kept.used + IDLE);
+        let kept = connections.get_mut(key)?;
+        kept.used = now;
+        Some(kept.sender.clone())
+    }
+
     fn forget(&self, address: &str, lane: Lane) {
         self.connections
             .borrow_mut()
--- a/crates/gradeloft_daemon/tests/rollout.rs
+++ b/crates/gradeloft_daemon/tests/rollout.rs
@@ -369,3 +369,130 @@
         "an entry that does not answer is not given out"
     );
 }
+
+/// Engines that hold one version and take a while to load, and a bundle with a rollout part.
+async fn tight(engines: usize, zone_order: &[&str]) -> (Fleet, Bundle) {
+    let fleet = fleet(shape(1, engines, 0)).await;
+    for engine in &fleet.engines {
+        engine.endpoint.state.capacity.set(1);
+        engine.endpoint.state.order_ms.set(30);
+    }
+    let v1 = version("v1");
+    let first = fleet.deploy(&v1).await;
+    let mut second = fleet.bundle(2, Some(digest(&first)), &version("v2"));
+    second.rollout = Some(gradeloft_wire::border::bundle::Rollout {
+        max_unavailable: 1,
+        zone_order: zone_order.iter().map(|it| (*it).to_owned()).collect(),
+        ..Default::default()
+    });
+    fleet.upload(&version("v2"));
+    fleet.publish(&second).await.expect("it is accepted");
+    (fleet, second)
+}
+
+#[actix_rt::test]
+async fn no_more_replicas_are_down_at_once_than_the_bundle_allows() {
+    let (fleet, _) = tight(4, &[]).await;
+    let most_down = std::cell::Cell::new(0);
+    let v2 = version("v2");
+    fleet
+        .until("v2 is everywhere", || {
+            let down = fleet
+                .engines
+                .iter()
+                .filter(|it| it.endpoint.state.serves().is_empty());
+            most_down.set(most_down.get().max(down.count()));
+            fleet.known(&v2)
+        })
+        .await;
+    assert_eq!(most_down.get(), 1);
+    answers(&fleet, &v2).await;
+}
+
+#[actix_rt::test]
+async fn a_bad_version_takes_down_no_more_replicas_than_the_bundle_allows() {
+    let fleet = fleet(shape(1, 3, 0)).await;
+    let v1 = version("v1");
+    let first = fleet.deploy(&v1).await;
+    for engine in &fleet.engines {
+        engine.endpoint.state.capacity.set(1);
+        engine.endpoint.state.refuse_loads.set(true);
+    }
+    next(&fleet, &first, &version("v2")).await;
+    let failed = || {
+        let agents = fleet.engines.iter().filter_map(|it| it.agent.as_ref());
+        agents
+            .flat_map(|it| it.versions())
+            .filter(|it| it.phase == "failed")
+            .count()
+    };
+    fleet
+        .until("it failed on one replica", || failed() == 1)
+        .await;
+    let waiting = || {
+        let agents = fleet.engines.iter().filter_map(|it| it.agent.as_ref());
+        agents
+            .flat_map(|it| it.versions())
+            .filter(|it| it.phase == "waiting for its turn")
+            .count()
+    };
+    fleet
+        .until("the others wait for their turns", || waiting() == 2)
+        .await;
+    // Three askers and the one failure stand on the log, and still nobody else went.
+    fleet
+        .until("all have asked", || {
+            4 <= fleet.log.state.len("turns.bulletin")
+        })
+        .await;
+    assert_eq!((failed(), fleet.serving(&v1)), (1, 2));
+    answers(&fleet, &v1).await;
+}
+
+#[actix_rt::test]
+async fn zones_get_a_version_in_the_bundles_order() {
+    let (fleet, _) = tight(4, &["zone-1", "zone-0"]).await;
+    let v2 = version("v2");
+    let early = std::cell::Cell::new(false);
+    let serves = |zone: usize| {
+        let engines = fleet.engines.iter().skip(zone).step_by(2);
+        engines
+            .filter(|it| it.endpoint.state.serves() == ["bulletin/v2"])
+            .count()
+    };
+    fleet
+        .until("v2 is everywhere", || {
+            early.set(early.get() || (0 < serves(0) && serves(1) < 2));
+            fleet.known(&v2)
+        })
+        .await;
+    assert!(!early.get(), "zone-0 went before zone-1 was done");
+}
+
+#[actix_rt::test]
+async fn without_the_log_no_replica_is_taken_down() {
+    let fleet = fleet(shape(1, 2, 0)).await;
+    let v1 = version("v1");
+    let first = fleet.deploy(&v1).await;
+    for engine in &fleet.engines {
+        engine.endpoint.state.capacity.set(1);
+    }
+    fleet.log.state.down.set(true);
+    let v2 = version("v2");
+    fleet.upload(&v2);
+    let signed = fleet
+        .key
+        .sign(&fleet.bundle(2, Some(digest(&first)), &v2), "ops");
+    gradeloft_daemon::node::config::adopt(fleet.entries[0].as_ref().unwrap().node(), &signed);
+    let waiting = || {
+        let agents = fleet.engines.iter().filter_map(|it| it.agent.as_ref());
+        agents
+            .flat_map(|it| it.versions())
+            .filter(|it| it.phase == "waiting for its turn")
+            .count()
+    };
+    fleet.until("both wait", || waiting() == 2).await;
+    assert_eq!(fleet.serving(&v1), 2);
+    fleet.log.state.down.set(false);
+    fleet.until("v2 is everywhere", || fleet.known(&v2)).await;
+}
--- /dev/null
+++ b/crates/gradeloft_policy/src/process/shares.rs
@@ -0,0 +1,226 @@
+//! Shares of a team's rate between entries, as leases that follow demand.
+//!
+//! One entry is the home of each team, by rendezvous; it lends the team's rate to the others in
+//! leases. What it has lent and what entries may use without a lease never add up to more than the
+//! rate, so views that lag cost use, not the limit. An entry that can't reach the home lets its
+//! lease end and then uses a stated fraction of an equal share, which the home keeps back for every
+//! entry that it does not hear from. A home that is connected to no majority of the listed entries
+//! lends nothing, so an entry that is cut off is no home of its own; one that has just become home
+//! lends nobody more than they hold, until leases of the home before it have ended.
+//!
+//! Leased rates, the fallback when cut off and giving back what is unused are taken from the manual
+//! of the Varnish Enterprise ratelimit module; unlike there, a home grants them, because
+//! optimistic leases overshoot while entries disagree (`docs/design/0004-limits.md`).
+
+use std::collections::HashMap;
+
+use crate::{clock::Time, rendezvous};
+
+/// How long a lease stands, in milliseconds.
+pub const LEASE_MS: u64 = 2_000;
+/// How often an entry asks for a new lease, in milliseconds.
+pub const RENEW_MS: u64 = 200;
+/// Share of an equal part of the rate that an entry without a lease uses.
+pub const CUT_OFF_FRACTION: f64 = 0.3;
+/// An entry asks for this much more than it needs, so that demand can grow between two asks.
+const MARGIN: f64 = 1.15;
+/// Time over which demand is averaged, in seconds.
+const WINDOW_S: f64 = 0.5;
+
+/// The home of a team among entries, by the hashes of their names.
+pub fn home(team: &str, entries: impl Iterator<Item = u64>) -> Option<u64> {
+    let key = rendezvous::hash(team.as_bytes());
+    entries.max_by_key(|it| (rendezvous::score(key, *it), *it))
+}
+
+/// A right to use a rate for a while.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Lease {
+    /// Units a second.
+    pub rate: f64,
+    /// When it ends.
+    pub until: Time,
+}
+
+/// Demand of one team at one entry, averaged.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Demand {
+    rate: f64,
+    at: Time,
+}
+
+impl Demand {
+    /// Units were asked for, whether or not they were admitted.
+    pub fn add(&mut self, units: f64, now: Time) {
+        self.decay(now);
+        self.rate += units / WINDOW_S;
+    }
+
+    /// Units a second.
+    pub fn rate(&mut self, now: Time) -> f64 {
+        self.decay(now);
+        self.rate
+    }
+
+    fn decay(&mut self, now: Time) {
+        self.rate *= (-now.seconds_since(self.at) / WINDOW_S).exp();
+        self.at = self.at.max(now);
+    }
+}
+
+/// One team's rate at an entry that borrows.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Borrower {
+    lease: Lease,
+}
+
+impl Borrower {
+    /// The home granted a rate, in answer to an ask made at `asked`. The lease counts from there, so
+    /// it never outlasts what the home thinks.
+    pub fn granted(&mut self, rate: f64, asked: Time) {
+        self.lease = Lease {
+            rate,
+            until: asked.after_ms(LEASE_MS),
+        };
+    }
+
+    /// The rate that may be used now, of `allowed` over `entries` entries.
+    pub fn rate(&self, allowed: f64, entries: usize, now: Time) -> f64 {
+        if now < self.lease.until {
+            self.lease.rate
+        } else {
+            fallback(allowed, entries)
+        }
+    }
+
+    /// What it holds by lease.
+    pub fn held(&self, now: Time) -> f64 {
+        if now < self.lease.until {
+            self.lease.rate
+        } else {
+            0.0
+        }
+    }
+}
+
+/// What an entry uses without a lease.
+fn fallback(allowed: f64, entries: usize) -> f64 {
+    allowed * CUT_OFF_FRACTION / entries.max(1) as f64
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    lease: Lease,
+    demand: f64,
+}
+
+/// One team's rate at its home.
+#[derive(Clone, Debug)]
+pub struct Lender {
+    /// Entries that asked within a lease's time.
+    holders: HashMap<u64, Holder>,
+    /// When this entry became home.
+    since: Time,
+}
+
+/// What an entry asks its team's home for.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    /// Hash of the entry's name.
+    pub entry: u64,
+    /// What callers want of it, in units a second.
+    pub demand: f64,
+    /// What it holds by lease, from this home or the one before.
+    pub held: f64,
+}
+
+/// What a home knows of the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Fleet {
+    /// The team's rate, over all entries.
+    pub allowed: f64,
+    /// Entries that the platform lists, this one included.
+    pub entries: usize,
+    /// Of those, the ones that this one is connected to, itself included.
+    pub connected: usize,
+}
+
+impl Lender {
+    /// A home from now on.
+    pub fn new(now: Time) -> Lender {
+        Lender {
+            holders: HashMap::new(),
+            since: now,
+        }
+    }
+
+    /// Answers an ask with the rate that is granted for a lease's time.
+    pub fn ask(&mut self, ask: Ask, fleet: Fleet, now: Time) -> f64 {
+        let Fleet {
+            allowed,
+            entries,
+            connected,
+        } = fleet;
+        let least = fallback(allowed, entries);
+        if connected * 2 <= entries && 1 < entries {
+            return least;
+        }
+        self.holders.retain(|_, it| now < it.lease.until);
+        let known = self
+            .holders
+            .get(&ask.entry)
+            .map_or(ask.held, |it| it.lease.rate);
+        let lease = Lease {
+            rate: known,
+            until: now.after_ms(LEASE_MS),
+        };
+        self.holders.insert(
+            ask.entry,
+            Holder {
+                lease,
+                demand: ask.demand * MARGIN,
+            },
+        );
+        let absent = entries.saturating_sub(self.holders.len());
+        let lendable = (allowed - absent as f64 * least).max(0.0);
+        let others = self.holders.iter().filter(|(it, _)| **it != ask.entry);
+        let lent: f64 = others.map(|(_, it)| it.lease.rate).sum();
+        let mut rate = self
+            .target(ask.entry, lendable)
+            .min((lendable - lent).max(0.0));
+        if 1 < entries && now < self.since.after_ms(LEASE_MS) {
+            rate = rate.min(known.max(least));
+        }
+        if let Some(holder) = self.holders.get_mut(&ask.entry) {
+            holder.lease.rate = rate;
+        }
+        rate
+    }
+
+    /// The fair rate of an entry: what it demands if all demands fit, with the spare split evenly;
+    /// else demands are filled evenly until the rate is used up.
+    fn target(&self, entry: u64, lendable: f64) -> f64 {
+        let demand = self.holders.get(&entry).map_or(0.0, |it| it.demand);
+        let count = self.holders.len().max(1) as f64;
+        let total: f64 = self.holders.values().map(|it| it.demand).sum();
+        if total <= lendable {
+            return demand + (lendable - total) / count;
+        }
+        demand.min(self.level(lendable))
+    }
+
+    /// The level up to which demands are filled.
+    fn level(&self, lendable: f64) -> f64 {
+        let mut demands: Vec<f64> = self.holders.values().map(|it| it.demand).collect();
+        demands.sort_by(f64::total_cmp);
+        let mut left = lendable;
+        for (idx, demand) in demands.iter().enumerate() {
+            let level = left / (demands.len() - idx) as f64;
+            if level <= *demand {
+                return level;
+            }
+            left -= demand;
+        }
+        lendable
+    }
+}
--- a/crates/gradeloft_policy/src/version/mod.rs
+++ b/crates/gradeloft_policy/src/version/mod.rs
@@ -7,7 +7,8 @@
 //! - [`placement`]: which replica holds which model.
 //! - [`fetch`]: which chunk to fetch next, and from where.
 //! - [`upload`]: which peer's request for a chunk is served when.
-//! - [`rollout`]: which version requests are pinned to, and which replica may go down.
+//! - [`rollout`]: which version requests are pinned to.
+//! - [`turns`]: which replica may be taken down now.
 
 pub mod bundle;
 pub mod chain;
@@ -16,4 +17,5 @@
 pub mod partners;
 pub mod placement;
 pub mod rollout;
+pub mod turns;
 pub mod upload;
--- a/crates/gradeloft_standin/src/engine.rs
+++ b/crates/gradeloft_standin/src/engine.rs
@@ -71,6 +71,8 @@
     pub lose_replies: Cell<u32>,
     /// So many next orders are answered well and do nothing.
     pub ignore_orders: Cell<u32>,
+    /// Refuses to load anything while set, as for weights that are no good.
+    pub refuse_loads: Cell<bool>,
     /// Delay of orders, in milliseconds.
     pub order_ms: Cell<u64>,
     /// Orders received.
@@ -96,6 +98,7 @@
             ignores_fence: Cell::default(),
             lose_replies: Cell::default(),
             ignore_orders: Cell::default(),
+            refuse_loads: Cell::default(),
             order_ms: Cell::default(),
             orders: Cell::default(),
         }
@@ -260,6 +263,9 @@
 
 fn obey(state: &State, order: &Order) -> Answer {
     match order.action {
+        Action::Load if state.refuse_loads.get() => {
+            return refused(409, "the weights are no good");
+        }
         Action::Load => {
             if state.weights_digest(&order.weights).is_none() {
                 return refused(409, "content is missing");
--- a/crates/gradeloft_standin/src/link.rs
+++ b/crates/gradeloft_standin/src/link.rs
@@ -49,6 +49,9 @@
     /// One of so many slices gets a flipped byte; 0 for none.
     pub corrupt_every: AtomicU64,
     slices: AtomicU64,
+    crossed: AtomicU64,
+    /// Slices that got one.
+    pub corrupted: AtomicU64,
 }
 
 impl Links {
@@ -69,6 +72,11 @@
         self.pass(to, Direction::In, bytes).await;
     }
 
+    /// Bytes that have left any address so far.
+    pub fn crossed(&self) -> u64 {
+        self.crossed.load(Ordering::Relaxed)
+    }
+
     async fn pass(&self, address: IpAddr, direction: Direction, bytes: usize) {
         let free = {
             let mut links = self.lock();
@@ -93,7 +101,10 @@
     fn corrupts(&self) -> bool {
         let every = self.corrupt_every.load(Ordering::Relaxed);
         let slice = self.slices.fetch_add(1, Ordering::Relaxed);
-        0 < every && slice % every == every - 1
+        let corrupts = 0 < every && slice % every == every - 1;
+        self.corrupted
+            .fetch_add(u64::from(corrupts), Ordering::Relaxed);
+        corrupts
     }
 }
 
@@ -179,6 +190,7 @@
     let leave = async move {
         let mut slice = vec![0; SLICE];
         while let Ok(count @ 1..) = from.read(&mut slice).await {
+            links.crossed.fetch_add(count as u64, Ordering::Relaxed);
             links.pass(from_address, Direction::Out, count).await;
             if send
                 .send(Bytes::copy_from_slice(&slice[..count]))
--- a/crates/gradeloft_wire/src/record.rs
+++ b/crates/gradeloft_wire/src/record.rs
@@ -16,8 +16,11 @@
 pub const CONFIG: &str = "config";
 /// Stream of agents' epochs.
 pub const EPOCHS: &str = "epochs";
-/// Stream of claims on calls that may run at most once.
+/// Streams of claims on calls that may run at most once; one for each service, `claims.SERVICE`.
 pub const CLAIMS: &str = "claims";
+/// Streams of turns to switch versions; one for each model, `turns.MODEL`, and for each adapter,
+/// `turns.MODEL.ADAPTER`.
+pub const TURNS: &str = "turns";
 
 /// A bundle with the signature of its publisher.
 #[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
@@ -46,6 +49,30 @@
     pub attempt: u128,
 }
 
+/// How far a replica is with a version that it needed a turn for.
+#[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
+pub enum Step {
+    /// It asks for a turn, or renews its ask.
+    Ask,
+    /// It serves the version.
+    Done,
+    /// The version failed on it.
+    Failed,
+}
+
+/// A replica's word on its turn to switch to a bundle's version.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct Turn {
+    /// Number of the bundle in force when it was said.
+    pub number: u64,
+    /// Manifest of the version, which stays the same when a bundle changes something else.
+    pub manifest: Digest,
+    /// Instance of the replica.
+    pub node: String,
+    /// How far it is.
+    pub step: Step,
+}
+
 /// One record.
 #[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
 pub enum Record {
@@ -63,6 +90,8 @@
     },
     /// Claims on calls.
     Claims(Vec<Claim>),
+    /// A turn of a rollout.
+    Turn(Turn),
 }
 
 /// Why a record can't be read.
