Share rates between entries as leases, and measure live requests

Cause: each entry granted rate / entries, so a team whose callers use one entry got a seventh of its rate; and nothing measured routes, faults or limits.

Change: process::shares lends a team's rate from its home entry in leases that follow demand; entries borrow over the peer protocol. A property test holds what is lent and kept back under the rate for any order of asks. gradeloft_bench gets limits and requests, with baselines for routes.

Failed try: reserving the cut-off fraction for every silent entry kept 26% of a rate idle with 7 entries; a small part for silent entries and the large one only for those that are not connected replaces it. A first version starved small demands at 5 of 11.5 because the parts of silent entries were missing from the fair level; a test shows it.

Conclusion: the limit holds by construction, not by luck of timing.

--- a/crates/gradeloft_bench/src/distribute.rs
+++ b/crates/gradeloft_bench/src/distribute.rs
@@ -49,6 +49,8 @@
 const LIVE_PER_AGENT: f64 = 4.0;
 const LIVE_PROMPT: usize = 16 << 10;
 const LIVE_TOKENS: u32 = 8;
+/// Longest answer that is told from longer ones, in microseconds.
+const MOST_MICROS: u64 = 60_000_000;
 /// How long live requests run before the rollout, to compare with.
 const LIVE_BEFORE: Duration = Duration::from_secs(5);
 
@@ -514,7 +516,10 @@
     let settings = settings::parse(&yaml).expect("sound settings");
     let platform = Platform::http(&settings);
     let node = Node::new(settings, platform, logging::none(), 1 << 40);
-    let entry = entry::start(node).await.expect("the entry starts");
+    let entry = entry::Builder::new(node)
+        .start()
+        .await
+        .expect("the entry starts");
     fleet.list.state.add(Instance {
         id: "entry-0".to_owned(),
         zone: "zone-0".to_owned(),
@@ -542,7 +547,11 @@
 
 impl LiveLoad {
     fn new(entry: std::net::SocketAddr, agents: usize) -> LiveLoad {
-        let histogram = || Histogram::new(3).expect("three digits are allowed").into();
+        let histogram = || {
+            Histogram::new_with_bounds(1, MOST_MICROS, 3)
+                .expect("sound bounds")
+                .into()
+        };
         LiveLoad {
             entry,
             agents,
--- a/crates/gradeloft_bench/src/footprint.rs
+++ b/crates/gradeloft_bench/src/footprint.rs
@@ -323,9 +323,10 @@
         requests: 1e9,
         tokens: 1e9,
     };
-    let rates: Vec<(String, Rate)> = (0..count).map(|it| (format!("team-{it}"), rate)).collect();
     let mut ledger = Ledger::default();
-    ledger.configure(&rates, 1.0, Time::ZERO);
+    for idx in 0..count {
+        ledger.set_rate(&format!("team-{idx}"), rate, Time::ZERO);
+    }
     ledger
 }
 
--- a/crates/gradeloft_bench/src/main.rs
+++ b/crates/gradeloft_bench/src/main.rs
@@ -2,12 +2,16 @@
 //!
 //! - [`distribute`]: a new version reaches many agents.
 //! - [`footprint`]: state, messages and time for each replica, team, chunk and bundle.
+//! - [`limits`]: a team's rate over several entries.
 //! - [`plot`]: curves as SVG.
+//! - [`requests`]: live requests under load and faults.
 
 mod distribute;
 mod footprint;
 mod idle;
+mod limits;
 mod plot;
+mod requests;
 mod worker;
 
 use std::alloc::System;
@@ -33,11 +37,18 @@
     Distribute(distribute::Args),
     /// Bytes of state, bytes of messages and time, at several sizes each, with the fitted slopes.
     Footprint(footprint::Args),
+    /// What is admitted of a team's rate while demand moves between entries.
+    Limits(limits::Args),
+    /// First answers, prefix hits and retries; under a fault, whether answers are right and calls
+    /// run at most once.
+    Requests(requests::Args),
 }
 
 fn main() {
     match Args::parse().command {
         Command::Distribute(args) => distribute::run(&args),
         Command::Footprint(args) => footprint::run(&args),
+        Command::Limits(args) => limits::run(&args),
+        Command::Requests(args) => requests::run(&args),
     }
 }
--- a/crates/gradeloft_daemon/src/entry/dispatch.rs
+++ b/crates/gradeloft_daemon/src/entry/dispatch.rs
@@ -8,7 +8,7 @@
         admission,
         answer::Checker,
         retry::{self, Repeat},
-        route::{self, Candidate, Near},
+        route::{self, Candidate, Near, Scheme},
     },
 };
 use gradeloft_wire::{
@@ -265,9 +265,13 @@
         let fresh = serving.iter().filter(|(key, _)| !tried.contains(key));
         let candidates: Vec<Candidate<PeerKey>> =
             fresh.map(|(key, it)| self.candidate(*key, it)).collect();
-        let chosen = self
-            .node
-            .with_rng(|rng| route::choose(&candidates, target.affinity(), now, rng));
+        let chosen = self.node.with_rng(|rng| match self.scheme {
+            Scheme::Affinity => route::choose(&candidates, target.affinity(), now, rng),
+            scheme => {
+                let turn = self.turn.replace(self.turn.get().wrapping_add(1));
+                route::baseline(scheme, &candidates, turn, rng)
+            }
+        });
         chosen.ok_or(Kind::NoReplica)
     }
 
--- a/crates/gradeloft_daemon/src/entry/generate.rs
+++ b/crates/gradeloft_daemon/src/entry/generate.rs
@@ -53,7 +53,7 @@
     let now = entry.node.clock.now();
     let prompt_tokens = generate.prompt.len() as f64 / BYTES_PER_TOKEN;
     let admitted = entry
-        .ledger
+        .limits
         .borrow_mut()
         .admit(&context.team.name, prompt_tokens, now);
     admitted.map_err(fail)?;
@@ -255,7 +255,7 @@
         let whole = now.since(self.context.started);
         metrics::observe(&node.metrics.whole_answer, &self.caller(), whole);
         self.entry
-            .ledger
+            .limits
             .borrow_mut()
             .charge(&team, self.tokens as f64, now);
         info!(node.log, "request done"; "request" => &self.context.id, "team" => &team,
--- a/crates/gradeloft_daemon/src/entry/mod.rs
+++ b/crates/gradeloft_daemon/src/entry/mod.rs
@@ -4,12 +4,14 @@
 //! - [`border`]: callers' requests as typed values, and error answers.
 //! - [`dispatch`]: attempts at agents, until one answers.
 //! - [`generate`]: streamed generate requests.
+//! - [`limits`]: teams' rates, borrowed from and lent to other entries.
 //! - [`service`]: calls to plain services.
 
 pub mod addresses;
 pub mod border;
 pub mod dispatch;
 pub mod generate;
+pub mod limits;
 pub mod service;
 
 use std::{
@@ -26,14 +28,11 @@
     server::{self, Handler},
 };
 use gradeloft_policy::{
-    request::{
-        admission::{Ledger, Rate},
-        retry::Budget,
-    },
+    request::{admission::Rate, retry::Budget, route::Scheme},
     version::rollout::Pinner,
 };
 use gradeloft_wire::{
-    border::{caller::VersionStatus, platform::InstanceRole, settings},
+    border::{caller::VersionStatus, settings},
     error::Kind,
     frame::Call,
 };
@@ -53,7 +52,10 @@
 pub struct Entry {
     node: Rc<Node>,
     settings: settings::Entry,
-    ledger: RefCell<Ledger>,
+    scheme: Scheme,
+    /// Choices made so far by a baseline that counts them.
+    turn: Cell<usize>,
+    limits: RefCell<limits::Limits>,
     budget: RefCell<Budget>,
     /// For each model and adapter of the bundle.
     pinners: RefCell<HashMap<(String, Option<String>), Pinner>>,
@@ -71,34 +73,66 @@
     peer: SocketAddr,
 }
 
-/// Starts an entry. It is ready once it knows a bundle.
-pub async fn start(node: Node) -> std::io::Result<Handle> {
-    let node = Rc::new(node);
-    let settings = node.settings.entry.clone().unwrap_or_default();
-    let entry = Rc::new(Entry {
-        budget: RefCell::new(Budget::new(settings.retry_percent)),
-        settings,
-        ledger: RefCell::default(),
-        pinners: RefCell::default(),
-        running: Cell::default(),
-        public: Cell::default(),
-        node: Rc::clone(&node),
-    });
-    let peer = listen_peers(&entry).await?;
-    let admin = admin::start(Rc::clone(&node), Rc::clone(&entry) as Rc<dyn admin::Report>).await?;
-    let public = listen_callers(&entry).await?;
-    entry.public.set(Some(public.address()));
-    config::start(&node);
-    peers::start(&node);
-    node.scope.spawn(apply(Rc::clone(&entry)));
-    info!(node.log, "entry started"; "public" => %public.address(), "peer" => %peer,
-        "admin" => %admin.address());
-    Ok(Handle {
-        entry,
-        public,
-        admin,
-        peer,
-    })
+/// An entry about to start.
+///
+/// [`Builder::new`] takes what every entry needs; the rest has defaults.
+pub struct Builder {
+    node: Node,
+    scheme: Scheme,
+}
+
+impl Builder {
+    /// An entry on a node.
+    pub fn new(node: Node) -> Builder {
+        Builder {
+            node,
+            scheme: Scheme::default(),
+        }
+    }
+
+    /// Chooses replicas in another way, to measure against it.
+    pub fn scheme(mut self, scheme: Scheme) -> Builder {
+        self.scheme = scheme;
+        self
+    }
+
+    /// Starts the entry. It is ready once it knows a bundle.
+    pub async fn start(self) -> std::io::Result<Handle> {
+        let entry = Rc::new(self.entry());
+        let node = &entry.node;
+        let peer = listen_peers(&entry).await?;
+        let report = Rc::clone(&entry) as Rc<dyn admin::Report>;
+        let admin = admin::start(Rc::clone(node), report).await?;
+        let public = listen_callers(&entry).await?;
+        entry.public.set(Some(public.address()));
+        config::start(node);
+        peers::start(node);
+        node.scope.spawn(apply(Rc::clone(&entry)));
+        node.scope.spawn(limits::run(Rc::clone(&entry)));
+        info!(node.log, "entry started"; "public" => %public.address(), "peer" => %peer,
+            "admin" => %admin.address());
+        Ok(Handle {
+            entry,
+            public,
+            admin,
+            peer,
+        })
+    }
+
+    fn entry(self) -> Entry {
+        let settings = self.node.settings.entry.clone().unwrap_or_default();
+        Entry {
+            budget: RefCell::new(Budget::new(settings.retry_percent)),
+            settings,
+            scheme: self.scheme,
+            turn: Cell::default(),
+            limits: RefCell::default(),
+            pinners: RefCell::default(),
+            running: Cell::default(),
+            public: Cell::default(),
+            node: Rc::new(self.node),
+        }
+    }
 }
 
 impl Handle {
@@ -227,22 +261,30 @@
     }
 }
 
-struct PeerCalls(Rc<Node>);
+struct PeerCalls(Rc<Entry>);
 
 impl transport::server::Handler for PeerCalls {
     fn call(&self, call: Call, outgoing: Outgoing) {
-        let node = Rc::clone(&self.0);
-        let scope = Rc::clone(&node.scope);
-        scope.spawn(async move { calls::answer(node, call, outgoing).await });
+        let entry = Rc::clone(&self.0);
+        let scope = Rc::clone(&entry.node.scope);
+        scope.spawn(async move {
+            match call {
+                Call::Borrow { node, asks } => {
+                    let lent = entry.lend(&node, &asks);
+                    outgoing.finish(&lent).await;
+                }
+                other => calls::answer(Rc::clone(&entry.node), other, outgoing).await,
+            }
+        });
     }
 
     fn malformed(&self) {
-        self.0.metrics.malformed.inc();
+        self.0.node.metrics.malformed.inc();
     }
 }
 
 async fn listen_peers(entry: &Rc<Entry>) -> std::io::Result<SocketAddr> {
-    let handler = Rc::new(PeerCalls(Rc::clone(&entry.node)));
+    let handler = Rc::new(PeerCalls(Rc::clone(entry)));
     calls::listen(&entry.node, handler).await
 }
 
@@ -276,9 +318,9 @@
             .map(|it| (it.name.clone(), rate(it.requests_per_s, it.tokens_per_s)))
             .collect();
         let now = self.node.clock.now();
-        self.ledger
+        self.limits
             .borrow_mut()
-            .configure(&rates, 1.0 / self.live_entries() as f64, now);
+            .configure(&rates, self.listed_entries(), now);
         let mut pinners = self.pinners.borrow_mut();
         let wanted: Vec<_> = border::weights(&head.bundle).collect();
         pinners.retain(|key, _| wanted.iter().any(|(it, _)| it == key));
@@ -286,13 +328,4 @@
             pinners.entry(key).or_default().retarget(&version);
         }
     }
-
-    /// Entries that share the rates, this one included.
-    fn live_entries(&self) -> usize {
-        let membership = self.node.membership.borrow();
-        let others = membership
-            .of(InstanceRole::Entry)
-            .filter(|(_, it)| it.connected);
-        1 + others.count()
-    }
 }
--- a/crates/gradeloft_daemon/src/entry/service.rs
+++ b/crates/gradeloft_daemon/src/entry/service.rs
@@ -39,7 +39,7 @@
     let fail = |kind: Kind| Failure::from(kind).of(&context);
     let now = entry.node.clock.now();
     entry
-        .ledger
+        .limits
         .borrow_mut()
         .admit(&context.team.name, 0.0, now)
         .map_err(fail)?;
--- a/crates/gradeloft_daemon/src/main.rs
+++ b/crates/gradeloft_daemon/src/main.rs
@@ -130,7 +130,7 @@
 }
 
 async fn run_entry(node: Node) -> std::io::Result<usize> {
-    let handle = entry::start(node).await?;
+    let handle = entry::Builder::new(node).start().await?;
     let forced = stop(handle.node()).await?;
     Ok(handle.drain(forced).await)
 }
--- a/crates/gradeloft_daemon/tests/rollout.rs
+++ b/crates/gradeloft_daemon/tests/rollout.rs
@@ -422,7 +422,7 @@
     let failed = || {
         let agents = fleet.engines.iter().filter_map(|it| it.agent.as_ref());
         agents
-            .flat_map(|it| it.versions())
+            .flat_map(gradeloft_daemon::agent::Handle::versions)
             .filter(|it| it.phase == "failed")
             .count()
     };
@@ -432,7 +432,7 @@
     let waiting = || {
         let agents = fleet.engines.iter().filter_map(|it| it.agent.as_ref());
         agents
-            .flat_map(|it| it.versions())
+            .flat_map(gradeloft_daemon::agent::Handle::versions)
             .filter(|it| it.phase == "waiting for its turn")
             .count()
     };
@@ -487,7 +487,7 @@
     let waiting = || {
         let agents = fleet.engines.iter().filter_map(|it| it.agent.as_ref());
         agents
-            .flat_map(|it| it.versions())
+            .flat_map(gradeloft_daemon::agent::Handle::versions)
             .filter(|it| it.phase == "waiting for its turn")
             .count()
     };
--- a/crates/gradeloft_policy/src/process/shares.rs
+++ b/crates/gradeloft_policy/src/process/shares.rs
@@ -2,11 +2,16 @@
 //!
 //! One entry is the home of each team, by rendezvous; it lends the team's rate to the others in
 //! leases. What it has lent and what entries may use without a lease never add up to more than the
-//! rate, so views that lag cost use, not the limit. An entry that can't reach the home lets its
-//! lease end and then uses a stated fraction of an equal share, which the home keeps back for every
-//! entry that it does not hear from. A home that is connected to no majority of the listed entries
-//! lends nothing, so an entry that is cut off is no home of its own; one that has just become home
-//! lends nobody more than they hold, until leases of the home before it have ended.
+//! rate, so views that lag cost use, not the limit:
+//!
+//! - an entry that callers want nothing of has no lease, and may use a small part at once when that
+//!   changes;
+//! - an entry that is cut off lets its lease end and, once the home must have noticed, uses a larger
+//!   stated fraction of an equal part, which the home keeps back for it;
+//! - a home that is connected to no majority of the listed entries lends nothing, so an entry that
+//!   is cut off is no home of its own;
+//! - one that has just become home lends nobody more than they hold, until leases of the home before
+//!   it have ended.
 //!
 //! Leased rates, the fallback when cut off and giving back what is unused are taken from the manual
 //! of the Varnish Enterprise ratelimit module; unlike there, a home grants them, because
@@ -20,8 +25,13 @@
 pub const LEASE_MS: u64 = 2_000;
 /// How often an entry asks for a new lease, in milliseconds.
 pub const RENEW_MS: u64 = 200;
-/// Share of an equal part of the rate that an entry without a lease uses.
+/// Share of an equal part of the rate that a silent entry may use at once.
+pub const SILENT_FRACTION: f64 = 0.05;
+/// Share of an equal part of the rate that an entry uses while it is cut off.
 pub const CUT_OFF_FRACTION: f64 = 0.3;
+/// An entry that no home has answered for so long counts itself as cut off, in milliseconds. By
+/// then its lease has ended and the homes have missed its heartbeats.
+pub const CUT_OFF_MS: u64 = 5_000;
 /// An entry asks for this much more than it needs, so that demand can grow between two asks.
 const MARGIN: f64 = 1.15;
 /// Time over which demand is averaged, in seconds.
@@ -85,11 +95,13 @@
     }
 
     /// The rate that may be used now, of `allowed` over `entries` entries.
-    pub fn rate(&self, allowed: f64, entries: usize, now: Time) -> f64 {
+    pub fn rate(&self, allowed: f64, entries: usize, reach: Reach, now: Time) -> f64 {
         if now < self.lease.until {
-            self.lease.rate
-        } else {
-            fallback(allowed, entries)
+            return self.lease.rate;
+        }
+        match reach {
+            Reach::CutOff => part(allowed, entries, CUT_OFF_FRACTION),
+            Reach::Home => part(allowed, entries, SILENT_FRACTION),
         }
     }
 
@@ -103,14 +115,24 @@
     }
 }
 
-/// What an entry uses without a lease.
-fn fallback(allowed: f64, entries: usize) -> f64 {
-    allowed * CUT_OFF_FRACTION / entries.max(1) as f64
+/// Whether an entry can reach the homes of its teams.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reach {
+    /// No home has answered for [`CUT_OFF_MS`].
+    CutOff,
+    /// They answer, or have not been asked.
+    Home,
+}
+
+/// A fraction of an equal part of the rate.
+fn part(allowed: f64, entries: usize, fraction: f64) -> f64 {
+    allowed * fraction / entries.max(1) as f64
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Holder {
     lease: Lease,
+    /// With its margin, and at least what it may use anyway.
     demand: f64,
 }
 
@@ -161,7 +183,7 @@
             entries,
             connected,
         } = fleet;
-        let least = fallback(allowed, entries);
+        let least = part(allowed, entries, SILENT_FRACTION);
         if connected * 2 <= entries && 1 < entries {
             return least;
         }
@@ -178,25 +200,36 @@
             ask.entry,
             Holder {
                 lease,
-                demand: ask.demand * MARGIN,
+                demand: (ask.demand * MARGIN).max(least),
             },
         );
-        let absent = entries.saturating_sub(self.holders.len());
-        let lendable = (allowed - absent as f64 * least).max(0.0);
+        let lendable = allowed - self.kept_back(fleet);
         let others = self.holders.iter().filter(|(it, _)| **it != ask.entry);
         let lent: f64 = others.map(|(_, it)| it.lease.rate).sum();
-        let mut rate = self
-            .target(ask.entry, lendable)
-            .min((lendable - lent).max(0.0));
+        let mut rate = self.target(ask.entry, lendable).min(lendable - lent);
         if 1 < entries && now < self.since.after_ms(LEASE_MS) {
-            rate = rate.min(known.max(least));
+            rate = rate.min(known);
         }
+        let rate = rate.max(least);
         if let Some(holder) = self.holders.get_mut(&ask.entry) {
             holder.lease.rate = rate;
         }
         rate
     }
 
+    /// What entries without a lease may use.
+    fn kept_back(&self, fleet: Fleet) -> f64 {
+        let Fleet {
+            allowed,
+            entries,
+            connected,
+        } = fleet;
+        let cut_off = entries.saturating_sub(connected.max(self.holders.len()));
+        let silent = connected.saturating_sub(self.holders.len());
+        cut_off as f64 * part(allowed, entries, CUT_OFF_FRACTION)
+            + silent as f64 * part(allowed, entries, SILENT_FRACTION)
+    }
+
     /// The fair rate of an entry: what it demands if all demands fit, with the spare split evenly;
     /// else demands are filled evenly until the rate is used up.
     fn target(&self, entry: u64, lendable: f64) -> f64 {
--- a/crates/gradeloft_policy/src/request/admission.rs
+++ b/crates/gradeloft_policy/src/request/admission.rs
@@ -87,24 +87,15 @@
     pub tokens: f64,
 }
 
-impl Rate {
-    fn scaled(self, share: f64) -> Rate {
-        Rate {
-            requests: self.requests * share,
-            tokens: self.tokens * share,
-        }
-    }
-}
-
 struct Account {
     requests: Bucket,
     tokens: Bucket,
 }
 
-/// Buckets of all teams at one entry.
+/// Buckets of all teams at one entry, each filled at the entry's present share of the team's rate.
 ///
-/// Each entry grants `share` of every rate. A request is charged its prompt when it is admitted
-/// and its answer when it is done, so a team may overdraw its tokens by what runs and then waits.
+/// A request is charged its prompt when it is admitted and its answer when it is done, so a team
+/// may overdraw its tokens by what runs and then waits.
 #[derive(Default)]
 pub struct Ledger {
     /// Only teams of the bundle in force.
@@ -112,24 +103,23 @@
 }
 
 impl Ledger {
-    /// Takes over the teams and rates of a bundle, and this entry's share of them.
-    pub fn configure(&mut self, rates: &[(String, Rate)], share: f64, now: Time) {
-        self.accounts
-            .retain(|team, _| rates.iter().any(|(it, _)| it == team));
-        for (team, rate) in rates {
-            let rate = rate.scaled(share);
-            match self.accounts.get_mut(team) {
-                Some(account) => {
-                    account.requests.set_rate(rate.requests, now);
-                    account.tokens.set_rate(rate.tokens, now);
-                }
-                None => {
-                    let account = Account {
-                        requests: Bucket::new(rate.requests, now),
-                        tokens: Bucket::new(rate.tokens, now),
-                    };
-                    self.accounts.insert(team.clone(), account);
-                }
+    /// Forgets the teams that are not among these.
+    pub fn retain(&mut self, kept: impl Fn(&str) -> bool) {
+        self.accounts.retain(|team, _| kept(team));
+    }
+
+    /// Sets the rate that this entry may grant a team. A new team begins with a full bucket.
+    pub fn set_rate(&mut self, team: &str, rate: Rate, now: Time) {
+        match self.accounts.get_mut(team) {
+            Some(account) => {
+                account.requests.set_rate(rate.requests, now);
+                account.tokens.set_rate(rate.tokens, now);
+            }
+            None => {
+                let requests = Bucket::new(rate.requests, now);
+                let tokens = Bucket::new(rate.tokens, now);
+                self.accounts
+                    .insert(team.to_owned(), Account { requests, tokens });
             }
         }
     }
--- a/crates/gradeloft_policy/src/request/route.rs
+++ b/crates/gradeloft_policy/src/request/route.rs
@@ -54,6 +54,38 @@
     }
 }
 
+/// How replicas are chosen. All but [`Scheme::Affinity`] are baselines to measure against.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Scheme {
+    /// By prefix with bounded load, then by two choices.
+    #[default]
+    Affinity,
+    /// The one with the fewest requests of this entry.
+    LeastInFlight,
+    /// Any.
+    Random,
+    /// One after the other.
+    RoundRobin,
+}
+
+/// Chooses by a baseline; `turn` counts choices.
+pub fn baseline<K: Copy>(
+    scheme: Scheme,
+    candidates: &[Candidate<K>],
+    turn: usize,
+    rng: &mut impl Rng,
+) -> Option<K> {
+    if candidates.is_empty() {
+        return None;
+    }
+    let chosen = match scheme {
+        Scheme::LeastInFlight => candidates.iter().min_by_key(|it| it.own),
+        Scheme::RoundRobin => candidates.get(turn % candidates.len()),
+        Scheme::Affinity | Scheme::Random => candidates.get(rng.random_range(0..candidates.len())),
+    };
+    chosen.map(|it| it.key)
+}
+
 /// Chooses a replica for a request whose prompt begins with what hashes to `prefix`: the replica
 /// that has its prefix cached while it is not much busier than the rest, else the less busy of two
 /// drawn at random, the nearer on a tie.
--- a/crates/gradeloft_policy/tests/request.rs
+++ b/crates/gradeloft_policy/tests/request.rs
@@ -147,14 +147,15 @@
     assert!((100..=110).contains(&retries), "{retries}");
 }
 
+const RATE: Rate = Rate {
+    requests: 10.0,
+    tokens: 100.0,
+};
+
 fn ledger() -> Ledger {
     let mut ledger = Ledger::default();
-    let rate = Rate {
-        requests: 10.0,
-        tokens: 100.0,
-    };
-    let teams = [("loud".to_owned(), rate), ("quiet".to_owned(), rate)];
-    ledger.configure(&teams, 1.0, Time::ZERO);
+    ledger.set_rate("loud", RATE, Time::ZERO);
+    ledger.set_rate("quiet", RATE, Time::ZERO);
     ledger
 }
 
@@ -187,11 +188,15 @@
 fn a_new_bundle_keeps_what_is_spent_and_drops_teams_that_are_gone() {
     let mut ledger = ledger();
     while ledger.admit("loud", 0.0, Time::ZERO).is_ok() {}
-    let rate = Rate {
-        requests: 20.0,
-        tokens: 100.0,
-    };
-    ledger.configure(&[("loud".to_owned(), rate)], 1.0, Time::ZERO);
+    ledger.retain(|it| it == "loud");
+    ledger.set_rate(
+        "loud",
+        Rate {
+            requests: 20.0,
+            ..RATE
+        },
+        Time::ZERO,
+    );
     assert_eq!(
         ledger.admit("loud", 0.0, Time::ZERO),
         Err(Kind::RateLimited)
--- /dev/null
+++ b/crates/gradeloft_policy/tests/shares.rs
@@ -0,0 +1,175 @@
+//! Shares of a rate between entries.
+
+use gradeloft_policy::{
+    clock::Time,
+    process::shares::{
+        Ask, Borrower, CUT_OFF_FRACTION, Demand, Fleet, LEASE_MS, Lender, Reach, SILENT_FRACTION,
+        home,
+    },
+};
+use proptest::prelude::*;
+
+const ALLOWED: f64 = 700.0;
+const ENTRIES: usize = 7;
+const ALL: Fleet = Fleet {
+    allowed: ALLOWED,
+    entries: ENTRIES,
+    connected: ENTRIES,
+};
+
+fn ask(entry: u64, demand: f64) -> Ask {
+    Ask {
+        entry,
+        demand,
+        held: 0.0,
+    }
+}
+
+/// A home that has been one for long.
+fn lender() -> (Lender, Time) {
+    (Lender::new(Time::ZERO), Time::ZERO.after_ms(LEASE_MS))
+}
+
+/// Every entry asks several times with its demand; gives what each is granted in the end.
+fn settled(lender: &mut Lender, demands: &[f64], now: Time) -> Vec<f64> {
+    let mut granted = vec![0.0; demands.len()];
+    for _ in 0..4 {
+        for (entry, demand) in demands.iter().enumerate() {
+            granted[entry] = lender.ask(ask(entry as u64, *demand), ALL, now);
+        }
+    }
+    granted
+}
+
+#[test]
+fn demand_at_one_entry_gets_the_whole_rate_once_all_are_heard() {
+    let (mut lender, now) = lender();
+    let granted = settled(&mut lender, &[700.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0], now);
+    assert!(0.95 * ALLOWED < granted[0], "{granted:?}");
+    assert!(granted.iter().sum::<f64>() <= ALLOWED * 1.000_001);
+}
+
+#[test]
+fn more_demand_than_rate_is_filled_evenly_and_small_demands_are_met() {
+    let (mut lender, now) = lender();
+    let granted = settled(&mut lender, &[900.0, 900.0, 10.0, 10.0, 0.0, 0.0, 0.0], now);
+    assert!((granted[0] - granted[1]).abs() < 1.0, "{granted:?}");
+    assert!(10.0 <= granted[2] && 330.0 < granted[0], "{granted:?}");
+}
+
+#[test]
+fn what_entries_may_use_without_a_lease_is_kept_back() {
+    let part = ALLOWED / ENTRIES as f64;
+    let (mut lender, now) = lender();
+    let lent: f64 = settled(&mut lender, &[700.0; 6], now).iter().sum();
+    assert!(
+        (lent + part * SILENT_FRACTION - ALLOWED).abs() < 1.0,
+        "{lent} beside a silent one"
+    );
+
+    let cut_off = Fleet {
+        connected: 6,
+        ..ALL
+    };
+    let mut lender = Lender::new(Time::ZERO);
+    let mut granted = [0.0; 6];
+    for _ in 0..4 {
+        for (entry, granted) in granted.iter_mut().enumerate() {
+            *granted = lender.ask(ask(entry as u64, 700.0), cut_off, now);
+        }
+    }
+    let lent: f64 = granted.iter().sum();
+    assert!(
+        (lent + part * CUT_OFF_FRACTION - ALLOWED).abs() < 1.0,
+        "{lent} beside a cut-off one"
+    );
+    let alone = Borrower::default();
+    let used = alone.rate(ALLOWED, ENTRIES, Reach::CutOff, now);
+    assert!((used - part * CUT_OFF_FRACTION).abs() < 1e-9);
+}
+
+#[test]
+fn a_lease_counts_from_when_it_was_asked_for() {
+    let mut borrower = Borrower::default();
+    borrower.granted(100.0, Time::ZERO);
+    assert_eq!(
+        borrower.rate(
+            ALLOWED,
+            ENTRIES,
+            Reach::Home,
+            Time::ZERO.after_ms(LEASE_MS - 1)
+        ),
+        100.0
+    );
+    assert!(borrower.rate(ALLOWED, ENTRIES, Reach::Home, Time::ZERO.after_ms(LEASE_MS)) < 100.0);
+    assert_eq!(borrower.held(Time::ZERO.after_ms(LEASE_MS)), 0.0);
+}
+
+#[test]
+fn an_entry_without_a_majority_lends_nothing() {
+    let (mut lender, now) = lender();
+    let cut_off = Fleet {
+        connected: 3,
+        ..ALL
+    };
+    let least = ALLOWED * SILENT_FRACTION / ENTRIES as f64;
+    assert_eq!(lender.ask(ask(0, 700.0), cut_off, now), least);
+}
+
+#[test]
+fn a_new_home_lends_nobody_more_than_they_hold_until_old_leases_have_ended() {
+    let mut lender = Lender::new(Time::ZERO);
+    let held = Ask {
+        entry: 0,
+        demand: 700.0,
+        held: 300.0,
+    };
+    assert_eq!(lender.ask(held, ALL, Time::ZERO), 300.0);
+    let late = Time::ZERO.after_ms(LEASE_MS);
+    assert!(300.0 < lender.ask(held, ALL, late));
+}
+
+#[test]
+fn every_entry_finds_the_same_home_and_teams_spread() {
+    let homes: std::collections::BTreeSet<Option<u64>> = (0..50)
+        .map(|it| home(&format!("team-{it}"), 0..7))
+        .collect();
+    assert_eq!(homes.len(), 7);
+    assert_eq!(home("duty", 0..7), home("duty", (0..7).rev()));
+    assert_eq!(home("duty", std::iter::empty()), None);
+}
+
+#[test]
+fn demand_is_averaged_and_fades() {
+    let mut demand = Demand::default();
+    for ms in 0..2_000 {
+        demand.add(0.1, Time::ZERO.after_ms(ms));
+    }
+    let now = Time::ZERO.after_ms(2_000);
+    assert!(
+        (95.0..105.0).contains(&demand.rate(now)),
+        "{}",
+        demand.rate(now)
+    );
+    assert!(demand.rate(now.after_ms(3_000)) < 1.0);
+}
+
+proptest! {
+    /// Whatever entries ask for, in whatever order and with whatever pauses, what is lent together
+    /// with what unheard entries may use never exceeds the rate.
+    #[test]
+    fn the_rate_is_never_exceeded(
+        asks in prop::collection::vec((0u64..7, 0.0f64..2_000.0, 0u64..1_500), 1..80),
+    ) {
+        let (mut lender, mut now) = lender();
+        let mut borrowers = [Borrower::default(); ENTRIES];
+        for (entry, demand, wait) in asks {
+            now = now.after_ms(wait);
+            let held = borrowers[entry as usize].held(now);
+            let rate = lender.ask(Ask { entry, demand, held }, ALL, now);
+            borrowers[entry as usize].granted(rate, now);
+            let used: f64 = borrowers.iter().map(|it| it.rate(ALLOWED, ENTRIES, Reach::Home, now)).sum();
+            prop_assert!(used <= ALLOWED * 1.000_001, "{used}");
+        }
+    }
+}
--- a/crates/gradeloft_standin/src/engine.rs
+++ b/crates/gradeloft_standin/src/engine.rs
@@ -5,8 +5,9 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     rc::Rc,
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -25,9 +26,13 @@
     id::Digest,
 };
 use serde::Serialize;
+use tokio::time::Instant;
 
 use crate::{listen, pause, refused, url};
 
+/// Bytes of a prompt that are cached as its prefix.
+pub const PREFIX_BYTES: usize = 256;
+
 /// A fault of the answers to generate requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Fault {
@@ -63,6 +68,18 @@
     pub cancelled: Rc<Cell<u64>>,
     /// Time for each token, in milliseconds.
     pub token_ms: Cell<u64>,
+    /// Time to take in a prompt whose prefix is not cached, in milliseconds; one at a time.
+    pub prefill_ms: Cell<u64>,
+    /// Time to take in a prompt whose prefix is cached, in milliseconds.
+    pub cached_ms: Cell<u64>,
+    /// Prefixes that it caches.
+    pub cache_size: Cell<usize>,
+    /// Prompts whose prefix was cached.
+    pub hits: Cell<u64>,
+    /// Prompts whose prefix was not.
+    pub misses: Cell<u64>,
+    cache: RefCell<VecDeque<u64>>,
+    prefill_free: Cell<Option<Instant>>,
     /// Fault of its answers.
     pub fault: Cell<Fault>,
     /// Whether it obeys orders whatever their fence.
@@ -94,6 +111,13 @@
             finished: Cell::default(),
             cancelled: Rc::default(),
             token_ms: Cell::default(),
+            prefill_ms: Cell::default(),
+            cached_ms: Cell::default(),
+            cache_size: Cell::default(),
+            hits: Cell::default(),
+            misses: Cell::default(),
+            cache: RefCell::default(),
+            prefill_free: Cell::default(),
             fault: Cell::default(),
             ignores_fence: Cell::default(),
             lose_replies: Cell::default(),
@@ -158,6 +182,32 @@
         *self.serving.borrow_mut() = weights;
     }
 
+    /// When the prompt has been taken in, and whether its prefix was cached.
+    fn prefill(&self, prompt: &str) -> Instant {
+        let prefix = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
+        let prefix = Digest::of(prefix).short();
+        let mut cache = self.cache.borrow_mut();
+        let found = cache.iter().position(|it| *it == prefix);
+        let cost = match found {
+            Some(idx) => {
+                cache.remove(idx);
+                self.hits.set(self.hits.get() + 1);
+                self.cached_ms.get()
+            }
+            None => {
+                self.misses.set(self.misses.get() + 1);
+                self.prefill_ms.get()
+            }
+        };
+        cache.push_front(prefix);
+        cache.truncate(self.cache_size.get());
+        let now = Instant::now();
+        let start = self.prefill_free.get().unwrap_or(now).max(now);
+        let end = start + Duration::from_millis(cost);
+        self.prefill_free.set(Some(end));
+        end
+    }
+
     fn state(&self) -> EngineState {
         EngineState {
             serving: self.serving.borrow().clone(),
@@ -319,11 +369,15 @@
         state: Rc::clone(state),
         whole: Cell::new(false),
     });
+    let ready = state.prefill(&request.prompt);
     let events = events(&request, digest, state.fault.get());
     let last = events.len().saturating_sub(1);
     let body = stream::iter(events.into_iter().enumerate()).then(move |(idx, event)| {
         let run = Rc::clone(&run);
         async move {
+            if idx == 0 {
+                tokio::time::sleep_until(ready).await;
+            }
             pause(run.state.token_ms.get()).await;
             if event == STALL {
                 std::future::pending::<()>().await;
--- a/crates/gradeloft_standin/src/fleet.rs
+++ b/crates/gradeloft_standin/src/fleet.rs
@@ -11,7 +11,10 @@
     settings,
 };
 use gradeloft_platform::log::Http;
-use gradeloft_policy::version::bundle::{self, Key, Publisher};
+use gradeloft_policy::{
+    request::route::Scheme,
+    version::bundle::{self, Key, Publisher},
+};
 use gradeloft_wire::{
     border::{
         bundle::{Bundle, Model, Service as ServiceEntry, Team},
@@ -61,6 +64,8 @@
     pub settings: String,
     /// Lines added to the part of every agent, indented by two spaces.
     pub agent_settings: String,
+    /// How entries choose replicas.
+    pub route: Scheme,
     /// Logger of all processes.
     pub log: Logger,
 }
@@ -74,6 +79,7 @@
             zones: 2,
             settings: String::new(),
             agent_settings: String::new(),
+            route: Scheme::default(),
             log: logging::none(),
         }
     }
@@ -223,7 +229,10 @@
         let (id, zone) = (format!("entry-{idx}"), self.zone(idx));
         let settings = self.settings("entry", &id, &zone, ", public: \"127.0.0.1:0\"", "")?;
         let node = self.node(settings, &id);
-        let handle = entry::start(node).await?;
+        let handle = entry::Builder::new(node)
+            .scheme(self.shape.route)
+            .start()
+            .await?;
         let public = Some(handle.public());
         let role = InstanceRole::Entry;
         self.list_it(
--- a/crates/gradeloft_standin/src/service.rs
+++ b/crates/gradeloft_standin/src/service.rs
@@ -22,6 +22,9 @@
     pub ran: RefCell<HashMap<String, u64>>,
     /// So many next calls run, and their replies are lost.
     pub lose_replies: Cell<u32>,
+    /// One of so many calls runs, and its reply is lost; 0 for none.
+    pub lose_one_in: Cell<u64>,
+    calls: Cell<u64>,
     /// Echoes a wrong request id while set.
     pub wrong_echo: Cell<bool>,
     /// Delay of every call, in milliseconds.
@@ -73,6 +76,12 @@
     pause(state.delay_ms.get()).await;
     state.running.set(state.running.get() - 1);
     *state.ran.borrow_mut().entry(call.clone()).or_default() += 1;
+    let calls = state.calls.get() + 1;
+    state.calls.set(calls);
+    let every = state.lose_one_in.get();
+    if 0 < every && calls.is_multiple_of(every) {
+        return request.hangup.now().await;
+    }
     if 0 < state.lose_replies.get() {
         state.lose_replies.set(state.lose_replies.get() - 1);
         return request.hangup.now().await;
--- a/crates/gradeloft_wire/src/frame.rs
+++ b/crates/gradeloft_wire/src/frame.rs
@@ -35,6 +35,13 @@
         /// Highest number that the caller has; 0 for none.
         number: u64,
     },
+    /// Lend me shares of teams' rates, for which you are the home: one [`Reply::Lent`].
+    Borrow {
+        /// Instance that asks.
+        node: String,
+        /// What it asks for.
+        asks: Vec<Borrow>,
+    },
     /// Here is a bundle that is in force: one [`Reply::Bundles`], empty.
     Push(SignedBundle),
 }
@@ -89,10 +96,32 @@
     Have(Vec<u32>),
     /// Signed bundles, lowest number first.
     Bundles(Vec<SignedBundle>),
+    /// What is lent, in the order of the asks.
+    Lent(Vec<Units>),
     /// State of the sender.
     Notice(Notice),
 }
 
+/// Thousandths of requests and of tokens a second.
+#[derive(Clone, Copy, Debug, Decode, Default, Encode, Eq, PartialEq)]
+pub struct Units {
+    /// Of requests.
+    pub requests: u64,
+    /// Of tokens.
+    pub tokens: u64,
+}
+
+/// An ask for a share of one team's rate.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct Borrow {
+    /// Team.
+    pub team: String,
+    /// What callers want of the asker.
+    pub demand: Units,
+    /// What the asker holds by lease.
+    pub held: Units,
+}
+
 /// Why a peer gives no chunk.
 #[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
 pub enum Absence {
