--- a/crates/gradeloft_bench/src/limits.rs
+++ b/crates/gradeloft_bench/src/limits.rs
@@ -9,7 +9,7 @@
 use gradeloft_policy::{
     clock::Time,
     process::shares::{
-        Ask, Borrower, CUT_OFF_MS, Demand, Fleet, LEASE_MS, Lender, RENEW_MS, Reach,
+        Ask, Borrower, CUT_OFF_MS, Demand, Fleet, LEASE_MS, Lender, RENEW_MS, Reach, need,
     },
     request::admission::Bucket,
 };
@@ -242,7 +242,8 @@
         if cut && idx == CUT {
             return;
         }
-        let (demand, held) = (entry.demand.rate(now), entry.borrower.held(now));
+        let demand = need(entry.demand.rate(now), entry.bucket.level(now));
+        let held = entry.borrower.held(now);
         let ask = Ask {
             entry: idx as u64,
             demand,
--- a/crates/gradeloft_bench/src/main.rs
+++ b/crates/gradeloft_bench/src/main.rs
@@ -1,11 +1,13 @@
 //! `gradeloft_bench`: measurements on one machine, as ratios to baselines of the same run.
 //!
+//! - [`bundles`]: from publish to in force everywhere.
 //! - [`distribute`]: a new version reaches many agents.
 //! - [`footprint`]: state, messages and time for each replica, team, chunk and bundle.
 //! - [`limits`]: a team's rate over several entries.
 //! - [`plot`]: curves as SVG.
 //! - [`requests`]: live requests under load and faults.
 
+mod bundles;
 mod distribute;
 mod footprint;
 mod idle;
@@ -33,6 +35,8 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Time from publish to in force everywhere, and what a race of publishers leaves.
+    Bundle(bundles::Args),
     /// Time until replicas serve a new version, and bytes read from the origin.
     Distribute(distribute::Args),
     /// Bytes of state, bytes of messages and time, at several sizes each, with the fitted slopes.
@@ -46,6 +50,7 @@
 
 fn main() {
     match Args::parse().command {
+        Command::Bundle(args) => bundles::run(&args),
         Command::Distribute(args) => distribute::run(&args),
         Command::Footprint(args) => footprint::run(&args),
         Command::Limits(args) => limits::run(&args),
--- a/crates/gradeloft_daemon/src/agent/chunks.rs
+++ b/crates/gradeloft_daemon/src/agent/chunks.rs
@@ -50,6 +50,13 @@
         self.content.contains_key(&digest)
     }
 
+    /// Whether a manifest taken in names it.
+    pub fn knows(&self, digest: Digest) -> bool {
+        self.manifests
+            .values()
+            .any(|it| it.positions.contains_key(&digest))
+    }
+
     /// Keeps content whose digest has been checked.
     pub fn insert(&mut self, digest: Digest, content: Bytes) {
         if self.holds(digest) {
--- a/crates/gradeloft_daemon/src/agent/share.rs
+++ b/crates/gradeloft_daemon/src/agent/share.rs
@@ -94,7 +94,9 @@
         }
         let fetching = self.fetching.borrow();
         let owns = fetching.as_ref().is_some_and(|it| it.borrow().owns(digest));
-        Err(if owns {
+        // Content of a manifest that has not come yet may well be this agent's to read.
+        let unheard = !self.chunks.borrow().knows(digest);
+        Err(if owns || unheard {
             Absence::Pending
         } else {
             Absence::NotHeld
--- a/crates/gradeloft_daemon/src/entry/dispatch.rs
+++ b/crates/gradeloft_daemon/src/entry/dispatch.rs
@@ -71,7 +71,7 @@
     deadline: gradeloft_policy::clock::Time,
     /// Instance that answers.
     pub replica: String,
-    _attempt: Attempt,
+    attempt: Attempt,
 }
 
 impl Stream {
@@ -93,6 +93,7 @@
             .await
             .map_err(|it| if it == Kind::ReplyLost { Kind::Cut } else { it });
         if let Err(kind) = result {
+            self.entry.blame_kind(self.attempt.key, kind);
             self.entry.count_bad(kind);
         }
         result.map(Some)
@@ -190,7 +191,7 @@
             first: Some(first),
             deadline: context.deadline,
             replica,
-            _attempt: attempt,
+            attempt,
         });
     }
 }
@@ -318,9 +319,13 @@
         kind
     }
 
-    /// Suspects a replica whose connection failed; refusals are no reason to.
+    /// Suspects a replica whose connection failed, or whose answers are not their requests' own;
+    /// refusals are no reason to.
     fn blame_kind(&self, key: PeerKey, kind: Kind) {
-        let suspect = matches!(kind, Kind::ReplyLost | Kind::Unreachable);
+        let suspect = matches!(
+            kind,
+            Kind::Cut | Kind::Mismatch | Kind::ReplyLost | Kind::Unreachable
+        );
         let now = self.node.clock.now();
         if let Some(peer) = self.node.membership.borrow_mut().get_mut(key)
             && suspect
--- a/crates/gradeloft_daemon/src/entry/limits.rs
+++ b/crates/gradeloft_daemon/src/entry/limits.rs
@@ -100,9 +100,14 @@
         for (name, team) in &mut self.teams {
             let [requests, tokens] = &mut team.demand;
             let demand = [requests.rate(now), tokens.rate(now)];
+            let saved = self.ledger.saved(name, now);
+            let need = [
+                shares::need(demand[0], saved[0]),
+                shares::need(demand[1], saved[1]),
+            ];
             let held = team.borrowed.map(|it| it.held(now));
             if SILENT < demand[0] {
-                let (demand, held) = (units(demand), units(held));
+                let (demand, held) = (units(need), units(held));
                 asks.push(Borrow {
                     team: name.clone(),
                     demand,
--- a/crates/gradeloft_daemon/src/node/config.rs
+++ b/crates/gradeloft_daemon/src/node/config.rs
@@ -4,13 +4,20 @@
 //! accepted, and looks at the notices of the peers that it watches; so an outage of the log stops
 //! new bundles, and neither the spread of the accepted one nor the start of new nodes. Agents read
 //! the log themselves only while they have no bundle, or hear of none from peers.
+//!
+//! Before the log's retention drops the bundle in force, an entry appends it again as a checkpoint;
+//! who reads the log later starts from there.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
+use gradeloft_platform::log;
 use gradeloft_policy::{
     process::membership::Peer,
     rendezvous,
-    version::chain::{Refusal, Verdict},
+    version::chain::{self, Refusal, Verdict},
 };
 use gradeloft_wire::{
     border::platform::InstanceRole,
@@ -28,6 +35,8 @@
 const TAIL_WAIT_MS: u64 = 2_000;
 /// First and longest pause after the log failed, in milliseconds.
 const RETRY_MS: std::ops::Range<u64> = 100..1_000;
+/// How often an entry looks whether a checkpoint is due.
+const CHECKPOINT_LOOK: Duration = Duration::from_millis(500);
 /// Mean time between two questions to random peers, in milliseconds.
 const GOSSIP_MS: u64 = 1_000;
 /// Peers of any role that a node gossips with.
@@ -41,6 +50,9 @@
 pub fn start(node: &Rc<Node>) {
     node.scope.spawn(tail(Rc::clone(node)));
     node.scope.spawn(gossip(Rc::clone(node)));
+    if node.settings.role == Role::Entry {
+        node.scope.spawn(checkpoint(Rc::clone(node)));
+    }
 }
 
 /// Takes over a bundle that a peer says is in force.
@@ -79,7 +91,7 @@
                 pause_ms = RETRY_MS.start;
                 let whole = page.oldest <= from;
                 for record in &page.records {
-                    fold(&node, whole, record.offset, &record.data);
+                    fold(&node, whole, record);
                     from = record.offset + 1;
                 }
                 from = from.max(page.oldest);
@@ -96,8 +108,8 @@
 }
 
 /// Folds one record; `whole` tells whether no record before it is missing.
-fn fold(node: &Node, whole: bool, offset: u64, data: &[u8]) {
-    let (signed, verdict) = match Record::decode(data) {
+fn fold(node: &Node, whole: bool, record: &log::Record) {
+    let (signed, verdict) = match Record::decode(&record.data) {
         Ok(Record::Bundle(signed)) => {
             // With records missing, a bundle without its parent may be one that lost a race.
             let known = whole || node.chain.borrow().head().is_some();
@@ -113,11 +125,20 @@
         }
         Ok(_) => return,
         Err(why) => {
-            warn!(node.log, "record skipped"; "offset" => offset, "why" => ?why);
+            warn!(node.log, "record skipped"; "offset" => record.offset, "why" => ?why);
             return;
         }
     };
+    let digest = signed.digest();
     settle(node, &signed, &verdict, Learned::Log);
+    if node
+        .chain
+        .borrow()
+        .head()
+        .is_some_and(|it| it.digest == digest)
+    {
+        node.recorded_ms.set(Some(record.time_ms));
+    }
 }
 
 fn settle(node: &Node, signed: &SignedBundle, verdict: &Verdict, learned: Learned) {
@@ -142,6 +163,32 @@
     }
 }
 
+async fn checkpoint(node: Rc<Node>) {
+    let settings = node.settings.entry.clone().unwrap_or_default();
+    let every_ms = settings.checkpoint_s * 1000;
+    loop {
+        let draw = node.with_rng(rand::Rng::random);
+        actix_rt::time::sleep(CHECKPOINT_LOOK).await;
+        let head = node.chain.borrow().head().map(|it| it.signed.clone());
+        let (Some(signed), Some(last_ms)) = (head, node.recorded_ms.get()) else {
+            continue;
+        };
+        if !chain::checkpoint_due(last_ms, wall_ms(), every_ms, draw) {
+            continue;
+        }
+        let record = Record::Checkpoint(signed).encode();
+        match node.platform.log.append(CONFIG, &[record]).await {
+            Ok(offset) => info!(node.log, "checkpoint"; "offset" => offset),
+            Err(_) => node.platform_fault("log"),
+        }
+    }
+}
+
+fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |it| it.as_millis() as u64)
+}
+
 async fn gossip(node: Rc<Node>) {
     let mut bundle = node.bundle.subscribe();
     loop {
--- a/crates/gradeloft_daemon/src/node/mod.rs
+++ b/crates/gradeloft_daemon/src/node/mod.rs
@@ -117,6 +117,8 @@
     pub chain: RefCell<Chain>,
     /// How it was learned.
     pub learned: Cell<Learned>,
+    /// When the log took the last record that holds the bundle in force, in milliseconds since 1970.
+    pub recorded_ms: Cell<Option<u64>>,
     /// Number of the bundle in force; tells whoever waits for a change.
     pub bundle: watch::Sender<u64>,
     /// Peers.
@@ -152,6 +154,7 @@
             scope: Rc::default(),
             chain: RefCell::new(Chain::new(crate::settings::publishers(&settings))),
             learned: Cell::default(),
+            recorded_ms: Cell::default(),
             bundle: watch::Sender::new(0),
             membership: RefCell::new(Membership::new(&settings.node.id)),
             members: watch::Sender::new(0),
--- a/crates/gradeloft_daemon/tests/rollout.rs
+++ b/crates/gradeloft_daemon/tests/rollout.rs
@@ -218,6 +218,8 @@
     let fleet = fleet(shape(1, 1, 0)).await;
     let v1 = version("v1");
     fleet.deploy(&v1).await;
+    // Repair would be quicker than this test can look.
+    fleet.engines[0].endpoint.state.refuse_loads.set(true);
     let foreign = Weights {
         model: MODEL.to_owned(),
         adapter: None,
@@ -496,3 +498,36 @@
     fleet.log.state.down.set(false);
     fleet.until("v2 is everywhere", || fleet.known(&v2)).await;
 }
+
+#[actix_rt::test]
+async fn a_bundle_outlives_the_logs_retention_and_a_late_racer_is_not_taken_for_it() {
+    // The settings have a part for entries, so the fleet has no agents.
+    let mut shape = shape(2, 0, 0);
+    shape.settings = "entry: {checkpoint_s: 1}".to_owned();
+    let mut fleet = fleet(shape).await;
+    let v1 = version("v1");
+    let first = fleet.bundle(1, None, &v1);
+    fleet.publish(&first).await.expect("it is accepted");
+    // A racer that lost, and that stands on the log when the winner has been dropped.
+    let loser = fleet.bundle(1, None, &version("v9"));
+    let log = Http::new(&fleet.log.url(), std::time::Duration::from_secs(1));
+    let loser = Record::Bundle(fleet.key.sign(&loser, "ops")).encode();
+    log.append(CONFIG, &[loser]).await.unwrap();
+    fleet
+        .until("a checkpoint stands on the log", || {
+            3 <= fleet.log.state.len(CONFIG)
+        })
+        .await;
+    fleet.log.state.retain_from(CONFIG, 1);
+    fleet.entries[1] = None;
+    fleet.entries[0] = None;
+    fleet.start_entry(0).await.unwrap();
+    let node = fleet.entries[0].as_ref().unwrap().node();
+    fleet
+        .until("an entry started afresh knows it", || {
+            *node.bundle.borrow() == 1
+        })
+        .await;
+    assert_eq!(node.chain.borrow().head().unwrap().digest, digest(&first));
+    assert_eq!(node.learned.get(), Learned::Log);
+}
--- a/crates/gradeloft_policy/src/process/shares.rs
+++ b/crates/gradeloft_policy/src/process/shares.rs
@@ -24,7 +24,7 @@
 /// How long a lease stands, in milliseconds.
 pub const LEASE_MS: u64 = 2_000;
 /// How often an entry asks for a new lease, in milliseconds.
-pub const RENEW_MS: u64 = 200;
+pub const RENEW_MS: u64 = 100;
 /// Share of an equal part of the rate that a silent entry may use at once.
 pub const SILENT_FRACTION: f64 = 0.05;
 /// Share of an equal part of the rate that an entry uses while it is cut off.
@@ -32,10 +32,26 @@
 /// An entry that no home has answered for so long counts itself as cut off, in milliseconds. By
 /// then its lease has ended and the homes have missed its heartbeats.
 pub const CUT_OFF_MS: u64 = 5_000;
-/// An entry asks for this much more than it needs, so that demand can grow between two asks.
+/// While the rate is not used up, an entry is lent at least this much more than it needs, so that
+/// demand can grow between two asks.
 const MARGIN: f64 = 1.15;
-/// Time over which demand is averaged, in seconds.
-const WINDOW_S: f64 = 0.5;
+/// Time over which steady demand is averaged, in seconds.
+const STEADY_S: f64 = 1.0;
+/// Time over which a change of demand is looked for, in seconds.
+const CHANGE_S: f64 = 0.1;
+/// Standard deviations of chance arrivals beyond which demand counts as changed.
+const CHANGE_SIGMAS: f64 = 3.5;
+
+/// Units in a bucket that an entry keeps for chance, in seconds of its demand.
+const KEPT_S: f64 = 0.1;
+/// Time over which an entry uses what its bucket holds beyond that, in seconds.
+const SPENT_S: f64 = 0.5;
+
+/// What an entry needs to borrow: its demand, less what its bucket has saved up.
+pub fn need(demand: f64, saved: f64) -> f64 {
+    let spare = (saved - demand * KEPT_S).max(0.0);
+    (demand - spare / SPENT_S).max(0.0)
+}
 
 /// The home of a team among entries, by the hashes of their names.
 pub fn home(team: &str, entries: impl Iterator<Item = u64>) -> Option<u64> {
@@ -52,10 +68,17 @@
     pub until: Time,
 }
 
-/// Demand of one team at one entry, averaged.
+/// Demand of one team at one entry.
+///
+/// It is averaged over a long time, because every wiggle moves leases and leaves a part of the rate
+/// unlent on the way; but a change larger than chance shows in a short average and is taken over
+/// at once.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Demand {
-    rate: f64,
+    steady: f64,
+    recent: f64,
+    /// Largest number of units that came at once lately; chance is larger for larger units.
+    unit: f64,
     at: Time,
 }
 
@@ -63,17 +86,27 @@
     /// Units were asked for, whether or not they were admitted.
     pub fn add(&mut self, units: f64, now: Time) {
         self.decay(now);
-        self.rate += units / WINDOW_S;
+        self.steady += units / STEADY_S;
+        self.recent += units / CHANGE_S;
+        self.unit = self.unit.max(units);
     }
 
     /// Units a second.
     pub fn rate(&mut self, now: Time) -> f64 {
         self.decay(now);
-        self.rate
+        let larger = self.steady.max(self.recent);
+        let chance = (larger * self.unit / (2.0 * CHANGE_S)).sqrt();
+        if CHANGE_SIGMAS * chance < (self.steady - self.recent).abs() {
+            self.steady = self.recent;
+        }
+        self.steady
     }
 
     fn decay(&mut self, now: Time) {
-        self.rate *= (-now.seconds_since(self.at) / WINDOW_S).exp();
+        let passed = now.seconds_since(self.at);
+        self.steady *= (-passed / STEADY_S).exp();
+        self.recent *= (-passed / CHANGE_S).exp();
+        self.unit *= (-passed / STEADY_S).exp();
         self.at = self.at.max(now);
     }
 }
@@ -132,7 +165,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Holder {
     lease: Lease,
-    /// With its margin, and at least what it may use anyway.
+    /// At least what it may use anyway.
     demand: f64,
 }
 
@@ -200,7 +233,7 @@
             ask.entry,
             Holder {
                 lease,
-                demand: (ask.demand * MARGIN).max(least),
+                demand: ask.demand.max(least),
             },
         );
         let lendable = allowed - self.kept_back(fleet);
@@ -230,14 +263,17 @@
             + silent as f64 * part(allowed, entries, SILENT_FRACTION)
     }
 
-    /// The fair rate of an entry: what it demands if all demands fit, with the spare split evenly;
-    /// else demands are filled evenly until the rate is used up.
+    /// The fair rate of an entry: what it demands with a margin if all of that fits, with the spare
+    /// split evenly; else demands are filled evenly until the rate is used up.
     fn target(&self, entry: u64, lendable: f64) -> f64 {
         let demand = self.holders.get(&entry).map_or(0.0, |it| it.demand);
         let count = self.holders.len().max(1) as f64;
         let total: f64 = self.holders.values().map(|it| it.demand).sum();
+        if total * MARGIN <= lendable {
+            return demand * MARGIN + (lendable - total * MARGIN) / count;
+        }
         if total <= lendable {
-            return demand + (lendable - total) / count;
+            return demand * lendable / total;
         }
         demand.min(self.level(lendable))
     }
--- a/crates/gradeloft_policy/src/request/admission.rs
+++ b/crates/gradeloft_policy/src/request/admission.rs
@@ -61,6 +61,12 @@
         self.level -= amount;
     }
 
+    /// What is left; below zero after a debt.
+    pub fn level(&mut self, now: Time) -> f64 {
+        self.fill(now);
+        self.level
+    }
+
     /// Whether nothing is left.
     pub fn is_empty(&mut self, now: Time) -> bool {
         self.fill(now);
@@ -124,6 +130,14 @@
         }
     }
 
+    /// Requests and tokens that a team has left.
+    pub fn saved(&mut self, team: &str, now: Time) -> [f64; 2] {
+        let account = self.accounts.get_mut(team);
+        account.map_or([0.0; 2], |it| {
+            [it.requests.level(now), it.tokens.level(now)]
+        })
+    }
+
     /// Admits a request with a prompt of `tokens`, or says why not.
     pub fn admit(&mut self, team: &str, tokens: f64, now: Time) -> Result<(), Kind> {
         let account = self.accounts.get_mut(team).ok_or(Kind::NotFound)?;
--- a/crates/gradeloft_policy/src/version/chain.rs
+++ b/crates/gradeloft_policy/src/version/chain.rs
@@ -49,6 +49,17 @@
     Untrusted,
 }
 
+/// Part of the time between checkpoints over which nodes spread theirs, so that seldom two append.
+const CHECKPOINT_SPREAD: f64 = 0.1;
+
+/// Whether this node appends the head to the log again, so that the log never drops it: the last
+/// record that holds it was taken at `last_ms`, and `draw` is a number of this node from 0 to 1.
+/// Times are in milliseconds since 1970.
+pub fn checkpoint_due(last_ms: u64, now_ms: u64, every_ms: u64, draw: f64) -> bool {
+    let spread = every_ms as f64 * CHECKPOINT_SPREAD * (1.0 - draw);
+    last_ms.saturating_add(every_ms - spread as u64) <= now_ms
+}
+
 /// The fold's state on one node.
 pub struct Chain {
     roots: Vec<Publisher>,
--- a/crates/gradeloft_policy/src/version/fetch.rs
+++ b/crates/gradeloft_policy/src/version/fetch.rs
@@ -23,6 +23,8 @@
 const FIRST_BACKOFF_MS: u64 = 200;
 /// Longest wait after the store or the origin failed, in milliseconds.
 const LONGEST_BACKOFF_MS: u64 = 5_000;
+/// How often an owner may say that it is about to read a chunk before it is doubted.
+const MAX_PENDINGS: u32 = 8;
 /// Wait before a peer that had no free slot is asked again, in milliseconds.
 const BUSY_WAIT_MS: u64 = 40;
 /// How long a store that lacked a chunk is passed over, in milliseconds.
@@ -129,6 +131,8 @@
     waiting_since: Time,
     /// Better-ranked owners that turned out not to be reading it.
     absent: HashSet<u64>,
+    /// How often the present owner said that it is about to.
+    pendings: u32,
 }
 
 struct Source {
@@ -519,8 +523,13 @@
     fn owner_failed(&mut self, idx: usize, node: u64, failure: Failure, now: Time) {
         let item = &mut self.items[idx];
         match failure {
-            Failure::Busy | Failure::Pending => item.waiting_since = now,
+            Failure::Busy => item.waiting_since = now,
+            Failure::Pending if item.pendings < MAX_PENDINGS => {
+                item.pendings += 1;
+                item.waiting_since = now;
+            }
             _ => {
+                item.pendings = 0;
                 item.absent.insert(node);
             }
         }
@@ -597,5 +606,6 @@
         rank: 0,
         waiting_since: now,
         absent: HashSet::new(),
+        pendings: 0,
     }
 }
--- a/crates/gradeloft_policy/tests/fetch.rs
+++ b/crates/gradeloft_policy/tests/fetch.rs
@@ -213,6 +213,27 @@
     assert_eq!(ask_for(&mut fetch, idx, now), Some(From::Store));
 }
 
+#[test]
+fn an_owner_that_is_about_to_read_for_ever_is_replaced() {
+    let members = [OWN, 2, 3, 4];
+    let manifest = manifest(32);
+    let idx = foreign(&manifest, &members);
+    let mut fetch = fetch(&manifest, &members);
+    let mut now = Time::ZERO;
+    let mut pendings = 0;
+    loop {
+        now = now.after_ms(TUNING.takeover_ms);
+        match ask_for(&mut fetch, idx, now) {
+            Some(from @ From::Owner(_)) => fetch.failed(idx, from, Failure::Pending, now),
+            Some(From::Store) => break,
+            other => panic!("{other:?}"),
+        }
+        pendings += 1;
+        assert!(pendings < 20);
+    }
+    assert_eq!(pendings, 9);
+}
+
 #[test]
 fn a_store_and_an_origin_that_refuse_are_left_alone_for_as_long_as_they_ask() {
     let manifest = manifest(1);
--- a/crates/gradeloft_standin/src/engine.rs
+++ b/crates/gradeloft_standin/src/engine.rs
@@ -182,6 +182,11 @@
         *self.serving.borrow_mut() = weights;
     }
 
+    /// Drops all staged content, as a replaced engine has none.
+    pub fn forget(&self) {
+        self.content.borrow_mut().clear();
+    }
+
     /// When the prompt has been taken in, and whether its prefix was cached.
     fn prefill(&self, prompt: &str) -> Instant {
         let prefix = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
--- a/crates/gradeloft_wire/src/frame.rs
+++ b/crates/gradeloft_wire/src/frame.rs
@@ -131,7 +131,7 @@
     Leaving,
     /// It does not hold the chunk.
     NotHeld,
-    /// It is about to read the chunk from the origin.
+    /// It is about to read the chunk from the origin, or has not heard of it yet.
     Pending,
 }
 
