Bound whom a fetch connects to, and let weights yield to live requests

What used them up was the manifest, asked of a random member every 60 ms. Live requests took 3.9 times as long during a rollout: eight chunks under way queue before them on the last link.

Change: a manifest is asked of owners and partners only. Beside live requests one chunk is under way at a time, and a fifth of the link stays free. Agents no longer watch entries.

--- a/crates/gradeloft_bench/src/distribute.rs
+++ b/crates/gradeloft_bench/src/distribute.rs
@@ -49,6 +49,9 @@
 const LIVE_PER_AGENT: f64 = 4.0;
 const LIVE_PROMPT: usize = 16 << 10;
 const LIVE_TOKENS: u32 = 8;
+/// Time of the engine for a prompt and for a token, well below what the users' engines need.
+const LIVE_PREFILL_MS: u64 = 60;
+const LIVE_TOKEN_MS: u64 = 8;
 /// Longest answer that is told from longer ones, in microseconds.
 const MOST_MICROS: u64 = 60_000_000;
 /// How long live requests run before the rollout, to compare with.
@@ -323,6 +326,8 @@
             link_bytes_per_s: self.args.link,
             zones: ZONES,
             scheme: self.scheme,
+            prefill_ms: LIVE_PREFILL_MS,
+            token_ms: LIVE_TOKEN_MS,
         };
         let threads = self.args.threads.max(1);
         let share = |thread| {
--- a/crates/gradeloft_bench/src/footprint.rs
+++ b/crates/gradeloft_bench/src/footprint.rs
@@ -398,6 +398,7 @@
         origin_slots: 2,
         per_source: 3,
         stall_ms: 1_000_000,
+        chunk_ms: 0,
         takeover_ms: 1_000_000,
         objective: Objective::Time,
     };
--- a/crates/gradeloft_bench/src/idle.rs
+++ b/crates/gradeloft_bench/src/idle.rs
@@ -64,6 +64,8 @@
         link_bytes_per_s: LINK,
         zones: 4,
         scheme: Scheme::Owners,
+        prefill_ms: 0,
+        token_ms: 0,
     };
     let share = |thread| (0..agents).filter(|it| it % THREADS == thread).collect();
     let workers: Vec<Worker> = (0..THREADS)
--- a/crates/gradeloft_bench/src/worker.rs
+++ b/crates/gradeloft_bench/src/worker.rs
@@ -37,6 +37,10 @@
     pub(crate) zones: usize,
     /// How chunks are spread.
     pub(crate) scheme: Scheme,
+    /// Time of an engine for a prompt, in milliseconds.
+    pub(crate) prefill_ms: u64,
+    /// Time of an engine for a token, in milliseconds.
+    pub(crate) token_ms: u64,
 }
 
 /// An order to a worker.
@@ -142,6 +146,8 @@
 
 async fn start(common: &Common, idx: usize) -> std::io::Result<(Running, Instance)> {
     let engine = Engine::start().await?;
+    engine.state.prefill_ms.set(common.prefill_ms);
+    engine.state.token_ms.set(common.token_ms);
     let ip = address(idx);
     common.links.set(ip, common.link_bytes_per_s);
     let (id, zone) = (
--- a/crates/gradeloft_daemon/src/agent/fetch.rs
+++ b/crates/gradeloft_daemon/src/agent/fetch.rs
@@ -27,7 +27,7 @@
     frame::{Absence, Call, Reply},
     id::Digest,
 };
-use rand::{Rng, seq::SliceRandom};
+use rand::seq::SliceRandom;
 use slog::{debug, warn};
 use tokio::time::timeout;
 
@@ -243,8 +243,11 @@
 
     /// Makes every ask that can be made now.
     fn pump(&mut self) {
+        let most = self.agent.settings.fetch_slots as usize;
         loop {
             let now = self.agent.node.clock.now();
+            let slots = self.agent.pace_in.borrow_mut().slots(most, now);
+            self.fetch.borrow_mut().set_slots(slots);
             let next = self
                 .agent
                 .node
@@ -416,6 +419,7 @@
         origin_slots: ORIGIN_SLOTS,
         per_source: PER_SOURCE,
         stall_ms: LEAST_STALL_MS + QUEUED_CHUNKS * chunk_ms,
+        chunk_ms,
         takeover_ms: TAKEOVER_MS,
         objective,
     }
@@ -476,7 +480,7 @@
 }
 
 /// Gets a manifest: its first owners read it from the store or the origin, the others ask an
-/// owner or any member, so that it spreads like a rumour and the owners are not swamped.
+/// owner or a partner, so that it spreads over the partners and the owners are not swamped.
 async fn manifest_of(
     agent: &Rc<Agent>,
     digest: Digest,
@@ -535,16 +539,15 @@
             .await
             .ok();
     }
-    let mut asked: Vec<usize> = rendezvous::order(key, &nodes)
+    let owners = rendezvous::order(key, &nodes)
         .into_iter()
-        .take(MANIFEST_OWNERS)
-        .collect();
-    agent.node.with_rng(|rng| {
-        asked.push(rng.random_range(0..members.len()));
-        asked.shuffle(rng);
-    });
-    for idx in asked.into_iter().take(2) {
-        let asking = peer(agent, &members[idx].address, digest);
+        .take(MANIFEST_OWNERS);
+    let mut asked: Vec<Member> = owners.map(|idx| members[idx].clone()).collect();
+    // Partners and no others: their connections are needed for the chunks anyway.
+    asked.extend(partners::choose(agent.scheme, agent.own, key, members));
+    agent.node.with_rng(|rng| asked.shuffle(rng));
+    for member in asked.into_iter().take(2) {
+        let asking = peer(agent, &member.address, digest);
         if let Ok(Ok(content)) = timeout(Duration::from_secs(1), asking).await {
             return Some(content);
         }
--- a/crates/gradeloft_daemon/src/node/peers.rs
+++ b/crates/gradeloft_daemon/src/node/peers.rs
@@ -4,7 +4,6 @@
 
 use gradeloft_policy::process::membership::PeerKey;
 use gradeloft_wire::{
-    border::platform::InstanceRole,
     border::settings::Role,
     frame::{Call, Notice, Reply},
 };
@@ -65,10 +64,9 @@
 }
 
 fn watch(node: &Rc<Node>, key: PeerKey) {
-    let role = node.membership.borrow().get(key).map(|it| it.instance.role);
-    // Agents hear from entries by their own gossip, and from other agents when they share chunks.
-    let wanted = node.settings.role == Role::Entry || role == Some(InstanceRole::Entry);
-    if wanted {
+    // Agents hear of bundles by gossip and from the entries that watch them, and of each other's
+    // chunks when they share them; so only entries watch.
+    if node.settings.role == Role::Entry {
         node.scope.spawn(watch_peer(Rc::clone(node), key));
     }
 }
--- a/crates/gradeloft_policy/src/connection/pace.rs
+++ b/crates/gradeloft_policy/src/connection/pace.rs
@@ -7,9 +7,14 @@
 /// Weights get at least this share of the link, so that a rollout ends.
 const LEAST_SHARE: f64 = 0.05;
 /// Share of the link left free above what live requests use, for their next burst.
-const HEADROOM: f64 = 0.05;
+const HEADROOM: f64 = 0.2;
+/// Live requests count as present from this share of the link on.
+const PRESENT: f64 = 0.002;
+/// Chunks asked for at once beside live requests. Whatever is under way queues before them on the
+/// last link, where nobody can put them first.
+const SLOTS_BESIDE_LIVE: usize = 1;
 /// Time over which live bytes are averaged, in seconds.
-const WINDOW_S: f64 = 0.25;
+const WINDOW_S: f64 = 0.5;
 /// Bytes that may go at once, as time at the full link.
 const BURST_S: f64 = 0.02;
 
@@ -62,14 +67,27 @@
     /// Bytes a second that weights may use.
     pub fn rate(&mut self, now: Time) -> f64 {
         self.decay(now);
+        if !self.beside_live() {
+            return self.link;
+        }
         let left = self.link * (1.0 - HEADROOM) - self.live;
-        if self.live < 1.0 {
-            self.link
+        left.max(self.link * LEAST_SHARE)
+    }
+
+    /// How many chunks to ask for at once, of `most`.
+    pub fn slots(&mut self, most: usize, now: Time) -> usize {
+        self.decay(now);
+        if self.beside_live() {
+            most.min(SLOTS_BESIDE_LIVE)
         } else {
-            left.max(self.link * LEAST_SHARE)
+            most
         }
     }
 
+    fn beside_live(&self) -> bool {
+        self.link * PRESENT <= self.live
+    }
+
     fn decay(&mut self, now: Time) {
         let passed = now.seconds_since(self.live_at);
         self.live *= (-passed / WINDOW_S).exp();
--- a/crates/gradeloft_policy/src/version/fetch.rs
+++ b/crates/gradeloft_policy/src/version/fetch.rs
@@ -23,14 +23,15 @@
 const FIRST_BACKOFF_MS: u64 = 200;
 /// Longest wait after the store or the origin failed, in milliseconds.
 const LONGEST_BACKOFF_MS: u64 = 5_000;
-/// How often an owner may say that it is about to read a chunk before it is doubted.
-const MAX_PENDINGS: u32 = 8;
+/// How often an owner may say that it is about to read a chunk before it is doubted, beside the time
+/// that the whole version takes.
+const MAX_PENDINGS: u64 = 8;
 /// Wait before a peer that had no free slot is asked again, in milliseconds.
 const BUSY_WAIT_MS: u64 = 40;
 /// How long a store that lacked a chunk is passed over, in milliseconds.
 const MISSING_WAIT_MS: u64 = 10_000;
-/// How many more times the objective `origin_bytes` waits before it doubts an owner.
-const PATIENCE: u64 = 4;
+/// How many times longer the objective `origin_bytes` waits before it doubts an owner.
+const PATIENCE: u64 = 2;
 
 new_key_type! {
     /// Names a peer that tells us what it holds.
@@ -64,7 +65,11 @@
     pub per_source: u32,
     /// An ask that takes longer is given up, in milliseconds.
     pub stall_ms: u64,
-    /// Wait before an owner's silence is looked into, in milliseconds, for each rank.
+    /// Time of a chunk on one agent's link, in milliseconds. All owners may ask the origin at once,
+    /// and its link carries at least as much as one agent's, so an ask there gets this much more
+    /// time for each member.
+    pub chunk_ms: u64,
+    /// Wait before an owner's silence is looked into, in milliseconds, times the square of the rank.
     pub takeover_ms: u64,
     /// What the rollout spends.
     pub objective: Objective,
@@ -132,7 +137,7 @@
     /// Better-ranked owners that turned out not to be reading it.
     absent: HashSet<u64>,
     /// How often the present owner said that it is about to.
-    pendings: u32,
+    pendings: u64,
 }
 
 struct Source {
@@ -267,6 +272,11 @@
         self.members = members;
     }
 
+    /// Changes how many chunks are asked for at once.
+    pub fn set_slots(&mut self, slots: usize) {
+        self.tuning.slots = slots;
+    }
+
     /// A peer begins to tell what it holds.
     pub fn join(&mut self, near: bool) -> SourceKey {
         let held = vec![false; self.items.len()];
@@ -332,7 +342,7 @@
     /// Asks that have stalled; report each with [`Fetch::failed`].
     pub fn stalled(&self, now: Time) -> Vec<(usize, From)> {
         let late = |it: &Item| match it.state {
-            State::Asked { from, at } if at.after_ms(self.tuning.stall_ms) <= now => Some(from),
+            State::Asked { from, at } if at.after_ms(self.patience(from)) <= now => Some(from),
             _ => None,
         };
         self.items
@@ -342,6 +352,14 @@
             .collect()
     }
 
+    fn patience(&self, from: From) -> u64 {
+        let queued = (self.members.len() * self.tuning.origin_slots) as u64;
+        match from {
+            From::Origin | From::Store => self.tuning.stall_ms + queued * self.tuning.chunk_ms,
+            From::Owner(_) | From::Source(_) => self.tuning.stall_ms,
+        }
+    }
+
     /// A chunk came, and its content has its digest. Gives whether it was still missing.
     pub fn arrived(&mut self, idx: usize, from: From, now: Time) -> bool {
         match from {
@@ -430,7 +448,8 @@
         if self.tuning.scheme != Scheme::Owners {
             return None;
         }
-        let wait = self.tuning.takeover_ms * patience * rank as u64;
+        // Grows with the square, so that few agents ask, and connect to, the owner of a late chunk.
+        let wait = self.tuning.takeover_ms * patience * (rank * rank) as u64;
         if now < item.waiting_since.after_ms(wait) {
             return None;
         }
@@ -521,10 +540,12 @@
     }
 
     fn owner_failed(&mut self, idx: usize, node: u64, failure: Failure, now: Time) {
+        let version_ms = self.items.len() as u64 * self.tuning.chunk_ms;
+        let most = MAX_PENDINGS + version_ms / self.tuning.takeover_ms.max(1);
         let item = &mut self.items[idx];
         match failure {
             Failure::Busy => item.waiting_since = now,
-            Failure::Pending if item.pendings < MAX_PENDINGS => {
+            Failure::Pending if item.pendings < most => {
                 item.pendings += 1;
                 item.waiting_since = now;
             }
