--- a/crates/gradeloft_bench/src/footprint.rs
+++ b/crates/gradeloft_bench/src/footprint.rs
@@ -401,6 +401,7 @@
         chunk_ms: 0,
         takeover_ms: 1_000_000,
         objective: Objective::Time,
+        origin_copies: 4.0,
     };
     let mut fetch = Fetch::new(1, &manifest, |_| false, tuning, Time::ZERO);
     fetch.set_members((1..351).collect());
--- a/crates/gradeloft_cli/src/command.rs
+++ b/crates/gradeloft_cli/src/command.rs
@@ -2,14 +2,13 @@
 
 use std::{
     io::{self, IsTerminal, Write},
-    path::{Path, PathBuf},
+    path::Path,
     process::ExitCode,
     rc::Rc,
     time::Duration,
 };
 
-use clap::{CommandFactory, Parser, Subcommand};
-use clap_complete::Shell;
+use clap::CommandFactory;
 use gradeloft_cli::{
     bundles, diff,
     fleet::{self, Member},
@@ -18,16 +17,12 @@
     publish::{self, Failure, Progress},
 };
 use gradeloft_daemon::settings;
-use gradeloft_platform::{
-    Fault,
-    list::{self, List},
-    log::{self, Log},
-};
-use gradeloft_policy::version::bundle::{Publisher, canonical};
+use gradeloft_platform::{Fault, list::List};
+use gradeloft_policy::version::bundle::canonical;
 use gradeloft_wire::{border::bundle::Bundle, id::Digest, record::SignedBundle};
 use serde_json::{Value, json};
 
-const PLATFORM_TIMEOUT: Duration = Duration::from_secs(5);
+use crate::args::{Args, BundleCommand, Command, FleetCommand, Platform, SettingsCommand, Signing};
 
 /// How a command ended; the exit code is documented in the help.
 enum Ending {
@@ -61,147 +56,6 @@
     }
 }
 
-/// The operators' tool of gradeloft.
-///
-/// Exit codes: 0 done; 1 refused or not healthy; 2 bad input; 3 published, but not in force
-/// everywhere in time; 4 the platform can't be reached.
-#[derive(Debug, Parser)]
-#[command(
-    name = "gradeloft",
-    version,
-    after_help = "Examples:\n  gradeloft keygen --out operator.key\n  gradeloft bundle check bundle.yaml\n  gradeloft bundle publish bundle.yaml --key operator.key --signer ops --renumber\n  gradeloft fleet status --json"
-)]
-pub(crate) struct Args {
-    /// Print JSON.
-    #[arg(long, global = true)]
-    json: bool,
-    #[command(subcommand)]
-    command: Command,
-}
-
-#[derive(Debug, Subcommand)]
-enum Command {
-    /// Work with bundles.
-    #[command(subcommand)]
-    Bundle(BundleCommand),
-    /// Print shell completions.
-    Completions {
-        /// The shell.
-        shell: Shell,
-    },
-    /// Look at the fleet.
-    #[command(subcommand)]
-    Fleet(FleetCommand),
-    /// Make a key that signs bundles; prints its public part.
-    #[command(after_help = "Example:\n  gradeloft keygen --out operator.key")]
-    Keygen {
-        /// File for the key; must not exist.
-        #[arg(long)]
-        out: PathBuf,
-    },
-    /// Work with settings of the daemon.
-    #[command(subcommand)]
-    Settings(SettingsCommand),
-}
-
-#[derive(Debug, Subcommand)]
-enum BundleCommand {
-    /// Check a bundle and report every fault in it.
-    #[command(after_help = "Example:\n  gradeloft bundle check bundle.yaml")]
-    Check {
-        /// The bundle, in YAML.
-        file: PathBuf,
-    },
-    /// Show everything that was published, who signed it and what became of it.
-    History(Platform),
-    /// Publish a bundle and wait until it is in force on every node.
-    #[command(
-        after_help = "Examples:\n  gradeloft bundle publish bundle.yaml --key operator.key --signer ops\n  gradeloft bundle publish bundle.signed"
-    )]
-    Publish {
-        /// The bundle, in YAML; or, without --key, a file that `bundle sign` made.
-        file: PathBuf,
-        #[command(flatten)]
-        signing: Signing,
-        /// Take number and parent from the bundle in force instead of from the file.
-        #[arg(long, requires = "key")]
-        renumber: bool,
-        /// Seconds to wait until it is in force everywhere; 0 does not wait.
-        #[arg(long, default_value_t = 30)]
-        wait: u64,
-        #[command(flatten)]
-        platform: Platform,
-    },
-    /// Sign a bundle.
-    #[command(
-        after_help = "Example:\n  gradeloft bundle sign bundle.yaml --key operator.key --signer ops --out bundle.signed"
-    )]
-    Sign {
-        /// The bundle, in YAML.
-        file: PathBuf,
-        #[command(flatten)]
-        signing: Signing,
-        /// File for the signed bundle.
-        #[arg(long)]
-        out: PathBuf,
-    },
-    /// Show the bundle in force and the nodes that lag behind it.
-    Status(Platform),
-}
-
-#[derive(Debug, Subcommand)]
-enum FleetCommand {
-    /// Show every node: bundle, versions and their phases.
-    Status(Platform),
-}
-
-#[derive(Debug, Subcommand)]
-enum SettingsCommand {
-    /// Check a settings file and report every fault in it.
-    Check {
-        /// The settings, in YAML.
-        file: PathBuf,
-    },
-}
-
-#[derive(clap::Args, Debug)]
-struct Signing {
-    /// File of the signing key.
-    #[arg(long, requires = "signer")]
-    key: Option<PathBuf>,
-    /// Name of the publisher whose key it is.
-    #[arg(long, requires = "key")]
-    signer: Option<String>,
-}
-
-#[derive(clap::Args, Debug)]
-struct Platform {
-    /// Base URL of the log.
-    #[arg(long, env = "GRADELOFT_LOG")]
-    log: String,
-    /// Base URL of the list of instances.
-    #[arg(long, env = "GRADELOFT_LIST")]
-    list: String,
-    /// Publisher trusted before any bundle, as NAME=PUBLIC-KEY; may stand more than once.
-    #[arg(long, env = "GRADELOFT_TRUST", value_delimiter = ',', value_parser = publisher)]
-    trust: Vec<Publisher>,
-}
-
-fn publisher(text: &str) -> Result<Publisher, String> {
-    let (name, key) = text.split_once('=').ok_or("NAME=PUBLIC-KEY is expected")?;
-    Publisher::new(name, key).ok_or_else(|| "the key is no ed25519 public key in hex".to_owned())
-}
-
-impl Platform {
-    fn log(&self) -> Rc<dyn Log> {
-        Rc::new(log::Http::new(&self.log, PLATFORM_TIMEOUT))
-    }
-
-    fn list(&self) -> Rc<dyn List> {
-        Rc::new(list::Http::new(&self.list, PLATFORM_TIMEOUT))
-    }
-}
-
 /// Runs a command and prints what it gives.
 pub(crate) async fn run(args: Args) -> ExitCode {
     let output = match args.command {
--- a/crates/gradeloft_cli/src/main.rs
+++ b/crates/gradeloft_cli/src/main.rs
@@ -1,5 +1,6 @@
 //! `gradeloft`: the operators' tool.
 
+mod args;
 mod command;
 
 use std::process::ExitCode;
@@ -7,6 +8,6 @@
 use clap::Parser;
 
 fn main() -> ExitCode {
-    let args = command::Args::parse();
+    let args = args::Args::parse();
     actix_rt::System::new().block_on(command::run(args))
 }
--- a/crates/gradeloft_daemon/src/agent/deploy.rs
+++ b/crates/gradeloft_daemon/src/agent/deploy.rs
@@ -10,6 +10,7 @@
 use gradeloft_policy::{
     rendezvous,
     version::{
+        bundle::{self, Weights as Target},
         partners::Member,
         placement::{self, Replica},
     },
@@ -31,7 +32,6 @@
     fetch::{self, Members},
     turn,
 };
-use crate::entry::border::adapted;
 
 /// Time between two looks at the engine while nothing is to be done.
 const POLL: Duration = Duration::from_millis(500);
@@ -44,13 +44,6 @@
 
 const NO_EPOCH: &str = "no epoch from the log yet, so no order can be given";
 
-/// Weights that the bundle wants on this replica.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Target {
-    pin: Pin,
-    manifest: Digest,
-}
-
 /// Works as long as the agent runs.
 pub async fn run(agent: Rc<Agent>, engine: Rc<dyn Engine>) {
     loop {
@@ -326,31 +319,6 @@
     }
 }
 
-/// Everything that a bundle names of one model: the model first, since its adapters need it.
-fn named(bundle: &Bundle, model: usize) -> Vec<Target> {
-    let model = &bundle.models[model];
-    let target = |adapter: Option<&String>, version: String, manifest: &str| {
-        let pin = Pin {
-            model: model.name.clone(),
-            adapter: adapter.cloned(),
-            version,
-        };
-        Some(Target {
-            pin,
-            manifest: manifest.parse().ok()?,
-        })
-    };
-    let base = target(None, model.version.clone(), &model.manifest);
-    let adapters = model.adapters.iter().map(|it| {
-        target(
-            Some(&it.name),
-            adapted(&model.version, &it.version),
-            &it.manifest,
-        )
-    });
-    base.into_iter().chain(adapters.flatten()).collect()
-}
-
 impl Agent {
     /// What the bundle wants on this replica.
     fn targets(&self) -> Vec<Target> {
@@ -358,21 +326,19 @@
         let Some(head) = chain.head() else {
             return Vec::new();
         };
+        let named = bundle::weights(&head.bundle);
         let mut known = self.known.borrow_mut();
-        for model in 0..head.bundle.models.len() {
-            known.extend(
-                named(&head.bundle, model)
-                    .into_iter()
-                    .map(|it| (it.pin, it.manifest)),
-            );
-        }
+        known.extend(named.iter().map(|it| (it.pin.clone(), it.manifest)));
         let own = &self.node.settings.node.id;
         let placed = self.placed(&head.bundle);
         let model = placed
             .iter()
             .find(|(member, _)| member.0 == *own)
             .and_then(|it| it.1);
-        model.map(|it| named(&head.bundle, it)).unwrap_or_default()
+        named
+            .into_iter()
+            .filter(|it| Some(it.model) == model)
+            .collect()
     }
 
     /// Every engine's instance (name, availability zone, peer address) and the model placed there.
--- a/crates/gradeloft_daemon/src/agent/fetch.rs
+++ b/crates/gradeloft_daemon/src/agent/fetch.rs
@@ -422,6 +422,7 @@
         chunk_ms,
         takeover_ms: TAKEOVER_MS,
         objective,
+        origin_copies: agent.rollout().origin_copies,
     }
 }
 
--- a/crates/gradeloft_daemon/src/agent/service.rs
+++ b/crates/gradeloft_daemon/src/agent/service.rs
@@ -11,7 +11,7 @@
 use gradeloft_wire::{
     error::Kind,
     frame::{Job, Repeat, Reply, Work},
-    id::RequestId,
+    id::{Digest, RequestId},
 };
 use slog::info;
 use tokio::{sync::oneshot, time::timeout};
@@ -56,9 +56,11 @@
 ) -> Result<(), Kind> {
     let Job::Service {
         service: wanted,
-        repeat,
+        method,
+        path,
+        content_type,
         body,
-        ..
+        repeat,
     } = &work.job
     else {
         return Err(Kind::NotServing);
@@ -67,16 +69,24 @@
         return Err(Kind::NotServing);
     }
     agent.live_in(body.len());
+    let request = Request {
+        id: work.request,
+        method: method.clone(),
+        path: path.clone(),
+        content_type: content_type.clone(),
+        body: body.clone(),
+    };
     let bound = Duration::from_millis(u64::from(work.deadline_ms));
     match repeat {
         Repeat::Allowed | Repeat::Never => {
-            let calling = timeout(bound, service.call(request(work)));
+            let calling = timeout(bound, service.call(request));
             let response = calling.await.map_err(|_| Kind::Deadline)?;
             let response = response.map_err(|it| kind(&it))?;
             relay(agent, work.request, response, outgoing).await
         }
         Repeat::Key(key) => {
-            let outcome = keyed(agent, name, service, work, key);
+            let key = once::key(name, &work.team, key);
+            let outcome = keyed(agent, service, request, key);
             let outcome = timeout(bound, outcome)
                 .await
                 .map_err(|_| Kind::Deadline)??;
@@ -86,32 +96,6 @@
     }
 }
 
-fn request(work: &Work) -> Request {
-    let Job::Service {
-        method,
-        path,
-        content_type,
-        body,
-        ..
-    } = &work.job
-    else {
-        return Request {
-            id: work.request,
-            method: String::new(),
-            path: String::new(),
-            content_type: String::new(),
-            body: Vec::new(),
-        };
-    };
-    Request {
-        id: work.request,
-        method: method.clone(),
-        path: path.clone(),
-        content_type: content_type.clone(),
-        body: body.clone(),
-    }
-}
-
 fn check_echo(response: &Response, request: RequestId) -> Result<(), Kind> {
     // A service that echoes no id is met on a connection of its own, which can't be crossed.
     let own = response.echo.is_none_or(|it| it == request);
@@ -210,18 +194,16 @@
 /// goes on when its caller has gone, so that its outcome is known to the next call with the key.
 async fn keyed(
     agent: &Rc<Agent>,
-    name: &str,
     service: &Rc<dyn Service>,
-    work: &Work,
-    caller_key: &str,
+    request: Request,
+    key: Digest,
 ) -> Result<Outcome, Kind> {
-    let key = once::key(name, &work.team, caller_key);
     let now = agent.node.clock.now();
     let step = agent
         .claims
         .table
         .borrow_mut()
-        .arrive(key, work.request.0, now);
+        .arrive(key, request.id.0, now);
     let claim = match step {
         Step::Claim(claim) => claim,
         Step::Replay(outcome) => return Ok(outcome),
@@ -229,7 +211,7 @@
         Step::Run => return Err(Kind::Duplicate),
     };
     let (told, tell) = oneshot::channel();
-    let (agent, service, request) = (Rc::clone(agent), Rc::clone(service), request(work));
+    let (agent, service) = (Rc::clone(agent), Rc::clone(service));
     let scope = Rc::clone(&agent.node.scope);
     scope.spawn(async move {
         let settled = agent.claims.settled(claim).await;
@@ -247,7 +229,7 @@
 async fn claimed(
     agent: &Agent,
     service: &dyn Service,
-    key: gradeloft_wire::id::Digest,
+    key: Digest,
     request: Request,
 ) -> Result<Outcome, Kind> {
     let id = request.id;
--- a/crates/gradeloft_daemon/src/entry/border.rs
+++ b/crates/gradeloft_daemon/src/entry/border.rs
@@ -134,23 +134,6 @@
     }
 }
 
-/// Every model, with and without adapter, and the version that the bundle wants of it.
-pub fn weights(bundle: &Bundle) -> impl Iterator<Item = ((String, Option<String>), String)> + '_ {
-    bundle.models.iter().flat_map(|model| {
-        let base = ((model.name.clone(), None), model.version.clone());
-        let adapters = model.adapters.iter().map(move |it| {
-            let version = adapted(&model.version, &it.version);
-            ((model.name.clone(), Some(it.name.clone())), version)
-        });
-        std::iter::once(base).chain(adapters)
-    })
-}
-
-/// Version of an adapter on a version of its model: both decide the answer, so both are pinned.
-pub fn adapted(model_version: &str, adapter_version: &str) -> String {
-    format!("{model_version}+{adapter_version}")
-}
-
 /// The body of an error answer.
 pub fn error(failure: &Failure, id: &str) -> Error {
     let row = failure.kind.row();
--- a/crates/gradeloft_daemon/src/entry/mod.rs
+++ b/crates/gradeloft_daemon/src/entry/mod.rs
@@ -29,7 +29,7 @@
 };
 use gradeloft_policy::{
     request::{admission::Rate, retry::Budget, route::Scheme},
-    version::rollout::Pinner,
+    version::{bundle, rollout::Pinner},
 };
 use gradeloft_wire::{
     border::{caller::VersionStatus, settings},
@@ -322,7 +322,10 @@
             .borrow_mut()
             .configure(&rates, self.listed_entries(), now);
         let mut pinners = self.pinners.borrow_mut();
-        let wanted: Vec<_> = border::weights(&head.bundle).collect();
+        let wanted: Vec<_> = bundle::weights(&head.bundle)
+            .into_iter()
+            .map(|it| ((it.pin.model, it.pin.adapter), it.pin.version))
+            .collect();
         pinners.retain(|key, _| wanted.iter().any(|(it, _)| it == key));
         for (key, version) in wanted {
             pinners.entry(key).or_default().retarget(&version);
--- a/crates/gradeloft_policy/src/version/bundle.rs
+++ b/crates/gradeloft_policy/src/version/bundle.rs
@@ -5,6 +5,7 @@
 use ed25519_dalek::{Signature, Signer, SigningKey, VerifyingKey};
 use gradeloft_wire::{
     border::bundle::{Bundle, Team},
+    frame::Pin,
     id::Digest,
     record::SignedBundle,
     schema::{self, Fault, Schema},
@@ -110,6 +111,43 @@
     }
 }
 
+/// Weights that a bundle names: a model at its version, or an adapter on it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Weights {
+    /// Index of the model in the bundle.
+    pub model: usize,
+    /// What requests are pinned to. The version of an adapter holds that of its model, `v1+a1`,
+    /// because both decide the answer.
+    pub pin: Pin,
+    /// Digest of the manifest.
+    pub manifest: Digest,
+}
+
+/// All weights of a bundle, each model before its adapters.
+pub fn weights(bundle: &Bundle) -> Vec<Weights> {
+    let mut weights = Vec::new();
+    for (idx, model) in bundle.models.iter().enumerate() {
+        let named = |adapter: Option<&String>, version: String, manifest: &str| {
+            let pin = Pin {
+                model: model.name.clone(),
+                adapter: adapter.cloned(),
+                version,
+            };
+            Some(Weights {
+                model: idx,
+                pin,
+                manifest: manifest.parse().ok()?,
+            })
+        };
+        weights.extend(named(None, model.version.clone(), &model.manifest));
+        for adapter in &model.adapters {
+            let version = format!("{}+{}", model.version, adapter.version);
+            weights.extend(named(Some(&adapter.name), version, &adapter.manifest));
+        }
+    }
+    weights
+}
+
 /// A key that signs bundles.
 pub struct Key(SigningKey);
 
--- a/crates/gradeloft_policy/src/version/fetch.rs
+++ b/crates/gradeloft_policy/src/version/fetch.rs
@@ -73,6 +73,8 @@
     pub takeover_ms: u64,
     /// What the rollout spends.
     pub objective: Objective,
+    /// Copies of the version that all members together may read from the origin.
+    pub origin_copies: f64,
 }
 
 /// Where a chunk is asked for.
@@ -193,6 +195,9 @@
     store: Gate,
     asked: usize,
     asked_origin: usize,
+    /// Chunks asked of the origin so far, and when last.
+    origin_asks: u64,
+    origin_asked: Time,
     left: usize,
     tally: Tally,
 }
@@ -228,6 +233,8 @@
             store: Gate::default(),
             asked: 0,
             asked_origin: 0,
+            origin_asks: 0,
+            origin_asked: Time::ZERO,
             left,
             tally: Tally::default(),
         }
@@ -326,6 +333,10 @@
             .owner_ask(now, rng)
             .or_else(|| self.peer_ask(now, rng))?;
         self.asked += 1;
+        if from == From::Origin {
+            self.origin_asks += 1;
+            self.origin_asked = now;
+        }
         match from {
             From::Origin | From::Store => self.asked_origin += 1,
             From::Source(key) => self.sources[key].asked += 1,
@@ -404,7 +415,19 @@
         if self.store.open(now) {
             return Some(From::Store);
         }
-        self.origin.open(now).then_some(From::Origin)
+        (self.origin.open(now) && self.origin_budget(now)).then_some(From::Origin)
+    }
+
+    /// Whether this agent may read the origin: within its part of the bundle's copies, and slowly
+    /// beyond, so that a chunk that nobody else reads is not missing for ever.
+    fn origin_budget(&self, now: Time) -> bool {
+        if self.tuning.scheme != Scheme::Owners {
+            return true;
+        }
+        let members = self.members.len().max(1) as f64;
+        let part = self.items.len() as f64 * self.tuning.origin_copies / members;
+        (self.origin_asks as f64) < part.ceil() + 1.0
+            || self.origin_asked.after_ms(LONGEST_BACKOFF_MS) <= now
     }
 
     fn owner_ask(&self, now: Time, rng: &mut impl Rng) -> Option<(usize, From)> {
--- a/crates/gradeloft_policy/tests/fetch.rs
+++ b/crates/gradeloft_policy/tests/fetch.rs
@@ -23,6 +23,7 @@
     chunk_ms: 100,
     takeover_ms: 500,
     objective: Objective::Time,
+    origin_copies: 4.0,
 };
 
 fn manifest(count: usize) -> Manifest {
@@ -342,3 +343,35 @@
     }
     assert_eq!(seen.len(), 400);
 }
+
+#[test]
+fn beyond_its_part_of_the_copies_an_agent_reads_the_origin_slowly() {
+    let manifest = manifest(1);
+    let tuning = Tuning {
+        origin_copies: 1.0,
+        ..TUNING
+    };
+    let mut fetch = Fetch::new(OWN, &manifest, |_| false, tuning, Time::ZERO);
+    fetch.set_members(vec![OWN]);
+    let mut now = Time::ZERO;
+    let mut read_at = Vec::new();
+    while read_at.len() < 4 {
+        for ask in asks(&mut fetch, now) {
+            if ask.from == From::Origin {
+                read_at.push(now);
+                fetch.failed(ask.idx, ask.from, Failure::Corrupt, now);
+            } else {
+                fetch.failed(ask.idx, ask.from, Failure::Limited(1_000_000), now);
+            }
+        }
+        now = now.after_ms(100);
+    }
+    let gaps: Vec<u128> = read_at
+        .windows(2)
+        .map(|it| it[1].since(it[0]).as_millis())
+        .collect();
+    assert!(
+        gaps[0] < 1_000 && 5_000 <= gaps[1] && 5_000 <= gaps[2],
+        "{gaps:?}"
+    );
+}
--- a/crates/gradeloft_wire/src/border/settings.rs
+++ b/crates/gradeloft_wire/src/border/settings.rs
@@ -93,15 +93,9 @@
     #[doc = "How long callers may keep an address answer, in seconds."]
     #[serde(default = "defaults::default_u64::<u64, 2>")]
     pub address_ttl_s: u64,
-    #[doc = "How many agents of one model or service the entry keeps connections to."]
-    #[serde(default = "defaults::default_u64::<u64, 64>")]
-    pub agents_per_service: u64,
     #[doc = "Longest time between two checkpoints of the bundle in force on the log, in seconds; at most half of the log's retention."]
     #[serde(default = "defaults::default_u64::<u64, 21600>")]
     pub checkpoint_s: u64,
-    #[doc = "Requests that may wait for a replica at once."]
-    #[serde(default = "defaults::default_u64::<u64, 256>")]
-    pub queue: u64,
     #[doc = "Retries allowed per hundred fresh requests."]
     #[serde(default = "defaults::default_u64::<u64, 10>")]
     pub retry_percent: u64,
@@ -110,9 +104,7 @@
     fn default() -> Self {
         Self {
             address_ttl_s: defaults::default_u64::<u64, 2>(),
-            agents_per_service: defaults::default_u64::<u64, 64>(),
             checkpoint_s: defaults::default_u64::<u64, 21600>(),
-            queue: defaults::default_u64::<u64, 256>(),
             retry_percent: defaults::default_u64::<u64, 10>(),
         }
     }
