--- a/crates/gradeloft_daemon/src/agent/mod.rs
+++ b/crates/gradeloft_daemon/src/agent/mod.rs
@@ -5,6 +5,7 @@
 //! - [`deploy`]: brings the endpoint to what the bundle wants of it.
 //! - [`fetch`]: gets a version's chunks.
 //! - [`generate`]: generate requests at the engine.
+//! - [`read`]: reads of content, from wherever it is.
 //! - [`service`]: calls at a plain service.
 //! - [`share`]: gives chunks to peers.
 //! - [`turn`]: turns to switch versions.
@@ -15,6 +16,7 @@
 pub mod deploy;
 pub mod fetch;
 pub mod generate;
+pub mod read;
 pub mod service;
 pub mod share;
 pub mod turn;
--- /dev/null
+++ b/crates/gradeloft_daemon/src/agent/read.rs
@@ -0,0 +1,163 @@
+//! Reads content from peers, the weight store and the origin.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use gradeloft_platform::{Fault, weights::Weights};
+use gradeloft_policy::{
+    rendezvous,
+    version::{
+        fetch::{Ask, Failure, From},
+        manifest::Manifest,
+        partners::{self, Member},
+    },
+};
+use gradeloft_wire::{
+    frame::{Absence, Call, Reply},
+    id::Digest,
+};
+use rand::seq::SliceRandom;
+use slog::{debug, warn};
+use tokio::time::timeout;
+
+use super::{Agent, fetch::Members};
+use crate::transport::client::{Fault as PeerFault, Lane};
+
+/// Pause before the manifest is asked for again.
+const MANIFEST_RETRY: Duration = Duration::from_millis(60);
+/// Owners of a manifest that are asked for it.
+const MANIFEST_OWNERS: usize = 3;
+/// Largest manifest, in bytes.
+const MAX_MANIFEST: usize = 8 << 20;
+
+/// Name of a source in logs and metrics.
+pub fn source(from: From) -> &'static str {
+    match from {
+        From::Origin => "origin",
+        From::Owner(_) | From::Source(_) => "peer",
+        From::Store => "store",
+    }
+}
+
+/// Reads a chunk, as fast as live requests leave room, and checks its digest.
+pub async fn chunk(agent: &Agent, ask: Ask, address: Option<String>) -> Result<Bytes, Failure> {
+    let size = ask.chunk.size_bytes;
+    let wait = agent
+        .pace_in
+        .borrow_mut()
+        .delay(size, agent.node.clock.now());
+    actix_rt::time::sleep(wait).await;
+    let content = match ask.from {
+        From::Origin => outside(&*agent.node.platform.origin, ask.chunk.digest, size).await?,
+        From::Store => outside(&*agent.node.platform.store, ask.chunk.digest, size).await?,
+        From::Owner(_) | From::Source(_) => {
+            let address = address.ok_or(Failure::Gone)?;
+            peer(agent, &address, ask.chunk.digest).await?
+        }
+    };
+    if Digest::of(&content) != ask.chunk.digest {
+        return Err(Failure::Corrupt);
+    }
+    Ok(content)
+}
+
+async fn outside(from: &dyn Weights, digest: Digest, size: u64) -> Result<Bytes, Failure> {
+    from.content(digest, size as usize)
+        .await
+        .map_err(|it| match it {
+            Fault::Limited { retry_after_ms } => Failure::Limited(retry_after_ms),
+            Fault::Malformed => Failure::Corrupt,
+            Fault::Missing => Failure::NotHeld,
+            Fault::Lost | Fault::Refused(_) | Fault::Status(_) | Fault::Unreachable => {
+                Failure::Gone
+            }
+        })
+}
+
+async fn peer(agent: &Agent, address: &str, digest: Digest) -> Result<Bytes, Failure> {
+    let call = Call::Chunk { digest };
+    match agent.node.pool.ask(address, Lane::Bulk, &call).await {
+        Ok(Reply::Chunk(content)) => Ok(Bytes::from(content)),
+        Ok(Reply::Absent(Absence::Busy)) => Err(Failure::Busy),
+        Ok(Reply::Absent(Absence::NotHeld)) => Err(Failure::NotHeld),
+        Ok(Reply::Absent(Absence::Pending)) => Err(Failure::Pending),
+        Ok(Reply::Absent(Absence::Leaving)) => Err(Failure::Gone),
+        Ok(_) | Err(PeerFault::Lost | PeerFault::Unsent) => Err(Failure::Gone),
+    }
+}
+
+/// Gets a manifest: its first owners read it from the store or the origin, the others ask an
+/// owner or a partner, so that it spreads over the partners and the owners are not swamped.
+pub async fn manifest(
+    agent: &Rc<Agent>,
+    digest: Digest,
+    members: &Members,
+) -> Result<Rc<Manifest>, String> {
+    if let Some(manifest) = agent.chunks.borrow().manifest(digest) {
+        return Ok(manifest);
+    }
+    let mut tries = 0;
+    let content = loop {
+        if let Some(content) = agent.chunks.borrow().get(digest) {
+            break content;
+        }
+        let content = manifest_try(agent, digest, &members(), tries).await;
+        match content {
+            Some(content) if Digest::of(&content) == digest => break content,
+            Some(_) => warn!(agent.node.log, "corrupt manifest"; "digest" => %digest),
+            None => debug!(agent.node.log, "no manifest yet"; "digest" => %digest),
+        }
+        tries += 1;
+        actix_rt::time::sleep(MANIFEST_RETRY).await;
+    };
+    let manifest = Manifest::parse(&content, agent.node.limits.chunk_bytes);
+    let manifest = manifest.map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        format!("manifest: {}", lines.join("; "))
+    })?;
+    agent.chunks.borrow_mut().insert(digest, content);
+    Ok(Rc::new(manifest))
+}
+
+async fn manifest_try(
+    agent: &Agent,
+    digest: Digest,
+    members: &[Member],
+    tries: usize,
+) -> Option<Bytes> {
+    let nodes: Vec<u64> = members.iter().map(|it| it.node).collect();
+    let key = digest.short();
+    let rank = rendezvous::rank(key, agent.own, nodes.iter().copied());
+    if rank == 0 || MANIFEST_OWNERS * 4 * rank < tries {
+        let store = agent
+            .node
+            .platform
+            .store
+            .content(digest, MAX_MANIFEST)
+            .await;
+        if let Ok(content) = store {
+            return Some(content);
+        }
+        return agent
+            .node
+            .platform
+            .origin
+            .content(digest, MAX_MANIFEST)
+            .await
+            .ok();
+    }
+    let owners = rendezvous::order(key, &nodes)
+        .into_iter()
+        .take(MANIFEST_OWNERS);
+    let mut asked: Vec<Member> = owners.map(|idx| members[idx].clone()).collect();
+    // Partners and no others: their connections are needed for the chunks anyway.
+    asked.extend(partners::choose(agent.scheme, agent.own, key, members));
+    agent.node.with_rng(|rng| asked.shuffle(rng));
+    for member in asked.into_iter().take(2) {
+        let asking = peer(agent, &member.address, digest);
+        if let Ok(Ok(content)) = timeout(Duration::from_secs(1), asking).await {
+            return Some(content);
+        }
+    }
+    None
+}
--- a/crates/gradeloft_policy/src/version/fetch.rs
+++ b/crates/gradeloft_policy/src/version/fetch.rs
@@ -13,23 +13,18 @@
 
 use super::{
     manifest::{Chunk, Manifest},
+    outside::Outside,
     partners,
 };
 use crate::{clock::Time, rendezvous};
 
 /// Strikes after which a source is left alone for the rest of the fetch.
 const MAX_STRIKES: u32 = 4;
-/// First wait after the store or the origin failed, in milliseconds.
-const FIRST_BACKOFF_MS: u64 = 200;
-/// Longest wait after the store or the origin failed, in milliseconds.
-const LONGEST_BACKOFF_MS: u64 = 5_000;
 /// How often an owner may say that it is about to read a chunk before it is doubted, beside the time
 /// that the whole version takes.
 const MAX_PENDINGS: u64 = 8;
 /// Wait before a peer that had no free slot is asked again, in milliseconds.
 const BUSY_WAIT_MS: u64 = 40;
-/// How long a store that lacked a chunk is passed over, in milliseconds.
-const MISSING_WAIT_MS: u64 = 10_000;
 /// How many times longer the objective `origin_bytes` waits before it doubts an owner.
 const PATIENCE: u64 = 2;
 
@@ -151,25 +146,6 @@
     not_before: Time,
 }
 
-/// The store or the origin as seen from here.
-#[derive(Clone, Copy, Debug, Default)]
-struct Gate {
-    closed_until: Time,
-    failures: u32,
-}
-
-impl Gate {
-    fn close(&mut self, now: Time) {
-        let wait = (FIRST_BACKOFF_MS << self.failures.min(6)).min(LONGEST_BACKOFF_MS);
-        self.failures += 1;
-        self.closed_until = now.after_ms(wait);
-    }
-
-    fn open(&self, now: Time) -> bool {
-        self.closed_until <= now
-    }
-}
-
 /// Chunks by where they came from.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Tally {
@@ -191,13 +167,10 @@
     index: HashMap<Digest, usize>,
     sources: SlotMap<SourceKey, Source>,
     members: Vec<u64>,
-    origin: Gate,
-    store: Gate,
+    outside: Outside,
     asked: usize,
-    asked_origin: usize,
-    /// Chunks asked of the origin so far, and when last.
-    origin_asks: u64,
-    origin_asked: Time,
+    /// Of those, chunks asked of the store or the origin.
+    asked_outside: usize,
     left: usize,
     tally: Tally,
 }
@@ -229,12 +202,9 @@
             index,
             sources: SlotMap::with_key(),
             members: Vec::new(),
-            origin: Gate::default(),
-            store: Gate::default(),
+            outside: Outside::default(),
             asked: 0,
-            asked_origin: 0,
-            origin_asks: 0,
-            origin_asked: Time::ZERO,
+            asked_outside: 0,
             left,
             tally: Tally::default(),
         }
@@ -334,11 +304,10 @@
             .or_else(|| self.peer_ask(now, rng))?;
         self.asked += 1;
         if from == From::Origin {
-            self.origin_asks += 1;
-            self.origin_asked = now;
+            self.outside.asked_origin(now);
         }
         match from {
-            From::Origin | From::Store => self.asked_origin += 1,
+            From::Origin | From::Store => self.asked_outside += 1,
             From::Source(key) => self.sources[key].asked += 1,
             From::Owner(_) => {}
         }
@@ -376,11 +345,11 @@
         match from {
             From::Origin => {
                 self.tally.origin += 1;
-                self.origin = Gate::default();
+                self.outside.answered(from);
             }
             From::Store => {
                 self.tally.store += 1;
-                self.store = Gate::default();
+                self.outside.answered(from);
             }
             From::Owner(_) | From::Source(_) => self.tally.peers += 1,
         }
@@ -403,34 +372,24 @@
         }
         self.release(idx, now);
         match from {
-            From::Origin => self.gate_failed(From::Origin, failure, now),
+            From::Origin | From::Store => self.outside.failed(from, failure, now),
             From::Owner(node) => self.owner_failed(idx, node, failure, now),
             From::Source(key) => self.source_failed(idx, key, failure, now),
-            From::Store => self.gate_failed(From::Store, failure, now),
         }
     }
 
-    /// Where to read from outside the fleet, if that can be done now.
-    fn outside(&self, now: Time) -> Option<From> {
-        if self.store.open(now) {
-            return Some(From::Store);
-        }
-        (self.origin.open(now) && self.origin_budget(now)).then_some(From::Origin)
-    }
-
-    /// Whether this agent may read the origin: within its part of the bundle's copies, and slowly
-    /// beyond, so that a chunk that nobody else reads is not missing for ever.
-    fn origin_budget(&self, now: Time) -> bool {
+    /// Chunks that this agent may ask of the origin before it has to slow down.
+    fn origin_part(&self) -> u64 {
         if self.tuning.scheme != Scheme::Owners {
-            return true;
+            return u64::MAX;
         }
         let members = self.members.len().max(1) as f64;
         let part = self.items.len() as f64 * self.tuning.origin_copies / members;
-        (self.origin_asks as f64) < part.ceil() + 1.0
-            || self.origin_asked.after_ms(LONGEST_BACKOFF_MS) <= now
+        part.ceil() as u64 + 1
     }
 
     fn owner_ask(&self, now: Time, rng: &mut impl Rng) -> Option<(usize, From)> {
+        let outside = self.outside.source(self.origin_part(), now);
         let mut best = None;
         let mut ties = 0;
         for (idx, item) in self.items.iter().enumerate() {
@@ -438,7 +397,7 @@
                 continue;
             }
             let from = match self.rank(item) {
-                0 if self.asked_origin < self.tuning.origin_slots => self.outside(now),
+                0 if self.asked_outside < self.tuning.origin_slots => outside,
                 0 => None,
                 rank => self.doubted(item, rank, now),
             };
@@ -539,7 +498,7 @@
         self.items[idx].state = State::Missing { not_before: now };
         self.asked -= 1;
         match from {
-            From::Origin | From::Store => self.asked_origin -= 1,
+            From::Origin | From::Store => self.asked_outside -= 1,
             From::Source(key) => {
                 if let Some(source) = self.sources.get_mut(key) {
                     source.asked -= 1;
@@ -549,19 +508,6 @@
         }
     }
 
-    fn gate_failed(&mut self, from: From, failure: Failure, now: Time) {
-        let gate = if from == From::Store {
-            &mut self.store
-        } else {
-            &mut self.origin
-        };
-        match failure {
-            Failure::Limited(ms) => gate.closed_until = now.after_ms(ms.max(FIRST_BACKOFF_MS)),
-            Failure::NotHeld => gate.closed_until = now.after_ms(MISSING_WAIT_MS),
-            _ => gate.close(now),
-        }
-    }
-
     fn owner_failed(&mut self, idx: usize, node: u64, failure: Failure, now: Time) {
         let version_ms = self.items.len() as u64 * self.tuning.chunk_ms;
         let most = MAX_PENDINGS + version_ms / self.tuning.takeover_ms.max(1);
--- a/crates/gradeloft_policy/src/version/mod.rs
+++ b/crates/gradeloft_policy/src/version/mod.rs
@@ -3,6 +3,7 @@
 //! - [`bundle`]: checks, canonical form, signatures.
 //! - [`chain`]: which published bundle is in force.
 //! - [`manifest`]: the chunks of a version.
+//! - [`outside`]: when to read the weight store or the origin.
 //! - [`partners`]: which agents tell each other what they hold.
 //! - [`placement`]: which replica holds which model.
 //! - [`fetch`]: which chunk to fetch next, and from where.
@@ -14,6 +15,7 @@
 pub mod chain;
 pub mod fetch;
 pub mod manifest;
+pub mod outside;
 pub mod partners;
 pub mod placement;
 pub mod rollout;
--- /dev/null
+++ b/crates/gradeloft_policy/src/version/outside.rs
@@ -0,0 +1,82 @@
+//! The weight store and the origin as one agent sees them: when to read which.
+
+use super::fetch::{Failure, From};
+use crate::clock::Time;
+
+/// First wait after a failure, in milliseconds.
+const FIRST_BACKOFF_MS: u64 = 200;
+/// Longest wait after a failure, in milliseconds.
+const LONGEST_BACKOFF_MS: u64 = 5_000;
+/// How long a store that lacked a chunk is passed over, in milliseconds.
+const MISSING_WAIT_MS: u64 = 10_000;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Gate {
+    closed_until: Time,
+    /// Failures since the last answer.
+    failures: u32,
+}
+
+impl Gate {
+    fn failed(&mut self, failure: Failure, now: Time) {
+        let wait_ms = match failure {
+            Failure::Limited(ms) => ms.max(FIRST_BACKOFF_MS),
+            Failure::NotHeld => MISSING_WAIT_MS,
+            _ => self.backoff_ms(),
+        };
+        self.closed_until = now.after_ms(wait_ms);
+    }
+
+    fn backoff_ms(&mut self) -> u64 {
+        let wait_ms = (FIRST_BACKOFF_MS << self.failures.min(6)).min(LONGEST_BACKOFF_MS);
+        self.failures += 1;
+        wait_ms
+    }
+}
+
+/// Sources outside the fleet. The store goes first, because its bytes cost less.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outside {
+    origin: Gate,
+    store: Gate,
+    /// Chunks asked of the origin so far, and when last.
+    origin_asks: u64,
+    origin_asked: Time,
+}
+
+impl Outside {
+    /// Where to read now, if anywhere. After `part` asks the origin is asked slowly only, so that a
+    /// chunk that nobody else reads is late, and not missing for ever.
+    pub fn source(&self, part: u64, now: Time) -> Option<From> {
+        if self.store.closed_until <= now {
+            return Some(From::Store);
+        }
+        let within =
+            self.origin_asks < part || self.origin_asked.after_ms(LONGEST_BACKOFF_MS) <= now;
+        (self.origin.closed_until <= now && within).then_some(From::Origin)
+    }
+
+    /// The origin is asked for a chunk.
+    pub fn asked_origin(&mut self, now: Time) {
+        self.origin_asks += 1;
+        self.origin_asked = now;
+    }
+
+    /// A source answered well.
+    pub fn answered(&mut self, from: From) {
+        *self.gate(from) = Gate::default();
+    }
+
+    /// A source failed.
+    pub fn failed(&mut self, from: From, failure: Failure, now: Time) {
+        self.gate(from).failed(failure, now);
+    }
+
+    fn gate(&mut self, from: From) -> &mut Gate {
+        if from == From::Store {
+            &mut self.store
+        } else {
+            &mut self.origin
+        }
+    }
+}
