--- a/crates/gradeloft_bench/src/idle.rs
+++ b/crates/gradeloft_bench/src/idle.rs
@@ -102,7 +102,7 @@
 }
 
 /// Processor time of this process so far, in seconds.
-fn cpu_s() -> f64 {
+pub(crate) fn cpu_s() -> f64 {
     let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
     let fields = stat
         .rsplit(')')
--- a/crates/gradeloft_bench/src/main.rs
+++ b/crates/gradeloft_bench/src/main.rs
@@ -5,6 +5,7 @@
 //! - [`footprint`]: state, messages and time for each replica, team, chunk and bundle.
 //! - [`limits`]: a team's rate over several entries.
 //! - [`plot`]: curves as SVG.
+//! - [`relay`]: what entry and agent add to a request.
 //! - [`requests`]: live requests under load and faults.
 
 mod bundles;
@@ -13,6 +14,7 @@
 mod idle;
 mod limits;
 mod plot;
+mod relay;
 mod requests;
 mod worker;
 
@@ -43,6 +45,8 @@
     Footprint(footprint::Args),
     /// What is admitted of a team's rate while demand moves between entries.
     Limits(limits::Args),
+    /// What an entry and an agent add to a request.
+    Relay(relay::Args),
     /// First answers, prefix hits and retries; under a fault, whether answers are right and calls
     /// run at most once.
     Requests(requests::Args),
@@ -54,6 +58,7 @@
         Command::Distribute(args) => distribute::run(&args),
         Command::Footprint(args) => footprint::run(&args),
         Command::Limits(args) => limits::run(&args),
+        Command::Relay(args) => relay::run(&args),
         Command::Requests(args) => requests::run(&args),
     }
 }
