Read the list at a steady cost, and bound the wait for a connection

Cause: every node read the whole list twice a second, 1.36 MB a second at the size that decides the design. And a dispatch had no bound while it waited for a connection to a peer that does not answer.

Change: the list is read every 25 ms for each instance on it, at least every 500 ms; waiting for a connection ends with the request's deadline or idle time.

Wrong guess, kept as a test: a call beyond the peer's streams is queued by the transport and not refused, so its caller is told deadline, unknown, at its deadline.

--- a/crates/gradeloft_daemon/src/entry/dispatch.rs
+++ b/crates/gradeloft_daemon/src/entry/dispatch.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use gradeloft_policy::{
+    clock::Time,
     process::membership::{Peer, PeerKey},
     request::{
         admission,
@@ -68,7 +69,7 @@
     checker: Checker,
     /// The frame that was read to know that the answer has begun.
     first: Option<Reply>,
-    deadline: gradeloft_policy::clock::Time,
+    deadline: Time,
     /// Instance that answers.
     pub replica: String,
     attempt: Attempt,
@@ -171,10 +172,13 @@
     let (address, replica) = entry.address(key).ok_or(Kind::Unreachable)?;
     let attempt = Attempt::new(entry, key);
     let call = Call::Work(entry.work(context, request, job));
-    let opening = entry.node.pool.open(&address, Lane::Live, &call);
+    let patience = entry.patience(context.deadline);
+    let opening = timeout(patience, entry.node.pool.open(&address, Lane::Live, &call));
     let mut incoming = match opening.await {
-        Ok(it) => it,
-        Err(fault) => return Err(entry.blame(key, fault)),
+        Ok(Ok(it)) => it,
+        Ok(Err(fault)) => return Err(entry.blame(key, fault)),
+        // It waited for a connection or for a stream on one; the call itself goes out at once.
+        Err(_) => return Err(entry.blame(key, Fault::Unsent)),
     };
     let mut checker = Checker::new(request, target.version());
     let waits_for_piece = matches!(target, Target::Weights(..));
@@ -200,7 +204,7 @@
     entry: &Entry,
     incoming: &mut Incoming,
     checker: &mut Checker,
-    deadline: gradeloft_policy::clock::Time,
+    deadline: Time,
 ) -> Result<Reply, Kind> {
     let left = entry.node.clock.until(deadline);
     let patience = left.min(entry.node.idle());
@@ -304,6 +308,11 @@
         }
     }
 
+    /// How long a step of a request may take.
+    fn patience(&self, deadline: Time) -> Duration {
+        self.node.clock.until(deadline).min(self.node.idle())
+    }
+
     fn address(&self, key: PeerKey) -> Option<(String, String)> {
         let membership = self.node.membership.borrow();
         let instance = &membership.get(key)?.instance;
--- a/crates/gradeloft_daemon/src/node/peers.rs
+++ b/crates/gradeloft_daemon/src/node/peers.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use gradeloft_policy::process::membership::PeerKey;
+use gradeloft_policy::process::membership::{self, PeerKey};
 use gradeloft_wire::{
     border::settings::Role,
     frame::{Call, Notice, Reply},
@@ -12,8 +12,6 @@
 use super::{Node, config};
 use crate::transport::{client::Lane, server::Outgoing};
 
-/// Time between two readings of the list.
-const LIST_EVERY: Duration = Duration::from_millis(500);
 /// Longest time between two notices on one stream.
 pub const HEARTBEAT: Duration = Duration::from_secs(1);
 /// Silent heartbeats after which a connection counts as lost.
@@ -48,9 +46,11 @@
 }
 
 async fn follow_list(node: Rc<Node>) {
+    let mut interval_ms = membership::list_interval_ms(0);
     loop {
         match node.platform.list.instances().await {
             Ok(instances) => {
+                interval_ms = membership::list_interval_ms(instances.len());
                 let fresh = node.membership.borrow_mut().listed(instances);
                 for key in fresh {
                     watch(&node, key);
@@ -59,7 +59,7 @@
             }
             Err(_) => node.platform_fault("list"),
         }
-        actix_rt::time::sleep(LIST_EVERY).await;
+        actix_rt::time::sleep(Duration::from_millis(interval_ms)).await;
     }
 }
 
--- a/crates/gradeloft_daemon/tests/serving.rs
+++ b/crates/gradeloft_daemon/tests/serving.rs
@@ -372,3 +372,29 @@
     );
     assert_eq!(error.retry_after_s, Some(1));
 }
+
+#[actix_rt::test]
+async fn a_request_that_waits_for_a_stream_in_vain_is_answered_at_its_deadline() {
+    let mut shape = shape(1, 1, 0);
+    // One stream for the notices and one for a request.
+    shape.settings = "limits: {streams_per_connection: 2}".to_owned();
+    let fleet = fleet(shape).await;
+    fleet.deploy(&version("v1")).await;
+    let engine = &fleet.engines[0].endpoint.state;
+    engine.token_ms.set(5);
+    let first = fleet
+        .caller()
+        .generate_stream(fleet.entry(0), MODEL, 100_000)
+        .await;
+    let mut first = first.expect("an answer");
+    first.next().await.expect("a first token").unwrap();
+    let hurried = fleet.caller().with("x-deadline-ms", "300");
+    let answer = hurried.generate(fleet.entry(0), MODEL, "p", 1).await;
+    let error = answer.error.expect("an error");
+    // The transport queues the call, so the entry can't vouch that it never went out.
+    assert_eq!(
+        (error.kind.as_str(), error.ran.to_string().as_str()),
+        ("deadline", "unknown")
+    );
+    assert_eq!((engine.running.get(), engine.finished.get()), (1, 0));
+}
--- a/crates/gradeloft_policy/src/process/membership.rs
+++ b/crates/gradeloft_policy/src/process/membership.rs
@@ -11,6 +11,18 @@
 
 use crate::{clock::Time, connection::health::Health, rendezvous};
 
+/// Shortest time between two readings of the list, in milliseconds.
+const LIST_LEAST_MS: u64 = 500;
+/// What that time grows by for each instance of the list, in milliseconds.
+const LIST_MS_PER_INSTANCE: u64 = 25;
+
+/// Time until the list is read again, when it had so many instances. It grows with the list, so that
+/// reading it costs a node the same bytes a second in a fleet of any size; what a large fleet learns
+/// late that way is only who is new, since connections show who is gone.
+pub fn list_interval_ms(instances: usize) -> u64 {
+    LIST_LEAST_MS.max(instances as u64 * LIST_MS_PER_INSTANCE)
+}
+
 new_key_type! {
     /// Names a peer for as long as it is a member.
     pub struct PeerKey;
--- a/crates/gradeloft_policy/tests/process.rs
+++ b/crates/gradeloft_policy/tests/process.rs
@@ -5,7 +5,7 @@
     connection::{health::Health, pace::Pacer},
     process::{
         address::{self, Entry},
-        membership::Membership,
+        membership::{Membership, list_interval_ms},
     },
     version::{
         bundle,
@@ -106,6 +106,13 @@
     assert!(takes_work(&membership, Time::ZERO).is_empty());
 }
 
+#[test]
+fn the_list_is_read_at_a_steady_cost() {
+    assert_eq!(list_interval_ms(0), 500);
+    assert_eq!(list_interval_ms(20), 500);
+    assert_eq!(list_interval_ms(2_710), 67_750);
+}
+
 #[test]
 fn suspicion_grows_with_failures_and_ends_by_itself() {
     let mut health = Health::default();
