Count only the instance itself at a node's address

Cause: one of many runs of a test of the tool failed: an agent's port, free after its death, had gone to another process, whose status was taken for the agent's, so a bundle counted as in force on a dead node.

Change: fleet status drops an answer whose node is not the listed instance; the test holds the address itself. A test with an entry at an agent's address.

Conclusion: addresses are reused in production too, when instances are replaced.

--- a/crates/gradeloft_cli/src/fleet.rs
+++ b/crates/gradeloft_cli/src/fleet.rs
@@ -22,7 +22,7 @@
 pub struct Member {
     /// The list's entry.
     pub instance: Instance,
-    /// Its status; absent when it does not answer.
+    /// Its status; absent when it does not answer, or another instance does in its place.
     pub status: Option<Status>,
 }
 
@@ -49,7 +49,9 @@
     let status = match &instance.admin {
         Some(admin) => {
             let base = Base::new(&format!("http://{admin}"), NODE_TIMEOUT, Reuse::Fresh);
-            base.get("/v1/status").await.ok()
+            let status: Option<Status> = base.get("/v1/status").await.ok();
+            // Its address may have gone to another instance meanwhile.
+            status.filter(|it| it.node == instance.id)
         }
         None => None,
     };
--- a/crates/gradeloft_cli/tests/cli.rs
+++ b/crates/gradeloft_cli/tests/cli.rs
@@ -235,7 +235,15 @@
             format!("{SIGNER}={}", fleet.key.public()),
         ),
     ];
+    // The address of a dead agent could go to another process, so its place is taken by a listener
+    // that never answers.
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let admin = silent.local_addr().expect("it is bound").to_string();
     fleet.engines[0].agent = None;
+    fleet
+        .list
+        .state
+        .change("engine-0", |it| it.admin = Some(admin.clone()));
     let bundle = fleet.bundle(1, None, &Version::new(MODEL, "v1", 1, 1024));
     write(
         &folder,
@@ -246,6 +254,37 @@
     golden("lagging", &beside(&folder, &env, &publish).await);
 }
 
+#[actix_rt::test]
+async fn another_instance_at_a_nodes_address_does_not_count_for_it() {
+    let folder = folder("moved");
+    let shape = Shape {
+        entries: 1,
+        engines: 1,
+        services: 0,
+        ..Shape::default()
+    };
+    let fleet = Fleet::start(shape).await.expect("the fleet starts");
+    let env = [
+        ("GRADELOFT_LOG", fleet.log.url()),
+        ("GRADELOFT_LIST", fleet.list.url()),
+        (
+            "GRADELOFT_TRUST",
+            format!("{SIGNER}={}", fleet.key.public()),
+        ),
+    ];
+    let entry = fleet.entries[0]
+        .as_ref()
+        .expect("alive")
+        .admin()
+        .to_string();
+    fleet
+        .list
+        .state
+        .change("engine-0", |it| it.admin = Some(entry.clone()));
+    let text = beside(&folder, &env, &["fleet", "status"]).await;
+    assert!(text.contains("engine-0: no answer"), "{text}");
+}
+
 #[test]
 fn a_signed_file_survives_its_text_form() {
     let folder = folder("signed");
--- a/crates/gradeloft_standin/src/list.rs
+++ b/crates/gradeloft_standin/src/list.rs
@@ -60,9 +60,16 @@
 
     /// An instance is to leave.
     pub fn leaving(&self, id: &str) {
-        for instance in self.live.borrow_mut().iter_mut().filter(|it| it.id == id) {
-            instance.state = InstanceState::Leaving;
-        }
+        self.change(id, |it| it.state = InstanceState::Leaving);
+    }
+
+    /// Changes what is listed of an instance.
+    pub fn change(&self, id: &str, change: impl Fn(&mut Instance)) {
+        self.live
+            .borrow_mut()
+            .iter_mut()
+            .filter(|it| it.id == id)
+            .for_each(change);
     }
 }
 
