Watch only the instance that the list names

Cause: the same reuse of addresses, on the peer port: an entry that reconnects to a dead agent's address would have taken another agent's notices for it.

Change: a notice of another instance ends the connection and makes the peer suspect. A test gives one agent's address to another.

Before: the notice was accepted.

Conclusion: every answer that stands for an instance is now checked by its name.

--- a/crates/gradeloft_daemon/src/node/peers.rs
+++ b/crates/gradeloft_daemon/src/node/peers.rs
@@ -110,6 +110,9 @@
         let Ok(Some(Reply::Notice(notice))) = next else {
             return "closed";
         };
+        if !is_at(node, key, &notice.node) {
+            return "another instance at its address";
+        }
         noticed(node, key, notice);
         let ahead = node
             .membership
@@ -139,6 +142,12 @@
     }
 }
 
+/// Whether a peer is the instance that the list names; an address can go to another one.
+fn is_at(node: &Node, key: PeerKey, name: &str) -> bool {
+    let membership = node.membership.borrow();
+    membership.get(key).is_some_and(|it| it.instance.id == name)
+}
+
 fn address(node: &Node, key: PeerKey) -> Option<String> {
     node.membership
         .borrow()
--- a/crates/gradeloft_daemon/tests/rollout.rs
+++ b/crates/gradeloft_daemon/tests/rollout.rs
@@ -531,3 +531,33 @@
     assert_eq!(node.chain.borrow().head().unwrap().digest, digest(&first));
     assert_eq!(node.learned.get(), Learned::Log);
 }
+
+#[actix_rt::test]
+async fn another_instance_at_an_agents_address_is_not_taken_for_it() {
+    let fleet = fleet(shape(1, 2, 0)).await;
+    let v1 = version("v1");
+    fleet.deploy(&v1).await;
+    let other = fleet.engines[1].agent.as_ref().unwrap().peer().to_string();
+    fleet
+        .list
+        .state
+        .change("engine-0", |it| it.peer = other.clone());
+    let node = fleet.entries[0].as_ref().unwrap().node();
+    let moved = |refused: bool| {
+        let membership = node.membership.borrow();
+        let now = node.clock.now();
+        let peer = membership
+            .iter()
+            .find(|(_, it)| it.instance.id == "engine-0");
+        peer.is_some_and(|(_, it)| {
+            it.instance.peer == other && !it.takes_work(now) && (!refused || it.health.suspect(now))
+        })
+    };
+    fleet
+        .until("the entry has tried the address and refused it", || {
+            moved(true)
+        })
+        .await;
+    answers(&fleet, &v1).await;
+    assert!(moved(false));
+}
--- a/crates/gradeloft_daemon/tests/sessions.rs
+++ b/crates/gradeloft_daemon/tests/sessions.rs
@@ -165,6 +165,7 @@
                         version: "v1".to_owned(),
                     };
                     let notice = Notice {
+                        node: "refuser".to_owned(),
                         bundle: 1,
                         serving: vec![pin],
                         service: Some(SERVICE.to_owned()),
