--- a/crates/gradeloft_bench/src/distribute.rs
+++ b/crates/gradeloft_bench/src/distribute.rs
@@ -17,8 +17,7 @@
 };
 use gradeloft_policy::version::fetch::Scheme;
 use gradeloft_standin::{
-    caller::Caller,
-    fleet::{Fleet, MODEL, SIGNER, Shape, TEAM, TOKEN, digest},
+    fleet::{Fleet, MODEL, SIGNER, Shape, digest},
     link::Links,
     weights::Version,
 };
@@ -26,12 +25,12 @@
     bundle::{Bundle, Objective, Rollout},
     platform::{Instance, InstanceRole, InstanceState},
 };
-use hdrhistogram::Histogram;
 use rand::{SeedableRng, seq::SliceRandom};
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
 use crate::{
+    live,
     plot::{self, Curve},
     worker::{Common, News, Order, Worker},
 };
@@ -45,15 +44,6 @@
 /// A run that has not ended by then counts what has.
 const GIVE_UP: Duration = Duration::from_secs(400);
 const LOOK_EVERY: Duration = Duration::from_millis(5);
-/// Live requests a second for each agent, and the size of their prompts.
-const LIVE_PER_AGENT: f64 = 4.0;
-const LIVE_PROMPT: usize = 16 << 10;
-const LIVE_TOKENS: u32 = 8;
-/// Time of the engine for a prompt and for a token, well below what the users' engines need.
-const LIVE_PREFILL_MS: u64 = 60;
-const LIVE_TOKEN_MS: u64 = 8;
-/// Longest answer that is told from longer ones, in microseconds.
-const MOST_MICROS: u64 = 60_000_000;
 /// How long live requests run before the rollout, to compare with.
 const LIVE_BEFORE: Duration = Duration::from_secs(5);
 
@@ -141,16 +131,7 @@
     ready: usize,
     corrupt_chunks: u64,
     #[serde(skip_serializing_if = "Option::is_none")]
-    live: Option<Live>,
-}
-
-#[derive(Debug, Serialize)]
-struct Live {
-    before_p95_ms: f64,
-    during_p95_ms: f64,
-    during_over_before: f64,
-    requests: u64,
-    failed: u64,
+    live: Option<live::Report>,
 }
 
 /// Runs the measurement and prints what it gives.
@@ -268,7 +249,7 @@
         gradeloft_standin::fleet::until("the entry knows all agents", || known() == self.agents)
             .await;
 
-        let live = Rc::new(LiveLoad::new(entry.public(), self.agents));
+        let live = Rc::new(live::Load::new(entry.public(), self.agents));
         if self.args.live {
             live.start();
             actix_rt::time::sleep(LIVE_BEFORE).await;
@@ -326,8 +307,8 @@
             link_bytes_per_s: self.args.link,
             zones: ZONES,
             scheme: self.scheme,
-            prefill_ms: LIVE_PREFILL_MS,
-            token_ms: LIVE_TOKEN_MS,
+            prefill_ms: live::PREFILL_MS,
+            token_ms: live::TOKEN_MS,
         };
         let threads = self.args.threads.max(1);
         let share = |thread| {
@@ -401,7 +382,7 @@
         version: &Version,
         times: &[f64],
         killed: usize,
-        live: &LiveLoad,
+        live: &live::Load,
     ) -> Report {
         let survivors = self.agents - killed;
         let at = |share: f64| {
@@ -538,85 +519,3 @@
     });
     entry
 }
-
-/// Live requests at a steady rate.
-struct LiveLoad {
-    entry: std::net::SocketAddr,
-    agents: usize,
-    phase: std::cell::Cell<usize>,
-    running: std::cell::Cell<bool>,
-    /// Whole answers before and during the rollout, in microseconds.
-    times: [std::cell::RefCell<Histogram<u64>>; 2],
-    failed: std::cell::Cell<u64>,
-}
-
-impl LiveLoad {
-    fn new(entry: std::net::SocketAddr, agents: usize) -> LiveLoad {
-        let histogram = || {
-            Histogram::new_with_bounds(1, MOST_MICROS, 3)
-                .expect("sound bounds")
-                .into()
-        };
-        LiveLoad {
-            entry,
-            agents,
-            phase: std::cell::Cell::default(),
-            running: std::cell::Cell::default(),
-            times: [histogram(), histogram()],
-            failed: std::cell::Cell::default(),
-        }
-    }
-
-    fn start(self: &Rc<LiveLoad>) {
-        self.running.set(true);
-        let load = Rc::clone(self);
-        actix_rt::spawn(async move {
-            let every = Duration::from_secs_f64(1.0 / (LIVE_PER_AGENT * load.agents as f64));
-            let mut ticks = tokio::time::interval(every);
-            let mut count = 0_u64;
-            while load.running.get() {
-                ticks.tick().await;
-                count += 1;
-                actix_rt::spawn(Rc::clone(&load).request(count));
-            }
-        });
-    }
-
-    async fn request(self: Rc<LiveLoad>, count: u64) {
-        let phase = self.phase.get();
-        let caller = Caller::new(TEAM, TOKEN);
-        let prompt = format!("{count:08}{}", "p".repeat(LIVE_PROMPT - 8));
-        let started = Instant::now();
-        let answer = caller
-            .generate(self.entry, MODEL, &prompt, LIVE_TOKENS)
-            .await;
-        let micros = started.elapsed().as_micros() as u64;
-        if answer.end.is_none() {
-            self.failed.set(self.failed.get() + 1);
-            return;
-        }
-        self.times[phase]
-            .borrow_mut()
-            .saturating_record(micros.max(1));
-    }
-
-    fn next_phase(&self) {
-        self.phase.set(1);
-    }
-
-    fn stop(&self) {
-        self.running.set(false);
-    }
-
-    fn report(&self) -> Live {
-        let p95 = |phase: usize| self.times[phase].borrow().value_at_quantile(0.95) as f64 / 1000.0;
-        let (before, during) = (p95(0), p95(1));
-        Live {
-            before_p95_ms: before,
-            during_p95_ms: during,
-            during_over_before: during / before,
-            requests: self.times.iter().map(|it| it.borrow().len()).sum(),
-            failed: self.failed.get(),
-        }
-    }
-}
--- a/crates/gradeloft_bench/src/main.rs
+++ b/crates/gradeloft_bench/src/main.rs
@@ -4,6 +4,7 @@
 //! - [`distribute`]: a new version reaches many agents.
 //! - [`footprint`]: state, messages and time for each replica, team, chunk and bundle.
 //! - [`limits`]: a team's rate over several entries.
+//! - [`live`]: live requests beside a rollout.
 //! - [`plot`]: curves as SVG.
 //! - [`relay`]: what entry and agent add to a request.
 //! - [`requests`]: live requests under load and faults.
@@ -13,6 +14,7 @@
 mod footprint;
 mod idle;
 mod limits;
+mod live;
 mod plot;
 mod relay;
 mod requests;
