Draw gossip peers in the policy crate, and test that they are few

Cause: the choice that once used up all descriptors was made in the daemon and had no test.

Change: process::gossip::draw; a test over 500 nodes: at most 6 peers each, and a bundle from one node reaches all of them.

Conclusion: the mended fault has its test.

--- a/crates/gradeloft_daemon/src/node/config.rs
+++ b/crates/gradeloft_daemon/src/node/config.rs
@@ -15,12 +15,11 @@
 
 use gradeloft_platform::log;
 use gradeloft_policy::{
-    process::membership::Peer,
+    process::{gossip, membership::Peer},
     rendezvous,
     version::chain::{self, Refusal, Verdict},
 };
 use gradeloft_wire::{
-    border::platform::InstanceRole,
     border::settings::Role,
     frame::{Call, Reply},
     record::{CONFIG, Record, SignedBundle},
@@ -39,17 +38,13 @@
 const CHECKPOINT_LOOK: Duration = Duration::from_millis(500);
 /// Mean time between two questions to random peers, in milliseconds.
 const GOSSIP_MS: u64 = 1_000;
-/// Peers of any role that a node gossips with.
-const GOSSIP_PEERS: usize = 4;
-/// Entries that it gossips with besides.
-const GOSSIP_ENTRIES: usize = 2;
 /// Time without word of the bundle from a peer after which an agent reads the log, in seconds.
 const AGENT_LOG_S: u64 = 5;
 
 /// Starts to learn.
 pub fn start(node: &Rc<Node>) {
     node.scope.spawn(tail(Rc::clone(node)));
-    node.scope.spawn(gossip(Rc::clone(node)));
+    node.scope.spawn(ask_peers(Rc::clone(node)));
     if node.settings.role == Role::Entry {
         node.scope.spawn(checkpoint(Rc::clone(node)));
     }
@@ -189,7 +184,7 @@
     since.map_or(0, |it| it.as_millis() as u64)
 }
 
-async fn gossip(node: Rc<Node>) {
+async fn ask_peers(node: Rc<Node>) {
     let mut bundle = node.bundle.subscribe();
     loop {
         let pause = node.with_rng(|it| it.random_range(GOSSIP_MS / 2..GOSSIP_MS * 3 / 2));
@@ -207,28 +202,17 @@
     }
 }
 
-/// One of the few peers that this node gossips with. They are drawn by rendezvous and stay the same
-/// while members do, so that a large fleet does not end up with a connection for every pair.
+/// Address of one of the peers that this node gossips with.
 fn random_peer(node: &Node) -> Option<String> {
     let membership = node.membership.borrow();
     let now = node.clock.now();
-    let key = rendezvous::hash(node.settings.node.id.as_bytes());
     let peers: Vec<&Peer> = membership
         .iter()
         .map(|(_, it)| it)
         .filter(|it| !it.health.suspect(now))
         .collect();
-    let nodes: Vec<u64> = peers.iter().map(|it| it.node).collect();
-    let mut drawn: Vec<&Peer> = Vec::with_capacity(GOSSIP_PEERS + 1);
-    let ranked: Vec<&Peer> = rendezvous::order(key, &nodes)
-        .into_iter()
-        .map(|idx| peers[idx])
-        .collect();
-    drawn.extend(ranked.iter().take(GOSSIP_PEERS));
-    let entries = ranked
-        .iter()
-        .filter(|it| it.instance.role == InstanceRole::Entry);
-    drawn.extend(entries.take(GOSSIP_ENTRIES));
+    let own = rendezvous::hash(node.settings.node.id.as_bytes());
+    let drawn = gossip::draw(own, &peers);
     let chosen = node.with_rng(|rng| drawn.into_iter().choose(rng));
     chosen.map(|it| it.instance.peer.clone())
 }
--- a/crates/gradeloft_policy/tests/process.rs
+++ b/crates/gradeloft_policy/tests/process.rs
@@ -5,6 +5,7 @@
     connection::{health::Health, pace::Pacer},
     process::{
         address::{self, Entry},
+        gossip,
         membership::{Membership, list_interval_ms},
     },
     version::{
@@ -245,3 +246,35 @@
     pacer.live(10_000_000, Time::ZERO);
     assert_eq!(pacer.rate(Time::ZERO), 50_000.0);
 }
+
+#[test]
+fn gossip_goes_to_few_peers_and_connects_the_fleet() {
+    let listed = |idx: usize| Instance {
+        role: if idx < 7 {
+            InstanceRole::Entry
+        } else {
+            InstanceRole::Agent
+        },
+        ..instance(&format!("node-{idx}"), InstanceState::Live)
+    };
+    let mut membership = Membership::new("outside");
+    membership.listed((0..500).map(listed).collect());
+    let peers: Vec<_> = membership.iter().map(|(_, it)| it).collect();
+    let draw = |own: u64| -> Vec<u64> {
+        let others: Vec<_> = peers.iter().copied().filter(|it| it.node != own).collect();
+        gossip::draw(own, &others)
+            .iter()
+            .map(|it| it.node)
+            .collect()
+    };
+    let draws: Vec<(u64, Vec<u64>)> = peers.iter().map(|it| (it.node, draw(it.node))).collect();
+    assert!(draws.iter().all(|(_, it)| it.len() <= 6));
+    // A bundle goes from who has it to those that ask, so the draws are followed backwards.
+    let mut reached = vec![peers[0].node];
+    let mut seen = std::collections::BTreeSet::from([peers[0].node]);
+    while let Some(node) = reached.pop() {
+        let askers = draws.iter().filter(|(_, drawn)| drawn.contains(&node));
+        reached.extend(askers.map(|it| it.0).filter(|it| seen.insert(*it)));
+    }
+    assert_eq!(seen.len(), 500);
+}
