--- a/crates/gradeloft_daemon/src/logging.rs
+++ b/crates/gradeloft_daemon/src/logging.rs
@@ -12,6 +12,14 @@
     Logger::root(filtered, o!("node" => node.to_owned()))
 }
 
+/// A logger to standard output, as [`to_stderr`] with every event of level info and above.
+pub fn to_stdout(node: &str) -> Logger {
+    let logfmt = slog_logfmt::Logfmt::new(std::io::stdout()).build().fuse();
+    let asynchronous = slog_async::Async::new(logfmt).build().fuse();
+    let filtered = asynchronous.filter_level(Level::Info).fuse();
+    Logger::root(filtered, o!("node" => node.to_owned()))
+}
+
 /// A logger that drops everything.
 pub fn none() -> Logger {
     Logger::root(slog::Discard, o!())
--- a/crates/gradeloft_daemon/src/node/calls.rs
+++ b/crates/gradeloft_daemon/src/node/calls.rs
@@ -34,6 +34,11 @@
             config::adopt(&node, &signed);
             outgoing.finish(&Reply::Bundles(Vec::new())).await;
         }
-        Call::Borrow { .. } | Call::Chunk { .. } | Call::Follow { .. } | Call::Work(_) => {}
+        Call::Borrow { .. }
+        | Call::Chunk { .. }
+        | Call::Follow { .. }
+        | Call::Pieces { .. }
+        | Call::Records { .. }
+        | Call::Work(_) => {}
     }
 }
--- /dev/null
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -0,0 +1,399 @@
+//! The process beside a replica: brings the weights that the operator named, and tells entries what
+//! the replica holds.
+//!
+//! - [`fill`]: fetches, stages and checks the pieces of a version.
+//! - [`share`]: gives pieces to other agents.
+
+pub mod fill;
+pub mod share;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use gradeloft_daemon::transport::server::Server as PeerServer;
+use gradeloft_http::server::Server;
+use gradeloft_platform::fleet::{Engine as EngineApi, Order, State, Taken};
+use gradeloft_policy::{
+    clock::Time,
+    process::{document::Document, mirror::Record},
+};
+use gradeloft_wire::{
+    datagram::{Engine, Sender},
+    frame::Table,
+    id::Digest,
+};
+use slog::{info, warn};
+use tokio::sync::Notify;
+
+use crate::{entry::peer_listener, logs::Topic, node::Node, settings::Role};
+
+/// Pause between questions to the replica. They are free, and an entry's view of the replica is this
+/// old at most.
+const ASK: Duration = Duration::from_millis(250);
+/// Pause between questions while weights are being loaded.
+const ASK_LOADING: Duration = Duration::from_millis(60);
+/// Silence after which an entry is no longer told anything: several of its pauses between datagrams
+/// to agents.
+const SILENCE_MS: u64 = 4_000;
+/// Longest pause between two datagrams to entries.
+const TELL_MS: u64 = 1_000;
+/// Longest wait of one read of the operator's table.
+const WAIT_ORDERS: Duration = Duration::from_secs(8);
+const PAUSE_ORDERS: Duration = Duration::from_millis(50);
+/// Pause before a version is tried again.
+const RETRY: Duration = Duration::from_millis(300);
+/// Time for the entries to learn that the replica takes no work, before it is ordered to load.
+const HEADS_UP: Duration = Duration::from_millis(40);
+/// Longest time for an order to show its effect, in milliseconds: the longest request of today, and
+/// the loading.
+const LOAD_MS: u64 = 8_000;
+
+/// A version of a model's weights.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Version {
+    /// Model.
+    pub model: String,
+    /// Number.
+    pub number: u64,
+}
+
+/// Pieces of the version that is being fetched or was fetched last.
+#[derive(Debug, Default)]
+pub struct Holding {
+    /// The version.
+    pub version: Option<Version>,
+    /// Digests of its pieces, in order; empty until the manifest is known.
+    pub digests: Vec<Digest>,
+    /// Positions of each digest.
+    pub positions: HashMap<Digest, u32>,
+    /// Whether each piece is staged and had its digest.
+    pub staged: Vec<bool>,
+}
+
+/// The process.
+pub struct Agent {
+    /// What it shares with entries.
+    pub node: Rc<Node>,
+    /// The replica's engine.
+    pub engine: Rc<dyn EngineApi>,
+    /// Service that the replica belongs to.
+    pub service: String,
+    /// Where the replica listens.
+    pub replica: SocketAddr,
+    /// Pieces held.
+    pub holding: RefCell<Holding>,
+    /// Told when a piece has been staged.
+    pub arrived: Notify,
+    state: Cell<Option<State>>,
+    loading: Cell<bool>,
+    /// Whether the staged pieces are being looked through.
+    adopting: Cell<bool>,
+    config: RefCell<Option<Document>>,
+    named: RefCell<HashMap<String, u64>>,
+    /// Entries that spoke a moment ago.
+    entries: RefCell<HashMap<Ipv4Addr, Time>>,
+    told_at: Cell<Time>,
+}
+
+/// A running agent.
+pub struct Handle {
+    agent: Rc<Agent>,
+    _metrics: Server,
+    _peers: PeerServer,
+}
+
+impl Agent {
+    /// Starts an agent.
+    pub async fn start(node: Rc<Node>) -> io::Result<Handle> {
+        let Role::Agent { replica, service } = node.settings().role.clone() else {
+            return Err(io::Error::other("the settings are not an agent's"));
+        };
+        let engine = node.platform.engine.clone();
+        let engine = engine.ok_or_else(|| io::Error::other("no engine"))?;
+        let agent = Rc::new(Agent {
+            node,
+            engine,
+            service,
+            replica,
+            holding: RefCell::default(),
+            arrived: Notify::new(),
+            state: Cell::default(),
+            loading: Cell::default(),
+            adopting: Cell::default(),
+            config: RefCell::default(),
+            named: RefCell::default(),
+            entries: RefCell::default(),
+            told_at: Cell::default(),
+        });
+        let observing = Rc::downgrade(&agent);
+        agent.node.observe(Rc::new(move |table, records| {
+            if let Some(agent) = observing.upgrade() {
+                agent.changed(table, &records);
+            }
+        }));
+        let handler = Rc::new(share::Peers(Rc::clone(&agent)));
+        let peers = peer_listener(&agent.node, handler).await?;
+        let metrics = crate::entry::lookup::serve_metrics(&agent.node).await?;
+        let scope = &agent.node.scope;
+        let orders = Rc::clone(&agent.node).follow(Table::Operator, WAIT_ORDERS, PAUSE_ORDERS);
+        scope.spawn(orders);
+        scope.spawn(Rc::clone(&agent).watch());
+        scope.spawn(Rc::clone(&agent).listen());
+        scope.spawn(Rc::clone(&agent).update());
+        Ok(Handle {
+            agent,
+            _metrics: metrics,
+            _peers: peers,
+        })
+    }
+
+    /// The version that the replica is to hold, once the configuration is known.
+    pub fn target(&self) -> Option<Version> {
+        let config = self.config.borrow();
+        let services = &config.as_ref()?.services;
+        let service = services.iter().find(|it| *it.name == *self.service)?;
+        let named = self.named.borrow();
+        let model = service
+            .models
+            .iter()
+            .find(|it| named.contains_key(*it))
+            .or(service.models.first())?;
+        // A model for which nothing was named yet is at its first version.
+        let number = named.get(model).copied().unwrap_or(1);
+        Some(Version {
+            model: model.clone(),
+            number,
+        })
+    }
+
+    /// Where weights come from.
+    pub fn origin(&self) -> Option<SocketAddr> {
+        let config = self.config.borrow();
+        config.as_ref()?.services.iter().find_map(|it| it.origin)
+    }
+
+    /// What the replica said of itself last.
+    pub fn state(&self) -> Option<State> {
+        self.state.get()
+    }
+
+    /// Instances of entries that spoke a moment ago.
+    pub fn entries(&self) -> Vec<Ipv4Addr> {
+        let now = self.node.clock.now();
+        let mut entries = self.entries.borrow_mut();
+        entries.retain(|_, at| now < at.after_ms(SILENCE_MS));
+        entries.keys().copied().collect()
+    }
+
+    fn changed(&self, table: Table, records: &[Record]) {
+        if table != Table::Operator {
+            return;
+        }
+        for record in records.iter().filter(|it| it.value.is_some()) {
+            match self.node.platform.decoder.order(record) {
+                Ok(Order::Config(document)) => self.configure(*document),
+                Ok(Order::Weights { model, version }) => {
+                    let mut named = self.named.borrow_mut();
+                    let newest = named.entry(model).or_default();
+                    *newest = version.max(*newest);
+                }
+                Ok(Order::Other) => {}
+                Err(error) => {
+                    if let Some(log) = self.node.logs.line(Topic::State) {
+                        warn!(log, "unreadable record"; "key" => &record.key, "error" => error);
+                    }
+                }
+            }
+        }
+    }
+
+    fn configure(&self, document: Document) {
+        let mut config = self.config.borrow_mut();
+        let newer = config
+            .as_ref()
+            .is_none_or(|it| it.version < document.version);
+        if newer {
+            self.node.metrics.config.set(document.version as i64);
+            // Routes and keys are an entry's matter, and take most of the memory.
+            *config = Some(Document {
+                routes: Vec::new(),
+                keys: HashMap::new(),
+                ..document
+            });
+        }
+    }
+
+    /// Asks the replica for its state, and tells entries what matters to them.
+    async fn watch(self: Rc<Agent>) {
+        loop {
+            self.ask().await;
+            let pause = if self.loading.get() { ASK_LOADING } else { ASK };
+            actix_rt::time::sleep(pause).await;
+        }
+    }
+
+    async fn ask(&self) {
+        let before = self.state.get();
+        let state = match self.engine.state().await {
+            Ok(state) => Some(state),
+            Err(fault) => {
+                if before.is_some()
+                    && let Some(log) = self.node.logs.line(Topic::Dependency)
+                {
+                    warn!(log, "replica lost"; "fault" => %fault);
+                }
+                None
+            }
+        };
+        if before.is_none()
+            && state.is_some()
+            && let Some(log) = self.node.logs.line(Topic::Dependency)
+        {
+            info!(log, "replica answers"; "state" => ?state);
+        }
+        self.state.set(state);
+        let version = state.and_then(|it| it.version);
+        self.node
+            .metrics
+            .weights
+            .set(version.unwrap_or_default() as i64);
+        let changed = before.map(|it| it.version) != state.map(|it| it.version);
+        let due = self.told_at.get().after_ms(TELL_MS) <= self.node.clock.now();
+        if changed || due {
+            self.tell();
+        }
+    }
+
+    /// Tells entries what the replica holds.
+    fn tell(&self) {
+        let SocketAddr::V4(replica) = self.replica else {
+            return;
+        };
+        let engine = self.state.get().map(|it| Engine {
+            version: it.version,
+            loading: self.loading.get(),
+            active: it.active,
+            queued: it.queued,
+        });
+        self.told_at.set(self.node.clock.now());
+        let sender = Sender::Agent { replica, engine };
+        self.node.tell(sender, self.entries().into_iter());
+    }
+
+    async fn listen(self: Rc<Agent>) {
+        loop {
+            let (from, datagram) = self.node.heard().await;
+            if let Sender::Entry { .. } = datagram.sender {
+                let now = self.node.clock.now();
+                let new = self.entries.borrow_mut().insert(from, now).is_none();
+                self.node.heard_ends(from, datagram.ends);
+                if new {
+                    self.tell();
+                }
+            }
+        }
+    }
+
+    /// Brings the replica to the version that it is to hold, again and again.
+    async fn update(self: Rc<Agent>) {
+        loop {
+            let Some(version) = self.wanted() else {
+                tokio::select! {
+                    () = self.node.changed.notified() => {}
+                    () = actix_rt::time::sleep(RETRY) => {}
+                }
+                continue;
+            };
+            let started = self.node.clock.now();
+            match self.bring(&version).await {
+                Ok(()) => {
+                    if let Some(log) = self.node.logs.line(Topic::Weights) {
+                        let took = self.node.clock.now().since(started);
+                        info!(log, "weights loaded"; "model" => &version.model,
+                            "version" => version.number, "ms" => took.as_millis() as u64);
+                    }
+                }
+                Err(reason) => {
+                    if let Some(log) = self.node.logs.line(Topic::Weights) {
+                        warn!(log, "weights not loaded"; "model" => &version.model,
+                            "version" => version.number, "reason" => reason);
+                    }
+                    actix_rt::time::sleep(RETRY).await;
+                }
+            }
+        }
+    }
+
+    /// The version to bring the replica to, if it answers and does not hold it.
+    fn wanted(&self) -> Option<Version> {
+        let target = self.target()?;
+        let state = self.state.get()?;
+        let holds = state.version.is_some_and(|it| target.number <= it);
+        (!holds).then_some(target)
+    }
+
+    async fn bring(self: &Rc<Agent>, version: &Version) -> Result<(), String> {
+        fill::fill(self, version).await?;
+        self.loading.set(true);
+        self.tell();
+        let loaded = self.load(version).await;
+        self.loading.set(false);
+        self.ask().await;
+        self.tell();
+        loaded
+    }
+
+    async fn load(&self, version: &Version) -> Result<(), String> {
+        actix_rt::time::sleep(HEADS_UP).await;
+        if self.target().as_ref() != Some(version) {
+            return Err("another version was named".to_owned());
+        }
+        let fence = version.number;
+        let ordered = self
+            .engine
+            .load(&version.model, version.number, fence)
+            .await;
+        if let Some(log) = self.node.logs.line(Topic::Weights) {
+            info!(log, "ordered"; "model" => &version.model, "version" => version.number,
+                "fence" => fence, "result" => ?ordered);
+        }
+        match ordered {
+            Ok(Taken::Started) => self.loaded(version).await,
+            Ok(Taken::Conflict) => Err("the replica is in another state".to_owned()),
+            Ok(Taken::Fenced) => Err("a higher fence has been used".to_owned()),
+            // It may have been taken all the same; what the replica holds will show.
+            Err(fault) => Err(fault.to_string()),
+        }
+    }
+
+    /// Waits until the replica holds a version.
+    async fn loaded(&self, version: &Version) -> Result<(), String> {
+        let until = self.node.clock.now().after_ms(LOAD_MS);
+        loop {
+            let state = self.state.get();
+            match state {
+                Some(state) if state.version == Some(version.number) => return Ok(()),
+                None => return Err("the replica does not answer".to_owned()),
+                Some(_) => {}
+            }
+            if until <= self.node.clock.now() {
+                return Err("the order shows no effect".to_owned());
+            }
+            actix_rt::time::sleep(ASK_LOADING).await;
+        }
+    }
+}
+
+impl Handle {
+    /// Ends at once: the replica goes on without its agent.
+    pub fn leave(self) {
+        info!(self.agent.node.logs.root, "left");
+        self.agent.node.scope.end();
+    }
+}
--- /dev/null
+++ b/crates/gradeloft_gateway/src/entry/answer.rs
@@ -0,0 +1,113 @@
+//! Answers that an entry gives by itself.
+
+use bytes::{BufMut, BytesMut};
+use gradeloft_policy::request::attempt::Ran;
+use serde_json::json;
+
+/// Why a request gets no replica's answer. A closed list; [`Refusal::row`] is its table.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Refusal {
+    /// The body is larger than allowed.
+    BodyTooLarge,
+    /// The head is larger than allowed.
+    HeadTooLarge,
+    /// It was sent to a replica, and no answer came that can be passed on.
+    Lost,
+    /// It is not valid HTTP.
+    Malformed,
+    /// This process does not know the configuration yet.
+    NoConfig,
+    /// No replica takes it now.
+    NoReplica,
+    /// No route for its host and path.
+    NoRoute,
+    /// Time ran out after it was sent to a replica.
+    TimedOut,
+    /// Time ran out before it was sent to a replica.
+    Unsent,
+    /// The key is absent or nobody's.
+    UnknownKey,
+}
+
+/// What a refusal tells its caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Row {
+    /// HTTP status.
+    pub status: u16,
+    /// Reason phrase.
+    pub reason: &'static str,
+    /// Name in bodies, logs and metrics.
+    pub name: &'static str,
+    /// Whether the request may have run.
+    pub ran: Ran,
+    /// When to come back, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
+/// When to come back after a refusal for want of a replica, in milliseconds: about the time in which
+/// a replica finishes a request.
+const RETRY_AFTER_MS: u64 = 250;
+
+impl Refusal {
+    /// What it tells the caller.
+    pub fn row(self) -> Row {
+        let row = |status, reason, name| Row {
+            status,
+            reason,
+            name,
+            ran: Ran::No,
+            retry_after_ms: None,
+        };
+        let later = |name| Row {
+            retry_after_ms: Some(RETRY_AFTER_MS),
+            ..row(503, "Service Unavailable", name)
+        };
+        let unknown = |status, reason, name| Row {
+            ran: Ran::Unknown,
+            ..row(status, reason, name)
+        };
+        match self {
+            Refusal::BodyTooLarge => row(413, "Content Too Large", "body_too_large"),
+            Refusal::HeadTooLarge => row(431, "Request Header Fields Too Large", "head_too_large"),
+            Refusal::Lost => unknown(502, "Bad Gateway", "lost"),
+            Refusal::Malformed => row(400, "Bad Request", "malformed"),
+            Refusal::NoConfig => later("no_config"),
+            Refusal::NoReplica => later("no_replica"),
+            Refusal::NoRoute => row(404, "Not Found", "no_route"),
+            Refusal::TimedOut => unknown(504, "Gateway Timeout", "timed_out"),
+            Refusal::Unsent => later("unsent"),
+            Refusal::UnknownKey => row(401, "Unauthorized", "unknown_key"),
+        }
+    }
+
+    /// The whole answer, as bytes.
+    pub fn encode(self, request: Option<(&str, &str)>, close: bool) -> BytesMut {
+        let row = self.row();
+        let ran = match row.ran {
+            Ran::No => "no",
+            Ran::Unknown => "unknown",
+        };
+        let body = json!({"error": row.name, "ran": ran}).to_string();
+        let mut out = BytesMut::with_capacity(256);
+        let status_line = format!("HTTP/1.1 {} {}\r\n", row.status, row.reason);
+        out.put_slice(status_line.as_bytes());
+        let headers = format!(
+            "Content-Type: application/json\r\nContent-Length: {}\r\n",
+            body.len()
+        );
+        out.put_slice(headers.as_bytes());
+        if let Some((name, id)) = request {
+            out.put_slice(format!("{name}: {id}\r\n").as_bytes());
+        }
+        if let Some(ms) = row.retry_after_ms {
+            let seconds = ms as f64 / 1000.0;
+            out.put_slice(format!("Retry-After: {seconds}\r\n").as_bytes());
+        }
+        if close {
+            out.put_slice(b"Connection: close\r\n");
+        }
+        out.put_slice(b"\r\n");
+        out.put_slice(body.as_bytes());
+        out
+    }
+}
--- /dev/null
+++ b/crates/gradeloft_gateway/src/entry/attempt.rs
@@ -0,0 +1,245 @@
+//! One attempt: a request sent to one replica, up to the head of its answer.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::{BufMut, Bytes, BytesMut};
+use gradeloft_policy::{process::replicas::ReplicaKey, request::attempt::Failure};
+use tokio::time::{Instant, sleep_until};
+
+use super::{
+    Entry,
+    forward::Job,
+    relay::{self, Stored},
+};
+use crate::{
+    h1::{
+        body::{Decoder, Framing, Piece},
+        head::{self, Response, put},
+        wire::{Moved, Wire},
+    },
+    pool::Link,
+};
+
+/// Time without an answer after which a request that may be repeated goes to another replica. Five
+/// times the longest objective of today, and short of the time after which callers give up.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+/// Answers to earlier requests that are passed over on one connection.
+const MAX_CROSSED: u32 = 2;
+/// Largest answer to an earlier request that is read to pass over it, in bytes.
+const MAX_SKIPPED: usize = 256 << 10;
+
+/// How an attempt ended.
+pub enum Ended {
+    /// The whole answer went out to the caller.
+    Answered(u16),
+    /// No answer that can be passed on as it is; a replica's own failure is kept.
+    Failed(Failure, Option<Stored>),
+    /// The caller has gone.
+    Gone,
+    /// The request's time is over.
+    TimedOut,
+}
+
+/// Sends a request to a replica and its answer to the caller.
+pub async fn run(
+    entry: &Rc<Entry>,
+    caller: &mut Wire,
+    job: &mut Job,
+    replica: ReplicaKey,
+) -> Ended {
+    let Some((address, id)) = entry.replica_address(replica) else {
+        return Ended::Failed(Failure::Unsent, None);
+    };
+    let _running = entry.running(replica);
+    let mut link = match entry.pool.take(replica) {
+        Some(link) => link,
+        None => {
+            entry.node.metrics.connections.inc();
+            match entry.pool.connect(replica, address).await {
+                Ok(link) => link,
+                Err(_) => return Ended::Failed(Failure::Unsent, None),
+            }
+        }
+    };
+    let bytes = encode(entry, job, &id);
+    let (head, whole) = match ask(entry, caller, job, &mut link, &bytes).await {
+        Ok(answered) => answered,
+        Err(ended) => return ended,
+    };
+    let headers = &entry.node.platform.headers;
+    if let Some(failure) = not_run(entry, &head, &id) {
+        relay::discard(entry, link, &head, &job.received.head.method, whole);
+        return Ended::Failed(failure, None);
+    }
+    if (200..300).contains(&head.status) && head.fields.get(headers.seal).is_none() {
+        return Ended::Failed(Failure::Broken, None);
+    }
+    relay::relay(entry, caller, job, link, head, whole).await
+}
+
+/// The failure behind an answer by which the replica says that it ran nothing.
+fn not_run(entry: &Entry, head: &Response, id: &str) -> Option<Failure> {
+    let headers = &entry.node.platform.headers;
+    if head.status == 421 {
+        let other = head.fields.get(headers.replica_id);
+        let replaced = other.is_some_and(|it| it != id);
+        return Some(if replaced {
+            Failure::Misdirected
+        } else {
+            Failure::Refused
+        });
+    }
+    let marked = head.fields.get(headers.not_run).is_some();
+    marked.then_some(Failure::Refused)
+}
+
+/// When a time of the process's clock is, for timers.
+pub fn instant(entry: &Entry, time: gradeloft_policy::clock::Time) -> Instant {
+    Instant::now() + entry.node.clock.until(time)
+}
+
+/// Sends the request and waits for the head of its answer; also gives whether all of the request
+/// went out.
+async fn ask(
+    entry: &Entry,
+    caller: &mut Wire,
+    job: &Job,
+    link: &mut Link,
+    bytes: &[u8],
+) -> Result<(Response, bool), Ended> {
+    let deadline = instant(entry, job.deadline);
+    let patient = sleep_until(patience(job, deadline));
+    tokio::pin!(patient);
+    let mut sent = 0;
+    let mut crossed = 0;
+    loop {
+        if let Some(head) = head::response(&mut link.wire.buffer)
+            .map_err(|_| Ended::Failed(Failure::Broken, None))?
+        {
+            if (100..200).contains(&head.status) {
+                continue;
+            }
+            if is_own(entry, job, &head) {
+                return Ok((head, sent == bytes.len()));
+            }
+            crossed += 1;
+            if MAX_CROSSED < crossed || !skip(caller, link, &head, deadline).await {
+                return Err(Ended::Failed(Failure::Broken, None));
+            }
+            continue;
+        }
+        tokio::select! {
+            moved = link.wire.exchange(&bytes[sent..]) => match moved {
+                Ok(Moved::Sent(count)) => sent += count,
+                Ok(Moved::Read(0)) | Err(_) => return Err(ended(link, sent)),
+                Ok(Moved::Read(_)) => {}
+            },
+            () = caller.gone() => return Err(Ended::Gone),
+            () = &mut patient => {
+                return Err(if deadline <= Instant::now() {
+                    Ended::TimedOut
+                } else {
+                    Ended::Failed(Failure::Lost, None)
+                });
+            }
+        }
+    }
+}
+
+/// The connection ended before an answer.
+fn ended(link: &Link, sent: usize) -> Ended {
+    let failure = if !link.wire.buffer.is_empty() {
+        Failure::Broken
+    } else if sent == 0 {
+        Failure::Unsent
+    } else {
+        Failure::Lost
+    };
+    Ended::Failed(failure, None)
+}
+
+/// Until when the head is waited for: with no other replica to go to, until the end.
+fn patience(job: &Job, deadline: Instant) -> Instant {
+    let last = job.progress.max_attempts <= job.progress.attempts + 1;
+    if last || !job.route.kind.repeatable() {
+        return deadline;
+    }
+    deadline.min(Instant::now() + PATIENCE)
+}
+
+/// Whether an answer is to this request. Answers without an id are taken for it.
+fn is_own(entry: &Entry, job: &Job, head: &Response) -> bool {
+    let name = entry.node.platform.headers.request;
+    let echoed = head.fields.get(name);
+    echoed.is_none() || echoed == job.received.head.fields.get(name)
+}
+
+/// Reads over the body of an answer to another request.
+async fn skip(caller: &mut Wire, link: &mut Link, head: &Response, deadline: Instant) -> bool {
+    let framing = match Framing::of_response(head, b"") {
+        Ok(Framing::Close) | Err(_) => return false,
+        Ok(framing) => framing,
+    };
+    let mut decoder = Decoder::new(framing);
+    let mut skipped = 0;
+    loop {
+        match decoder.take(&mut link.wire.buffer) {
+            Ok(Piece::Data(data)) => {
+                skipped += data.len();
+                if MAX_SKIPPED < skipped {
+                    return false;
+                }
+            }
+            Ok(Piece::End) => return true,
+            Err(_) => return false,
+            Ok(Piece::More) => tokio::select! {
+                read = link.wire.fill() => if !matches!(read, Ok(1..)) { return false },
+                () = caller.gone() => return false,
+                () = sleep_until(deadline) => return false,
+            },
+        }
+    }
+}
+
+/// The request as the replica gets it.
+fn encode(entry: &Entry, job: &Job, id: &str) -> Bytes {
+    let headers = &entry.node.platform.headers;
+    let received = &job.received;
+    let mut out = BytesMut::with_capacity(512 + received.body.len());
+    out.put_slice(&received.head.method);
+    out.put_slice(b" ");
+    out.put_slice(&received.head.target);
+    out.put_slice(b" HTTP/1.1\r\n");
+    let mut drop = vec![
+        headers.key,
+        headers.team,
+        headers.deadline,
+        headers.replica,
+        headers.version,
+        headers.priority,
+        "content-length",
+        "expect",
+    ];
+    if job.last_event.is_some() {
+        drop.push("last-event-id");
+    }
+    for header in received.head.fields.forwarded(&drop) {
+        put(&mut out, &header.name, &header.value);
+    }
+    let left = job.deadline.since(entry.node.clock.now());
+    let mut set = |name: &str, value: &str| put(&mut out, name.as_bytes(), value.as_bytes());
+    set(headers.deadline, &left.as_millis().max(1).to_string());
+    set(headers.replica, id);
+    if let Some(team) = &job.team {
+        set(headers.team, team);
+    }
+    if let Some(event) = job.last_event {
+        set("Last-Event-Id", &event.to_string());
+    }
+    if received.has_body {
+        set("Content-Length", &received.body.len().to_string());
+    }
+    out.put_slice(b"\r\n");
+    out.put_slice(&received.body);
+    out.freeze()
+}
--- /dev/null
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -0,0 +1,326 @@
+//! One request: its route, its replicas, its answer.
+
+use std::rc::Rc;
+
+use gradeloft_policy::{
+    clock::Time,
+    process::{
+        document::{Config, Denied, Kind, Route},
+        replicas::ReplicaKey,
+    },
+    request::{
+        attempt::{Failure, Progress, Ran},
+        placement::{self, Wish},
+    },
+};
+use slog::info;
+
+use super::{
+    Entry,
+    answer::Refusal,
+    attempt::{self, Ended},
+    front::{After, Received, refuse},
+    relay::Stored,
+};
+use crate::{
+    h1::wire::Wire,
+    logs::Topic,
+    metrics::{Ending, Metrics, Reason},
+};
+
+/// A request on its way, and what happened to it so far.
+pub struct Job {
+    /// As the caller sent it.
+    pub received: Received,
+    /// Its route, by the configuration in force when it came.
+    pub route: Route,
+    /// Service that was drawn for it.
+    pub service: Rc<str>,
+    /// Team that sent it.
+    pub team: Option<Rc<str>>,
+    /// When it gets its final answer at the latest.
+    pub deadline: Time,
+    /// Attempts.
+    pub progress: Progress,
+    /// Replicas tried.
+    pub tried: Vec<ReplicaKey>,
+    /// Whether the head of a stream went out to the caller.
+    pub head_sent: bool,
+    /// Id of the last event that went out to the caller.
+    pub last_event: Option<u64>,
+    /// When the answer began.
+    pub first_byte: Option<Time>,
+    /// Whether the caller's connection may carry another request.
+    pub keeps: bool,
+    /// Version of weights that its replica must have.
+    pub version: Option<u64>,
+    /// Failures so far, for the log.
+    trail: Vec<Failure>,
+}
+
+/// How a request ended.
+enum Outcome {
+    Answered(u16),
+    /// A stream that broke after its head went out.
+    Cut,
+    Gone,
+    Refused(Refusal),
+}
+
+/// Answers a request, from its route to its last byte.
+pub async fn forward(
+    entry: &Rc<Entry>,
+    caller: &mut Wire,
+    received: Received,
+    keeps: bool,
+) -> After {
+    let keeps = keeps && received.head.modern;
+    let job = match prepare(entry, received, keeps) {
+        Ok(job) => job,
+        Err(refused) => {
+            let (refusal, received) = *refused;
+            let close = !keeps || entry.node.leaving.get();
+            count(entry, "-", refusal.row().name);
+            log_refusal(entry, &received, refusal);
+            let sent = refuse(entry, caller, refusal, Some(&received.head), close).await;
+            return after(sent && !close);
+        }
+    };
+    run(entry, caller, job).await
+}
+
+fn prepare(
+    entry: &Rc<Entry>,
+    received: Received,
+    keeps: bool,
+) -> Result<Job, Box<(Refusal, Received)>> {
+    let Some(config) = entry.config.borrow().clone() else {
+        return Err(Box::new((Refusal::NoConfig, received)));
+    };
+    match find(entry, &config, &received) {
+        Ok((route, team)) => Ok(job(entry, route, team, received, keeps)),
+        Err(Denied::NoRoute) => Err(Box::new((Refusal::NoRoute, received))),
+        Err(Denied::UnknownKey) => Err(Box::new((Refusal::UnknownKey, received))),
+    }
+}
+
+fn find(
+    entry: &Entry,
+    config: &Config,
+    received: &Received,
+) -> Result<(Route, Option<Rc<str>>), Denied> {
+    let fields = &received.head.fields;
+    let host = fields.get("host").unwrap_or_default();
+    let route = config.route(host, received.head.path())?;
+    let key = fields.get(entry.node.platform.headers.key);
+    let team = config.team(route, key)?;
+    Ok((route.clone(), team))
+}
+
+fn job(entry: &Entry, route: Route, team: Option<Rc<str>>, received: Received, keeps: bool) -> Job {
+    let name = entry.node.platform.headers.deadline;
+    let told = received
+        .head
+        .fields
+        .get(name)
+        .and_then(|it| it.parse().ok());
+    let patience_ms = told.map_or(route.timeout_ms, |it: u64| it.min(route.timeout_ms));
+    let service = entry.node.with_rng(|it| route.draw(it));
+    Job {
+        deadline: received.at.after_ms(patience_ms),
+        progress: Progress::new(route.kind, route.max_attempts),
+        version: entry.oldest_version(&service),
+        service,
+        team,
+        received,
+        route,
+        tried: Vec::new(),
+        head_sent: false,
+        last_event: None,
+        first_byte: None,
+        keeps,
+        trail: Vec::new(),
+    }
+}
+
+async fn run(entry: &Rc<Entry>, caller: &mut Wire, mut job: Job) -> After {
+    entry.count_request(&job.service);
+    let mut stored = None;
+    let outcome = loop {
+        let now = entry.node.clock.now();
+        if job.deadline <= now {
+            break Outcome::Refused(match job.progress.ran {
+                Ran::No => Refusal::Unsent,
+                Ran::Unknown => Refusal::TimedOut,
+            });
+        }
+        let Some(replica) = choose(entry, &job, now) else {
+            break exhausted(&job);
+        };
+        if 0 < job.progress.attempts && !entry.take_repeat(&job.service) {
+            break exhausted(&job);
+        }
+        job.tried.push(replica);
+        match attempt::run(entry, caller, &mut job, replica).await {
+            Ended::Answered(status) => break Outcome::Answered(status),
+            Ended::Gone => break Outcome::Gone,
+            Ended::TimedOut => {
+                job.progress.ran = Ran::Unknown;
+                break Outcome::Refused(Refusal::TimedOut);
+            }
+            Ended::Failed(failure, answer) => {
+                failed(entry, &mut job, replica, failure);
+                stored = answer.or(stored);
+                if !job.progress.may_repeat() {
+                    break exhausted(&job);
+                }
+            }
+        }
+    };
+    finish(entry, caller, job, stored, outcome).await
+}
+
+fn choose(entry: &Entry, job: &Job, now: Time) -> Option<ReplicaKey> {
+    let settings = entry.node.settings();
+    let wish = Wish {
+        zone: &settings.zone,
+        version: job.version,
+        tried: &job.tried,
+    };
+    let replicas = entry.replicas.borrow();
+    let most = entry.connections_each(&job.service);
+    let open = replicas
+        .of(&job.service)
+        .filter(|(key, _)| entry.pool.used(*key) < most);
+    entry
+        .node
+        .with_rng(|rng| placement::choose(open, wish, now, rng))
+}
+
+fn failed(entry: &Entry, job: &mut Job, replica: ReplicaKey, failure: Failure) {
+    job.progress.ended(failure);
+    job.trail.push(failure);
+    let label = Reason {
+        reason: failure.name(),
+    };
+    entry.node.metrics.attempts.get_or_create(&label).inc();
+    let now = entry.node.clock.now();
+    let mut replicas = entry.replicas.borrow_mut();
+    if failure == Failure::Misdirected {
+        replicas.replaced(replica);
+    } else if failure.blames_replica() {
+        replicas.failed(replica, now);
+    }
+}
+
+/// What is left when no further replica gets the request.
+fn exhausted(job: &Job) -> Outcome {
+    if job.head_sent {
+        return Outcome::Cut;
+    }
+    Outcome::Refused(match job.progress.ran {
+        Ran::No => Refusal::NoReplica,
+        Ran::Unknown => Refusal::Lost,
+    })
+}
+
+async fn finish(
+    entry: &Rc<Entry>,
+    caller: &mut Wire,
+    job: Job,
+    stored: Option<Stored>,
+    outcome: Outcome,
+) -> After {
+    let close = !job.keeps || entry.node.leaving.get();
+    match outcome {
+        Outcome::Answered(status) => {
+            conclude(entry, &job, status, "answered");
+            after(!close)
+        }
+        Outcome::Cut => {
+            conclude(entry, &job, 0, "cut");
+            After::Close
+        }
+        Outcome::Gone => {
+            conclude(entry, &job, 0, "caller_gone");
+            After::Close
+        }
+        Outcome::Refused(_) if job.head_sent => {
+            conclude(entry, &job, 0, "cut");
+            After::Close
+        }
+        Outcome::Refused(refusal) => {
+            // A replica's own failure says more than ours would.
+            if let Some(stored) = stored.filter(|_| job.progress.ran == Ran::Unknown) {
+                conclude(entry, &job, stored.status(), "replica_failed");
+                let sent = stored.send(entry, caller, close).await;
+                return after(sent && !close);
+            }
+            conclude(entry, &job, refusal.row().status, refusal.row().name);
+            let head = Some(&job.received.head);
+            let sent = refuse(entry, caller, refusal, head, close).await;
+            after(sent && !close)
+        }
+    }
+}
+
+fn after(keep: bool) -> After {
+    if keep { After::Keep } else { After::Close }
+}
+
+fn count(entry: &Entry, service: &str, outcome: &'static str) {
+    let label = Ending {
+        service: service.to_owned(),
+        outcome,
+    };
+    entry.node.metrics.requests.get_or_create(&label).inc();
+}
+
+/// Counts and logs the end of a request.
+fn conclude(entry: &Entry, job: &Job, status: u16, outcome: &'static str) {
+    let now = entry.node.clock.now();
+    let metrics = &entry.node.metrics;
+    count(entry, &job.service, outcome);
+    let team = job.team.as_deref();
+    let since = |it: Time| it.since(job.received.at);
+    if let Some(first) = job.first_byte {
+        Metrics::observe(&metrics.first_byte, team, since(first));
+    }
+    Metrics::observe(&metrics.whole_answer, team, since(now));
+    let topic = if outcome == "answered" {
+        Topic::Answered
+    } else {
+        Topic::Failed
+    };
+    let Some(log) = entry.node.logs.line(topic) else {
+        return;
+    };
+    let trail: Vec<&str> = job.trail.iter().map(|it| it.name()).collect();
+    let tried = entry.names(&job.tried);
+    info!(log, "request";
+        "request" => id(entry, &job.received), "outcome" => outcome, "status" => status,
+        "route" => &*job.route.name, "service" => &*job.service, "team" => team.unwrap_or("-"),
+        "replicas" => tried.join(","), "failures" => trail.join(","),
+        "first_ms" => job.first_byte.map_or(-1, |it| since(it).as_millis() as i64),
+        "ms" => since(now).as_millis() as u64, "config" => entry.config_version(),
+        "replicas_known" => entry.replicas.borrow().len(), "resumed" => resumed(job));
+}
+
+fn resumed(job: &Job) -> bool {
+    job.route.kind == Kind::ResumableStream && job.head_sent && 1 < job.tried.len()
+}
+
+fn log_refusal(entry: &Entry, received: &Received, refusal: Refusal) {
+    let Some(log) = entry.node.logs.line(Topic::Failed) else {
+        return;
+    };
+    info!(log, "request"; "request" => id(entry, received), "outcome" => refusal.row().name,
+        "status" => refusal.row().status, "config" => entry.config_version(),
+        "host" => received.head.fields.get("host").unwrap_or("-"),
+        "path" => received.head.path());
+}
+
+fn id<'a>(entry: &Entry, received: &'a Received) -> &'a str {
+    let name = entry.node.platform.headers.request;
+    received.head.fields.get(name).unwrap_or("-")
+}
--- /dev/null
+++ b/crates/gradeloft_gateway/src/entry/lookup.rs
@@ -0,0 +1,89 @@
+//! What is asked of an entry beside requests to forward: addresses, readiness, metrics.
+
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+};
+
+use gradeloft_http::{
+    message::{Answer, Request, bytes_of, text},
+    server::{Handler, Limits, Server},
+};
+use gradeloft_wire::datagram::Presence;
+
+use super::Entry;
+use crate::{node::Node, settings::Role};
+
+/// How long callers keep addresses, in seconds: short, so that they follow a stop within its grace.
+const TTL_S: u64 = 2;
+/// Connections to each of these ports.
+const LIMITS: Limits = Limits {
+    header_bytes: 8 << 10,
+    body_bytes: 1 << 10,
+    connections: 256,
+    idle: std::time::Duration::from_secs(10),
+};
+
+/// Starts the listeners of an entry; they end when they are dropped.
+pub async fn start(entry: &Rc<Entry>) -> io::Result<Vec<Server>> {
+    let settings = entry.node.settings();
+    let Role::Entry {
+        readiness,
+        directory,
+        ..
+    } = settings.role
+    else {
+        return Ok(Vec::new());
+    };
+    let mut servers = vec![serve_metrics(&entry.node).await?];
+    let asked = Rc::clone(entry);
+    servers.push(listen(directory, move |request| lookup(&asked, request)).await?);
+    let asked = Rc::clone(entry);
+    servers.push(listen(readiness, move |request| ready(&asked, request)).await?);
+    Ok(servers)
+}
+
+/// Starts the listener for metrics.
+pub async fn serve_metrics(node: &Rc<Node>) -> io::Result<Server> {
+    let settings = node.settings();
+    let address = SocketAddr::new(IpAddr::V4(settings.address), settings.metrics_port);
+    let metrics = Rc::clone(&node.metrics);
+    listen(address, move |_| text(200, &metrics.text())).await
+}
+
+async fn listen(
+    address: SocketAddr,
+    answer: impl Fn(&Request) -> Answer + 'static,
+) -> io::Result<Server> {
+    let handler: Handler = Rc::new(move |request| {
+        let answer = answer(&request);
+        Box::pin(async move { answer })
+    });
+    Server::start(&address.to_string(), LIMITS, handler).await
+}
+
+fn lookup(entry: &Entry, request: &Request) -> Answer {
+    let directory = &entry.node.platform.directory;
+    if request.path != directory.lookup_path() {
+        return text(404, "not found\n");
+    }
+    let addresses = entry.addresses();
+    if addresses.is_empty() {
+        return text(503, "no entry is ready\n");
+    }
+    let ttl_s = TTL_S.min(entry.node.settings().max_ttl_s);
+    let body = directory.addresses(&addresses, ttl_s);
+    bytes_of(200, "application/json", body)
+}
+
+fn ready(entry: &Entry, request: &Request) -> Answer {
+    if request.path != entry.node.platform.directory.readiness_path() {
+        return text(404, "not found\n");
+    }
+    match entry.presence() {
+        Presence::Ready => text(200, "ready\n"),
+        Presence::Leaving => text(503, "leaving\n"),
+        Presence::Starting => text(503, "starting\n"),
+    }
+}
--- /dev/null
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -0,0 +1,647 @@
+//! The process that callers talk to.
+//!
+//! - [`answer`]: answers that an entry gives by itself.
+//! - [`attempt`]: one request sent to one replica.
+//! - [`forward`]: one request, from its route to its end.
+//! - [`front`]: connections of callers.
+//! - [`lookup`]: addresses, readiness, metrics.
+//! - [`relay`]: a replica's answer on its way to the caller.
+
+pub mod answer;
+pub mod attempt;
+pub mod forward;
+pub mod front;
+pub mod lookup;
+pub mod relay;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    io,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use gradeloft_daemon::transport::server::{
+    self as peer_server, Handler as PeerHandler, Outgoing, Server as PeerServer,
+};
+use gradeloft_http::server::Server;
+use gradeloft_platform::fleet::Order;
+use gradeloft_policy::{
+    clock::Time,
+    process::{
+        document::{Config, Document},
+        mirror::Record,
+        repeats::Budget,
+        replicas::{ReplicaKey, Replicas, Report},
+        roster::{Roster, State},
+    },
+    rendezvous,
+};
+use gradeloft_wire::{
+    datagram::{Datagram, Engine, Load, Presence, Sender},
+    frame::{Call, Table},
+};
+use slog::{info, warn};
+use tokio::{net::TcpListener, sync::Notify};
+
+use crate::{
+    logs::Topic,
+    node::{MAX_FRAME, Node},
+    pool::Pool,
+    settings::Role,
+};
+
+/// Pause between datagrams to other entries.
+const TELL: Duration = Duration::from_millis(250);
+/// Datagrams to other entries for each one to the agents.
+const AGENT_TURN: u32 = 4;
+/// Longest wait of one read of a table for something new.
+const WAIT_ORDERS: Duration = Duration::from_secs(4);
+const WAIT_REPLICAS: Duration = Duration::from_secs(2);
+const WAIT_ENTRIES: Duration = Duration::from_secs(8);
+/// Pause between reads of a table: well below the bound on following it, two seconds, and long
+/// enough to read several records at once, as each read is paid for.
+const PAUSE_ORDERS: Duration = Duration::from_millis(50);
+const PAUSE_REPLICAS: Duration = Duration::from_millis(800);
+const PAUSE_ENTRIES: Duration = Duration::from_secs(1);
+/// Pause between attempts to register.
+const REGISTER: Duration = Duration::from_millis(500);
+/// Part of a replica's connections that all entries together use.
+const CONNECTIONS_USED: f64 = 0.85;
+/// Part of the time for new weights after which requests need them.
+const VERSION_USED: f64 = 0.75;
+/// Time for which a leaving entry takes further connections: callers keep addresses for two seconds,
+/// and some three times as long.
+const LINGER: Duration = Duration::from_millis(3_500);
+/// Part of the grace within which a leaving entry finishes.
+const GRACE_USED: f64 = 0.9;
+/// Bounds of the listener for peers.
+const PEERS: peer_server::Limits = peer_server::Limits {
+    frame_bytes: MAX_FRAME,
+    streams: 64,
+    connections: 512,
+};
+
+/// Version of a model's weights that replicas are to serve.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Named {
+    version: u64,
+    /// When this process learned of it; `None` if it was named before the process started.
+    at: Option<Time>,
+}
+
+/// Requests of one entry at replicas, by the hash of each replica's id.
+type Loads = HashMap<u64, u16>;
+
+/// The process.
+pub struct Entry {
+    /// What it shares with agents.
+    pub node: Rc<Node>,
+    /// Configuration in force.
+    pub config: RefCell<Option<Rc<Config>>>,
+    /// Replicas.
+    pub replicas: RefCell<Replicas>,
+    /// Connections to replicas.
+    pub pool: Pool,
+    /// Told when the process begins to leave.
+    pub left: Notify,
+    roster: RefCell<Roster>,
+    weights: RefCell<HashMap<String, Named>>,
+    budgets: RefCell<HashMap<Rc<str>, Budget>>,
+    /// Requests of other entries at replicas, by entry and hash of the replica's id.
+    elsewhere: RefCell<HashMap<Ipv4Addr, Loads>>,
+    open: Cell<usize>,
+}
+
+/// A running entry.
+pub struct Handle {
+    entry: Rc<Entry>,
+    _servers: Vec<Server>,
+    _peers: PeerServer,
+}
+
+impl Entry {
+    /// Starts an entry.
+    pub async fn start(node: Rc<Node>) -> io::Result<Handle> {
+        let Role::Entry { frontend, .. } = node.settings().role else {
+            return Err(io::Error::other("the settings are not an entry's"));
+        };
+        let entry = Rc::new(Entry {
+            pool: Pool::new(node.clock),
+            node,
+            config: RefCell::default(),
+            replicas: RefCell::default(),
+            left: Notify::new(),
+            roster: RefCell::default(),
+            weights: RefCell::default(),
+            budgets: RefCell::default(),
+            elsewhere: RefCell::default(),
+            open: Cell::default(),
+        });
+        entry.meet_seeds();
+        let observing = Rc::downgrade(&entry);
+        entry.node.observe(Rc::new(move |table, records| {
+            if let Some(entry) = observing.upgrade() {
+                entry.changed(table, &records);
+            }
+        }));
+        let peers = peer_listener(&entry.node, Rc::new(Peers(Rc::clone(&entry.node)))).await?;
+        let servers = lookup::start(&entry).await?;
+        let listener = TcpListener::bind(frontend).await?;
+        entry.spawn_tasks(listener);
+        Ok(Handle {
+            entry,
+            _servers: servers,
+            _peers: peers,
+        })
+    }
+
+    fn spawn_tasks(self: &Rc<Entry>, listener: TcpListener) {
+        let node = &self.node;
+        let follow = |table, wait, pause| Rc::clone(node).follow(table, wait, pause);
+        node.scope
+            .spawn(follow(Table::Operator, WAIT_ORDERS, PAUSE_ORDERS));
+        node.scope
+            .spawn(follow(Table::Replicas, WAIT_REPLICAS, PAUSE_REPLICAS));
+        node.scope
+            .spawn(follow(Table::Entries, WAIT_ENTRIES, PAUSE_ENTRIES));
+        node.scope.spawn(accept(Rc::clone(self), listener));
+        node.scope.spawn(Rc::clone(self).tell());
+        node.scope.spawn(Rc::clone(self).listen());
+        node.scope.spawn(Rc::clone(self).register());
+    }
+
+    /// Whether it takes callers.
+    pub fn presence(&self) -> Presence {
+        if self.node.leaving.get() {
+            return Presence::Leaving;
+        }
+        let known = self.config.borrow().is_some() && !self.replicas.borrow().is_empty();
+        if known {
+            Presence::Ready
+        } else {
+            Presence::Starting
+        }
+    }
+
+    /// Addresses for callers, the own one first while it takes any.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let settings = self.node.settings();
+        let Role::Entry { frontend, .. } = settings.role else {
+            return Vec::new();
+        };
+        let now = self.node.clock.now();
+        let others = self.roster.borrow().ready(&settings.zone, now);
+        let own = (self.presence() == Presence::Ready).then_some(settings.address);
+        let all = own.into_iter().chain(others);
+        all.map(|it| SocketAddr::new(IpAddr::V4(it), frontend.port()))
+            .collect()
+    }
+
+    /// Version of the configuration in force; 0 for none.
+    pub fn config_version(&self) -> u64 {
+        let config = self.config.borrow();
+        config.as_ref().map_or(0, |it| it.document.version)
+    }
+
+    /// Where a replica listens, and its id.
+    pub fn replica_address(&self, key: ReplicaKey) -> Option<(SocketAddr, Rc<str>)> {
+        let replicas = self.replicas.borrow();
+        let listing = &replicas.get(key)?.listing;
+        Some((listing.address, Rc::clone(&listing.id)))
+    }
+
+    /// Ids of replicas, for logs.
+    pub fn names(&self, keys: &[ReplicaKey]) -> Vec<String> {
+        let replicas = self.replicas.borrow();
+        let name = |it: &ReplicaKey| replicas.get(*it).map(|it| it.listing.id.to_string());
+        let keys = keys.iter();
+        keys.map(|it| name(it).unwrap_or_else(|| "gone".to_owned()))
+            .collect()
+    }
+
+    /// Counts a request as running at a replica until the guard is dropped.
+    pub fn running(self: &Rc<Entry>, key: ReplicaKey) -> Running {
+        if let Some(replica) = self.replicas.borrow_mut().get_mut(key) {
+            replica.own += 1;
+        }
+        Running {
+            entry: Rc::clone(self),
+            key,
+        }
+    }
+
+    /// Counts a request for a service.
+    pub fn count_request(&self, service: &Rc<str>) {
+        let bounds = self.node.settings().repeats;
+        let now = self.node.clock.now();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(Rc::clone(service)).or_default();
+        budget.request(bounds, now);
+    }
+
+    /// Takes a repeat out of a service's budget.
+    pub fn take_repeat(&self, service: &Rc<str>) -> bool {
+        let bounds = self.node.settings().repeats;
+        let entries = self.roster.borrow().most();
+        let now = self.node.clock.now();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(Rc::clone(service)).or_default();
+        let taken = budget.repeat(bounds, entries, now);
+        if taken {
+            self.node.metrics.repeats.inc();
+        }
+        taken
+    }
+
+    /// Connections that this entry may have to each replica of a service.
+    pub fn connections_each(&self, service: &str) -> usize {
+        let config = self.config.borrow();
+        let most = config
+            .as_ref()
+            .and_then(|it| it.service(service))
+            .map_or(u32::MAX, |it| it.max_connections);
+        let entries = self.roster.borrow().most();
+        (f64::from(most) * CONNECTIONS_USED / entries as f64).max(1.0) as usize
+    }
+
+    /// Oldest version of weights on which a request to a service may begin now.
+    pub fn oldest_version(&self, service: &str) -> Option<u64> {
+        let config = self.config.borrow();
+        let service = config.as_ref()?.service(service)?;
+        let weights = self.weights.borrow();
+        let named = service.models.iter().find_map(|it| weights.get(it))?;
+        let settings = self.node.settings();
+        let grace_ms = (settings.version_ms as f64 * VERSION_USED) as u64;
+        let due = named.at.map_or(Time::ZERO, |it| it.after_ms(grace_ms));
+        (due <= self.node.clock.now()).then_some(named.version)
+    }
+
+    fn meet_seeds(&self) {
+        let settings = self.node.settings();
+        let mut roster = self.roster.borrow_mut();
+        for seed in &settings.seeds {
+            if *seed != settings.address {
+                roster.learn(*seed);
+            }
+        }
+    }
+
+    fn changed(&self, table: Table, records: &[Record]) {
+        match table {
+            Table::Entries => self.entries_changed(records),
+            Table::Operator => records.iter().for_each(|it| self.ordered(it)),
+            Table::Replicas => records.iter().for_each(|it| self.listed(it)),
+        }
+    }
+
+    fn entries_changed(&self, records: &[Record]) {
+        let own = self.node.settings().address;
+        let mut roster = self.roster.borrow_mut();
+        let addresses = records.iter().filter_map(|it| it.key.parse().ok());
+        for address in addresses.filter(|it| *it != own) {
+            roster.learn(address);
+        }
+    }
+
+    fn ordered(&self, record: &Record) {
+        if record.value.is_none() {
+            return;
+        }
+        match self.node.platform.decoder.order(record) {
+            Ok(Order::Config(document)) => self.configure(*document),
+            Ok(Order::Weights { model, version }) => self.name_weights(model, version),
+            Ok(Order::Other) => {}
+            Err(error) => {
+                if let Some(log) = self.node.logs.line(Topic::State) {
+                    warn!(log, "unreadable record"; "key" => &record.key, "error" => error);
+                }
+            }
+        }
+    }
+
+    fn configure(&self, document: Document) {
+        let version = document.version;
+        if version <= self.config_version() {
+            return;
+        }
+        if let Some(log) = self.node.logs.line(Topic::State) {
+            info!(log, "configuration"; "version" => version,
+                "before" => self.config_version(), "routes" => document.routes.len(),
+                "keys" => document.keys.len());
+        }
+        *self.config.borrow_mut() = Some(Rc::new(Config::new(document)));
+        self.node.metrics.config.set(version as i64);
+    }
+
+    fn name_weights(&self, model: String, version: u64) {
+        let mut weights = self.weights.borrow_mut();
+        if weights.get(&model).is_some_and(|it| version <= it.version) {
+            return;
+        }
+        if let Some(log) = self.node.logs.line(Topic::Weights) {
+            info!(log, "weights named"; "model" => &model, "version" => version);
+        }
+        let started = !self.node.loaded(Table::Operator) || self.config.borrow().is_none();
+        let at = (!started).then(|| self.node.clock.now());
+        weights.insert(model, Named { version, at });
+    }
+
+    fn listed(&self, record: &Record) {
+        let now = self.node.clock.now();
+        let mut replicas = self.replicas.borrow_mut();
+        if record.value.is_none() {
+            let trust = self.node.trust();
+            replicas.unlist(&record.key, trust, now);
+            if let Some(log) = self.node.logs.line(Topic::State) {
+                info!(log, "replica unlisted"; "replica" => &record.key, "trust" => ?trust,
+                    "offset" => record.offset);
+            }
+            return;
+        }
+        match self.node.platform.decoder.listing(record) {
+            Ok(listing) => {
+                let before = replicas.state(&listing.id);
+                let after = (listing.draining, listing.version);
+                if before != Some(after)
+                    && let Some(log) = self.node.logs.line(Topic::State)
+                {
+                    info!(log, "replica listed"; "replica" => &*listing.id,
+                        "service" => &*listing.service, "address" => %listing.address,
+                        "draining" => listing.draining, "version" => ?listing.version,
+                        "offset" => record.offset);
+                }
+                replicas.list(listing);
+            }
+            Err(error) => {
+                if let Some(log) = self.node.logs.line(Topic::State) {
+                    warn!(log, "unreadable record"; "key" => &record.key, "error" => error);
+                }
+            }
+        }
+    }
+
+    /// Writes this entry into the table of entries, so that later ones find it without seeds.
+    async fn register(self: Rc<Entry>) {
+        let settings = self.node.settings();
+        let key = settings.address.to_string();
+        let value = Bytes::from(settings.zone.clone());
+        loop {
+            self.node.metrics.store_calls.inc();
+            let written = self.node.platform.store.register(&key, value.clone()).await;
+            match written {
+                Ok(()) => return,
+                Err(fault) => {
+                    self.node.metrics.store_faults.inc();
+                    if let Some(log) = self.node.logs.line(Topic::Dependency) {
+                        warn!(log, "not registered"; "fault" => %fault);
+                    }
+                }
+            }
+            actix_rt::time::sleep(REGISTER).await;
+        }
+    }
+
+    async fn tell(self: Rc<Entry>) {
+        let mut turn = 0;
+        loop {
+            self.tell_once(turn % AGENT_TURN == 0);
+            self.upkeep();
+            turn += 1;
+            tokio::select! {
+                () = actix_rt::time::sleep(TELL) => {}
+                () = self.left.notified() => {}
+            }
+        }
+    }
+
+    fn tell_once(&self, agents: bool) {
+        let entries: Vec<Ipv4Addr> = self.roster.borrow().addresses().collect();
+        let sender = Sender::Entry {
+            presence: self.presence(),
+            loads: self.loads(),
+            entries: entries.clone(),
+        };
+        let mut to = entries;
+        if agents {
+            to.extend(self.agents());
+        }
+        self.node.tell(sender, to.into_iter());
+    }
+
+    /// Instances on which agents run: those of the replicas that hold a model.
+    fn agents(&self) -> Vec<Ipv4Addr> {
+        let replicas = self.replicas.borrow();
+        let models = replicas.iter().filter(|(_, it)| it.listing.has_model);
+        models
+            .filter_map(|(_, it)| match it.listing.address {
+                SocketAddr::V4(address) => Some(*address.ip()),
+                SocketAddr::V6(_) => None,
+            })
+            .collect()
+    }
+
+    fn loads(&self) -> Vec<Load> {
+        let replicas = self.replicas.borrow();
+        let busy = replicas.iter().filter(|(_, it)| 0 < it.own);
+        busy.map(|(_, it)| Load {
+            replica: rendezvous::hash(it.listing.id.as_bytes()),
+            running: it.own.min(u32::from(u16::MAX)) as u16,
+        })
+        .collect()
+    }
+
+    /// Lets go of what has become old.
+    fn upkeep(&self) {
+        let now = self.node.clock.now();
+        for id in self.replicas.borrow_mut().expire(now) {
+            if let Some(log) = self.node.logs.line(Topic::State) {
+                info!(log, "replica gone"; "replica" => &*id);
+            }
+        }
+        let replicas = self.replicas.borrow();
+        self.pool.expire(|it| replicas.get(it).is_some());
+        drop(replicas);
+        let seeds = self.node.settings().seeds.clone();
+        self.roster
+            .borrow_mut()
+            .forget(|it| seeds.contains(&it), now);
+        self.sum_elsewhere(now);
+    }
+
+    /// Sums the requests that other entries have at each replica.
+    fn sum_elsewhere(&self, now: Time) {
+        let mut elsewhere = self.elsewhere.borrow_mut();
+        let roster = self.roster.borrow();
+        elsewhere.retain(|address, _| roster.alive(*address, now));
+        let mut sums: HashMap<u64, u32> = HashMap::new();
+        for loads in elsewhere.values() {
+            for (replica, running) in loads {
+                *sums.entry(*replica).or_default() += u32::from(*running);
+            }
+        }
+        self.replicas.borrow_mut().set_others(|id| {
+            let hash = rendezvous::hash(id.as_bytes());
+            sums.get(&hash).copied().unwrap_or_default()
+        });
+    }
+
+    async fn listen(self: Rc<Entry>) {
+        loop {
+            let (from, datagram) = self.node.heard().await;
+            self.heard(from, datagram);
+        }
+    }
+
+    fn heard(&self, from: Ipv4Addr, datagram: Datagram) {
+        let now = self.node.clock.now();
+        match datagram.sender {
+            Sender::Agent { replica, engine } => {
+                self.agent_told(SocketAddr::V4(replica), engine, now);
+            }
+            Sender::Entry {
+                presence,
+                loads,
+                entries,
+            } => {
+                self.entry_told(from, datagram.incarnation, &datagram.zone, presence, now);
+                self.learn(&entries);
+                let loads = loads.into_iter().map(|it| (it.replica, it.running));
+                self.elsewhere.borrow_mut().insert(from, loads.collect());
+            }
+        }
+        self.node.heard_ends(from, datagram.ends);
+    }
+
+    fn entry_told(
+        &self,
+        from: Ipv4Addr,
+        incarnation: u64,
+        zone: &str,
+        presence: Presence,
+        now: Time,
+    ) {
+        let state = match presence {
+            Presence::Leaving => State::Leaving,
+            Presence::Ready => State::Ready,
+            Presence::Starting => State::Starting,
+        };
+        let mut roster = self.roster.borrow_mut();
+        roster.heard(from, incarnation, zone, state, now);
+    }
+
+    fn learn(&self, entries: &[Ipv4Addr]) {
+        let own = self.node.settings().address;
+        let mut roster = self.roster.borrow_mut();
+        for address in entries.iter().filter(|it| **it != own) {
+            roster.learn(*address);
+        }
+    }
+
+    fn agent_told(&self, address: SocketAddr, engine: Option<Engine>, now: Time) {
+        let Some(engine) = engine else {
+            return;
+        };
+        let report = Report {
+            version: engine.version,
+            loading: engine.loading,
+            active: engine.active,
+            queued: engine.queued,
+            at: now,
+        };
+        self.replicas.borrow_mut().report_at(address, report);
+    }
+}
+
+/// A request that runs at a replica.
+pub struct Running {
+    entry: Rc<Entry>,
+    key: ReplicaKey,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if let Some(replica) = self.entry.replicas.borrow_mut().get_mut(self.key) {
+            replica.own -= 1;
+        }
+    }
+}
+
+/// Starts the listener for peers on the instance's peer port.
+pub async fn peer_listener(
+    node: &Rc<Node>,
+    handler: Rc<dyn PeerHandler>,
+) -> io::Result<PeerServer> {
+    let address = node.peer_address(node.settings().address);
+    PeerServer::start(&address, PEERS, Rc::clone(&node.scope), handler).await
+}
+
+struct Peers(Rc<Node>);
+
+impl PeerHandler for Peers {
+    fn call(&self, call: Call, outgoing: Outgoing) {
+        // Other calls are for agents; dropping the answer tells the caller so.
+        if let Call::Records { table, from } = call {
+            let node = Rc::clone(&self.0);
+            let scope = Rc::clone(&node.scope);
+            scope.spawn(async move { node.give_records(table, from, outgoing).await });
+        }
+    }
+
+    fn malformed(&self) {
+        if let Some(log) = self.0.logs.line(Topic::State) {
+            warn!(log, "peer sent no frame");
+        }
+    }
+}
+
+async fn accept(entry: Rc<Entry>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of file descriptors, most likely: let some go first.
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        entry.open.set(entry.open.get() + 1);
+        let serving = Rc::clone(&entry);
+        entry.node.scope.spawn(async move {
+            front::serve(Rc::clone(&serving), stream).await;
+            serving.open.set(serving.open.get() - 1);
+        });
+    }
+}
+
+impl Handle {
+    /// Takes no callers any more, finishes what runs; gives how many connections were cut off.
+    pub async fn leave(self) -> usize {
+        let entry = &self.entry;
+        let node = &entry.node;
+        node.leaving.set(true);
+        info!(node.logs.root, "leaving"; "open" => entry.open.get());
+        entry.left.notify_waiters();
+        let grace_ms = (node.settings().grace_ms as f64 * GRACE_USED) as u64;
+        let started = node.clock.now();
+        let linger = started.after(LINGER);
+        let end = started.after_ms(grace_ms);
+        loop {
+            let now = node.clock.now();
+            if end <= now || (linger <= now && entry.open.get() == 0) {
+                break;
+            }
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+            entry.left.notify_waiters();
+        }
+        let cut = entry.open.get();
+        info!(node.logs.root, "left"; "cut_off" => cut);
+        node.scope.end();
+        cut
+    }
+
+    /// The entry.
+    pub fn entry(&self) -> &Rc<Entry> {
+        &self.entry
+    }
+}
--- /dev/null
+++ b/crates/gradeloft_gateway/src/h1/head.rs
@@ -0,0 +1,210 @@
+//! Heads of requests and answers.
+
+use bytes::{BufMut, Bytes, BytesMut};
+
+use super::Malformed;
+
+/// Most headers in one head.
+const MAX_HEADERS: usize = 96;
+
+/// Headers that concern one connection only and are never passed on.
+const HOP_BY_HOP: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// A header as it was received.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Header {
+    /// Name, in the sender's case.
+    pub name: Bytes,
+    /// Value.
+    pub value: Bytes,
+}
+
+/// Headers in the order in which they came.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Fields(pub Vec<Header>);
+
+impl Fields {
+    /// Value of the first header with this name.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        let named = |it: &&Header| it.name.eq_ignore_ascii_case(name.as_bytes());
+        let found = self.0.iter().find(named)?;
+        std::str::from_utf8(&found.value).ok()
+    }
+
+    /// Values of all headers with this name.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let named = move |it: &&Header| it.name.eq_ignore_ascii_case(name.as_bytes());
+        self.0.iter().filter(named).map(|it| &it.value[..])
+    }
+
+    /// Whether a comma-separated header holds a word.
+    pub fn has_word(&self, name: &str, word: &str) -> bool {
+        self.all(name).any(|value| {
+            let mut words = value.split(|it| *it == b',');
+            words.any(|it| it.trim_ascii().eq_ignore_ascii_case(word.as_bytes()))
+        })
+    }
+
+    /// The headers to pass on: those that concern one connection are left out, and so are those
+    /// that `drop` names.
+    pub fn forwarded<'a>(&'a self, drop: &'a [&str]) -> impl Iterator<Item = &'a Header> {
+        self.0.iter().filter(move |it| {
+            let is = |name: &str| it.name.eq_ignore_ascii_case(name.as_bytes());
+            let hop = HOP_BY_HOP.iter().any(|name| is(name));
+            let listed = || {
+                std::str::from_utf8(&it.name).is_ok_and(|name| self.has_word("connection", name))
+            };
+            !hop && !drop.iter().any(|name| is(name)) && !listed()
+        })
+    }
+}
+
+/// Head of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Request {
+    /// Method.
+    pub method: Bytes,
+    /// Path and query.
+    pub target: Bytes,
+    /// Whether it is HTTP/1.1 rather than 1.0.
+    pub modern: bool,
+    /// Headers.
+    pub fields: Fields,
+}
+
+impl Request {
+    /// Path without the query.
+    pub fn path(&self) -> &str {
+        let end = self.target.iter().position(|it| *it == b'?');
+        let path = &self.target[..end.unwrap_or(self.target.len())];
+        std::str::from_utf8(path).unwrap_or_default()
+    }
+
+    /// Whether the connection may carry another request after this one.
+    pub fn keeps(&self) -> bool {
+        keeps(self.modern, &self.fields)
+    }
+}
+
+/// Head of an answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Response {
+    /// Status.
+    pub status: u16,
+    /// Reason phrase.
+    pub reason: Bytes,
+    /// Whether it is HTTP/1.1 rather than 1.0.
+    pub modern: bool,
+    /// Headers.
+    pub fields: Fields,
+}
+
+impl Response {
+    /// Whether the connection may carry another request after this answer.
+    pub fn keeps(&self) -> bool {
+        keeps(self.modern, &self.fields)
+    }
+
+    /// How long the other side keeps the connection open without a request, in milliseconds.
+    pub fn keep_alive_ms(&self) -> Option<u64> {
+        let value = self.fields.get("keep-alive")?;
+        let timeout = value
+            .split(',')
+            .find_map(|it| it.trim().strip_prefix("timeout="))?;
+        timeout.trim().parse::<u64>().ok().map(|it| it * 1000)
+    }
+}
+
+fn keeps(modern: bool, fields: &Fields) -> bool {
+    if modern {
+        !fields.has_word("connection", "close")
+    } else {
+        fields.has_word("connection", "keep-alive")
+    }
+}
+
+/// Takes the head of a request off the front of `buffer`; `None` while it is not whole.
+pub fn request(buffer: &mut BytesMut) -> Result<Option<Request>, Malformed> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Request::new(&mut headers);
+    let length = match parsed.parse(buffer).map_err(|_| Malformed)? {
+        httparse::Status::Complete(length) => length,
+        httparse::Status::Partial => return Ok(None),
+    };
+    let method = span(buffer, parsed.method.unwrap_or_default().as_bytes());
+    let target = span(buffer, parsed.path.unwrap_or_default().as_bytes());
+    let modern = parsed.version == Some(1);
+    let spans = spans(buffer, parsed.headers);
+    let bytes = buffer.split_to(length).freeze();
+    Ok(Some(Request {
+        method: bytes.slice(method),
+        target: bytes.slice(target),
+        modern,
+        fields: fields(&bytes, spans),
+    }))
+}
+
+/// Takes the head of an answer off the front of `buffer`; `None` while it is not whole.
+pub fn response(buffer: &mut BytesMut) -> Result<Option<Response>, Malformed> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Response::new(&mut headers);
+    let length = match parsed.parse(buffer).map_err(|_| Malformed)? {
+        httparse::Status::Complete(length) => length,
+        httparse::Status::Partial => return Ok(None),
+    };
+    let reason = span(buffer, parsed.reason.unwrap_or_default().as_bytes());
+    let modern = parsed.version == Some(1);
+    let status = parsed.code.unwrap_or_default();
+    let spans = spans(buffer, parsed.headers);
+    let bytes = buffer.split_to(length).freeze();
+    Ok(Some(Response {
+        status,
+        reason: bytes.slice(reason),
+        modern,
+        fields: fields(&bytes, spans),
+    }))
+}
+
+type Span = std::ops::Range<usize>;
+
+/// Where `part` lies in `whole`; an empty part lies at the front.
+fn span(whole: &[u8], part: &[u8]) -> Span {
+    if part.is_empty() {
+        return 0..0;
+    }
+    let start = part.as_ptr() as usize - whole.as_ptr() as usize;
+    start..start + part.len()
+}
+
+fn spans(whole: &[u8], headers: &[httparse::Header<'_>]) -> Vec<(Span, Span)> {
+    let headers = headers.iter();
+    headers
+        .map(|it| (span(whole, it.name.as_bytes()), span(whole, it.value)))
+        .collect()
+}
+
+fn fields(bytes: &Bytes, spans: Vec<(Span, Span)>) -> Fields {
+    let spans = spans.into_iter();
+    let headers = spans.map(|(name, value)| Header {
+        name: bytes.slice(name),
+        value: bytes.slice(value),
+    });
+    Fields(headers.collect())
+}
+
+/// Writes a header.
+pub fn put(out: &mut BytesMut, name: &[u8], value: &[u8]) {
+    out.put_slice(name);
+    out.put_slice(b": ");
+    out.put_slice(value);
+    out.put_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/gradeloft_gateway/src/h1/wire.rs
@@ -0,0 +1,114 @@
+//! A connection and what has been read from it.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use bytes::BytesMut;
+use socket2::SockRef;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt, Interest},
+    net::{TcpSocket, TcpStream},
+};
+
+/// Bytes read at once.
+const READ_BYTES: usize = 8 << 10;
+/// Bytes kept from a caller that sends ahead of its answers.
+const MAX_AHEAD: usize = 64 << 10;
+/// Time after which data that the other machine does not acknowledge ends a connection.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(4);
+
+/// A connection and what has been read from it but not used.
+#[derive(Debug)]
+pub struct Wire {
+    stream: TcpStream,
+    /// Received and not used.
+    pub buffer: BytesMut,
+}
+
+impl Wire {
+    /// Takes a connection over.
+    pub fn new(stream: TcpStream) -> Wire {
+        // Both only make failures show sooner; a connection without them still works.
+        let _ = stream.set_nodelay(true);
+        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+        Wire {
+            stream,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// Connects.
+    pub async fn connect(address: SocketAddr) -> io::Result<Wire> {
+        let socket = TcpSocket::new_v4()?;
+        Ok(Wire::new(socket.connect(address).await?))
+    }
+
+    /// Reads what comes next into the buffer; 0 at the connection's end.
+    pub async fn fill(&mut self) -> io::Result<usize> {
+        self.buffer.reserve(READ_BYTES);
+        self.stream.read_buf(&mut self.buffer).await
+    }
+
+    /// Sends all of `bytes`.
+    pub async fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    /// Waits until the other side has gone; what it sends meanwhile is kept.
+    pub async fn gone(&mut self) {
+        loop {
+            if MAX_AHEAD < self.buffer.len() {
+                return std::future::pending().await;
+            }
+            match self.fill().await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+    }
+
+    /// Whether nothing came since the last answer and the connection is open, as far as can be told
+    /// without waiting.
+    pub fn quiet(&mut self) -> bool {
+        if !self.buffer.is_empty() {
+            return false;
+        }
+        let mut byte = [0; 1];
+        let read = self.stream.try_read(&mut byte);
+        read.is_err_and(|it| it.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Makes progress in either direction: sends some of `pending`, or reads some. Gives how many
+    /// bytes were sent, or how many were read.
+    pub async fn exchange(&mut self, pending: &[u8]) -> io::Result<Moved> {
+        let interest = if pending.is_empty() {
+            Interest::READABLE
+        } else {
+            Interest::READABLE | Interest::WRITABLE
+        };
+        loop {
+            if !pending.is_empty() {
+                match self.stream.try_write(pending) {
+                    Ok(sent) => return Ok(Moved::Sent(sent)),
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(error) => return Err(error),
+                }
+            }
+            self.buffer.reserve(READ_BYTES);
+            match self.stream.try_read_buf(&mut self.buffer) {
+                Ok(read) => return Ok(Moved::Read(read)),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+            }
+            self.stream.ready(interest).await?;
+        }
+    }
+}
+
+/// What [`Wire::exchange`] did.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Moved {
+    /// Read so many bytes; 0 at the connection's end.
+    Read(usize),
+    /// Sent so many bytes.
+    Sent(usize),
+}
--- /dev/null
+++ b/crates/gradeloft_gateway/src/metrics.rs
@@ -0,0 +1,160 @@
+//! Counters and histograms of a process, in the OpenMetrics text format.
+//!
+//! Labels take their values from the configuration in force and from closed lists, so that what
+//! callers send can't grow them.
+
+use std::{rc::Rc, time::Duration};
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// How a request of a team ended.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Ending {
+    /// Service; `-` without a route.
+    pub service: String,
+    /// From a closed list.
+    pub outcome: &'static str,
+}
+
+/// A team.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Team {
+    /// Name; `-` for requests without one.
+    pub team: String,
+}
+
+/// Why something happened, from a closed list.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Reason {
+    /// The reason.
+    pub reason: &'static str,
+}
+
+/// Histograms of seconds, one for each team.
+type Timing = Family<Team, Histogram, fn() -> Histogram>;
+
+/// All metrics of a process.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by how they ended.
+    pub requests: Family<Ending, Counter>,
+    /// Seconds until an answer begins.
+    pub first_byte: Timing,
+    /// Seconds until an answer is whole.
+    pub whole_answer: Timing,
+    /// Failed attempts, by failure.
+    pub attempts: Family<Reason, Counter>,
+    /// Requests that were sent again.
+    pub repeats: Counter,
+    /// Connections made to replicas.
+    pub connections: Counter,
+    /// Calls to the platform's store.
+    pub store_calls: Counter,
+    /// Calls to the platform's store that failed.
+    pub store_faults: Counter,
+    /// Version of the configuration in force.
+    pub config: Gauge,
+    /// Version of the weights that the replica beside an agent holds.
+    pub weights: Gauge,
+    /// Pieces of weights fetched, by source.
+    pub pieces: Family<Reason, Counter>,
+}
+
+impl Metrics {
+    /// All at zero.
+    pub fn new() -> Rc<Metrics> {
+        let mut it = Metrics {
+            registry: Registry::with_prefix("gradeloft"),
+            requests: Family::default(),
+            first_byte: Family::new_with_constructor(seconds as fn() -> Histogram),
+            whole_answer: Family::new_with_constructor(seconds as fn() -> Histogram),
+            attempts: Family::default(),
+            repeats: Counter::default(),
+            connections: Counter::default(),
+            store_calls: Counter::default(),
+            store_faults: Counter::default(),
+            config: Gauge::default(),
+            weights: Gauge::default(),
+            pieces: Family::default(),
+        };
+        it.register();
+        Rc::new(it)
+    }
+
+    /// The metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+
+    /// Observes a time of a team's request.
+    pub fn observe(family: &Timing, team: Option<&str>, time: Duration) {
+        let label = Team {
+            team: team.unwrap_or("-").to_owned(),
+        };
+        family.get_or_create(&label).observe(time.as_secs_f64());
+    }
+
+    fn register(&mut self) {
+        let it = &mut self.registry;
+        it.register(
+            "requests",
+            "Requests by how they ended",
+            self.requests.clone(),
+        );
+        it.register(
+            "first_byte_seconds",
+            "Time until an answer begins",
+            self.first_byte.clone(),
+        );
+        it.register(
+            "whole_answer_seconds",
+            "Time until an answer is whole",
+            self.whole_answer.clone(),
+        );
+        it.register("failed_attempts", "Failed attempts", self.attempts.clone());
+        it.register("repeats", "Requests sent again", self.repeats.clone());
+        it.register(
+            "connections",
+            "Connections made to replicas",
+            self.connections.clone(),
+        );
+        it.register(
+            "store_calls",
+            "Calls to the store",
+            self.store_calls.clone(),
+        );
+        it.register(
+            "store_faults",
+            "Failed calls to the store",
+            self.store_faults.clone(),
+        );
+        it.register(
+            "config_version",
+            "Configuration in force",
+            self.config.clone(),
+        );
+        it.register(
+            "weights_version",
+            "Weights held by the replica",
+            self.weights.clone(),
+        );
+        it.register("pieces", "Pieces of weights fetched", self.pieces.clone());
+    }
+}
+
+fn seconds() -> Histogram {
+    // From two milliseconds to eight seconds, beyond every deadline of today.
+    Histogram::new(exponential_buckets(0.002, 2.0, 13))
+}
--- /dev/null
+++ b/crates/gradeloft_gateway/src/node.rs
@@ -0,0 +1,384 @@
+//! What entries and agents share: copies of the platform's tables, peers, datagrams.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    rc::Rc,
+    time::{Duration, SystemTime},
+};
+
+use bytes::Bytes;
+use gradeloft_daemon::{
+    clock::Clock,
+    scope::Scope,
+    transport::{
+        client::{Lane, Pool},
+        server::Outgoing,
+    },
+};
+use gradeloft_platform::fleet::{Decoder, Directory, Engine, Followed, Headers, Origin, Store};
+use gradeloft_policy::{
+    clock::Time,
+    process::{
+        mirror::{Mirror, Record, Update},
+        replicas::Trust,
+    },
+};
+use gradeloft_wire::{
+    codec,
+    datagram::{Datagram, MAX_BYTES, Sender},
+    frame::{Call, Reply, Row, Table},
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use slog::{info, warn};
+use tokio::{net::UdpSocket, sync::Notify};
+
+use crate::{
+    logs::{Logs, Topic},
+    metrics::Metrics,
+    settings::Settings,
+};
+
+/// Largest frame between processes, in bytes: the largest record of the store, and room for its key.
+pub const MAX_FRAME: usize = 1 << 20;
+/// Time to connect to a peer: far above the links' delays.
+const PEER_CONNECT: Duration = Duration::from_millis(500);
+/// Time for a peer to answer a call for records.
+const PEER_ANSWER: Duration = Duration::from_millis(1_500);
+/// First and longest pause after a failed call to the store.
+const FIRST_PAUSE_MS: u64 = 150;
+const MAX_PAUSE_MS: u64 = 1_000;
+/// Time since a failure within which the store may have dropped replicas that live.
+const DOUBT_MS: u64 = 3_000;
+
+/// What the composition root gives a process: adapters to its platform.
+#[derive(Clone)]
+pub struct Platform {
+    /// Tables.
+    pub store: Rc<dyn Store>,
+    /// Reads the platform's records.
+    pub decoder: Rc<dyn Decoder>,
+    /// Answers to questions for addresses and readiness.
+    pub directory: Rc<dyn Directory>,
+    /// Origin of weights.
+    pub origin: Rc<dyn Origin>,
+    /// Engine beside this process, for agents.
+    pub engine: Option<Rc<dyn Engine>>,
+    /// Names of headers.
+    pub headers: Headers,
+}
+
+/// Learns what changed in a table.
+pub type Observer = Rc<dyn Fn(Table, Vec<Record>)>;
+
+/// A process, whatever its role.
+pub struct Node {
+    /// Settings.
+    pub settings: RefCell<Rc<Settings>>,
+    /// Adapters.
+    pub platform: Platform,
+    /// Log.
+    pub logs: Logs,
+    /// Metrics.
+    pub metrics: Rc<Metrics>,
+    /// Clock.
+    pub clock: Clock,
+    /// Tasks.
+    pub scope: Rc<Scope>,
+    /// Connections to peers.
+    pub peers: Pool,
+    /// Set once SIGTERM came.
+    pub leaving: Cell<bool>,
+    copies: RefCell<[Mirror; 3]>,
+    /// Tables that are being read from a peer.
+    asking: Cell<[bool; 3]>,
+    store_failed: Cell<Option<Time>>,
+    store_lost: Cell<bool>,
+    observer: RefCell<Option<Observer>>,
+    socket: UdpSocket,
+    incarnation: u64,
+    rng: RefCell<ChaCha8Rng>,
+    /// Told when a table changed.
+    pub changed: Notify,
+}
+
+impl Node {
+    /// A process that is about to start.
+    pub async fn new(
+        settings: Settings,
+        platform: Platform,
+        logs: Logs,
+        clock: Clock,
+    ) -> io::Result<Rc<Node>> {
+        let own = SocketAddrV4::new(settings.address, settings.peer_port);
+        let socket = UdpSocket::bind(own).await?;
+        let mut seed = [0; 8];
+        getrandom::fill(&mut seed).map_err(io::Error::other)?;
+        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let incarnation = since.unwrap_or_default().as_millis() as u64;
+        Ok(Rc::new(Node {
+            settings: RefCell::new(Rc::new(settings)),
+            platform,
+            logs,
+            metrics: Metrics::new(),
+            clock,
+            scope: Rc::default(),
+            peers: Pool::new(MAX_FRAME, PEER_CONNECT, None),
+            leaving: Cell::new(false),
+            copies: RefCell::default(),
+            asking: Cell::default(),
+            store_failed: Cell::default(),
+            store_lost: Cell::default(),
+            observer: RefCell::default(),
+            socket,
+            incarnation,
+            rng: RefCell::new(ChaCha8Rng::seed_from_u64(u64::from_le_bytes(seed))),
+            changed: Notify::new(),
+        }))
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> Rc<Settings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Sets who learns what changed.
+    pub fn observe(&self, observer: Observer) {
+        *self.observer.borrow_mut() = Some(observer);
+    }
+
+    /// Runs a decision that needs randomness.
+    pub fn with_rng<T>(&self, run: impl FnOnce(&mut ChaCha8Rng) -> T) -> T {
+        run(&mut self.rng.borrow_mut())
+    }
+
+    /// Whether the copy of a table has ever been brought up to date.
+    pub fn loaded(&self, table: Table) -> bool {
+        self.copies.borrow()[index(table)].loaded()
+    }
+
+    /// Whether a removal may be an error of the store's.
+    pub fn trust(&self) -> Trust {
+        let now = self.clock.now();
+        let failed = self.store_failed.get();
+        match failed {
+            Some(at) if now < at.after_ms(DOUBT_MS) => Trust::Doubtful,
+            _ => Trust::Sound,
+        }
+    }
+
+    /// Newest records of a table.
+    pub fn records(&self, table: Table) -> Vec<Record> {
+        let copies = self.copies.borrow();
+        copies[index(table)].records().cloned().collect()
+    }
+
+    fn end(&self, table: Table) -> u64 {
+        self.copies.borrow()[index(table)].end()
+    }
+
+    fn apply(&self, table: Table, update: Update) {
+        let changed = self.copies.borrow_mut()[index(table)].apply(update);
+        if changed.is_empty() {
+            return;
+        }
+        let observer = self.observer.borrow().clone();
+        if let Some(observer) = observer {
+            observer(table, changed);
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Keeps the copy of a table up to date from the store, with `pause` between reads.
+    pub async fn follow(self: Rc<Node>, table: Table, wait: Duration, pause: Duration) {
+        let mut failures = 0;
+        let mut fresh = false;
+        loop {
+            self.metrics.store_calls.inc();
+            let read = self.read(table, &mut fresh, wait).await;
+            match read {
+                Ok(()) => {
+                    failures = 0;
+                    self.store_answered();
+                    actix_rt::time::sleep(pause).await;
+                }
+                Err(fault) => {
+                    self.store_fault(table, &fault);
+                    let longest = (FIRST_PAUSE_MS << failures).min(MAX_PAUSE_MS);
+                    failures = (failures + 1).min(6);
+                    let pause = self.with_rng(|it| it.random_range(longest / 2..=longest));
+                    actix_rt::time::sleep(Duration::from_millis(pause)).await;
+                }
+            }
+        }
+    }
+
+    async fn read(
+        &self,
+        table: Table,
+        fresh: &mut bool,
+        wait: Duration,
+    ) -> Result<(), gradeloft_platform::Fault> {
+        let store = &self.platform.store;
+        if !*fresh {
+            let update = store.snapshot(table).await?;
+            *fresh = true;
+            self.apply(table, update);
+            return Ok(());
+        }
+        let wait_ms = wait.as_millis() as u64;
+        match store.follow(table, self.end(table), wait_ms).await? {
+            Followed::Dropped => *fresh = false,
+            Followed::Update(update) => self.apply(table, update),
+        }
+        Ok(())
+    }
+
+    /// Reads a table whole from the store, once.
+    pub async fn read_snapshot(&self, table: Table) {
+        self.metrics.store_calls.inc();
+        match self.platform.store.snapshot(table).await {
+            Ok(update) => self.apply(table, update),
+            Err(fault) => self.store_fault(table, &fault),
+        }
+    }
+
+    fn store_answered(&self) {
+        if self.store_lost.replace(false)
+            && let Some(log) = self.logs.line(Topic::Dependency)
+        {
+            info!(log, "store regained");
+        }
+    }
+
+    fn store_fault(&self, table: Table, fault: &gradeloft_platform::Fault) {
+        self.metrics.store_faults.inc();
+        self.store_failed.set(Some(self.clock.now()));
+        if !self.store_lost.replace(true)
+            && let Some(log) = self.logs.line(Topic::Dependency)
+        {
+            warn!(log, "store lost"; "table" => ?table, "fault" => %fault);
+        }
+    }
+
+    /// Answers a peer's call for records.
+    pub async fn give_records(&self, table: Table, from: u64, outgoing: Outgoing) {
+        let update = self.copies.borrow()[index(table)].since(from);
+        let rows = update.records.into_iter().map(|it| Row {
+            key: it.key,
+            value: it.value.map(|it| it.to_vec()),
+            offset: it.offset,
+        });
+        let reply = Reply::Records {
+            snapshot: update.snapshot,
+            rows: rows.collect(),
+            end: update.end,
+        };
+        outgoing.finish(&reply).await;
+    }
+
+    /// A peer's copies go up to `ends`: reads from it what this process lacks.
+    pub fn heard_ends(self: &Rc<Node>, peer: Ipv4Addr, ends: [u64; 3]) {
+        for table in Table::ALL {
+            let behind = self.end(table) < ends[index(table)];
+            let mut asking = self.asking.get();
+            if !behind || asking[index(table)] || !self.follows(table) {
+                continue;
+            }
+            asking[index(table)] = true;
+            self.asking.set(asking);
+            let node = Rc::clone(self);
+            self.scope.spawn(async move {
+                node.ask_records(peer, table).await;
+                let mut asking = node.asking.get();
+                asking[index(table)] = false;
+                node.asking.set(asking);
+            });
+        }
+    }
+
+    /// Agents need replicas only while they fetch weights, and entries never.
+    fn follows(&self, table: Table) -> bool {
+        match self.settings.borrow().role {
+            crate::settings::Role::Agent { .. } => table == Table::Operator,
+            crate::settings::Role::Entry { .. } => true,
+        }
+    }
+
+    /// Reads what this process lacks of a table from a peer; gives whether the peer answered.
+    pub async fn ask_records(&self, peer: Ipv4Addr, table: Table) -> bool {
+        let address = self.peer_address(peer);
+        let from = self.end(table);
+        let call = Call::Records { table, from };
+        let asked = self.peers.ask(&address, Lane::Live, &call);
+        let reply = tokio::time::timeout(PEER_ANSWER, asked).await;
+        let Ok(Ok(Reply::Records {
+            snapshot,
+            rows,
+            end,
+        })) = reply
+        else {
+            return false;
+        };
+        let records = rows.into_iter().map(|it| Record {
+            key: it.key,
+            value: it.value.map(Bytes::from),
+            offset: it.offset,
+        });
+        let update = Update {
+            snapshot,
+            records: records.collect(),
+            end,
+        };
+        self.apply(table, update);
+        true
+    }
+
+    /// Where the process on an instance listens for peers.
+    pub fn peer_address(&self, peer: Ipv4Addr) -> String {
+        SocketAddr::from((peer, self.settings.borrow().peer_port)).to_string()
+    }
+
+    /// Sends this process's state to others. A datagram that can't be sent is as good as lost.
+    pub fn tell(&self, sender: Sender, to: impl Iterator<Item = Ipv4Addr>) {
+        let settings = self.settings();
+        let datagram = Datagram {
+            incarnation: self.incarnation,
+            zone: settings.zone.clone(),
+            ends: Table::ALL.map(|it| self.end(it)),
+            sender,
+        };
+        let bytes = codec::body(&datagram);
+        for address in to {
+            let to = SocketAddrV4::new(address, settings.peer_port);
+            let _ = self.socket.try_send_to(&bytes, to.into());
+        }
+    }
+
+    /// The next datagram, and who sent it.
+    pub async fn heard(&self) -> (Ipv4Addr, Datagram) {
+        let mut buffer = [0; MAX_BYTES];
+        loop {
+            let received = self.socket.recv_from(&mut buffer).await;
+            let Ok((length, SocketAddr::V4(from))) = received else {
+                // An earlier datagram was refused, most likely.
+                tokio::task::yield_now().await;
+                continue;
+            };
+            if let Ok(datagram) = codec::parse(&buffer[..length]) {
+                return (*from.ip(), datagram);
+            }
+        }
+    }
+}
+
+/// Position of a table in arrays of one value for each.
+fn index(table: Table) -> usize {
+    match table {
+        Table::Entries => 0,
+        Table::Operator => 1,
+        Table::Replicas => 2,
+    }
+}
--- /dev/null
+++ b/crates/gradeloft_platform/src/fleet.rs
@@ -0,0 +1,150 @@
+//! A platform that keeps tables of records, and model engines that take weights in numbered pieces.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use gradeloft_policy::process::{
+    document::Document,
+    mirror::{Record, Update},
+    replicas::Listing,
+};
+use gradeloft_wire::{frame::Table, id::Digest};
+
+use crate::Answer;
+
+/// What reading a table gives.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Followed {
+    /// The records asked for were dropped: only a snapshot helps.
+    Dropped,
+    /// The records, none if the wait passed without any.
+    Update(Update),
+}
+
+/// The platform's tables.
+pub trait Store {
+    /// The records from offset `from` on; waits up to `wait_ms` for the first.
+    fn follow(&self, table: Table, from: u64, wait_ms: u64) -> Answer<'_, Followed>;
+    /// The newest record of every key.
+    fn snapshot(&self, table: Table) -> Answer<'_, Update>;
+    /// Writes a record of the table of entries.
+    fn register<'a>(&'a self, key: &'a str, value: Bytes) -> Answer<'a, ()>;
+}
+
+/// A record that the operator wrote.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// A version of the configuration.
+    Config(Box<Document>),
+    /// Nothing that concerns gradeloft.
+    Other,
+    /// The version of a model's weights that replicas are to serve.
+    Weights {
+        /// Model.
+        model: String,
+        /// Version.
+        version: u64,
+    },
+}
+
+/// Reads the platform's records.
+pub trait Decoder {
+    /// A record of the operator's.
+    fn order(&self, record: &Record) -> Result<Order, String>;
+    /// A replica's record.
+    fn listing(&self, record: &Record) -> Result<Listing, String>;
+}
+
+/// What an engine says of itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct State {
+    /// Version of the layers that it holds, if it holds all of them.
+    pub version: Option<u64>,
+    /// Whether an order is in progress.
+    pub busy: bool,
+    /// Requests that run.
+    pub active: u32,
+    /// Requests that wait.
+    pub queued: u32,
+}
+
+/// How an engine took an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Taken {
+    /// It does not fit the engine's state.
+    Conflict,
+    /// A higher fence has been used.
+    Fenced,
+    /// It has begun, or is in effect already.
+    Started,
+}
+
+/// The engine on this agent's own instance.
+pub trait Engine {
+    /// What it serves and how busy it is.
+    fn state(&self) -> Answer<'_, State>;
+    /// Positions of the pieces that lie staged.
+    fn staged<'a>(&'a self, model: &'a str) -> Answer<'a, Vec<u32>>;
+    /// Content of a staged piece; whether it is the right one is the caller's to check.
+    fn piece<'a>(&'a self, model: &'a str, idx: u32) -> Answer<'a, Bytes>;
+    /// Stages a piece in place of what lies there.
+    fn stage<'a>(&'a self, model: &'a str, idx: u32, content: Bytes) -> Answer<'a, ()>;
+    /// Orders it to load what is staged, after the requests that run.
+    fn load<'a>(&'a self, model: &'a str, version: u64, fence: u64) -> Answer<'a, Taken>;
+}
+
+/// The origin of weights.
+pub trait Origin {
+    /// Digests of a version's pieces, in order.
+    fn manifest<'a>(
+        &'a self,
+        address: SocketAddr,
+        model: &'a str,
+        version: u64,
+    ) -> Answer<'a, Vec<Digest>>;
+    /// Content of a piece; the caller checks its digest.
+    fn piece<'a>(
+        &'a self,
+        address: SocketAddr,
+        model: &'a str,
+        version: u64,
+        idx: u32,
+    ) -> Answer<'a, Bytes>;
+    /// Digest of content, by the function that the manifest uses.
+    fn digest(&self, content: &[u8]) -> Digest;
+}
+
+/// Names of the headers that callers, entries and replicas use. All are in lower case.
+#[derive(Clone, Copy, Debug)]
+pub struct Headers {
+    /// Names one attempt of a caller; replicas echo it.
+    pub request: &'static str,
+    /// Milliseconds that the caller still waits.
+    pub deadline: &'static str,
+    /// Proves the caller's team; never passed on.
+    pub key: &'static str,
+    /// Tells the replica the team.
+    pub team: &'static str,
+    /// Pins a request to one start of a replica.
+    pub replica: &'static str,
+    /// Names the replica that gives an answer.
+    pub replica_id: &'static str,
+    /// Pins a request to a version of weights.
+    pub version: &'static str,
+    /// Rank of a request in its replica's queue.
+    pub priority: &'static str,
+    /// Marks an answer as a replica's own.
+    pub seal: &'static str,
+    /// Says that the replica ran nothing.
+    pub not_run: &'static str,
+}
+
+/// How callers and the platform ask an entry for what is no request to forward.
+pub trait Directory {
+    /// Path at which callers ask for addresses.
+    fn lookup_path(&self) -> &str;
+    /// Path at which the platform asks whether an entry is ready.
+    fn readiness_path(&self) -> &str;
+    /// Body of an answer that names addresses, which callers keep for `ttl_s` seconds.
+    fn addresses(&self, addresses: &[SocketAddr], ttl_s: u64) -> Vec<u8>;
+}
--- a/crates/gradeloft_platform/src/lib.rs
+++ b/crates/gradeloft_platform/src/lib.rs
@@ -2,6 +2,8 @@
 //! HTTP adapter.
 //!
 //! - [`endpoint`]: model engines and plain services.
+//! - [`fleet`]: the store, engines and origin of a platform that keeps tables and cuts weights into
+//!   numbered pieces.
 //! - [`http`]: the client that the adapters share.
 //! - [`list`]: the list of instances.
 //! - [`log`]: the append-only log.
@@ -11,6 +13,7 @@
 //! without touching them.
 
 pub mod endpoint;
+pub mod fleet;
 pub mod http;
 pub mod list;
 pub mod log;
--- a/crates/gradeloft_policy/src/process/mod.rs
+++ b/crates/gradeloft_policy/src/process/mod.rs
@@ -1,11 +1,21 @@
 //! What lives for a process.
 //!
 //! - [`address`]: which entries a caller is told to use.
+//! - [`document`]: the operator's configuration.
 //! - [`gossip`]: which peers a node asks for the bundle in force.
 //! - [`membership`]: which peers there are, by the list and by what connections show.
+//! - [`mirror`]: a copy of a table of the platform's store.
+//! - [`repeats`]: how often requests are sent again.
+//! - [`replicas`]: the replicas of all services.
+//! - [`roster`]: the entries that callers may be sent to.
 //! - [`shares`]: shares of a rate between entries.
 
 pub mod address;
+pub mod document;
 pub mod gossip;
 pub mod membership;
+pub mod mirror;
+pub mod repeats;
+pub mod replicas;
+pub mod roster;
 pub mod shares;
--- /dev/null
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -0,0 +1,261 @@
+//! The replicas of all services: what the platform says of them, joined with what their own agents
+//! say and with what connections to them show.
+
+use std::{collections::HashMap, net::SocketAddr, rc::Rc};
+
+use slotmap::{SlotMap, new_key_type};
+
+use crate::clock::Time;
+
+/// First pause after a failure, in milliseconds; doubles with each further failure in a row.
+const FIRST_PAUSE_MS: u64 = 300;
+/// Longest pause, in milliseconds: about the platform's own time to notice that a replica is gone.
+const MAX_PAUSE_MS: u64 = 4_000;
+/// Time for which a removal is put off while the platform's store may have forgotten replicas that
+/// live, in milliseconds. Their entries come back within two seconds of its return.
+const LAPSE_MS: u64 = 2_500;
+/// Age at which an agent's word is no longer used, in milliseconds: three of its usual pauses.
+const REPORT_MS: u64 = 3_000;
+
+new_key_type! {
+    /// Names a replica.
+    pub struct ReplicaKey;
+}
+
+/// What the platform says of a replica.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    /// Id of this start of the replica; a request can be pinned to it.
+    pub id: Rc<str>,
+    /// Service that it belongs to.
+    pub service: Rc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// Whether it is a model's replica, which can answer only with weights.
+    pub has_model: bool,
+    /// Version of the weights that it holds in full; `None` without them.
+    pub version: Option<u64>,
+}
+
+/// What a replica's agent says of it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Report {
+    /// Version of the weights that it holds in full.
+    pub version: Option<u64>,
+    /// Whether it takes no work now because weights are about to be loaded.
+    pub loading: bool,
+    /// Requests that run.
+    pub active: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// When the report came.
+    pub at: Time,
+}
+
+/// Whether a removal may be an error of the platform's store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Trust {
+    /// The store was out of reach a moment ago and may have dropped replicas that live.
+    Doubtful,
+    /// The store has been well.
+    Sound,
+}
+
+/// A replica.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    /// What the platform says.
+    pub listing: Listing,
+    /// What its agent says.
+    pub report: Option<Report>,
+    /// Requests of this entry that it works on.
+    pub own: u32,
+    /// Requests of other entries that it works on, as they said last.
+    pub others: u32,
+    failures: u32,
+    paused_until: Time,
+    /// Set while a removal waits.
+    gone_at: Option<Time>,
+}
+
+impl Replica {
+    /// Version of the weights that it holds in full, by the newer of both sources.
+    pub fn version(&self, now: Time) -> Option<u64> {
+        let reported = self.fresh(now).and_then(|it| it.version);
+        reported.max(self.listing.version)
+    }
+
+    /// Whether it takes new work.
+    pub fn open(&self, now: Time) -> bool {
+        let loading = self.fresh(now).is_some_and(|it| it.loading);
+        let filled = !self.listing.has_model || self.version(now).is_some();
+        !self.listing.draining && !loading && filled
+    }
+
+    /// Whether it failed a moment ago.
+    pub fn suspect(&self, now: Time) -> bool {
+        now < self.paused_until
+    }
+
+    /// Requests that it works on, as far as this entry knows.
+    pub fn load(&self) -> u32 {
+        self.own + self.others
+    }
+
+    fn fresh(&self, now: Time) -> Option<Report> {
+        self.report.filter(|it| now < it.at.after_ms(REPORT_MS))
+    }
+}
+
+/// All replicas.
+#[derive(Debug, Default)]
+pub struct Replicas {
+    arena: SlotMap<ReplicaKey, Replica>,
+    by_id: HashMap<Rc<str>, ReplicaKey>,
+    by_service: HashMap<Rc<str>, Vec<ReplicaKey>>,
+}
+
+impl Replicas {
+    /// A replica, unless it is gone.
+    pub fn get(&self, key: ReplicaKey) -> Option<&Replica> {
+        self.arena.get(key)
+    }
+
+    /// A replica, to change.
+    pub fn get_mut(&mut self, key: ReplicaKey) -> Option<&mut Replica> {
+        self.arena.get_mut(key)
+    }
+
+    /// The replicas of a service.
+    pub fn of(&self, service: &str) -> impl Iterator<Item = (ReplicaKey, &Replica)> {
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        keys.iter().map(|it| (*it, &self.arena[*it]))
+    }
+
+    /// All replicas.
+    pub fn iter(&self) -> impl Iterator<Item = (ReplicaKey, &Replica)> {
+        self.arena.iter()
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.arena.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.arena.is_empty()
+    }
+
+    /// Takes over what the platform says of a replica.
+    pub fn list(&mut self, listing: Listing) -> ReplicaKey {
+        if let Some(&key) = self.by_id.get(&listing.id) {
+            let replica = &mut self.arena[key];
+            replica.listing = listing;
+            replica.gone_at = None;
+            return key;
+        }
+        let id = Rc::clone(&listing.id);
+        let service = Rc::clone(&listing.service);
+        let key = self.arena.insert(Replica {
+            listing,
+            report: None,
+            own: 0,
+            others: 0,
+            failures: 0,
+            paused_until: Time::ZERO,
+            gone_at: None,
+        });
+        self.by_id.insert(id, key);
+        self.by_service.entry(service).or_default().push(key);
+        key
+    }
+
+    /// The platform no longer lists a replica.
+    pub fn unlist(&mut self, id: &str, trust: Trust, now: Time) {
+        let Some(&key) = self.by_id.get(id) else {
+            return;
+        };
+        match trust {
+            Trust::Sound => self.remove(key),
+            Trust::Doubtful => self.arena[key].gone_at = Some(now.after_ms(LAPSE_MS)),
+        }
+    }
+
+    /// Removes the replicas whose removal has waited long enough; gives their ids.
+    pub fn expire(&mut self, now: Time) -> Vec<Rc<str>> {
+        let due = |it: &Replica| it.gone_at.is_some_and(|at| at <= now);
+        let gone: Vec<ReplicaKey> = self
+            .arena
+            .iter()
+            .filter(|(_, it)| due(it))
+            .map(|(key, _)| key)
+            .collect();
+        let ids = gone.iter().map(|it| Rc::clone(&self.arena[*it].listing.id));
+        let ids = ids.collect();
+        for key in gone {
+            self.remove(key);
+        }
+        ids
+    }
+
+    /// Takes over what the agent beside the replica at `address` says of it.
+    pub fn report_at(&mut self, address: SocketAddr, report: Report) {
+        let at = self.arena.values_mut();
+        for replica in at.filter(|it| it.listing.address == address) {
+            replica.report = Some(report);
+        }
+    }
+
+    /// Takes over how many requests of other entries each replica works on, by its id.
+    pub fn set_others(&mut self, others: impl Fn(&str) -> u32) {
+        for replica in self.arena.values_mut() {
+            replica.others = others(&replica.listing.id);
+        }
+    }
+
+    /// Whether a replica is listed as draining, and the version of the weights listed for it.
+    pub fn state(&self, id: &str) -> Option<(bool, Option<u64>)> {
+        let listing = &self.arena.get(*self.by_id.get(id)?)?.listing;
+        Some((listing.draining, listing.version))
+    }
+
+    /// A request to a replica came back as it should.
+    pub fn succeeded(&mut self, key: ReplicaKey) {
+        if let Some(replica) = self.arena.get_mut(key) {
+            replica.failures = 0;
+            replica.paused_until = Time::ZERO;
+        }
+    }
+
+    /// A request to a replica failed in a way that may be the replica's fault.
+    pub fn failed(&mut self, key: ReplicaKey, now: Time) {
+        if let Some(replica) = self.arena.get_mut(key) {
+            let pause = FIRST_PAUSE_MS << replica.failures.min(8);
+            replica.failures += 1;
+            replica.paused_until = now.after_ms(pause.min(MAX_PAUSE_MS));
+        }
+    }
+
+    /// The replica's address is another's now.
+    pub fn replaced(&mut self, key: ReplicaKey) {
+        if self.arena.contains_key(key) {
+            self.remove(key);
+        }
+    }
+
+    fn remove(&mut self, key: ReplicaKey) {
+        if let Some(replica) = self.arena.remove(key) {
+            self.by_id.remove(&replica.listing.id);
+            if let Some(keys) = self.by_service.get_mut(&replica.listing.service) {
+                keys.retain(|it| *it != key);
+            }
+        }
+    }
+}
--- a/crates/gradeloft_policy/src/version/mod.rs
+++ b/crates/gradeloft_policy/src/version/mod.rs
@@ -5,6 +5,7 @@
 //! - [`manifest`]: the chunks of a version.
 //! - [`outside`]: when to read the weight store or the origin.
 //! - [`partners`]: which agents tell each other what they hold.
+//! - [`pieces`]: whom to ask for a piece of weights.
 //! - [`placement`]: which replica holds which model.
 //! - [`fetch`]: which chunk to fetch next, and from where.
 //! - [`upload`]: which peer's request for a chunk is served when.
@@ -17,6 +18,7 @@
 pub mod manifest;
 pub mod outside;
 pub mod partners;
+pub mod pieces;
 pub mod placement;
 pub mod rollout;
 pub mod turns;
--- /dev/null
+++ b/crates/gradeloft_wire/src/datagram.rs
@@ -0,0 +1,78 @@
+//! What processes tell each other several times a second, each in one datagram.
+//!
+//! Datagrams get lost and come out of order, so each says all of its sender's state.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use bincode::{Decode, Encode};
+
+/// Largest datagram that is read, in bytes; below the usual size of a packet.
+pub const MAX_BYTES: usize = 1_400;
+
+/// State of the sender.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct Datagram {
+    /// Names this start of the sender; later starts have higher numbers.
+    pub incarnation: u64,
+    /// The sender's availability zone.
+    pub zone: String,
+    /// Offset up to which the sender's copy of each table goes, in the order of
+    /// [`Table::ALL`](crate::frame::Table::ALL).
+    pub ends: [u64; 3],
+    /// What depends on the sender's role.
+    pub sender: Sender,
+}
+
+/// What depends on the sender's role.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub enum Sender {
+    /// The process beside a replica.
+    Agent {
+        /// Where the replica listens.
+        replica: SocketAddrV4,
+        /// What the replica says of itself; `None` while it does not answer.
+        engine: Option<Engine>,
+    },
+    /// A process that callers talk to.
+    Entry {
+        /// Whether it takes callers.
+        presence: Presence,
+        /// Requests that it has at replicas now.
+        loads: Vec<Load>,
+        /// Other entries that it knows of.
+        entries: Vec<Ipv4Addr>,
+    },
+}
+
+/// Whether an entry takes callers.
+#[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
+pub enum Presence {
+    /// It finishes what runs and takes nothing new.
+    Leaving,
+    /// It takes callers.
+    Ready,
+    /// It does not know enough yet.
+    Starting,
+}
+
+/// Requests of one entry at one replica.
+#[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct Load {
+    /// Hash of the replica's id.
+    pub replica: u64,
+    /// Requests.
+    pub running: u16,
+}
+
+/// What a replica says of itself to its agent.
+#[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct Engine {
+    /// Version of the weights that it holds in full; `None` without them.
+    pub version: Option<u64>,
+    /// Whether it takes no work now because weights are about to be loaded.
+    pub loading: bool,
+    /// Requests that run.
+    pub active: u32,
+    /// Requests that wait.
+    pub queued: u32,
+}
--- a/crates/gradeloft_wire/src/frame.rs
+++ b/crates/gradeloft_wire/src/frame.rs
@@ -44,6 +44,20 @@
     },
     /// Here is a bundle that is in force: one [`Reply::Bundles`], empty.
     Push(SignedBundle),
+    /// Send what brings a copy of a table up to date: one [`Reply::Records`].
+    Records {
+        /// Table.
+        table: Table,
+        /// Offset of the first record that the caller has not seen.
+        from: u64,
+    },
+    /// Send the digests of a version's pieces: one [`Reply::Pieces`] or [`Reply::Absent`].
+    Pieces {
+        /// Model.
+        model: String,
+        /// Version.
+        version: u64,
+    },
 }
 
 /// Frames of an answer.
@@ -100,6 +114,44 @@
     Lent(Vec<Units>),
     /// State of the sender.
     Notice(Notice),
+    /// Digests of a version's pieces, in order.
+    Pieces(Vec<Digest>),
+    /// Part of a table.
+    Records {
+        /// Whether `rows` are the newest of every key, in place of the records since the offset.
+        snapshot: bool,
+        /// Records in order of offset.
+        rows: Vec<Row>,
+        /// Offset of the record that comes next.
+        end: u64,
+    },
+}
+
+/// A table of the platform's store that processes copy from each other.
+#[derive(Clone, Copy, Debug, Decode, Encode, Eq, Hash, PartialEq)]
+pub enum Table {
+    /// Entries, written by themselves.
+    Entries,
+    /// What the operator writes: the configuration and the versions of weights.
+    Operator,
+    /// Replicas, written by themselves.
+    Replicas,
+}
+
+impl Table {
+    /// Every table.
+    pub const ALL: [Table; 3] = [Table::Entries, Table::Operator, Table::Replicas];
+}
+
+/// A record of a table.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct Row {
+    /// Key.
+    pub key: String,
+    /// Value; `None` deletes the key.
+    pub value: Option<Vec<u8>>,
+    /// Position in the table.
+    pub offset: u64,
 }
 
 /// Thousandths of requests and of tokens a second.
--- a/crates/gradeloft_wire/src/id.rs
+++ b/crates/gradeloft_wire/src/id.rs
@@ -4,7 +4,8 @@
 
 use bincode::{Decode, Encode};
 
-/// A blake3 digest, which names a chunk, a manifest or a bundle by its content.
+/// A digest of 32 bytes, which names a chunk, a manifest or a bundle by its content: blake3 for what
+/// gradeloft names itself, SHA-256 for pieces of weights whose origin names them so.
 ///
 /// ```
 /// use gradeloft_wire::id::Digest;
--- a/crates/gradeloft_wire/src/lib.rs
+++ b/crates/gradeloft_wire/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`border`]: types generated from the JSON Schemas under `schema/`.
 //! - [`codec`]: length-prefixed bincode frames with bounded sizes.
+//! - [`datagram`]: what processes tell each other several times a second.
 //! - [`error`]: the closed list of error kinds and its table of answers.
 //! - [`frame`]: messages between gradeloft's own processes.
 //! - [`id`]: small `Copy` keys.
@@ -10,6 +11,7 @@
 
 pub mod border;
 pub mod codec;
+pub mod datagram;
 pub mod error;
 pub mod frame;
 pub mod id;
