--- a/crates/gradeloft_gateway/src/agent/fill.rs
+++ b/crates/gradeloft_gateway/src/agent/fill.rs
@@ -19,8 +19,9 @@
 use super::{Agent, Holding, Version};
 use crate::{logs::Topic, metrics::Reason};
 
-/// Pieces asked for at once: enough to fill a link of ten megabits a second over ten milliseconds.
-const AT_ONCE: usize = 6;
+/// Pieces asked for at once: enough to fill a link of ten megabits a second while some of them wait
+/// for pieces that their sources do not have yet.
+const AT_ONCE: usize = 12;
 /// Time for one answer of a peer: all the pieces asked for at once on its link, several times over.
 const PEER_ANSWER: Duration = Duration::from_millis(1_500);
 /// Time for a peer to get a piece that it has not, in milliseconds; then the next one is asked.
--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -172,6 +172,11 @@
         })
     }
 
+    /// Whether it is not known which pieces of a version lie staged.
+    pub fn unadopted(&self, version: &Version) -> bool {
+        self.holding.borrow().version.as_ref() != Some(version)
+    }
+
     /// Where weights come from.
     pub fn origin(&self) -> Option<SocketAddr> {
         let config = self.config.borrow();
@@ -304,6 +309,7 @@
     async fn update(self: Rc<Agent>) {
         loop {
             let Some(version) = self.wanted() else {
+                share::adopt_target(&self);
                 tokio::select! {
                     () = self.node.changed.notified() => {}
                     () = actix_rt::time::sleep(RETRY) => {}
@@ -351,6 +357,7 @@
 
     async fn load(&self, version: &Version) -> Result<(), String> {
         actix_rt::time::sleep(HEADS_UP).await;
+        self.idle().await?;
         if self.target().as_ref() != Some(version) {
             return Err("another version was named".to_owned());
         }
@@ -372,6 +379,18 @@
         }
     }
 
+    /// Waits until no order is in progress at the replica.
+    async fn idle(&self) -> Result<(), String> {
+        let until = self.node.clock.now().after_ms(LOAD_MS);
+        while self.state.get().is_some_and(|it| it.busy) {
+            if until <= self.node.clock.now() {
+                return Err("an earlier order goes on".to_owned());
+            }
+            actix_rt::time::sleep(ASK_LOADING).await;
+        }
+        Ok(())
+    }
+
     /// Waits until the replica holds a version.
     async fn loaded(&self, version: &Version) -> Result<(), String> {
         let until = self.node.clock.now().after_ms(LOAD_MS);
@@ -382,6 +401,11 @@
                 None => return Err("the replica does not answer".to_owned()),
                 Some(_) => {}
             }
+            // What is loaded was fixed when the order was taken, so the next version's pieces can
+            // be staged meanwhile.
+            if self.target().as_ref() != Some(version) {
+                return Err("another version was named".to_owned());
+            }
             if until <= self.node.clock.now() {
                 return Err("the order shows no effect".to_owned());
             }
--- a/crates/gradeloft_gateway/src/agent/share.rs
+++ b/crates/gradeloft_gateway/src/agent/share.rs
@@ -92,14 +92,14 @@
     outgoing.finish(&reply).await;
 }
 
-/// Begins to learn what is staged of the version that the replica holds, unless that is known.
-fn adopt_target(agent: &Rc<Agent>) {
+/// Begins to learn what is staged of the version that the replica holds, unless that is known. Only
+/// then can it be given to replicas that are added later.
+pub fn adopt_target(agent: &Rc<Agent>) {
     let Some(target) = agent.target() else {
         return;
     };
     let held = agent.state().and_then(|it| it.version);
-    let known = agent.holding.borrow().version.as_ref() == Some(&target);
-    if known || held != Some(target.number) || agent.adopting.replace(true) {
+    if !agent.unadopted(&target) || held != Some(target.number) || agent.adopting.replace(true) {
         return;
     }
     let adopting = Rc::clone(agent);
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -39,6 +39,7 @@
         roster::{Roster, State},
     },
     rendezvous,
+    version::named::Named,
 };
 use gradeloft_wire::{
     datagram::{Datagram, Engine, Load, Presence, Sender},
@@ -71,8 +72,9 @@
 const REGISTER: Duration = Duration::from_millis(500);
 /// Part of a replica's connections that all entries together use.
 const CONNECTIONS_USED: f64 = 0.85;
-/// Part of the time for new weights after which requests need them.
-const VERSION_USED: f64 = 0.75;
+/// Part of the time for new weights after which requests need them. The rest is for requests that
+/// wait at a replica before they begin.
+const VERSION_USED: f64 = 0.78;
 /// Time for which a leaving entry takes further connections: callers keep addresses for two seconds,
 /// and some three times as long.
 const LINGER: Duration = Duration::from_millis(3_500);
@@ -85,14 +87,6 @@
     connections: 512,
 };
 
-/// Version of a model's weights that replicas are to serve.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct Named {
-    version: u64,
-    /// When this process learned of it; `None` if it was named before the process started.
-    at: Option<Time>,
-}
-
 /// Requests of one entry at replicas, by the hash of each replica's id.
 type Loads = HashMap<u64, u16>;
 
@@ -109,6 +103,7 @@
     /// Told when the process begins to leave.
     pub left: Notify,
     roster: RefCell<Roster>,
+    /// Versions of each model's weights that replicas are to serve.
     weights: RefCell<HashMap<String, Named>>,
     budgets: RefCell<HashMap<Rc<str>, Budget>>,
     /// Requests of other entries at replicas, by entry and hash of the replica's id.
@@ -274,10 +269,7 @@
         let service = config.as_ref()?.service(service)?;
         let weights = self.weights.borrow();
         let named = service.models.iter().find_map(|it| weights.get(it))?;
-        let settings = self.node.settings();
-        let grace_ms = (settings.version_ms as f64 * VERSION_USED) as u64;
-        let due = named.at.map_or(Time::ZERO, |it| it.after_ms(grace_ms));
-        (due <= self.node.clock.now()).then_some(named.version)
+        named.oldest_allowed(self.node.clock.now())
     }
 
     fn meet_seeds(&self) {
@@ -338,16 +330,21 @@
     }
 
     fn name_weights(&self, model: String, version: u64) {
+        let now = self.node.clock.now();
+        // What was named before this process started may be due already.
+        let started = !self.node.loaded(Table::Operator) || self.config.borrow().is_none();
+        let time_ms = (self.node.settings().version_ms as f64 * VERSION_USED) as u64;
+        let due = if started { now } else { now.after_ms(time_ms) };
         let mut weights = self.weights.borrow_mut();
-        if weights.get(&model).is_some_and(|it| version <= it.version) {
+        let named = weights.entry(model.clone()).or_default();
+        named.settle(now);
+        if !named.name(version, due) {
             return;
         }
         if let Some(log) = self.node.logs.line(Topic::Weights) {
-            info!(log, "weights named"; "model" => &model, "version" => version);
+            info!(log, "weights named"; "model" => model, "version" => version,
+                "due_ms" => due.since(now).as_millis() as u64);
         }
-        let started = !self.node.loaded(Table::Operator) || self.config.borrow().is_none();
-        let at = (!started).then(|| self.node.clock.now());
-        weights.insert(model, Named { version, at });
     }
 
     fn listed(&self, record: &Record) {
--- a/crates/gradeloft_policy/src/version/mod.rs
+++ b/crates/gradeloft_policy/src/version/mod.rs
@@ -5,6 +5,7 @@
 //! - [`manifest`]: the chunks of a version.
 //! - [`outside`]: when to read the weight store or the origin.
 //! - [`partners`]: which agents tell each other what they hold.
+//! - [`named`]: which versions requests may begin on.
 //! - [`pieces`]: whom to ask for a piece of weights.
 //! - [`placement`]: which replica holds which model.
 //! - [`fetch`]: which chunk to fetch next, and from where.
@@ -16,6 +17,7 @@
 pub mod chain;
 pub mod fetch;
 pub mod manifest;
+pub mod named;
 pub mod outside;
 pub mod partners;
 pub mod pieces;
