--- a/crates/gradeloft_gateway/src/agent/fill.rs
+++ b/crates/gradeloft_gateway/src/agent/fill.rs
@@ -1,6 +1,6 @@
 //! Fetches, stages and checks the pieces of a version.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
@@ -19,15 +19,15 @@
 use super::{Agent, Holding, Version};
 use crate::{logs::Topic, metrics::Reason};
 
-/// Pieces asked for at once: enough to fill a link of ten megabits a second while some of them wait
-/// for pieces that their sources do not have yet.
-const AT_ONCE: usize = 12;
+/// Pieces looked for at once, most of which wait for their sources to have them; the gate bounds how
+/// many come at once.
+const AT_ONCE: usize = 48;
 /// Time for one answer of a peer: all the pieces asked for at once on its link, several times over.
 const PEER_ANSWER: Duration = Duration::from_millis(1_500);
 /// Time for a peer to get a piece that it has not, in milliseconds; then the next one is asked.
 const PEER_WAIT_MS: u64 = 1_500;
 /// Pause before a peer that has not a piece is asked again.
-const PEER_PAUSE: Duration = Duration::from_millis(100);
+const PEER_PAUSE: Duration = Duration::from_millis(60);
 /// Time for a peer to say what it holds, or for an entry to list replicas.
 const QUESTION: Duration = Duration::from_millis(700);
 /// Pause between attempts at the origin.
@@ -83,8 +83,9 @@
     let decoder = &agent.node.platform.decoder;
     let records = agent.node.records(Table::Replicas);
     let listings = records.iter().filter_map(|it| decoder.listing(it).ok());
+    let mut seen = HashSet::from([agent.replica]);
     let mut members: Vec<Member> = listings
-        .filter(|it| *it.service == *agent.service && it.address != agent.replica)
+        .filter(|it| *it.service == *agent.service && seen.insert(it.address))
         .map(|it| Member {
             node: node_hash(it.address),
             address: SocketAddr::new(it.address.ip(), settings.peer_port),
@@ -152,7 +153,12 @@
 ) -> Result<Vec<Digest>, String> {
     let key = rendezvous::hash(format!("{}/{}", version.model, version.number).as_bytes());
     let mut last = "no source".to_owned();
-    for source in sources(agent, key, members) {
+    // It is small, so the origin gives it to everybody; peers are asked while the origin is out of
+    // reach.
+    let sources = [Source::Origin]
+        .into_iter()
+        .chain(sources(agent, key, members));
+    for source in sources {
         let digests = match source {
             Source::Origin => origin_manifest(agent, version).await,
             Source::Peer(address) => peer_manifest(agent, version, address).await,
@@ -170,7 +176,9 @@
     let address = agent.origin().ok_or("no origin")?;
     let origin = &agent.node.platform.origin;
     let read = origin.manifest(address, &version.model, version.number);
-    read.await.map_err(|it| it.to_string())
+    let read = timeout(QUESTION, read).await;
+    read.map_err(|_| "no answer in time")?
+        .map_err(|it| it.to_string())
 }
 
 async fn peer_manifest(
@@ -312,8 +320,11 @@
     let origin = &agent.node.platform.origin;
     let mut last = String::new();
     for _ in 0..ORIGIN_ATTEMPTS {
+        let pass = agent.gate.enter().await;
         let read = origin.piece(address, &version.model, version.number, idx);
-        match read.await {
+        let read = read.await;
+        drop(pass);
+        match read {
             Ok(content) if origin.digest(&content) == digest => return Ok(content),
             Ok(_) => "the origin's piece has another digest".clone_into(&mut last),
             Err(fault) => last = format!("origin: {fault}"),
@@ -328,9 +339,14 @@
     let until = agent.node.clock.now().after_ms(PEER_WAIT_MS);
     let peer = address.to_string();
     loop {
+        let pass = agent.gate.enter().await;
+        let started = agent.node.clock.now();
         let asked = agent.node.peers.ask(&peer, Lane::Bulk, &call);
-        match timeout(PEER_ANSWER, asked).await {
+        let answer = timeout(PEER_ANSWER, asked).await;
+        drop(pass);
+        match answer {
             Ok(Ok(Reply::Chunk(content))) => {
+                agent.gate.arrived(agent.node.clock.now().since(started));
                 let content = Bytes::from(content);
                 if agent.node.platform.origin.digest(&content) == digest {
                     return Ok(content);
--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -2,9 +2,11 @@
 //! the replica holds.
 //!
 //! - [`fill`]: fetches, stages and checks the pieces of a version.
+//! - [`gate`]: bounds how many pieces are asked for at once.
 //! - [`share`]: gives pieces to other agents.
 
 pub mod fill;
+pub mod gate;
 pub mod share;
 
 use std::{
@@ -21,7 +23,9 @@
 use gradeloft_platform::fleet::{Engine as EngineApi, Order, State, Taken};
 use gradeloft_policy::{
     clock::Time,
+    connection::pace::Pacer,
     process::{document::Document, mirror::Record},
+    version::upload::Slots,
 };
 use gradeloft_wire::{
     datagram::{Engine, Sender},
@@ -29,8 +33,9 @@
     id::Digest,
 };
 use slog::{info, warn};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, oneshot};
 
+use self::gate::Gate;
 use crate::{entry::peer_listener, logs::Topic, node::Node, settings::Role};
 
 /// Pause between questions to the replica. They are free, and an entry's view of the replica is this
@@ -54,6 +59,13 @@
 /// the loading.
 const LOAD_MS: u64 = 8_000;
 
+/// Part of the link that pieces of weights may use; the rest is for requests and tokens.
+const LINK_USED: f64 = 0.85;
+/// Pieces given to peers at once.
+const UPLOADS: usize = 2;
+/// Bytes of a piece, about, from which the time of one on the link is reckoned.
+const PIECE_BYTES: f64 = 49_152.0;
+
 /// A version of a model's weights.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Version {
@@ -90,6 +102,12 @@
     pub holding: RefCell<Holding>,
     /// Told when a piece has been staged.
     pub arrived: Notify,
+    /// Paces the pieces that go out, beside the tokens of the replica.
+    pub pace_out: RefCell<Pacer>,
+    /// Upload slots.
+    pub uploads: RefCell<Slots<oneshot::Sender<()>>>,
+    /// Pieces asked for at once.
+    pub gate: Gate,
     state: Cell<Option<State>>,
     loading: Cell<bool>,
     /// Whether the staged pieces are being looked through.
@@ -116,6 +134,7 @@
         };
         let engine = node.platform.engine.clone();
         let engine = engine.ok_or_else(|| io::Error::other("no engine"))?;
+        let rate = (node.settings().link_bytes_per_s as f64 * LINK_USED).max(1.0) as u64;
         let agent = Rc::new(Agent {
             node,
             engine,
@@ -123,6 +142,9 @@
             replica,
             holding: RefCell::default(),
             arrived: Notify::new(),
+            pace_out: RefCell::new(Pacer::new(rate)),
+            uploads: RefCell::new(Slots::new(UPLOADS)),
+            gate: Gate::new(Duration::from_secs_f64(PIECE_BYTES / rate as f64)),
             state: Cell::default(),
             loading: Cell::default(),
             adopting: Cell::default(),
--- a/crates/gradeloft_gateway/src/agent/share.rs
+++ b/crates/gradeloft_gateway/src/agent/share.rs
@@ -1,14 +1,15 @@
 //! Gives pieces to other agents.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use gradeloft_daemon::transport::server::{Handler, Outgoing};
+use gradeloft_policy::version::upload::Turn;
 use gradeloft_wire::{
     frame::{Absence, Call, Reply},
     id::Digest,
 };
 use slog::warn;
-use tokio::time::{Instant, timeout_at};
+use tokio::sync::oneshot;
 
 use super::{
     Agent, Version,
@@ -16,9 +17,6 @@
 };
 use crate::logs::Topic;
 
-/// Time for which a call for a piece that is on its way waits: below the time that the caller gives.
-const WAIT: Duration = Duration::from_millis(900);
-
 /// Answers the calls of other agents.
 pub struct Peers(pub Rc<Agent>);
 
@@ -48,32 +46,55 @@
     }
 }
 
-/// Gives a piece; one that is on its way is waited for a little.
+/// Gives a piece, once a slot is free and the link has room for it beside tokens.
 async fn give(agent: &Rc<Agent>, digest: Digest, outgoing: Outgoing) {
-    let until = Instant::now() + WAIT;
-    loop {
-        let arrived = agent.arrived.notified();
-        match find(agent, digest) {
-            Find::Held(version, idx) => {
-                let content = read_back(agent, &version, idx, digest).await;
-                let reply = match content {
-                    Some(content) => Reply::Chunk(content.to_vec()),
-                    None => Reply::Absent(Absence::NotHeld),
-                };
-                outgoing.finish(&reply).await;
-                return;
-            }
-            Find::Coming => {}
-            Find::Unknown => {
-                adopt_target(agent);
-                outgoing.finish(&Reply::Absent(Absence::NotHeld)).await;
-                return;
-            }
-        }
-        if timeout_at(until, arrived).await.is_err() {
+    let (version, idx) = match find(agent, digest) {
+        Find::Held(version, idx) => (version, idx),
+        Find::Coming => {
             outgoing.finish(&Reply::Absent(Absence::Pending)).await;
             return;
         }
+        Find::Unknown => {
+            adopt_target(agent);
+            outgoing.finish(&Reply::Absent(Absence::NotHeld)).await;
+            return;
+        }
+    };
+    let Some(_slot) = slot(agent).await else {
+        outgoing.finish(&Reply::Absent(Absence::Busy)).await;
+        return;
+    };
+    let Some(content) = read_back(agent, &version, idx, digest).await else {
+        outgoing.finish(&Reply::Absent(Absence::NotHeld)).await;
+        return;
+    };
+    let now = agent.node.clock.now();
+    let wait = agent.pace_out.borrow_mut().delay(content.len() as u64, now);
+    actix_rt::time::sleep(wait).await;
+    outgoing.finish(&Reply::Chunk(content.to_vec())).await;
+}
+
+/// An upload slot, free again when dropped.
+struct Slot(Rc<Agent>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        // A peer that stopped waiting passes its slot on to the next.
+        while let Some(next) = self.0.uploads.borrow_mut().done() {
+            if next.send(()).is_ok() {
+                return;
+            }
+        }
+    }
+}
+
+async fn slot(agent: &Rc<Agent>) -> Option<Slot> {
+    let (tell, told) = oneshot::channel();
+    let turn = agent.uploads.borrow_mut().ask(tell);
+    match turn {
+        Turn::Busy => None,
+        Turn::Later => told.await.ok().map(|()| Slot(Rc::clone(agent))),
+        Turn::Now => Some(Slot(Rc::clone(agent))),
     }
 }
 
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -351,7 +351,7 @@
         let now = self.node.clock.now();
         let mut replicas = self.replicas.borrow_mut();
         if record.value.is_none() {
-            let trust = self.node.trust();
+            let trust = self.node.trust(Table::Replicas);
             replicas.unlist(&record.key, trust, now);
             if let Some(log) = self.node.logs.line(Topic::State) {
                 info!(log, "replica unlisted"; "replica" => &record.key, "trust" => ?trust,
--- a/crates/gradeloft_gateway/src/node.rs
+++ b/crates/gradeloft_gateway/src/node.rs
@@ -50,8 +50,9 @@
 /// First and longest pause after a failed call to the store.
 const FIRST_PAUSE_MS: u64 = 150;
 const MAX_PAUSE_MS: u64 = 1_000;
-/// Time since a failure within which the store may have dropped replicas that live.
-const DOUBT_MS: u64 = 3_000;
+/// Time after an interruption of reading a table within which the store may still drop records of
+/// replicas that live, in milliseconds: they are back within two seconds of its return.
+const DOUBT_MS: u64 = 1_500;
 
 /// What the composition root gives a process: adapters to its platform.
 #[derive(Clone)]
@@ -70,6 +71,18 @@
     pub headers: Headers,
 }
 
+/// How reading a table from the store goes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Reading {
+    /// The last read failed.
+    Interrupted,
+    /// It failed, and has gone well since.
+    Resumed(Time),
+    /// It has never failed.
+    #[default]
+    Steady,
+}
+
 /// Learns what changed in a table.
 pub type Observer = Rc<dyn Fn(Table, Vec<Record>)>;
 
@@ -94,7 +107,7 @@
     copies: RefCell<[Mirror; 3]>,
     /// Tables that are being read from a peer.
     asking: Cell<[bool; 3]>,
-    store_failed: Cell<Option<Time>>,
+    reading: RefCell<[Reading; 3]>,
     store_lost: Cell<bool>,
     observer: RefCell<Option<Observer>>,
     socket: UdpSocket,
@@ -129,7 +142,7 @@
             leaving: Cell::new(false),
             copies: RefCell::default(),
             asking: Cell::default(),
-            store_failed: Cell::default(),
+            reading: RefCell::default(),
             store_lost: Cell::default(),
             observer: RefCell::default(),
             socket,
@@ -159,13 +172,13 @@
         self.copies.borrow()[index(table)].loaded()
     }
 
-    /// Whether a removal may be an error of the store's.
-    pub fn trust(&self) -> Trust {
+    /// Whether a removal from a table may be an error of the store's.
+    pub fn trust(&self, table: Table) -> Trust {
         let now = self.clock.now();
-        let failed = self.store_failed.get();
-        match failed {
-            Some(at) if now < at.after_ms(DOUBT_MS) => Trust::Doubtful,
-            _ => Trust::Sound,
+        match self.reading.borrow()[index(table)] {
+            Reading::Interrupted => Trust::Doubtful,
+            Reading::Resumed(at) if now < at.after_ms(DOUBT_MS) => Trust::Doubtful,
+            Reading::Resumed(_) | Reading::Steady => Trust::Sound,
         }
     }
 
@@ -197,11 +210,13 @@
         let mut fresh = false;
         loop {
             self.metrics.store_calls.inc();
+            // After a failure, a read without a wait soon tells whether the store is back.
+            let wait = if failures == 0 { wait } else { Duration::ZERO };
             let read = self.read(table, &mut fresh, wait).await;
             match read {
                 Ok(()) => {
                     failures = 0;
-                    self.store_answered();
+                    self.store_answered(table);
                     actix_rt::time::sleep(pause).await;
                 }
                 Err(fault) => {
@@ -231,7 +246,10 @@
         let wait_ms = wait.as_millis() as u64;
         match store.follow(table, self.end(table), wait_ms).await? {
             Followed::Dropped => *fresh = false,
-            Followed::Update(update) => self.apply(table, update),
+            Followed::Update(update) => {
+                // Before what was read is taken in: records of an interruption are doubtful.
+                self.apply(table, update);
+            }
         }
         Ok(())
     }
@@ -245,7 +263,11 @@
         }
     }
 
-    fn store_answered(&self) {
+    fn store_answered(&self, table: Table) {
+        let reading = &mut self.reading.borrow_mut()[index(table)];
+        if *reading == Reading::Interrupted {
+            *reading = Reading::Resumed(self.clock.now());
+        }
         if self.store_lost.replace(false)
             && let Some(log) = self.logs.line(Topic::Dependency)
         {
@@ -255,7 +277,7 @@
 
     fn store_fault(&self, table: Table, fault: &gradeloft_platform::Fault) {
         self.metrics.store_faults.inc();
-        self.store_failed.set(Some(self.clock.now()));
+        self.reading.borrow_mut()[index(table)] = Reading::Interrupted;
         if !self.store_lost.replace(true)
             && let Some(log) = self.logs.line(Topic::Dependency)
         {
--- a/crates/gradeloft_gateway/src/settings.rs
+++ b/crates/gradeloft_gateway/src/settings.rs
@@ -33,6 +33,8 @@
     pub grace_ms: u64,
     /// Longest time for which callers keep the addresses that they are given, in seconds.
     pub max_ttl_s: u64,
+    /// Bytes a second that the instance's link carries, each way.
+    pub link_bytes_per_s: u64,
     /// What the process does.
     pub role: Role,
 }
