--- a/crates/gradeloft_gateway/src/agent/fill.rs
+++ b/crates/gradeloft_gateway/src/agent/fill.rs
@@ -7,7 +7,7 @@
 use gradeloft_daemon::transport::client::Lane;
 use gradeloft_policy::{
     rendezvous,
-    version::pieces::{self, Member, Source},
+    version::pieces::{Member, Search, Source},
 };
 use gradeloft_wire::{
     frame::{Absence, Call, Reply, Table},
@@ -24,17 +24,14 @@
 const AT_ONCE: usize = 48;
 /// Time for one answer of a peer: all the pieces asked for at once on its link, several times over.
 const PEER_ANSWER: Duration = Duration::from_millis(1_500);
-/// Time for a peer to get a piece that it has not, in milliseconds; then the next one is asked.
-const PEER_WAIT_MS: u64 = 1_500;
-/// Pause before a peer that has not a piece is asked again.
-const PEER_PAUSE: Duration = Duration::from_millis(60);
+/// Pause before a piece is looked for again.
+const POLL: Duration = Duration::from_millis(80);
+/// Time after which the whole is looked at again, in milliseconds.
+const GIVE_UP_MS: u64 = 15_000;
+/// Peers that are asked for a manifest while the origin is out of reach.
+const MANIFEST_PEERS: usize = 4;
 /// Time for a peer to say what it holds, or for an entry to list replicas.
 const QUESTION: Duration = Duration::from_millis(700);
-/// Pause between attempts at the origin.
-const ORIGIN_PAUSE: Duration = Duration::from_millis(250);
-/// Attempts at the origin before the whole is looked at again.
-const ORIGIN_ATTEMPTS: u32 = 3;
-
 /// Fetches what is missing of a version until all of it is staged and every piece has been read
 /// back with its digest.
 pub async fn fill(agent: &Rc<Agent>, version: &Version) -> Result<(), String> {
@@ -118,11 +115,12 @@
     rendezvous::hash(address.ip().to_string().as_bytes())
 }
 
-/// Sources for what hashes to `key`, best first.
-fn sources(agent: &Agent, key: u64, members: &[Member]) -> Vec<Source> {
+/// A search for what hashes to `key`.
+fn search(agent: &Agent, key: u64, members: &[Member]) -> Search {
     let settings = agent.node.settings();
     let region = settings.region(&settings.zone);
-    pieces::sources(key, node_hash(agent.replica), region, members)
+    let now = agent.node.clock.now();
+    Search::new(key, node_hash(agent.replica), region, members, now)
 }
 
 /// Makes a version the one that is held, with the digests of its pieces.
@@ -146,24 +144,23 @@
     Ok(())
 }
 
+/// Digests of a version's pieces. The manifest is small, so the origin gives it to everybody; peers
+/// are asked while the origin is out of reach.
 async fn manifest(
     agent: &Agent,
     version: &Version,
     members: &[Member],
 ) -> Result<Vec<Digest>, String> {
-    let key = rendezvous::hash(format!("{}/{}", version.model, version.number).as_bytes());
-    let mut last = "no source".to_owned();
-    // It is small, so the origin gives it to everybody; peers are asked while the origin is out of
-    // reach.
-    let sources = [Source::Origin]
-        .into_iter()
-        .chain(sources(agent, key, members));
-    for source in sources {
-        let digests = match source {
-            Source::Origin => origin_manifest(agent, version).await,
-            Source::Peer(address) => peer_manifest(agent, version, address).await,
-        };
-        match digests {
+    let mut last = match origin_manifest(agent, version).await {
+        Ok(digests) if !digests.is_empty() => return Ok(digests),
+        Ok(_) => "an empty manifest".to_owned(),
+        Err(error) => error,
+    };
+    let others = members
+        .iter()
+        .filter(|it| it.address.ip() != agent.replica.ip());
+    for member in others.take(MANIFEST_PEERS) {
+        match peer_manifest(agent, version, member.address).await {
             Ok(digests) if !digests.is_empty() => return Ok(digests),
             Ok(_) => "an empty manifest".clone_into(&mut last),
             Err(error) => last = error,
@@ -190,19 +187,11 @@
         model: version.model.clone(),
         version: version.number,
     };
-    let until = agent.node.clock.now().after_ms(PEER_WAIT_MS);
     let peer = address.to_string();
-    loop {
-        let asked = agent.node.peers.ask(&peer, Lane::Live, &call);
-        match timeout(QUESTION, asked).await {
-            Ok(Ok(Reply::Pieces(digests))) => return Ok(digests),
-            Ok(Ok(Reply::Absent(Absence::Pending | Absence::NotHeld))) => {}
-            other => return Err(format!("peer {address}: {}", unexpected(&other))),
-        }
-        if until <= agent.node.clock.now() {
-            return Err(format!("peer {address} has no manifest"));
-        }
-        actix_rt::time::sleep(PEER_PAUSE).await;
+    let asked = agent.node.peers.ask(&peer, Lane::Live, &call);
+    match timeout(QUESTION, asked).await {
+        Ok(Ok(Reply::Pieces(digests))) => Ok(digests),
+        other => Err(format!("peer {address}: {}", unexpected(&other))),
     }
 }
 
@@ -265,101 +254,108 @@
     };
     let count = missing.len();
     // What this agent is the first for comes first, as others wait for it.
-    let rank = |idx: &u32| sources(agent, digests[*idx as usize].short(), members).len();
-    let mut missing = missing;
-    missing.sort_by_cached_key(rank);
-    let fetches = missing.into_iter().map(|idx| {
-        let digest = digests[idx as usize];
-        async move { fetch(agent, version, members, idx, digest).await }
-    });
+    let mut searches: Vec<(u32, Digest, Search)> = missing
+        .into_iter()
+        .map(|idx| (idx, digests[idx as usize]))
+        .map(|(idx, digest)| (idx, digest, search(agent, digest.short(), members)))
+        .collect();
+    searches.sort_by_key(|(_, _, search)| search.rank());
+    let fetches = searches
+        .into_iter()
+        .map(|(idx, digest, search)| fetch(agent, version, idx, digest, search));
     let mut fetching = stream::iter(fetches).buffer_unordered(AT_ONCE);
-    let mut result = Ok(count);
+    let mut left = count;
     while let Some(fetched) = fetching.next().await {
-        if let Err(error) = fetched {
-            result = Err(error);
-        }
-        if agent.target().as_ref() != Some(version) {
+        fetched?;
+        left -= 1;
+        if digests.len() < 2 * left && agent.target().as_ref() != Some(version) {
             return Err("another version was named".to_owned());
         }
     }
-    result
+    Ok(count)
 }
 
+/// Gets one piece and stages it.
 async fn fetch(
     agent: &Rc<Agent>,
     version: &Version,
-    members: &[Member],
     idx: u32,
     digest: Digest,
+    mut search: Search,
 ) -> Result<(), String> {
-    let mut last = "no source".to_owned();
-    for source in sources(agent, digest.short(), members) {
-        let content = match source {
-            Source::Origin => origin_piece(agent, version, idx, digest).await,
-            Source::Peer(address) => peer_piece(agent, address, digest).await,
+    let until = agent.node.clock.now().after_ms(GIVE_UP_MS);
+    loop {
+        let source = search.next(agent.node.clock.now());
+        let failure = match source {
+            Some(source) => match ask(agent, version, idx, digest, source).await {
+                Ok(content) => return stage(agent, version, idx, content, source).await,
+                Err(failure) => Some(failure),
+            },
+            None => None,
         };
-        match content {
-            Ok(content) => return stage(agent, version, idx, content, source).await,
-            Err(error) => last = error,
+        let now = agent.node.clock.now();
+        if let (Some(source), Some(Missing::Failed(reason))) = (source, &failure) {
+            search.failed(source, now);
+            if let Some(log) = agent.node.logs.line(Topic::Weights) {
+                warn!(log, "piece not given"; "piece" => idx, "version" => version.number,
+                    "source" => ?source, "reason" => reason);
+            }
         }
+        if until <= now {
+            return Err(format!("piece {idx}: nobody gave it"));
+        }
+        actix_rt::time::sleep(POLL).await;
     }
-    if let Some(log) = agent.node.logs.line(Topic::Weights) {
-        warn!(log, "piece not fetched"; "piece" => idx, "version" => version.number,
-            "reason" => &last);
-    }
-    Err(format!("piece {idx}: {last}"))
 }
 
-async fn origin_piece(
+/// Why a source gave no piece.
+enum Missing {
+    /// It failed, or gave something else.
+    Failed(String),
+    /// It has not got it, or no slot for it, yet.
+    NotYet,
+}
+
+async fn ask(
     agent: &Agent,
     version: &Version,
     idx: u32,
     digest: Digest,
-) -> Result<Bytes, String> {
-    let address = agent.origin().ok_or("no origin")?;
-    let origin = &agent.node.platform.origin;
-    let mut last = String::new();
-    for _ in 0..ORIGIN_ATTEMPTS {
-        let pass = agent.gate.enter().await;
-        let read = origin.piece(address, &version.model, version.number, idx);
-        let read = read.await;
-        drop(pass);
-        match read {
-            Ok(content) if origin.digest(&content) == digest => return Ok(content),
-            Ok(_) => "the origin's piece has another digest".clone_into(&mut last),
-            Err(fault) => last = format!("origin: {fault}"),
-        }
-        actix_rt::time::sleep(ORIGIN_PAUSE).await;
+    source: Source,
+) -> Result<Bytes, Missing> {
+    let pass = agent.gate.enter().await;
+    let started = agent.node.clock.now();
+    let content = match source {
+        Source::Origin => origin_piece(agent, version, idx).await,
+        Source::Peer(address) => peer_piece(agent, address, digest).await,
+    };
+    drop(pass);
+    let content = content?;
+    agent.gate.arrived(agent.node.clock.now().since(started));
+    if agent.node.platform.origin.digest(&content) != digest {
+        return Err(Missing::Failed("another digest".to_owned()));
     }
-    Err(last)
+    Ok(content)
+}
+
+async fn origin_piece(agent: &Agent, version: &Version, idx: u32) -> Result<Bytes, Missing> {
+    let address = agent.origin();
+    let address = address.ok_or_else(|| Missing::Failed("no origin".to_owned()))?;
+    let origin = &agent.node.platform.origin;
+    let read = origin.piece(address, &version.model, version.number, idx);
+    read.await.map_err(|it| Missing::Failed(it.to_string()))
 }
 
-async fn peer_piece(agent: &Agent, address: SocketAddr, digest: Digest) -> Result<Bytes, String> {
+async fn peer_piece(agent: &Agent, address: SocketAddr, digest: Digest) -> Result<Bytes, Missing> {
     let call = Call::Chunk { digest };
-    let until = agent.node.clock.now().after_ms(PEER_WAIT_MS);
     let peer = address.to_string();
-    loop {
-        let pass = agent.gate.enter().await;
-        let started = agent.node.clock.now();
-        let asked = agent.node.peers.ask(&peer, Lane::Bulk, &call);
-        let answer = timeout(PEER_ANSWER, asked).await;
-        drop(pass);
-        match answer {
-            Ok(Ok(Reply::Chunk(content))) => {
-                agent.gate.arrived(agent.node.clock.now().since(started));
-                let content = Bytes::from(content);
-                if agent.node.platform.origin.digest(&content) == digest {
-                    return Ok(content);
-                }
-                return Err(format!("peer {address}: another digest"));
-            }
-            Ok(Ok(Reply::Absent(Absence::Pending | Absence::NotHeld | Absence::Busy))) => {}
-            other => return Err(format!("peer {address}: {}", unexpected(&other))),
-        }
-        if until <= agent.node.clock.now() {
-            return Err(format!("peer {address} has not the piece"));
+    let asked = agent.node.peers.ask(&peer, Lane::Bulk, &call);
+    match timeout(PEER_ANSWER, asked).await {
+        Ok(Ok(Reply::Chunk(content))) => Ok(Bytes::from(content)),
+        Ok(Ok(Reply::Absent(Absence::Pending | Absence::NotHeld | Absence::Busy))) => {
+            Err(Missing::NotYet)
         }
-        actix_rt::time::sleep(PEER_PAUSE).await;
+        other => Err(Missing::Failed(unexpected(&other))),
     }
 }
 
--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -290,7 +290,8 @@
             .metrics
             .weights
             .set(version.unwrap_or_default() as i64);
-        let changed = before.map(|it| it.version) != state.map(|it| it.version);
+        let told = |it: Option<State>| it.map(|it| (it.version, it.busy));
+        let changed = told(before) != told(state);
         let due = self.told_at.get().after_ms(TELL_MS) <= self.node.clock.now();
         if changed || due {
             self.tell();
@@ -304,7 +305,7 @@
         };
         let engine = self.state.get().map(|it| Engine {
             version: it.version,
-            loading: self.loading.get(),
+            loading: self.loading.get() || it.busy,
             active: it.active,
             queued: it.queued,
         });
@@ -380,9 +381,6 @@
     async fn load(&self, version: &Version) -> Result<(), String> {
         actix_rt::time::sleep(HEADS_UP).await;
         self.idle().await?;
-        if self.target().as_ref() != Some(version) {
-            return Err("another version was named".to_owned());
-        }
         let fence = version.number;
         let ordered = self
             .engine
--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -52,8 +52,6 @@
     pub first_byte: Option<Time>,
     /// Whether the caller's connection may carry another request.
     pub keeps: bool,
-    /// Version of weights that its replica must have.
-    pub version: Option<u64>,
     /// Failures so far, for the log.
     trail: Vec<Failure>,
 }
@@ -129,7 +127,6 @@
     Job {
         deadline: received.at.after_ms(patience_ms),
         progress: Progress::new(route.kind, route.max_attempts),
-        version: entry.oldest_version(&service),
         service,
         team,
         received,
@@ -184,7 +181,8 @@
     let settings = entry.node.settings();
     let wish = Wish {
         zone: &settings.zone,
-        version: job.version,
+        // Asked again for each attempt: a version may have become due meanwhile.
+        version: entry.oldest_version(&job.service),
         tried: &job.tried,
     };
     let replicas = entry.replicas.borrow();
