Change versions over in two waves; refuse beyond slots

Cause: all replicas drained at once when the swarm ended, so nothing took requests for one to two seconds a version; queues beyond the slots made everything late. The first wave cuts its streams, which go on at replicas of the second on the same version; the second follows once the first is back. Requests waiting at a replica are let begin before the order (a frozen replica began one on version 1 12 s after version 2).

--- a/crates/gradeloft_gateway/src/agent/fill.rs
+++ b/crates/gradeloft_gateway/src/agent/fill.rs
@@ -32,19 +32,24 @@
 const MANIFEST_PEERS: usize = 4;
 /// Time for a peer to say what it holds, or for an entry to list replicas.
 const QUESTION: Duration = Duration::from_millis(700);
-/// Fetches what is missing of a version until all of it is staged and every piece has been read
-/// back with its digest.
-pub async fn fill(agent: &Rc<Agent>, version: &Version) -> Result<(), String> {
+/// Fetches what is missing of a version until all of it is staged; gives the other agents.
+pub async fn fill(agent: &Rc<Agent>, version: &Version) -> Result<Vec<u64>, String> {
     let members = members(agent, version).await;
     hold(agent, version, &members).await?;
     check_staged(agent, version).await;
     let fetched = fetch_missing(agent, version, &members).await?;
-    // Read back right before the order: what lies staged is loaded as it is then.
-    let spoilt = check_staged(agent, version).await;
     if let Some(log) = agent.node.logs.line(Topic::Weights) {
         info!(log, "weights staged"; "model" => &version.model, "version" => version.number,
-            "fetched" => fetched, "spoilt" => spoilt, "members" => members.len());
+            "fetched" => fetched, "members" => members.len());
     }
+    let own = node_hash(agent.replica);
+    let others = members.iter().map(|it| it.node).filter(|it| *it != own);
+    Ok(others.collect())
+}
+
+/// Reads every staged piece of a version back, and fails unless all have their digests.
+pub async fn check(agent: &Rc<Agent>, version: &Version) -> Result<(), String> {
+    let spoilt = check_staged(agent, version).await;
     if 0 < spoilt {
         return Err(format!("{spoilt} staged pieces are spoilt"));
     }
@@ -111,7 +116,8 @@
     agent.node.read_snapshot(Table::Replicas).await;
 }
 
-fn node_hash(address: SocketAddr) -> u64 {
+/// Hash of an agent's instance.
+pub fn node_hash(address: SocketAddr) -> u64 {
     rendezvous::hash(address.ip().to_string().as_bytes())
 }
 
--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -20,15 +20,16 @@
 
 use gradeloft_daemon::transport::server::Server as PeerServer;
 use gradeloft_http::server::Server;
-use gradeloft_platform::fleet::{Engine as EngineApi, Order, State, Taken};
+use gradeloft_platform::fleet::{Engine as EngineApi, Load, Order, State, Taken};
 use gradeloft_policy::{
     clock::Time,
     connection::pace::Pacer,
     process::{document::Document, mirror::Record},
-    version::upload::Slots,
+    rendezvous,
+    version::{upload::Slots, waves::Wave},
 };
 use gradeloft_wire::{
-    datagram::{Engine, Sender},
+    datagram::{Engine, Sender, Switched},
     frame::Table,
     id::Digest,
 };
@@ -55,6 +56,8 @@
 const RETRY: Duration = Duration::from_millis(300);
 /// Time for the entries to learn that the replica takes no work, before it is ordered to load.
 const HEADS_UP: Duration = Duration::from_millis(40);
+/// Time for requests that wait at the replica to begin, in milliseconds.
+const BEGIN_MS: u64 = 600;
 /// Longest time for an order to show its effect, in milliseconds: the longest request of today, and
 /// the loading.
 const LOAD_MS: u64 = 8_000;
@@ -110,6 +113,10 @@
     pub gate: Gate,
     state: Cell<Option<State>>,
     loading: Cell<bool>,
+    /// Replicas that changed over to the newest version, as an entry said last.
+    switched: Cell<Option<Switched>>,
+    /// Whether every stream of the service can go on at another replica.
+    resumable: Cell<bool>,
     /// Whether the staged pieces are being looked through.
     adopting: Cell<bool>,
     config: RefCell<Option<Document>>,
@@ -147,6 +154,8 @@
             gate: Gate::new(Duration::from_secs_f64(PIECE_BYTES / rate as f64)),
             state: Cell::default(),
             loading: Cell::default(),
+            switched: Cell::default(),
+            resumable: Cell::default(),
             adopting: Cell::default(),
             config: RefCell::default(),
             named: RefCell::default(),
@@ -247,6 +256,7 @@
             .is_none_or(|it| it.version < document.version);
         if newer {
             self.node.metrics.config.set(document.version as i64);
+            self.resumable.set(document.resumes(&self.service));
             // Routes and keys are an entry's matter, and take most of the memory.
             *config = Some(Document {
                 routes: Vec::new(),
@@ -317,8 +327,9 @@
     async fn listen(self: Rc<Agent>) {
         loop {
             let (from, datagram) = self.node.heard().await;
-            if let Sender::Entry { .. } = datagram.sender {
+            if let Sender::Entry { switched, .. } = datagram.sender {
                 let now = self.node.clock.now();
+                self.switched.set(newest(self.switched.get(), &switched));
                 let new = self.entries.borrow_mut().insert(from, now).is_none();
                 self.node.heard_ends(from, datagram.ends);
                 if new {
@@ -368,27 +379,51 @@
     }
 
     async fn bring(self: &Rc<Agent>, version: &Version) -> Result<(), String> {
-        fill::fill(self, version).await?;
+        let named = self.node.clock.now();
+        let others = fill::fill(self, version).await?;
+        let wave = self.turn(version, named, &others).await;
+        // What lies staged is loaded as it is when the order is taken.
+        fill::check(self, version).await?;
         self.loading.set(true);
         self.tell();
-        let loaded = self.load(version).await;
+        let loaded = self.load(version, wave).await;
         self.loading.set(false);
         self.ask().await;
         self.tell();
         loaded
     }
 
-    async fn load(&self, version: &Version) -> Result<(), String> {
+    /// Waits until it is this replica's turn to load.
+    async fn turn(&self, version: &Version, named: Time, others: &[u64]) -> Wave {
+        let wave = Wave::of(version.number, fill::node_hash(self.replica), others);
+        let version_ms = self.node.settings().version_ms;
+        let model = rendezvous::hash(version.model.as_bytes());
+        loop {
+            let serves = self.state.get().is_some_and(|it| it.version.is_some());
+            let switched = self.switched.get();
+            let switched = switched.filter(|it| (it.model, it.version) == (model, version.number));
+            let switched = switched.map_or(0, |it| usize::from(it.replicas));
+            let now = self.node.clock.now();
+            if !serves || wave.may_load(switched, named, version_ms, now) {
+                return wave;
+            }
+            actix_rt::time::sleep(ASK_LOADING).await;
+        }
+    }
+
+    async fn load(&self, version: &Version, wave: Wave) -> Result<(), String> {
         actix_rt::time::sleep(HEADS_UP).await;
         self.idle().await?;
-        let fence = version.number;
-        let ordered = self
-            .engine
-            .load(&version.model, version.number, fence)
-            .await;
+        self.begun().await;
+        let load = Load {
+            model: &version.model,
+            version: version.number,
+            fence: version.number,
+            running: wave.running(self.resumable.get()),
+        };
+        let ordered = self.engine.load(load).await;
         if let Some(log) = self.node.logs.line(Topic::Weights) {
-            info!(log, "ordered"; "model" => &version.model, "version" => version.number,
-                "fence" => fence, "result" => ?ordered);
+            info!(log, "ordered"; "order" => ?load, "result" => ?ordered);
         }
         match ordered {
             Ok(Taken::Started) => self.loaded(version).await,
@@ -411,6 +446,19 @@
         Ok(())
     }
 
+    /// Waits a little until every request at the replica has begun. One that waits while the replica
+    /// stands still would begin on weights that are no longer allowed.
+    async fn begun(&self) {
+        let until = self.node.clock.now().after_ms(BEGIN_MS);
+        while self.node.clock.now() < until {
+            let waiting = self.state.get().is_some_and(|it| 0 < it.queued);
+            actix_rt::time::sleep(ASK_LOADING).await;
+            if !waiting {
+                return;
+            }
+        }
+    }
+
     /// Waits until the replica holds a version.
     async fn loaded(&self, version: &Version) -> Result<(), String> {
         let until = self.node.clock.now().after_ms(LOAD_MS);
@@ -434,6 +482,14 @@
     }
 }
 
+/// The newer word on how many replicas changed over.
+fn newest(before: Option<Switched>, now: &[Switched]) -> Option<Switched> {
+    now.iter()
+        .copied()
+        .chain(before)
+        .max_by_key(|it| it.version)
+}
+
 impl Handle {
     /// Ends at once: the replica goes on without its agent.
     pub fn leave(self) {
--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -48,6 +48,8 @@
     pub head_sent: bool,
     /// Id of the last event that went out to the caller.
     pub last_event: Option<u64>,
+    /// Version of the weights that began the answer.
+    pub version: Option<u64>,
     /// When the answer began.
     pub first_byte: Option<Time>,
     /// Whether the caller's connection may carry another request.
@@ -134,6 +136,7 @@
         tried: Vec::new(),
         head_sent: false,
         last_event: None,
+        version: None,
         first_byte: None,
         keeps,
         trail: Vec::new(),
@@ -182,7 +185,8 @@
     let wish = Wish {
         zone: &settings.zone,
         // Asked again for each attempt: a version may have become due meanwhile.
-        version: entry.oldest_version(&job.service),
+        oldest: entry.oldest_version(&job.service),
+        same: job.version,
         tried: &job.tried,
     };
     let replicas = entry.replicas.borrow();
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -42,7 +42,7 @@
     version::named::Named,
 };
 use gradeloft_wire::{
-    datagram::{Datagram, Engine, Load, Presence, Sender},
+    datagram::{Datagram, Engine, Load, Presence, Sender, Switched},
     frame::{Call, Table},
 };
 use slog::{info, warn};
@@ -58,7 +58,7 @@
 /// Pause between datagrams to other entries.
 const TELL: Duration = Duration::from_millis(250);
 /// Datagrams to other entries for each one to the agents.
-const AGENT_TURN: u32 = 4;
+const AGENT_TURN: u32 = 2;
 /// Longest wait of one read of a table for something new.
 const WAIT_ORDERS: Duration = Duration::from_secs(4);
 const WAIT_REPLICAS: Duration = Duration::from_secs(2);
@@ -218,9 +218,26 @@
             .collect()
     }
 
+    /// Version of the weights that a replica holds.
+    pub fn version_of(&self, key: ReplicaKey) -> Option<u64> {
+        let now = self.node.clock.now();
+        let replicas = self.replicas.borrow();
+        replicas.get(key).and_then(|it| it.version(now))
+    }
+
+    /// A replica sent something.
+    pub fn heard_replica(&self, key: ReplicaKey) {
+        let now = self.node.clock.now();
+        self.replicas.borrow_mut().heard(key, now);
+    }
+
     /// Counts a request as running at a replica until the guard is dropped.
     pub fn running(self: &Rc<Entry>, key: ReplicaKey) -> Running {
+        let now = self.node.clock.now();
         if let Some(replica) = self.replicas.borrow_mut().get_mut(key) {
+            if replica.own == 0 {
+                replica.heard = now;
+            }
             replica.own += 1;
         }
         Running {
@@ -421,6 +438,7 @@
             presence: self.presence(),
             loads: self.loads(),
             entries: entries.clone(),
+            switched: self.switched(),
         };
         let mut to = entries;
         if agents {
@@ -451,6 +469,28 @@
         .collect()
     }
 
+    /// Replicas that take requests with the newest version of each model.
+    fn switched(&self) -> Vec<Switched> {
+        let now = self.node.clock.now();
+        let config = self.config.borrow();
+        let services = config.iter().flat_map(|it| &it.document.services);
+        let weights = self.weights.borrow();
+        let replicas = self.replicas.borrow();
+        let models = services.flat_map(|it| it.models.iter().map(move |model| (it, model)));
+        models
+            .filter_map(|(service, model)| {
+                let version = weights.get(model)?.newest();
+                let all = replicas.of(&service.name);
+                let done = all.filter(|(_, it)| it.open(now) && it.version(now) == Some(version));
+                Some(Switched {
+                    model: rendezvous::hash(model.as_bytes()),
+                    version,
+                    replicas: done.count().min(usize::from(u16::MAX)) as u16,
+                })
+            })
+            .collect()
+    }
+
     /// Lets go of what has become old.
     fn upkeep(&self) {
         let now = self.node.clock.now();
@@ -503,6 +543,7 @@
                 presence,
                 loads,
                 entries,
+                ..
             } => {
                 self.entry_told(from, datagram.incarnation, &datagram.zone, presence, now);
                 self.learn(&entries);
--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -261,6 +261,7 @@
         };
         let ended = match read {
             Read::Data(data) => {
+                entry.heard_replica(source.link.replica());
                 splitter.feed(&data);
                 false
             }
@@ -286,6 +287,7 @@
             bytes = chunked_head(entry, job, head);
             job.head_sent = true;
             job.first_byte = Some(entry.node.clock.now());
+            job.version = entry.version_of(source.link.replica());
         }
         put_chunk(&mut bytes, &out);
         out.clear();
--- a/crates/gradeloft_platform/src/fleet.rs
+++ b/crates/gradeloft_platform/src/fleet.rs
@@ -8,6 +8,7 @@
     mirror::{Record, Update},
     replicas::Listing,
 };
+use gradeloft_policy::version::waves::Running;
 use gradeloft_wire::{frame::Table, id::Digest};
 
 use crate::Answer;
@@ -68,6 +69,19 @@
     pub queued: u32,
 }
 
+/// An order to load what is staged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Load<'a> {
+    /// Model.
+    pub model: &'a str,
+    /// Version of what is staged.
+    pub version: u64,
+    /// Refused by engines that have seen a higher one.
+    pub fence: u64,
+    /// What becomes of the requests that run.
+    pub running: Running,
+}
+
 /// How an engine took an order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Taken {
@@ -89,8 +103,8 @@
     fn piece<'a>(&'a self, model: &'a str, idx: u32) -> Answer<'a, Bytes>;
     /// Stages a piece in place of what lies there.
     fn stage<'a>(&'a self, model: &'a str, idx: u32, content: Bytes) -> Answer<'a, ()>;
-    /// Orders it to load what is staged, after the requests that run.
-    fn load<'a>(&'a self, model: &'a str, version: u64, fence: u64) -> Answer<'a, Taken>;
+    /// Orders it to load what is staged.
+    fn load<'a>(&'a self, load: Load<'a>) -> Answer<'a, Taken>;
 }
 
 /// The origin of weights.
--- a/crates/gradeloft_policy/src/process/document.rs
+++ b/crates/gradeloft_policy/src/process/document.rs
@@ -133,6 +133,15 @@
     pub limits: CallerLimits,
 }
 
+impl Document {
+    /// Whether all streams of a service can go on at another replica.
+    pub fn resumes(&self, service: &str) -> bool {
+        let leads = |it: &&Route| it.targets.iter().any(|it| &*it.service == service);
+        let mut routes = self.routes.iter().filter(leads);
+        routes.all(|it| it.kind == Kind::ResumableStream)
+    }
+}
+
 /// Why a request has no route.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Denied {
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -17,6 +17,10 @@
 /// Age at which an agent's word is no longer used, in milliseconds: three of its usual pauses.
 const REPORT_MS: u64 = 3_000;
 
+/// Time without a byte after which a replica with requests counts as silent, in milliseconds: ten of
+/// an engine's passes at full load.
+const SILENCE_MS: u64 = 600;
+
 new_key_type! {
     /// Names a replica.
     pub struct ReplicaKey;
@@ -78,6 +82,8 @@
     pub own: u32,
     /// Requests of other entries that it works on, as they said last.
     pub others: u32,
+    /// When it sent something last, or was given the only request that it has from this entry.
+    pub heard: Time,
     failures: u32,
     paused_until: Time,
     /// Set while a removal waits.
@@ -98,6 +104,11 @@
         !self.listing.draining && !loading && filled
     }
 
+    /// Whether it has sent nothing for long although it has requests of this entry.
+    pub fn silent(&self, now: Time) -> bool {
+        0 < self.own && self.heard.after_ms(SILENCE_MS) <= now
+    }
+
     /// Whether it failed a moment ago.
     pub fn suspect(&self, now: Time) -> bool {
         now < self.paused_until
@@ -168,6 +179,7 @@
             report: None,
             own: 0,
             others: 0,
+            heard: Time::ZERO,
             failures: 0,
             paused_until: Time::ZERO,
             gone_at: None,
@@ -226,6 +238,13 @@
         Some((listing.draining, listing.version))
     }
 
+    /// A replica sent something.
+    pub fn heard(&mut self, key: ReplicaKey, now: Time) {
+        if let Some(replica) = self.arena.get_mut(key) {
+            replica.heard = now;
+        }
+    }
+
     /// A request to a replica came back as it should.
     pub fn succeeded(&mut self, key: ReplicaKey) {
         if let Some(replica) = self.arena.get_mut(key) {
--- a/crates/gradeloft_policy/src/request/placement.rs
+++ b/crates/gradeloft_policy/src/request/placement.rs
@@ -13,8 +13,19 @@
 /// Noise, as a part of a replica's slots, so that entries with the same view do not all pick the
 /// same replica.
 const NOISE: f64 = 0.06;
+/// What a replica with an older version than others is behind them by, as a part of its slots, so
+/// that it runs empty before it changes over.
+const OLD: f64 = 0.6;
+/// What a replica with another version than the one that began a stream is behind by, as a part of
+/// its slots: whole answers come from one version wherever a replica of it has room.
+const OTHER: f64 = 3.0;
+/// What a replica that sends nothing although it has requests is behind all others by.
+const SILENT: f64 = 10.0;
 /// What a replica that failed a moment ago is behind all others by.
 const SUSPECT: f64 = 1_000.0;
+/// Requests beyond a replica's slots that it is given. A request that waits for a slot is late, and
+/// makes those behind it late.
+const WAITING: u32 = 2;
 
 /// What a request asks of its replica.
 #[derive(Clone, Copy, Debug)]
@@ -22,7 +33,9 @@
     /// The entry's availability zone.
     pub zone: &'a str,
     /// Oldest version of weights allowed; `None` for any.
-    pub version: Option<u64>,
+    pub oldest: Option<u64>,
+    /// Version that began the answer, where another replica is to go on with it.
+    pub same: Option<u64>,
     /// Replicas that this request has been sent to.
     pub tried: &'a [ReplicaKey],
 }
@@ -34,25 +47,43 @@
     now: Time,
     rng: &mut impl Rng,
 ) -> Option<ReplicaKey> {
-    let allowed = |it: &Replica| {
-        let new_enough = wish.version.is_none_or(|oldest| {
-            !it.listing.has_model || it.version(now).is_some_and(|it| oldest <= it)
-        });
-        it.open(now) && new_enough
-    };
-    replicas
-        .filter(|(key, it)| allowed(it) && !wish.tried.contains(key))
-        .map(|(key, it)| (cost(it, wish, now) + NOISE * rng.random::<f64>(), key))
+    let open: Vec<(ReplicaKey, &Replica)> = replicas
+        .filter(|(key, it)| allowed(it, wish, now) && !wish.tried.contains(key))
+        .collect();
+    let newest = open.iter().filter_map(|(_, it)| it.version(now)).max();
+    open.into_iter()
+        .filter(|(_, it)| it.load() < it.listing.slots + WAITING)
+        .map(|(key, it)| {
+            let noise = NOISE * rng.random::<f64>();
+            (cost(it, wish, newest, now) + noise, key)
+        })
         .min_by(|a, b| a.0.total_cmp(&b.0))
         .map(|(_, key)| key)
 }
 
-fn cost(replica: &Replica, wish: Wish<'_>, now: Time) -> f64 {
+fn allowed(replica: &Replica, wish: Wish<'_>, now: Time) -> bool {
+    let new_enough = wish.oldest.is_none_or(|oldest| {
+        let version = replica.version(now);
+        !replica.listing.has_model || version.is_some_and(|it| oldest <= it)
+    });
+    replica.open(now) && new_enough
+}
+
+fn cost(replica: &Replica, wish: Wish<'_>, newest: Option<u64>, now: Time) -> f64 {
     let slots = f64::from(replica.listing.slots.max(1));
+    let version = replica.version(now);
     let mut cost = f64::from(replica.load()) / slots;
     if replica.listing.zone != wish.zone {
         cost += FAR;
     }
+    match wish.same {
+        Some(_) if wish.same != version => cost += OTHER,
+        None if version < newest => cost += OLD,
+        Some(_) | None => {}
+    }
+    if replica.silent(now) {
+        cost += SILENT;
+    }
     if replica.suspect(now) {
         cost += SUSPECT;
     }
--- a/crates/gradeloft_policy/src/version/mod.rs
+++ b/crates/gradeloft_policy/src/version/mod.rs
@@ -12,6 +12,7 @@
 //! - [`upload`]: which peer's request for a chunk is served when.
 //! - [`rollout`]: which version requests are pinned to.
 //! - [`turns`]: which replica may be taken down now.
+//! - [`waves`]: when each replica takes a new version.
 
 pub mod bundle;
 pub mod chain;
@@ -25,3 +26,4 @@
 pub mod rollout;
 pub mod turns;
 pub mod upload;
+pub mod waves;
--- a/crates/gradeloft_policy/src/version/pieces.rs
+++ b/crates/gradeloft_policy/src/version/pieces.rs
@@ -18,6 +18,9 @@
 /// Time that each better-ranked agent is given to read the origin, in milliseconds: most of the time
 /// in which the origin sends one copy to the whole fleet.
 const TAKEOVER_MS: u64 = 900;
+/// Time that the first ones of the own region are given, in milliseconds: most of the time in which
+/// a version reaches the whole fleet when nothing fails.
+const REGION_MS: u64 = 2_500;
 /// Ranks that are told apart; all lower ones wait as long.
 const MAX_RANK: u64 = 8;
 /// Pause after a failure of the origin, for the first in rank, in milliseconds.
@@ -75,9 +78,18 @@
         });
         let regional = ranked.iter().filter(|it| it.region == region);
         let mut peers = before(own, regional.copied(), REGIONAL);
+        // Bytes between regions are dear: peers elsewhere are asked at once only by the first of a
+        // region, by the others only once theirs had time.
+        let elsewhere_at = match peers.is_empty() {
+            true => now,
+            false => now.after_ms(REGION_MS),
+        };
         for peer in before(own, ranked.iter().copied(), GLOBAL) {
-            if !peers.contains(&peer) {
-                peers.push(peer);
+            if peers.iter().all(|it| it.address != peer.address) {
+                peers.push(Peer {
+                    not_before: elsewhere_at,
+                    ..peer
+                });
             }
         }
         let better = ranked.iter().take_while(|it| it.node != own).count();
--- a/crates/gradeloft_wire/src/datagram.rs
+++ b/crates/gradeloft_wire/src/datagram.rs
@@ -41,9 +41,22 @@
         loads: Vec<Load>,
         /// Other entries that it knows of.
         entries: Vec<Ipv4Addr>,
+        /// Replicas that take requests with the newest version named, by model.
+        switched: Vec<Switched>,
     },
 }
 
+/// Replicas that changed over to a version.
+#[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct Switched {
+    /// Hash of the model's name.
+    pub model: u64,
+    /// Version.
+    pub version: u64,
+    /// Replicas that take requests with it.
+    pub replicas: u16,
+}
+
 /// Whether an entry takes callers.
 #[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
 pub enum Presence {
