Fetch pieces by what peers say they hold, with the fetch that bundles use

Cause: polls shared the bound on transfers, so pieces were found late; uploads queued at holders looked like slow links and shrank the window; an owner of many pieces was slowed by five seconds after its part of 1.5 copies.

--- /dev/null
+++ b/crates/gradeloft_gateway/src/agent/fetch.rs
@@ -0,0 +1,496 @@
+//! Gets the pieces of a version: carries out what `gradeloft_policy::version::fetch` decides.
+
+use std::{
+    cell::RefCell,
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures_util::{
+    StreamExt,
+    future::{FutureExt, LocalBoxFuture},
+    stream::FuturesUnordered,
+};
+use gradeloft_daemon::transport::client::{Incoming, Lane};
+use gradeloft_policy::{
+    clock::Time,
+    connection::window::Window,
+    rendezvous,
+    version::{
+        fetch::{Ask, Failure, Fetch, From, Scheme, SourceKey, Tuning},
+        manifest::{Chunk, Manifest},
+        partners,
+    },
+};
+use gradeloft_wire::{
+    border::bundle::Objective,
+    frame::{Absence, Call, Reply},
+    id::Digest,
+};
+use slog::warn;
+use tokio::time::timeout;
+
+use super::{
+    Agent, Version,
+    fill::{Member, node_hash},
+};
+use crate::{logs::Topic, metrics::Reason};
+
+/// Pieces read from the origin at once by one agent.
+const ORIGIN_SLOTS: usize = 2;
+/// Pieces asked of one peer at once.
+const PER_SOURCE: u32 = 2;
+/// Time after which an ask counts as stalled, in milliseconds: all pieces that may wait for a slot
+/// at a peer, several times over.
+const STALL_MS: u64 = 2_000;
+/// Time given to the owner of a piece, for each rank, in milliseconds: half of the time in which the
+/// origin sends one copy.
+const TAKEOVER_MS: u64 = 600;
+/// Copies of a version that all agents together may read from the origin before they slow down. Above
+/// one, since agents own unequal numbers of few pieces.
+const ORIGIN_COPIES: f64 = 4.0;
+/// How often asks are looked at again without an event.
+const TICK: Duration = Duration::from_millis(30);
+/// Silence after which a followed peer counts as gone.
+const FOLLOW_SILENCE: Duration = Duration::from_secs(3);
+/// Time for peers to say what they hold before the first piece is asked for.
+const SETTLE: Duration = Duration::from_millis(120);
+/// Time after which pieces are taken from other regions although another agent of the own region is
+/// the one to do so, in milliseconds. Bytes between regions are dear.
+const FAR_MS: u64 = 2_500;
+/// Pause before a piece is handed to the replica again.
+const STAGE_RETRY: Duration = Duration::from_millis(60);
+
+enum Event {
+    Asked {
+        ask: Ask,
+        result: Result<Bytes, Failure>,
+        took: Duration,
+    },
+    Followed {
+        key: SourceKey,
+        node: u64,
+        incoming: Option<Incoming>,
+        positions: Vec<u32>,
+    },
+    Staged {
+        idx: u32,
+        done: bool,
+    },
+}
+
+/// Names what is asked of peers about a version.
+pub fn version_digest(version: &Version) -> Digest {
+    Digest::of(format!("{}/{}", version.model, version.number).as_bytes())
+}
+
+/// Gets the pieces of `version` that are not staged; gives how many those were.
+pub async fn run(
+    agent: &Rc<Agent>,
+    version: &Version,
+    members: &[Member],
+) -> Result<usize, String> {
+    let mut driver = Driver::new(agent, version, members);
+    let missing = driver.fetch.borrow().left();
+    if missing == 0 {
+        return Ok(0);
+    }
+    let _fetching = Fetching::new(agent, &driver.fetch);
+    driver.run().await?;
+    Ok(missing)
+}
+
+/// Shows the fetch to peers that ask, until it is dropped.
+struct Fetching(Rc<Agent>);
+
+impl Fetching {
+    fn new(agent: &Rc<Agent>, fetch: &Rc<RefCell<Fetch>>) -> Fetching {
+        *agent.fetching.borrow_mut() = Some(Rc::clone(fetch));
+        Fetching(Rc::clone(agent))
+    }
+}
+
+impl Drop for Fetching {
+    fn drop(&mut self) {
+        *self.0.fetching.borrow_mut() = None;
+    }
+}
+
+struct Driver<'a> {
+    agent: &'a Rc<Agent>,
+    version: &'a Version,
+    manifest: Manifest,
+    members: &'a [Member],
+    fetch: Rc<RefCell<Fetch>>,
+    window: Window,
+    followed: HashMap<u64, SourceKey>,
+    /// What far peers hold that another agent of the own region is to take.
+    withheld: HashMap<SourceKey, HashSet<usize>>,
+    events: FuturesUnordered<LocalBoxFuture<'static, Event>>,
+    /// Pieces that the replica does not hold yet.
+    staging: usize,
+    started: Time,
+}
+
+impl<'a> Driver<'a> {
+    fn new(agent: &'a Rc<Agent>, version: &'a Version, members: &'a [Member]) -> Driver<'a> {
+        let holding = agent.holding.borrow();
+        let size_bytes = agent.piece_bytes();
+        let chunks = holding.digests.iter().map(|it| Chunk {
+            digest: *it,
+            size_bytes,
+        });
+        let manifest = Manifest {
+            digest: version_digest(version),
+            chunks: chunks.collect(),
+        };
+        let held = |it: Digest| {
+            let idx = holding.positions.get(&it);
+            idx.is_some_and(|it| holding.staged[*it as usize])
+        };
+        let own = node_hash(agent.replica);
+        let started = agent.node.clock.now();
+        let piece_time = agent.piece_time();
+        let tuning = Tuning {
+            scheme: Scheme::Owners,
+            slots: 1,
+            origin_slots: ORIGIN_SLOTS,
+            per_source: PER_SOURCE,
+            stall_ms: STALL_MS,
+            chunk_ms: piece_time.as_millis() as u64,
+            takeover_ms: TAKEOVER_MS,
+            objective: Objective::Time,
+            origin_copies: ORIGIN_COPIES,
+        };
+        let mut fetch = Fetch::new(own, &manifest, held, tuning, started);
+        fetch.set_members(members.iter().map(|it| it.node).collect());
+        drop(holding);
+        Driver {
+            agent,
+            version,
+            manifest,
+            members,
+            fetch: Rc::new(RefCell::new(fetch)),
+            window: Window::new(piece_time),
+            followed: HashMap::new(),
+            withheld: HashMap::new(),
+            events: FuturesUnordered::new(),
+            staging: 0,
+            started,
+        }
+    }
+
+    async fn run(&mut self) -> Result<(), String> {
+        self.follow_partners();
+        let settled = self.agent.node.clock.now().after(SETTLE);
+        while !(self.fetch.borrow().complete() && self.staging == 0) {
+            let now = self.agent.node.clock.now();
+            if settled <= now {
+                self.pump();
+            }
+            tokio::select! {
+                Some(event) = self.events.next() => self.handle(event),
+                () = actix_rt::time::sleep(TICK) => self.expire(),
+            }
+            if self.superseded() {
+                return Err("another version was named".to_owned());
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether a newer version was named before much of this one came. A version that is partly
+    /// here is finished: the newer one may not be had for long.
+    fn superseded(&self) -> bool {
+        let all = self.manifest.chunks.len();
+        let mostly_missing = all * 3 < self.fetch.borrow().left() * 4;
+        mostly_missing && self.agent.target().as_ref() != Some(self.version)
+    }
+
+    fn partners(&self) -> Vec<partners::Member> {
+        let own = node_hash(self.agent.replica);
+        let region = self.agent.region();
+        let others = self.members.iter().filter(|it| it.node != own);
+        let others: Vec<partners::Member> = others
+            .map(|it| partners::Member {
+                node: it.node,
+                address: it.address.to_string(),
+                near: it.region == region,
+            })
+            .collect();
+        partners::choose(Scheme::Owners, own, self.manifest.digest.short(), &others)
+    }
+
+    fn follow_partners(&mut self) {
+        for partner in self.partners() {
+            if self.followed.contains_key(&partner.node) {
+                continue;
+            }
+            let key = self.fetch.borrow_mut().join(partner.near);
+            self.followed.insert(partner.node, key);
+            if !partner.near {
+                self.withheld.entry(key).or_default();
+            }
+            let agent = Rc::clone(self.agent);
+            let manifest = self.manifest.digest;
+            let opening = async move {
+                let call = Call::Follow { manifest };
+                let opened = agent.node.peers.open(&partner.address, Lane::Bulk, &call);
+                Event::Followed {
+                    key,
+                    node: partner.node,
+                    incoming: opened.await.ok(),
+                    positions: Vec::new(),
+                }
+            };
+            self.events.push(opening.boxed_local());
+        }
+    }
+
+    /// Makes every ask that can be made now.
+    fn pump(&mut self) {
+        self.fetch.borrow_mut().set_slots(self.window.size());
+        loop {
+            let now = self.agent.node.clock.now();
+            let next = self
+                .agent
+                .node
+                .with_rng(|rng| self.fetch.borrow_mut().next(now, rng));
+            let Some(ask) = next else {
+                return;
+            };
+            let asking = ask_source(
+                Rc::clone(self.agent),
+                self.version.clone(),
+                ask,
+                self.address(ask.from),
+            );
+            self.events.push(asking.boxed_local());
+        }
+    }
+
+    fn address(&self, from: From) -> Option<SocketAddr> {
+        let node = match from {
+            From::Owner(node) => node,
+            From::Source(key) => *self.followed.iter().find(|(_, it)| **it == key)?.0,
+            From::Origin | From::Store => return None,
+        };
+        let member = self.members.iter().find(|it| it.node == node);
+        member.map(|it| it.address)
+    }
+
+    fn expire(&mut self) {
+        let now = self.agent.node.clock.now();
+        let stalled = self.fetch.borrow().stalled(now);
+        for (idx, from) in stalled {
+            self.fetch
+                .borrow_mut()
+                .failed(idx, from, Failure::Stalled, now);
+        }
+        if self.started.after_ms(FAR_MS) <= now {
+            for (key, positions) in std::mem::take(&mut self.withheld) {
+                self.fetch.borrow_mut().have(key, positions.into_iter());
+            }
+        }
+        self.follow_partners();
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.agent.node.clock.now();
+        match event {
+            Event::Asked {
+                ask,
+                result: Ok(content),
+                took,
+            } => {
+                self.window.arrived(took);
+                if self.fetch.borrow_mut().arrived(ask.idx, ask.from, now) {
+                    self.arrived(ask, content);
+                }
+            }
+            Event::Asked {
+                ask,
+                result: Err(failure),
+                ..
+            } => {
+                self.warn(ask, failure);
+                self.fetch
+                    .borrow_mut()
+                    .failed(ask.idx, ask.from, failure, now);
+            }
+            Event::Followed {
+                key,
+                node,
+                incoming,
+                positions,
+            } => {
+                self.learn(key, positions);
+                match incoming {
+                    Some(incoming) => self.events.push(followed(key, node, incoming)),
+                    None => {
+                        self.followed.remove(&node);
+                        self.withheld.remove(&key);
+                        self.fetch.borrow_mut().leave(key, now);
+                    }
+                }
+            }
+            Event::Staged { idx, done } => {
+                self.staging -= 1;
+                if done {
+                    self.agent.staged(self.version, idx);
+                }
+            }
+        }
+    }
+
+    /// A peer holds pieces. Of what far peers hold, only what this agent is the first of its region
+    /// for counts at once.
+    fn learn(&mut self, key: SourceKey, positions: Vec<u32>) {
+        let positions = positions.into_iter().map(|it| it as usize);
+        let positions: HashSet<usize> = positions.collect();
+        let Some(withheld) = self.withheld.get_mut(&key) else {
+            self.fetch.borrow_mut().have(key, positions.into_iter());
+            return;
+        };
+        let own = node_hash(self.agent.replica);
+        let region = self.agent.region();
+        let near: Vec<u64> = self
+            .members
+            .iter()
+            .filter(|it| it.region == region)
+            .map(|it| it.node)
+            .collect();
+        let chunks = self.manifest.distinct();
+        let first = |idx: &usize| {
+            let key = chunks.get(*idx).map_or(0, |it| it.digest.short());
+            rendezvous::rank(key, own, near.iter().copied().filter(|it| *it != own)) == 0
+        };
+        let (mine, others): (HashSet<usize>, HashSet<usize>) =
+            positions.into_iter().partition(first);
+        withheld.extend(others);
+        self.fetch.borrow_mut().have(key, mine.into_iter());
+    }
+
+    fn arrived(&mut self, ask: Ask, content: Bytes) {
+        let label = Reason {
+            reason: match ask.from {
+                From::Origin | From::Store => "origin",
+                From::Owner(_) | From::Source(_) => "peer",
+            },
+        };
+        self.agent.node.metrics.pieces.get_or_create(&label).inc();
+        let holding = self.agent.holding.borrow();
+        let same = holding.digests.iter().zip(0..);
+        let same: Vec<u32> = same
+            .filter(|(it, _)| **it == ask.chunk.digest)
+            .map(|(_, idx)| idx)
+            .collect();
+        drop(holding);
+        for idx in same {
+            self.stage(idx, content.clone());
+        }
+    }
+
+    /// Hands a piece to the replica, until it takes it.
+    fn stage(&mut self, idx: u32, content: Bytes) {
+        self.staging += 1;
+        let agent = Rc::clone(self.agent);
+        let version = self.version.clone();
+        let staging = async move {
+            loop {
+                let staged = agent.engine.stage(&version.model, idx, content.clone());
+                if staged.await.is_ok() {
+                    return Event::Staged { idx, done: true };
+                }
+                if agent.target().as_ref() != Some(&version) {
+                    return Event::Staged { idx, done: false };
+                }
+                actix_rt::time::sleep(STAGE_RETRY).await;
+            }
+        };
+        self.events.push(staging.boxed_local());
+    }
+
+    fn warn(&self, ask: Ask, failure: Failure) {
+        let expected = matches!(
+            failure,
+            Failure::Busy | Failure::NotHeld | Failure::Pending | Failure::Limited(_)
+        );
+        if expected {
+            return;
+        }
+        if let Some(log) = self.agent.node.logs.line(Topic::Weights) {
+            warn!(log, "piece not given"; "version" => self.version.number,
+                "piece" => ask.idx, "from" => ?ask.from, "failure" => ?failure);
+        }
+    }
+}
+
+fn followed(key: SourceKey, node: u64, mut incoming: Incoming) -> LocalBoxFuture<'static, Event> {
+    async move {
+        let (incoming, positions) = match timeout(FOLLOW_SILENCE, incoming.next()).await {
+            Ok(Ok(Some(Reply::Have(positions)))) => (Some(incoming), positions),
+            _ => (None, Vec::new()),
+        };
+        Event::Followed {
+            key,
+            node,
+            incoming,
+            positions,
+        }
+    }
+    .boxed_local()
+}
+
+async fn ask_source(
+    agent: Rc<Agent>,
+    version: Version,
+    ask: Ask,
+    address: Option<SocketAddr>,
+) -> Event {
+    let started = agent.node.clock.now();
+    let result = match ask.from {
+        From::Origin => origin_piece(&agent, &version, ask.chunk.digest).await,
+        // This platform has no store of weights beside the origin.
+        From::Store => Err(Failure::NotHeld),
+        From::Owner(_) | From::Source(_) => match address {
+            Some(address) => peer_piece(&agent, address, ask.chunk.digest).await,
+            None => Err(Failure::Gone),
+        },
+    };
+    let digest = |it: &Bytes| agent.node.platform.origin.digest(it);
+    let result = result.and_then(|content| {
+        if digest(&content) == ask.chunk.digest {
+            Ok(content)
+        } else {
+            Err(Failure::Corrupt)
+        }
+    });
+    let took = agent.node.clock.now().since(started);
+    Event::Asked { ask, result, took }
+}
+
+async fn origin_piece(agent: &Agent, version: &Version, digest: Digest) -> Result<Bytes, Failure> {
+    let idx = agent.holding.borrow().positions.get(&digest).copied();
+    let idx = idx.ok_or(Failure::NotHeld)?;
+    let address = agent.origin().ok_or(Failure::Gone)?;
+    let origin = &agent.node.platform.origin;
+    let read = origin.piece(address, &version.model, version.number, idx);
+    read.await.map_err(|_| Failure::Gone)
+}
+
+async fn peer_piece(agent: &Agent, address: SocketAddr, digest: Digest) -> Result<Bytes, Failure> {
+    let peer = address.to_string();
+    let call = Call::Chunk { digest };
+    let reply = agent.node.peers.ask(&peer, Lane::Bulk, &call).await;
+    match reply {
+        Ok(Reply::Chunk(content)) => Ok(Bytes::from(content)),
+        Ok(Reply::Absent(Absence::Busy)) => Err(Failure::Busy),
+        Ok(Reply::Absent(Absence::NotHeld)) => Err(Failure::NotHeld),
+        Ok(Reply::Absent(Absence::Pending)) => Err(Failure::Pending),
+        Ok(_) | Err(_) => Err(Failure::Gone),
+    }
+}
--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -1,12 +1,12 @@
 //! The process beside a replica: brings the weights that the operator named, and tells entries what
 //! the replica holds.
 //!
-//! - [`fill`]: fetches, stages and checks the pieces of a version.
-//! - [`gate`]: bounds how many pieces are asked for at once.
+//! - [`fetch`]: gets the pieces of a version from peers and the origin.
+//! - [`fill`]: stages and checks the pieces of a version.
 //! - [`share`]: gives pieces to other agents.
 
+pub mod fetch;
 pub mod fill;
-pub mod gate;
 pub mod share;
 
 use std::{
@@ -26,7 +26,7 @@
     connection::pace::Pacer,
     process::{document::Document, mirror::Record},
     rendezvous,
-    version::{upload::Slots, waves::Wave},
+    version::{fetch::Fetch, waves::Wave},
 };
 use gradeloft_wire::{
     datagram::{Engine, Sender, Switched},
@@ -34,9 +34,8 @@
     id::Digest,
 };
 use slog::{info, warn};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::Notify;
 
-use self::gate::Gate;
 use crate::{entry::peer_listener, logs::Topic, node::Node, settings::Role};
 
 /// Pause between questions to the replica. They are free, and an entry's view of the replica is this
@@ -64,10 +63,8 @@
 
 /// Part of the link that pieces of weights may use; the rest is for requests and tokens.
 const LINK_USED: f64 = 0.85;
-/// Pieces given to peers at once.
-const UPLOADS: usize = 2;
-/// Bytes of a piece, about, from which the time of one on the link is reckoned.
-const PIECE_BYTES: f64 = 49_152.0;
+/// Bytes of a piece where the configuration does not tell.
+const PIECE_BYTES: u64 = 49_152;
 
 /// A version of a model's weights.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -103,14 +100,14 @@
     pub replica: SocketAddr,
     /// Pieces held.
     pub holding: RefCell<Holding>,
+    /// The fetch that goes on, if one does.
+    pub fetching: RefCell<Option<Rc<RefCell<Fetch>>>>,
     /// Told when a piece has been staged.
     pub arrived: Notify,
     /// Paces the pieces that go out, beside the tokens of the replica.
     pub pace_out: RefCell<Pacer>,
-    /// Upload slots.
-    pub uploads: RefCell<Slots<oneshot::Sender<()>>>,
-    /// Pieces asked for at once.
-    pub gate: Gate,
+    /// Pieces that go out to peers now.
+    pub uploads: Cell<usize>,
     state: Cell<Option<State>>,
     loading: Cell<bool>,
     /// Replicas that changed over to the newest version, as an entry said last.
@@ -148,10 +145,10 @@
             service,
             replica,
             holding: RefCell::default(),
+            fetching: RefCell::default(),
             arrived: Notify::new(),
             pace_out: RefCell::new(Pacer::new(rate)),
-            uploads: RefCell::new(Slots::new(UPLOADS)),
-            gate: Gate::new(Duration::from_secs_f64(PIECE_BYTES / rate as f64)),
+            uploads: Cell::default(),
             state: Cell::default(),
             loading: Cell::default(),
             switched: Cell::default(),
@@ -208,6 +205,39 @@
         self.holding.borrow().version.as_ref() != Some(version)
     }
 
+    /// Bytes of a piece of the weights.
+    pub fn piece_bytes(&self) -> u64 {
+        let config = self.config.borrow();
+        let services = config.iter().flat_map(|it| &it.services);
+        let mut own = services.filter(|it| *it.name == *self.service);
+        let layout = own.find_map(|it| it.layout);
+        layout.map_or(PIECE_BYTES, |it| u64::from(it.piece_bytes))
+    }
+
+    /// Time of a piece on this instance's link.
+    pub fn piece_time(&self) -> Duration {
+        let rate = self.node.settings().link_bytes_per_s.max(1);
+        Duration::from_secs_f64(self.piece_bytes() as f64 / rate as f64)
+    }
+
+    /// Region of this instance.
+    pub fn region(&self) -> String {
+        let settings = self.node.settings();
+        settings.region(&settings.zone).to_owned()
+    }
+
+    /// A piece has been staged.
+    pub fn staged(&self, version: &Version, idx: u32) {
+        let mut holding = self.holding.borrow_mut();
+        if holding.version.as_ref() == Some(version)
+            && let Some(held) = holding.staged.get_mut(idx as usize)
+        {
+            *held = true;
+        }
+        drop(holding);
+        self.arrived.notify_waiters();
+    }
+
     /// Where weights come from.
     pub fn origin(&self) -> Option<SocketAddr> {
         let config = self.config.borrow();
@@ -404,7 +434,8 @@
             let switched = switched.filter(|it| (it.model, it.version) == (model, version.number));
             let switched = switched.map_or(0, |it| usize::from(it.replicas));
             let now = self.node.clock.now();
-            if !serves || wave.may_load(switched, named, version_ms, now) {
+            let superseded = self.target().as_ref() != Some(version);
+            if !serves || superseded || wave.may_load(switched, named, version_ms, now) {
                 return wave;
             }
             actix_rt::time::sleep(ASK_LOADING).await;
--- a/crates/gradeloft_gateway/src/agent/share.rs
+++ b/crates/gradeloft_gateway/src/agent/share.rs
@@ -1,22 +1,29 @@
 //! Gives pieces to other agents.
 
-use std::rc::Rc;
+use std::{collections::HashSet, rc::Rc, time::Duration};
 
 use gradeloft_daemon::transport::server::{Handler, Outgoing};
-use gradeloft_policy::version::upload::Turn;
 use gradeloft_wire::{
     frame::{Absence, Call, Reply},
     id::Digest,
 };
 use slog::warn;
-use tokio::sync::oneshot;
 
 use super::{
     Agent, Version,
+    fetch::version_digest,
     fill::{adopt, read_back},
 };
 use crate::logs::Topic;
 
+/// Time over which arrivals are gathered before followers are told.
+const GATHER: Duration = Duration::from_millis(20);
+/// Longest silence towards a follower.
+const FOLLOW_HEARTBEAT: Duration = Duration::from_secs(1);
+
+/// Pieces given to peers at once.
+const UPLOADS: usize = 2;
+
 /// Answers the calls of other agents.
 pub struct Peers(pub Rc<Agent>);
 
@@ -27,6 +34,7 @@
         scope.spawn(async move {
             match call {
                 Call::Chunk { digest } => give(&agent, digest, outgoing).await,
+                Call::Follow { manifest } => follow(&agent, manifest, outgoing).await,
                 Call::Pieces { model, version } => {
                     list(&agent, model, version, outgoing).await;
                 }
@@ -54,13 +62,17 @@
             outgoing.finish(&Reply::Absent(Absence::Pending)).await;
             return;
         }
+        Find::Missing => {
+            outgoing.finish(&Reply::Absent(Absence::NotHeld)).await;
+            return;
+        }
         Find::Unknown => {
             adopt_target(agent);
             outgoing.finish(&Reply::Absent(Absence::NotHeld)).await;
             return;
         }
     };
-    let Some(_slot) = slot(agent).await else {
+    let Some(_slot) = slot(agent) else {
         outgoing.finish(&Reply::Absent(Absence::Busy)).await;
         return;
     };
@@ -79,23 +91,49 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        // A peer that stopped waiting passes its slot on to the next.
-        while let Some(next) = self.0.uploads.borrow_mut().done() {
-            if next.send(()).is_ok() {
-                return;
-            }
+        self.0.uploads.set(self.0.uploads.get() - 1);
+    }
+}
+
+/// A slot, if one is free now. A peer that finds none asks another holder, which is sooner than
+/// waiting here, and how long its pieces take then tells of the link and not of a queue.
+fn slot(agent: &Rc<Agent>) -> Option<Slot> {
+    let used = agent.uploads.get();
+    (used < UPLOADS).then(|| {
+        agent.uploads.set(used + 1);
+        Slot(Rc::clone(agent))
+    })
+}
+
+/// Tells a peer which pieces of a version are staged, now and as they arrive.
+async fn follow(agent: &Rc<Agent>, manifest: Digest, outgoing: Outgoing) {
+    let mut told = HashSet::new();
+    loop {
+        let arrived = agent.arrived.notified();
+        adopt_target(agent);
+        let staged = staged(agent, manifest);
+        let news: Vec<u32> = staged.into_iter().filter(|it| told.insert(*it)).collect();
+        if !outgoing.send(&Reply::Have(news)).await {
+            return;
+        }
+        tokio::select! {
+            () = arrived => {}
+            () = actix_rt::time::sleep(FOLLOW_HEARTBEAT) => {}
+            () = outgoing.gone() => return,
         }
+        actix_rt::time::sleep(GATHER).await;
     }
 }
 
-async fn slot(agent: &Rc<Agent>) -> Option<Slot> {
-    let (tell, told) = oneshot::channel();
-    let turn = agent.uploads.borrow_mut().ask(tell);
-    match turn {
-        Turn::Busy => None,
-        Turn::Later => told.await.ok().map(|()| Slot(Rc::clone(agent))),
-        Turn::Now => Some(Slot(Rc::clone(agent))),
+/// Positions of the staged pieces, if they are of the version that `manifest` names.
+fn staged(agent: &Agent, manifest: Digest) -> Vec<u32> {
+    let holding = agent.holding.borrow();
+    let version = holding.version.as_ref();
+    if version.map(version_digest) != Some(manifest) {
+        return Vec::new();
     }
+    let staged = holding.staged.iter().zip(0..);
+    staged.filter(|(it, _)| **it).map(|(_, idx)| idx).collect()
 }
 
 async fn list(agent: &Rc<Agent>, model: String, number: u64, outgoing: Outgoing) {
@@ -135,7 +173,10 @@
 }
 
 enum Find {
+    /// This agent is the one to read it from the origin, and is about to.
     Coming,
+    /// It comes from another agent.
+    Missing,
     Held(Version, u32),
     Unknown,
 }
@@ -148,6 +189,8 @@
     if holding.staged.get(idx as usize) == Some(&true) {
         Find::Held(version.clone(), idx)
     } else {
-        Find::Coming
+        let fetching = agent.fetching.borrow();
+        let owns = fetching.as_ref().is_some_and(|it| it.borrow().owns(digest));
+        if owns { Find::Coming } else { Find::Missing }
     }
 }
--- a/crates/gradeloft_policy/src/connection/window.rs
+++ b/crates/gradeloft_policy/src/connection/window.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 /// Most pieces at once.
-const MOST: f64 = 4.0;
+const MOST: f64 = 6.0;
 /// A piece is slow if it takes so many times its time on the link.
-const SLOW: u32 = 5;
+const SLOW: u32 = 8;
 /// Pieces more at once for each that came quickly.
 const GROWTH: f64 = 0.5;
 
--- a/crates/gradeloft_policy/src/version/mod.rs
+++ b/crates/gradeloft_policy/src/version/mod.rs
@@ -6,7 +6,6 @@
 //! - [`outside`]: when to read the weight store or the origin.
 //! - [`partners`]: which agents tell each other what they hold.
 //! - [`named`]: which versions requests may begin on.
-//! - [`pieces`]: whom to ask for a piece of weights.
 //! - [`placement`]: which replica holds which model.
 //! - [`fetch`]: which chunk to fetch next, and from where.
 //! - [`upload`]: which peer's request for a chunk is served when.
@@ -21,7 +20,6 @@
 pub mod named;
 pub mod outside;
 pub mod partners;
-pub mod pieces;
 pub mod placement;
 pub mod rollout;
 pub mod turns;
