--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -26,7 +26,10 @@
     connection::pace::Pacer,
     process::{document::Document, mirror::Record},
     rendezvous,
-    version::{fetch::Fetch, waves::Wave},
+    version::{
+        fetch::Fetch,
+        waves::{Running, Wave},
+    },
 };
 use gradeloft_wire::{
     datagram::{Engine, Sender, Switched},
@@ -55,8 +58,10 @@
 const RETRY: Duration = Duration::from_millis(300);
 /// Time for the entries to learn that the replica takes no work, before it is ordered to load.
 const HEADS_UP: Duration = Duration::from_millis(40);
-/// Time for requests that wait at the replica to begin, in milliseconds.
+/// Longest time for requests that wait at the replica to get a slot, in milliseconds.
 const BEGIN_MS: u64 = 600;
+/// Time for the prompts of requests that have a slot to be read: a few passes at full load.
+const PROMPTS: Duration = Duration::from_millis(400);
 /// Longest time for an order to show its effect, in milliseconds: the longest request of today, and
 /// the loading.
 const LOAD_MS: u64 = 8_000;
@@ -445,12 +450,16 @@
     async fn load(&self, version: &Version, wave: Wave) -> Result<(), String> {
         actix_rt::time::sleep(HEADS_UP).await;
         self.idle().await?;
-        self.begun().await;
+        let running = wave.running(self.resumable.get());
+        let serves = self.state.get().is_some_and(|it| it.version.is_some());
+        if serves && running == Running::Finished {
+            self.begun().await;
+        }
         let load = Load {
             model: &version.model,
             version: version.number,
             fence: version.number,
-            running: wave.running(self.resumable.get()),
+            running,
         };
         let ordered = self.engine.load(load).await;
         if let Some(log) = self.node.logs.line(Topic::Weights) {
@@ -477,17 +486,15 @@
         Ok(())
     }
 
-    /// Waits a little until every request at the replica has begun. One that waits while the replica
-    /// stands still would begin on weights that are no longer allowed.
+    /// Waits until every request at the replica has begun, for a bounded time. One that has not, while
+    /// the replica stands still, would begin on weights that are no longer allowed.
     async fn begun(&self) {
         let until = self.node.clock.now().after_ms(BEGIN_MS);
-        while self.node.clock.now() < until {
-            let waiting = self.state.get().is_some_and(|it| 0 < it.queued);
+        while self.node.clock.now() < until && self.state.get().is_some_and(|it| 0 < it.queued) {
             actix_rt::time::sleep(ASK_LOADING).await;
-            if !waiting {
-                return;
-            }
         }
+        // Those that have a slot still have their prompts read.
+        actix_rt::time::sleep(PROMPTS).await;
     }
 
     /// Waits until the replica holds a version.
