--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -72,9 +72,9 @@
 const REGISTER: Duration = Duration::from_millis(500);
 /// Part of a replica's connections that all entries together use.
 const CONNECTIONS_USED: f64 = 0.85;
-/// Part of the time for new weights after which requests need them. The rest is for requests that
+/// Part of the time for new weights after which requests need them. The rest, over two seconds today, is for requests that
 /// wait at a replica before they begin.
-const VERSION_USED: f64 = 0.78;
+const VERSION_USED: f64 = 0.7;
 /// Time for which a leaving entry takes further connections: callers keep addresses for two seconds,
 /// and some three times as long.
 const LINGER: Duration = Duration::from_millis(3_500);
