Place requests by what has not begun, and near first

Cause: entries with the same late view sent their requests to the same empty replica; its prompts were read one after the other, so first tokens were late although slots were free. Ruled out: short of slots (busy 77 in 100). A request that has not begun counts as a tenth of the slots, told between entries; another zone counts as half of them.

--- a/crates/gradeloft_gateway/src/entry/attempt.rs
+++ b/crates/gradeloft_gateway/src/entry/attempt.rs
@@ -50,7 +50,7 @@
     let Some((address, id)) = entry.replica_address(replica) else {
         return Ended::Failed(Failure::Unsent, None);
     };
-    let _running = entry.running(replica);
+    let running = entry.running(replica);
     let mut link = match entry.pool.take(replica) {
         Some(link) => link,
         None => {
@@ -74,7 +74,7 @@
     if (200..300).contains(&head.status) && head.fields.get(headers.seal).is_none() {
         return Ended::Failed(Failure::Broken, None);
     }
-    relay::relay(entry, caller, job, link, head, whole).await
+    relay::relay(entry, caller, job, &running, link, head, whole).await
 }
 
 /// The failure behind an answer by which the replica says that it ran nothing.
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -88,7 +88,7 @@
 };
 
 /// Requests of one entry at replicas, by the hash of each replica's id.
-type Loads = HashMap<u64, u16>;
+type Loads = HashMap<u64, Load>;
 
 /// The process.
 pub struct Entry {
@@ -239,8 +239,10 @@
                 replica.heard = now;
             }
             replica.own += 1;
+            replica.own_waiting += 1;
         }
         Running {
+            waiting: Cell::new(true),
             entry: Rc::clone(self),
             key,
         }
@@ -465,6 +467,7 @@
         busy.map(|(_, it)| Load {
             replica: rendezvous::hash(it.listing.id.as_bytes()),
             running: it.own.min(u32::from(u16::MAX)) as u16,
+            waiting: it.own_waiting.min(u32::from(u16::MAX)) as u16,
         })
         .collect()
     }
@@ -514,11 +517,11 @@
         let mut elsewhere = self.elsewhere.borrow_mut();
         let roster = self.roster.borrow();
         elsewhere.retain(|address, _| roster.alive(*address, now));
-        let mut sums: HashMap<u64, u32> = HashMap::new();
-        for loads in elsewhere.values() {
-            for (replica, running) in loads {
-                *sums.entry(*replica).or_default() += u32::from(*running);
-            }
+        let mut sums: HashMap<u64, (u32, u32)> = HashMap::new();
+        for load in elsewhere.values().flat_map(HashMap::values) {
+            let sum = sums.entry(load.replica).or_default();
+            sum.0 += u32::from(load.running);
+            sum.1 += u32::from(load.waiting);
         }
         self.replicas.borrow_mut().set_others(|id| {
             let hash = rendezvous::hash(id.as_bytes());
@@ -547,7 +550,7 @@
             } => {
                 self.entry_told(from, datagram.incarnation, &datagram.zone, presence, now);
                 self.learn(&entries);
-                let loads = loads.into_iter().map(|it| (it.replica, it.running));
+                let loads = loads.into_iter().map(|it| (it.replica, it));
                 self.elsewhere.borrow_mut().insert(from, loads.collect());
             }
         }
@@ -598,10 +601,25 @@
 pub struct Running {
     entry: Rc<Entry>,
     key: ReplicaKey,
+    /// Whether its answer has not begun.
+    waiting: Cell<bool>,
+}
+
+impl Running {
+    /// Its answer has begun.
+    pub fn begun(&self) {
+        let mut replicas = self.entry.replicas.borrow_mut();
+        if let Some(replica) = replicas.get_mut(self.key)
+            && self.waiting.replace(false)
+        {
+            replica.own_waiting -= 1;
+        }
+    }
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
+        self.begun();
         if let Some(replica) = self.entry.replicas.borrow_mut().get_mut(self.key) {
             replica.own -= 1;
         }
--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -7,7 +7,7 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use super::{
-    Entry,
+    Entry, Running,
     attempt::{Ended, instant},
     forward::Job,
 };
@@ -65,6 +65,7 @@
     entry: &Rc<Entry>,
     caller: &mut Wire,
     job: &mut Job,
+    running: &Running,
     link: Link,
     head: Response,
     whole: bool,
@@ -79,7 +80,7 @@
         link,
     };
     if job.route.kind.streams() && head.status == 200 {
-        stream(entry, caller, job, source, &head).await
+        stream(entry, caller, job, running, source, &head).await
     } else if job.head_sent {
         // A resumed stream needs a stream.
         Ended::Failed(Failure::Failed, None)
@@ -247,6 +248,7 @@
     entry: &Rc<Entry>,
     caller: &mut Wire,
     job: &mut Job,
+    running: &Running,
     mut source: Source,
     head: &Response,
 ) -> Ended {
@@ -262,6 +264,7 @@
         let ended = match read {
             Read::Data(data) => {
                 entry.heard_replica(source.link.replica());
+                running.begun();
                 splitter.feed(&data);
                 false
             }
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -80,8 +80,12 @@
     pub report: Option<Report>,
     /// Requests of this entry that it works on.
     pub own: u32,
+    /// Of those, requests whose answer has not begun.
+    pub own_waiting: u32,
     /// Requests of other entries that it works on, as they said last.
     pub others: u32,
+    /// Of those, requests whose answer has not begun.
+    pub others_waiting: u32,
     /// When it sent something last, or was given the only request that it has from this entry.
     pub heard: Time,
     failures: u32,
@@ -119,6 +123,11 @@
         self.own + self.others
     }
 
+    /// Requests whose answer has not begun, as far as this entry knows.
+    pub fn waiting(&self) -> u32 {
+        self.own_waiting + self.others_waiting
+    }
+
     fn fresh(&self, now: Time) -> Option<Report> {
         self.report.filter(|it| now < it.at.after_ms(REPORT_MS))
     }
@@ -178,7 +187,9 @@
             listing,
             report: None,
             own: 0,
+            own_waiting: 0,
             others: 0,
+            others_waiting: 0,
             heard: Time::ZERO,
             failures: 0,
             paused_until: Time::ZERO,
@@ -225,10 +236,11 @@
         }
     }
 
-    /// Takes over how many requests of other entries each replica works on, by its id.
-    pub fn set_others(&mut self, others: impl Fn(&str) -> u32) {
+    /// Takes over how many requests of other entries each replica works on, and how many of those
+    /// have not begun, by its id.
+    pub fn set_others(&mut self, others: impl Fn(&str) -> (u32, u32)) {
         for replica in self.arena.values_mut() {
-            replica.others = others(&replica.listing.id);
+            (replica.others, replica.others_waiting) = others(&replica.listing.id);
         }
     }
 
--- a/crates/gradeloft_policy/src/request/placement.rs
+++ b/crates/gradeloft_policy/src/request/placement.rs
@@ -9,7 +9,10 @@
 
 /// What a replica in another availability zone has to be emptier by, as a part of its slots: the way
 /// there costs milliseconds and priced bytes.
-const FAR: f64 = 0.06;
+const FAR: f64 = 0.5;
+/// What each request that has not begun adds, as a part of a replica's slots. Prompts are read one
+/// after the other, so a request is late behind a few of them even where slots are free.
+const WAITS: f64 = 0.1;
 /// Noise, as a part of a replica's slots, so that entries with the same view do not all pick the
 /// same replica.
 const NOISE: f64 = 0.06;
@@ -73,6 +76,9 @@
     let slots = f64::from(replica.listing.slots.max(1));
     let version = replica.version(now);
     let mut cost = f64::from(replica.load()) / slots;
+    if replica.listing.has_model {
+        cost += WAITS * f64::from(replica.waiting());
+    }
     if replica.listing.zone != wish.zone {
         cost += FAR;
     }
--- a/crates/gradeloft_wire/src/datagram.rs
+++ b/crates/gradeloft_wire/src/datagram.rs
@@ -75,6 +75,8 @@
     pub replica: u64,
     /// Requests.
     pub running: u16,
+    /// Of those, requests whose answer has not begun.
+    pub waiting: u16,
 }
 
 /// What a replica says of itself to its agent.
