--- a/crates/gradeloft_daemon/src/transport/client.rs
+++ b/crates/gradeloft_daemon/src/transport/client.rs
@@ -14,6 +14,7 @@
     frame::{Call, Reply},
 };
 use h2::{Reason, RecvStream, SendStream, client::SendRequest};
+use socket2::SockRef;
 use tokio::{net::TcpSocket, time::timeout};
 
 use super::{CONNECTION_WINDOW, MAX_H2_FRAME, STREAM_WINDOW};
@@ -37,6 +38,9 @@
     Unsent,
 }
 
+/// Time after which data that the peer does not acknowledge ends a connection: a peer behind a
+/// partition gives no other sign.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
 /// Time after which a connection that nothing was sent on is let go.
 const IDLE: Duration = Duration::from_secs(60);
 
@@ -122,7 +126,9 @@
         Some(kept.sender.clone())
     }
 
-    fn forget(&self, address: &str, lane: Lane) {
+    /// Drops a connection on which a call got no answer in time, so that the next call does not wait
+    /// for it too.
+    pub fn forget(&self, address: &str, lane: Lane) {
         self.connections
             .borrow_mut()
             .remove(&(address.to_owned(), lane));
@@ -141,6 +147,7 @@
     }
     let stream = socket.connect(address).await?;
     stream.set_nodelay(true)?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
     let mut builder = h2::client::Builder::new();
     builder
         .initial_window_size(STREAM_WINDOW)
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -56,9 +56,9 @@
 };
 
 /// Pause between datagrams to other entries.
-const TELL: Duration = Duration::from_millis(250);
+const TELL: Duration = Duration::from_millis(125);
 /// Datagrams to other entries for each one to the agents.
-const AGENT_TURN: u32 = 2;
+const AGENT_TURN: u32 = 4;
 /// Longest wait of one read of a table for something new.
 const WAIT_ORDERS: Duration = Duration::from_secs(4);
 const WAIT_REPLICAS: Duration = Duration::from_secs(2);
@@ -66,7 +66,7 @@
 /// Pause between reads of a table: well below the bound on following it, two seconds, and long
 /// enough to read several records at once, as each read is paid for.
 const PAUSE_ORDERS: Duration = Duration::from_millis(50);
-const PAUSE_REPLICAS: Duration = Duration::from_millis(800);
+const PAUSE_REPLICAS: Duration = Duration::from_millis(150);
 const PAUSE_ENTRIES: Duration = Duration::from_secs(1);
 /// Pause between attempts to register.
 const REGISTER: Duration = Duration::from_millis(500);
--- a/crates/gradeloft_gateway/src/node.rs
+++ b/crates/gradeloft_gateway/src/node.rs
@@ -336,6 +336,9 @@
         let call = Call::Records { table, from };
         let asked = self.peers.ask(&address, Lane::Live, &call);
         let reply = tokio::time::timeout(PEER_ANSWER, asked).await;
+        if reply.is_err() {
+            self.peers.forget(&address, Lane::Live);
+        }
         let Ok(Ok(Reply::Records {
             snapshot,
             rows,
--- a/crates/gradeloft_policy/src/request/placement.rs
+++ b/crates/gradeloft_policy/src/request/placement.rs
@@ -9,10 +9,10 @@
 
 /// What a replica in another availability zone has to be emptier by, as a part of its slots: the way
 /// there costs milliseconds and priced bytes.
-const FAR: f64 = 0.5;
+const FAR: f64 = 0.8;
 /// What each request that has not begun adds, as a part of a replica's slots. Prompts are read one
 /// after the other, so a request is late behind a few of them even where slots are free.
-const WAITS: f64 = 0.1;
+const WAITS: f64 = 0.15;
 /// Noise, as a part of a replica's slots, so that entries with the same view do not all pick the
 /// same replica.
 const NOISE: f64 = 0.06;
