--- /dev/null
+++ b/crates/gradeloft_policy/tests/forwarding.rs
@@ -0,0 +1,366 @@
+//! Decisions about forwarded requests: routes, copies of tables, repeats, replicas, placement.
+
+use std::{collections::HashMap, net::Ipv4Addr, rc::Rc};
+
+use bytes::Bytes;
+use gradeloft_policy::{
+    clock::Time,
+    process::{
+        document::{CallerLimits, Config, Denied, Document, Kind, Route, Target},
+        mirror::{Mirror, Record, Update},
+        repeats::{Bounds, Budget},
+        replicas::{Listing, ReplicaKey, Replicas, Report, Trust},
+        roster::{Roster, State},
+    },
+    request::{
+        attempt::{Failure, Progress, Ran},
+        placement::{self, Wish},
+    },
+};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+fn route(name: &str, prefix: &str, public: bool) -> Route {
+    Route {
+        name: name.into(),
+        host: "a.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Once,
+        targets: vec![Target {
+            service: "s".into(),
+            weight: 1.0,
+        }],
+        timeout_ms: 1000,
+        goal_ms: 100,
+        max_attempts: 1,
+        priority: 0,
+        public,
+    }
+}
+
+fn config(routes: Vec<Route>) -> Config {
+    Config::new(Document {
+        version: 1,
+        routes,
+        services: Vec::new(),
+        keys: HashMap::from([("k1".to_owned(), Rc::from("night-watch"))]),
+        limits: CallerLimits {
+            head_bytes: 1000,
+            body_bytes: 1000,
+            head_ms: 1000,
+            idle_ms: 1000,
+        },
+    })
+}
+
+#[rstest]
+#[case("a.example", "/x/y/z", Ok("long"))]
+#[case("A.Example:80", "/x/z", Ok("short"))]
+#[case("a.example", "/xx/", Err(Denied::NoRoute))]
+#[case("b.example", "/x/", Err(Denied::NoRoute))]
+fn the_longest_prefix_of_the_host_is_the_route(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Result<&str, Denied>,
+) {
+    let config = config(vec![
+        route("short", "/x/", false),
+        route("long", "/x/y/", false),
+    ]);
+    assert_eq!(config.route(host, path).map(|it| &*it.name), expected);
+}
+
+#[test]
+fn a_key_proves_its_team_and_public_routes_need_none() {
+    let config = config(vec![route("r", "/r/", false), route("p", "/p/", true)]);
+    let (closed, open) = (&config.document.routes[0], &config.document.routes[1]);
+    assert_eq!(config.team(closed, Some("k1")), Ok(Some("night-watch".into())));
+    assert_eq!(config.team(closed, Some("k2")), Err(Denied::UnknownKey));
+    assert_eq!(config.team(closed, None), Err(Denied::UnknownKey));
+    assert_eq!(config.team(open, None), Ok(None));
+}
+
+#[test]
+fn splits_follow_the_weights() {
+    let mut split = route("r", "/r/", false);
+    split.targets = [("a", 90.0), ("b", 10.0)]
+        .map(|(service, weight)| Target {
+            service: service.into(),
+            weight,
+        })
+        .to_vec();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let drawn = (0..2000).filter(|_| &*split.draw(&mut rng) == "b").count();
+    assert!((140..260).contains(&drawn), "{drawn}");
+}
+
+fn record(key: &str, value: Option<&str>, offset: u64) -> Record {
+    Record {
+        key: key.to_owned(),
+        value: value.map(|it| Bytes::from(it.to_owned())),
+        offset,
+    }
+}
+
+fn follow(records: Vec<Record>) -> Update {
+    let end = records.last().map_or(0, |it| it.offset + 1);
+    Update {
+        snapshot: false,
+        records,
+        end,
+    }
+}
+
+#[test]
+fn an_old_record_read_late_changes_nothing() {
+    let mut mirror = Mirror::default();
+    mirror.apply(follow(vec![
+        record("a", Some("1"), 0),
+        record("a", Some("2"), 1),
+    ]));
+    assert!(mirror.apply(follow(vec![record("a", Some("1"), 0)])).is_empty());
+    assert_eq!(mirror.value("a"), Some(&Bytes::from("2")));
+}
+
+#[test]
+fn a_snapshot_removes_what_it_does_not_name_and_an_old_one_removes_nothing() {
+    let mut mirror = Mirror::default();
+    mirror.apply(follow(vec![
+        record("a", Some("1"), 0),
+        record("b", Some("1"), 1),
+    ]));
+    let old = Update {
+        snapshot: true,
+        records: Vec::new(),
+        end: 1,
+    };
+    assert!(mirror.apply(old).is_empty());
+    let new = Update {
+        snapshot: true,
+        records: vec![record("b", Some("1"), 1)],
+        end: 9,
+    };
+    let changed = mirror.apply(new);
+    assert_eq!(changed.len(), 1);
+    assert_eq!((mirror.value("a"), mirror.end()), (None, 9));
+}
+
+proptest! {
+    /// Whatever a copy saw before, what a peer gives it brings it to the peer's state.
+    #[test]
+    fn copies_agree_after_one_exchange(
+        writes in prop::collection::vec((0..5u8, prop::option::of(0..9u8)), 1..700),
+        seen in 0..700usize,
+    ) {
+        let records = writes.iter().enumerate().map(|(offset, (key, value))| {
+            let value = value.map(|it| it.to_string());
+            record(&key.to_string(), value.as_deref(), offset as u64)
+        });
+        let records: Vec<Record> = records.collect();
+        let mut full = Mirror::default();
+        full.apply(follow(records.clone()));
+        let mut late = Mirror::default();
+        let seen = seen.min(records.len());
+        late.apply(follow(records[..seen].to_vec()));
+        late.apply(full.since(late.end()));
+        prop_assert_eq!(late.end(), full.end());
+        for key in 0..5u8 {
+            let key = key.to_string();
+            prop_assert_eq!(late.value(&key), full.value(&key));
+        }
+    }
+
+    /// In every span of the window's length all entries together repeat at most the ratio of the
+    /// requests in the wider span that is counted with it, and the slack.
+    #[test]
+    fn repeats_of_all_entries_keep_to_the_budget(
+        events in prop::collection::vec((0..7usize, 0..40u64, any::<bool>()), 1..1500),
+    ) {
+        let bounds = Bounds { ratio: 0.2, slack: 100.0, window_ms: 10_000 };
+        let mut budgets = vec![Budget::default(); 7];
+        let mut now = Time::ZERO;
+        let mut requests = Vec::new();
+        let mut repeats = Vec::new();
+        for (entry, pause_ms, repeat) in events {
+            now = now.after_ms(pause_ms);
+            if repeat {
+                if budgets[entry].repeat(bounds, 7, now) {
+                    repeats.push(now);
+                }
+            } else {
+                budgets[entry].request(bounds, now);
+                requests.push(now);
+            }
+        }
+        for end in &repeats {
+            let within = |times: &[Time], ms: u64| {
+                times.iter().filter(|it| **it <= *end && *end < it.after_ms(ms)).count() as f64
+            };
+            let allowed = bounds.ratio * within(&requests, 11_000) + bounds.slack;
+            prop_assert!(within(&repeats, bounds.window_ms) <= allowed);
+        }
+    }
+}
+
+fn listing(id: &str, version: Option<u64>) -> Listing {
+    Listing {
+        id: id.into(),
+        service: "m".into(),
+        address: format!("10.0.0.{}:80", id.len()).parse().unwrap(),
+        zone: "z".to_owned(),
+        slots: 16,
+        draining: false,
+        has_model: true,
+        version,
+    }
+}
+
+const WISH: Wish<'static> = Wish {
+    zone: "z",
+    oldest: None,
+    same: None,
+    tried: &[],
+};
+
+fn choose(replicas: &Replicas, wish: Wish<'_>, now: Time) -> Option<ReplicaKey> {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    placement::choose(replicas.of("m"), wish, now, &mut rng)
+}
+
+#[test]
+fn only_replicas_with_weights_that_are_new_enough_and_not_leaving_get_requests() {
+    let mut replicas = Replicas::default();
+    replicas.list(listing("a", None));
+    let old = replicas.list(listing("bb", Some(1)));
+    let mut leaving = listing("ccc", Some(2));
+    leaving.draining = true;
+    replicas.list(leaving);
+    let now = Time::ZERO;
+    assert_eq!(choose(&replicas, WISH, now), Some(old));
+    let strict = Wish {
+        oldest: Some(2),
+        ..WISH
+    };
+    assert_eq!(choose(&replicas, strict, now), None);
+}
+
+#[test]
+fn a_replica_that_is_about_to_load_gets_no_requests_until_its_agent_falls_silent() {
+    let mut replicas = Replicas::default();
+    let key = replicas.list(listing("a", Some(1)));
+    let report = Report {
+        version: Some(1),
+        loading: true,
+        active: 0,
+        queued: 0,
+        at: Time::ZERO,
+    };
+    let address = replicas.get(key).unwrap().listing.address;
+    replicas.report_at(address, report);
+    assert_eq!(choose(&replicas, WISH, Time::ZERO), None);
+    assert_eq!(choose(&replicas, WISH, Time::ZERO.after_ms(4_000)), Some(key));
+}
+
+#[test]
+fn requests_that_have_not_begun_weigh_more_than_free_slots() {
+    let mut replicas = Replicas::default();
+    let busy = replicas.list(listing("a", Some(1)));
+    let fresh = replicas.list(listing("bb", Some(1)));
+    replicas.get_mut(busy).unwrap().own = 6;
+    let empty = replicas.get_mut(fresh).unwrap();
+    (empty.own, empty.own_waiting) = (4, 4);
+    assert_eq!(choose(&replicas, WISH, Time::ZERO), Some(busy));
+}
+
+#[test]
+fn a_stream_goes_on_at_the_version_that_began_it() {
+    let mut replicas = Replicas::default();
+    let same = replicas.list(listing("a", Some(1)));
+    replicas.list(listing("bb", Some(2)));
+    replicas.get_mut(same).unwrap().own = 12;
+    let wish = Wish {
+        same: Some(1),
+        ..WISH
+    };
+    assert_eq!(choose(&replicas, wish, Time::ZERO), Some(same));
+}
+
+#[test]
+fn full_replicas_are_refused_rather_than_queued_at() {
+    let mut replicas = Replicas::default();
+    let key = replicas.list(listing("a", Some(1)));
+    replicas.get_mut(key).unwrap().own = 18;
+    assert_eq!(choose(&replicas, WISH, Time::ZERO), None);
+}
+
+#[test]
+fn suspicion_passes_and_never_empties_a_service() {
+    let mut replicas = Replicas::default();
+    let one = replicas.list(listing("a", Some(1)));
+    let two = replicas.list(listing("bb", Some(1)));
+    replicas.failed(one, Time::ZERO);
+    assert_eq!(choose(&replicas, WISH, Time::ZERO), Some(two));
+    replicas.failed(two, Time::ZERO);
+    assert!(choose(&replicas, WISH, Time::ZERO).is_some());
+    assert!(!replicas.get(one).unwrap().suspect(Time::ZERO.after_ms(300)));
+}
+
+#[test]
+fn a_removal_after_an_outage_waits_and_is_undone_by_a_new_entry() {
+    let mut replicas = Replicas::default();
+    replicas.list(listing("a", Some(1)));
+    replicas.unlist("a", Trust::Doubtful, Time::ZERO);
+    assert!(replicas.expire(Time::ZERO.after_ms(1_000)).is_empty());
+    replicas.list(listing("a", Some(1)));
+    assert!(replicas.expire(Time::ZERO.after_ms(9_000)).is_empty());
+    replicas.unlist("a", Trust::Doubtful, Time::ZERO);
+    assert_eq!(replicas.expire(Time::ZERO.after_ms(9_000)).len(), 1);
+    replicas.list(listing("a", Some(1)));
+    replicas.unlist("a", Trust::Sound, Time::ZERO);
+    assert!(replicas.is_empty());
+}
+
+#[rstest]
+// A call that may not be repeated goes elsewhere only if it certainly has not run.
+#[case(Kind::Once, Failure::Unsent, true, Ran::No)]
+#[case(Kind::Once, Failure::Refused, true, Ran::No)]
+#[case(Kind::Once, Failure::Misdirected, true, Ran::No)]
+#[case(Kind::Once, Failure::Lost, false, Ran::Unknown)]
+#[case(Kind::Once, Failure::Broken, false, Ran::Unknown)]
+#[case(Kind::Once, Failure::Failed, false, Ran::Unknown)]
+#[case(Kind::Stream, Failure::Broken, false, Ran::Unknown)]
+#[case(Kind::ResumableStream, Failure::Broken, true, Ran::Unknown)]
+#[case(Kind::Idempotent, Failure::Lost, true, Ran::Unknown)]
+fn what_may_follow_a_failed_attempt(
+    #[case] kind: Kind,
+    #[case] failure: Failure,
+    #[case] repeat: bool,
+    #[case] ran: Ran,
+) {
+    let mut progress = Progress::new(kind, 2);
+    progress.ended(failure);
+    assert_eq!((progress.may_repeat(), progress.ran), (repeat, ran));
+    progress.ended(failure);
+    assert!(failure == Failure::Unsent || !progress.may_repeat());
+}
+
+#[test]
+fn leaving_and_silent_entries_are_not_given_to_callers() {
+    let [near, far, gone] = [1, 2, 3].map(|it| Ipv4Addr::new(10, 0, 0, it));
+    let mut roster = Roster::default();
+    let now = Time::ZERO;
+    roster.heard(far, 1, "y", State::Ready, now);
+    roster.heard(near, 1, "z", State::Ready, now);
+    roster.heard(gone, 1, "z", State::Leaving, now);
+    assert_eq!(roster.ready("z", now), vec![near, far]);
+    let later = now.after_ms(2_000);
+    roster.heard(far, 1, "y", State::Ready, later);
+    assert_eq!(roster.ready("z", later), vec![far]);
+    // A word from before a restart does not count while the new start speaks.
+    roster.heard(gone, 5, "z", State::Ready, later);
+    roster.heard(gone, 1, "z", State::Leaving, later);
+    assert_eq!(roster.ready("z", later), vec![gone, far]);
+    assert_eq!(roster.most(), 4);
+}
