--- /dev/null
+++ b/crates/gradeloft_gateway/tests/framing.rs
@@ -0,0 +1,92 @@
+//! Where bodies and events end.
+
+use bytes::BytesMut;
+use gradeloft_gateway::{
+    events::Splitter,
+    h1::{
+        body::{Decoder, Framing, Piece},
+        head,
+    },
+};
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// The body, whether it is whole, and what follows it.
+fn decode(framing: Framing, parts: &[&[u8]]) -> Result<(Vec<u8>, bool, Vec<u8>), ()> {
+    let mut decoder = Decoder::new(framing);
+    let mut buffer = BytesMut::new();
+    let mut body = Vec::new();
+    for (idx, part) in parts.iter().enumerate() {
+        buffer.extend_from_slice(part);
+        loop {
+            match decoder.take(&mut buffer).map_err(|_| ())? {
+                Piece::Data(data) => body.extend_from_slice(&data),
+                Piece::End => {
+                    let rest = parts[idx + 1..].concat();
+                    return Ok((body, true, [&buffer[..], &rest].concat()));
+                }
+                Piece::More => break,
+            }
+        }
+    }
+    Ok((body, false, buffer.to_vec()))
+}
+
+proptest! {
+    #[test]
+    fn a_body_in_chunks_may_be_cut_anywhere(cut in 0..38usize) {
+        let bytes = b"5\r\nhello\r\n6;x=y\r\n world\r\n0\r\nT: v\r\n\r\nnext";
+        let decoded = decode(Framing::Chunked, &[&bytes[..cut], &bytes[cut..]]);
+        prop_assert_eq!(decoded, Ok((b"hello world".to_vec(), true, b"next".to_vec())));
+    }
+
+    #[test]
+    fn arbitrary_bytes_are_no_harm(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let _ = decode(Framing::Chunked, &[&bytes]);
+        let _ = head::request(&mut BytesMut::from(&bytes[..]));
+        let _ = head::response(&mut BytesMut::from(&bytes[..]));
+        let mut splitter = Splitter::default();
+        splitter.feed(&bytes);
+        while let Ok(Some(_)) = splitter.take() {}
+    }
+
+    #[test]
+    fn events_come_out_whole_however_they_arrive(cuts in prop::collection::vec(0..60usize, 0..6)) {
+        let bytes: &[u8] = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\nid: 4";
+        let mut cuts: Vec<usize> = cuts.into_iter().map(|it| it.min(bytes.len())).collect();
+        cuts.sort_unstable();
+        let mut splitter = Splitter::default();
+        let mut ids = Vec::new();
+        let mut from = 0;
+        for to in cuts.into_iter().chain([bytes.len()]) {
+            splitter.feed(&bytes[from..to]);
+            from = to;
+            while let Some(event) = splitter.take().unwrap() {
+                ids.push(event.id);
+            }
+        }
+        prop_assert_eq!(ids, vec![Some(1), Some(2), Some(3)]);
+        prop_assert!(splitter.partial());
+    }
+}
+
+#[rstest]
+#[case(b"x\r\n")]
+#[case(b"-1\r\n")]
+#[case(b"\r\n")]
+#[case(b"1\r\nab\r\n")]
+#[case(b"fffffffffffffffff\r\n")]
+fn chunks_that_are_none_are_refused(#[case] bytes: &[u8]) {
+    assert_eq!(decode(Framing::Chunked, &[bytes]), Err(()));
+}
+
+#[test]
+fn a_body_without_a_length_ends_only_with_its_connection() {
+    let mut decoder = Decoder::new(Framing::Close);
+    let mut buffer = BytesMut::from(&b"part"[..]);
+    assert!(matches!(decoder.take(&mut buffer), Ok(Piece::Data(_))));
+    assert_eq!(decoder.take(&mut buffer), Ok(Piece::More));
+    assert!(decoder.closed());
+    let mut short = Decoder::new(Framing::Length(9));
+    assert!(!short.closed());
+}
--- /dev/null
+++ b/crates/gradeloft_gateway/tests/support/mod.rs
@@ -0,0 +1,387 @@
+//! An entry before scripted replicas, on addresses of this test's own.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashMap},
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use gradeloft_daemon::{clock::Clock, logging};
+use gradeloft_gateway::{
+    entry::{Entry, Handle},
+    logs::Logs,
+    node::{Node, Platform},
+    settings::{Role, Settings},
+};
+use gradeloft_platform::{
+    Answer, Fault,
+    fleet::{Decoder, Directory, Headers, Order, Origin},
+};
+use gradeloft_policy::process::{
+    document::{CallerLimits, Document, Kind, Route, Service, Target},
+    mirror::Record,
+    repeats,
+    replicas::Listing,
+};
+use gradeloft_standin::{
+    scripted::{Scripted, Step},
+    tables::Tables,
+};
+use gradeloft_wire::{frame::Table, id::Digest};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+/// Names of headers in these tests.
+pub(crate) const HEADERS: Headers = Headers {
+    request: "t-request",
+    deadline: "t-deadline",
+    key: "t-key",
+    team: "t-team",
+    replica: "t-replica",
+    replica_id: "t-replica-id",
+    version: "t-version",
+    priority: "t-priority",
+    seal: "t-seal",
+    not_run: "t-not-run",
+};
+
+/// A bound on every wait of a test; none comes near it unless something is wrong.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Addresses of this test's process: the whole of 127.0.0.0/8 is this machine's, so two tests that
+/// run at once use the same ports on addresses of their own.
+pub(crate) fn address(last: u8) -> Ipv4Addr {
+    let pid = std::process::id();
+    Ipv4Addr::new(127, 1 + (pid >> 8) as u8 % 250, pid as u8, last)
+}
+
+/// Runs a test on a runtime of its own, within the bound.
+pub(crate) fn run(test: impl Future<Output = ()>) {
+    actix_rt::System::new().block_on(async {
+        tokio::time::timeout(PATIENCE, test).await.expect("in time");
+    });
+}
+
+struct TestDecoder {
+    document: Document,
+    listings: RefCell<HashMap<String, Listing>>,
+}
+
+impl Decoder for TestDecoder {
+    fn order(&self, record: &Record) -> Result<Order, String> {
+        let value = record.value.as_deref().unwrap_or_default();
+        let version = std::str::from_utf8(value).map_err(|it| it.to_string())?;
+        Ok(Order::Config(Box::new(Document {
+            version: version.parse().map_err(|_| "no version".to_owned())?,
+            ..self.document.clone()
+        })))
+    }
+
+    fn listing(&self, record: &Record) -> Result<Listing, String> {
+        let listings = self.listings.borrow();
+        listings
+            .get(&record.key)
+            .cloned()
+            .ok_or("unknown".to_owned())
+    }
+}
+
+struct TestDirectory;
+
+impl Directory for TestDirectory {
+    fn lookup_path(&self) -> &str {
+        "/where"
+    }
+
+    fn readiness_path(&self) -> &str {
+        "/ready"
+    }
+
+    fn addresses(&self, addresses: &[SocketAddr], ttl_s: u64) -> Vec<u8> {
+        format!("{addresses:?} {ttl_s}").into_bytes()
+    }
+}
+
+struct NoOrigin;
+
+impl Origin for NoOrigin {
+    fn manifest<'a>(&'a self, _: SocketAddr, _: &'a str, _: u64) -> Answer<'a, Vec<Digest>> {
+        Box::pin(async { Err(Fault::Missing) })
+    }
+
+    fn piece<'a>(&'a self, _: SocketAddr, _: &'a str, _: u64, _: u32) -> Answer<'a, Bytes> {
+        Box::pin(async { Err(Fault::Missing) })
+    }
+
+    fn digest(&self, content: &[u8]) -> Digest {
+        Digest::of(content)
+    }
+}
+
+/// What the service of a test is like.
+#[derive(Clone, Copy)]
+pub(crate) struct Shape {
+    /// What may be repeated.
+    pub(crate) kind: Kind,
+    /// Most replicas for one request.
+    pub(crate) max_attempts: u32,
+    /// Longest time for a request, in milliseconds.
+    pub(crate) timeout_ms: u64,
+    /// Largest body that callers may send, in bytes.
+    pub(crate) body_bytes: usize,
+}
+
+impl Shape {
+    /// Two attempts within a long time.
+    pub(crate) fn of(kind: Kind) -> Shape {
+        Shape {
+            kind,
+            max_attempts: 2,
+            timeout_ms: 8_000,
+            body_bytes: 1 << 20,
+        }
+    }
+}
+
+/// An entry before replicas.
+pub(crate) struct World {
+    /// The platform's tables.
+    pub(crate) tables: Rc<Tables>,
+    /// The entry.
+    pub(crate) entry: Handle,
+    /// Replicas, in the order of their scripts.
+    pub(crate) replicas: Vec<Scripted>,
+    decoder: Rc<TestDecoder>,
+}
+
+fn document(shape: Shape) -> Document {
+    let route = Route {
+        name: "r".into(),
+        host: "h".to_owned(),
+        prefix: "/r/".to_owned(),
+        kind: shape.kind,
+        targets: vec![Target {
+            service: "s".into(),
+            weight: 1.0,
+        }],
+        timeout_ms: shape.timeout_ms,
+        goal_ms: 100,
+        max_attempts: shape.max_attempts,
+        priority: 1,
+        public: false,
+    };
+    Document {
+        version: 1,
+        routes: vec![route],
+        services: vec![Service {
+            name: "s".into(),
+            max_connections: 100,
+            layout: None,
+            models: Vec::new(),
+            origin: None,
+        }],
+        keys: HashMap::from([("secret".to_owned(), Rc::from("rangers"))]),
+        limits: CallerLimits {
+            head_bytes: 4 << 10,
+            body_bytes: shape.body_bytes,
+            head_ms: 2_000,
+            idle_ms: 5_000,
+        },
+    }
+}
+
+fn settings(last: u8) -> Settings {
+    let own = address(last);
+    let at = |port| SocketAddr::from((own, port));
+    Settings {
+        instance: format!("entry-{last}"),
+        address: own,
+        zone: "z".to_owned(),
+        regions: BTreeMap::new(),
+        peer_port: 7700,
+        metrics_port: 9464,
+        seeds: vec![address(1)],
+        repeats: repeats::Bounds {
+            ratio: 0.2,
+            slack: 100.0,
+            window_ms: 10_000,
+        },
+        version_ms: 8_000,
+        grace_ms: 2_000,
+        max_ttl_s: 5,
+        link_bytes_per_s: 1_000_000,
+        role: Role::Entry {
+            frontend: at(8005),
+            readiness: at(8002),
+            directory: at(8009),
+        },
+    }
+}
+
+impl World {
+    /// Starts an entry before one replica for each element of `scripts`, and waits until it is
+    /// ready.
+    pub(crate) async fn start(shape: Shape, scripts: Vec<Vec<Vec<Step>>>) -> World {
+        let world = World::unready(shape, scripts).await;
+        world.tables.write(Table::Operator, "config", Some("1"));
+        world.list_all();
+        until(|| async { world.get(8002, "/ready").await.starts_with("HTTP/1.1 200") }).await;
+        world
+    }
+
+    /// As [`World::start`], with empty tables.
+    pub(crate) async fn unready(shape: Shape, scripts: Vec<Vec<Vec<Step>>>) -> World {
+        let mut replicas = Vec::new();
+        let mut listings = HashMap::new();
+        for (idx, script) in scripts.into_iter().enumerate() {
+            let bind = format!("{}:8540", address(100 + idx as u8));
+            let replica = Scripted::start(&bind, script).await.unwrap();
+            let listing = listing(idx, replica.address);
+            listings.insert(listing.id.to_string(), listing);
+            replicas.push(replica);
+        }
+        let decoder = Rc::new(TestDecoder {
+            document: document(shape),
+            listings: RefCell::new(listings),
+        });
+        let tables = Rc::new(Tables::default());
+        let entry = start_entry(1, &tables, &decoder).await;
+        World {
+            tables,
+            entry,
+            replicas,
+            decoder,
+        }
+    }
+
+    /// Another entry on the same tables.
+    pub(crate) async fn another(&self, last: u8, tables: &Rc<Tables>) -> Handle {
+        start_entry(last, tables, &self.decoder).await
+    }
+
+    /// Lists every replica as ready. The one of the first script is in the entry's own zone, and so
+    /// gets the first request.
+    pub(crate) fn list_all(&self) {
+        for idx in 0..self.replicas.len() {
+            self.tables.write(Table::Replicas, &id(idx), Some("ready"));
+        }
+    }
+
+    /// Sends a request on a connection of its own, and gives all that comes until its end.
+    pub(crate) async fn ask(&self, request: &str) -> String {
+        let mut stream = self.connect().await;
+        stream.write_all(request.as_bytes()).await.unwrap();
+        read_all(&mut stream).await
+    }
+
+    /// Connects to the entry.
+    pub(crate) async fn connect(&self) -> TcpStream {
+        TcpStream::connect((address(1), 8005)).await.unwrap()
+    }
+
+    /// Gets a path at one of the entry's other ports.
+    pub(crate) async fn get(&self, port: u16, path: &str) -> String {
+        get(1, port, path).await
+    }
+
+    /// How many requests reached all replicas together.
+    pub(crate) fn arrivals(&self) -> usize {
+        self.replicas.iter().map(|it| it.requests().len()).sum()
+    }
+}
+
+/// Gets a path at a port of an entry.
+pub(crate) async fn get(last: u8, port: u16, path: &str) -> String {
+    let mut stream = TcpStream::connect((address(last), port)).await.unwrap();
+    let request = format!("GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    read_all(&mut stream).await
+}
+
+async fn start_entry(last: u8, tables: &Rc<Tables>, decoder: &Rc<TestDecoder>) -> Handle {
+    let platform = Platform {
+        store: Rc::clone(tables) as _,
+        decoder: Rc::clone(decoder) as _,
+        directory: Rc::new(TestDirectory),
+        origin: Rc::new(NoOrigin),
+        engine: None,
+        headers: HEADERS,
+    };
+    let clock = Clock::start();
+    let logs = Logs::new(logging::none(), clock);
+    let node = Node::new(settings(last), platform, logs, clock);
+    Entry::start(node.await.unwrap()).await.unwrap()
+}
+
+/// Name of a replica.
+pub(crate) fn id(idx: usize) -> String {
+    format!("i-{idx}")
+}
+
+fn listing(idx: usize, address: SocketAddr) -> Listing {
+    Listing {
+        id: id(idx).into(),
+        service: "s".into(),
+        address,
+        zone: if idx == 0 { "z" } else { "elsewhere" }.to_owned(),
+        slots: 8,
+        draining: false,
+        has_model: false,
+        version: None,
+    }
+}
+
+async fn read_all(stream: &mut TcpStream) -> String {
+    let mut all = Vec::new();
+    // A reset ends what came as well as a close does.
+    let _ = stream.read_to_end(&mut all).await;
+    String::from_utf8_lossy(&all).into_owned()
+}
+
+/// Waits until something holds.
+pub(crate) async fn until<F: Future<Output = bool>>(holds: impl Fn() -> F) {
+    while !holds().await {
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// A request on a connection that ends after it.
+pub(crate) fn request(method: &str, body: &str) -> String {
+    format!(
+        "{method} /r/x?q=1 HTTP/1.1\r\nHost: h\r\nt-request: abc\r\nt-key: secret\r\n\
+         t-deadline: 6000\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// A replica's whole answer.
+pub(crate) fn answer(status: &str, headers: &str, body: &str) -> Step {
+    Step::Send(format!(
+        "HTTP/1.1 {status}\r\nt-request: abc\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    ))
+}
+
+/// A replica's whole success.
+pub(crate) fn ok(body: &str) -> Step {
+    answer("200 OK", "t-seal: s1\r\n", body)
+}
+
+/// Head of a stream, and its first bytes in one chunk.
+pub(crate) fn stream(seal: &str, events: &str) -> Step {
+    Step::Send(format!(
+        "HTTP/1.1 200 OK\r\nt-request: abc\r\nt-seal: {seal}\r\nTransfer-Encoding: chunked\r\n\r\n\
+         {:x}\r\n{events}\r\n",
+        events.len()
+    ))
+}
+
+/// The end of a body in chunks.
+pub(crate) fn last_chunk() -> Step {
+    Step::Send("0\r\n\r\n".to_owned())
+}
--- a/crates/gradeloft_policy/tests/forwarding.rs
+++ b/crates/gradeloft_policy/tests/forwarding.rs
@@ -76,7 +76,10 @@
 fn a_key_proves_its_team_and_public_routes_need_none() {
     let config = config(vec![route("r", "/r/", false), route("p", "/p/", true)]);
     let (closed, open) = (&config.document.routes[0], &config.document.routes[1]);
-    assert_eq!(config.team(closed, Some("k1")), Ok(Some("night-watch".into())));
+    assert_eq!(
+        config.team(closed, Some("k1")),
+        Ok(Some("night-watch".into()))
+    );
     assert_eq!(config.team(closed, Some("k2")), Err(Denied::UnknownKey));
     assert_eq!(config.team(closed, None), Err(Denied::UnknownKey));
     assert_eq!(config.team(open, None), Ok(None));
@@ -120,7 +123,11 @@
         record("a", Some("1"), 0),
         record("a", Some("2"), 1),
     ]));
-    assert!(mirror.apply(follow(vec![record("a", Some("1"), 0)])).is_empty());
+    assert!(
+        mirror
+            .apply(follow(vec![record("a", Some("1"), 0)]))
+            .is_empty()
+    );
     assert_eq!(mirror.value("a"), Some(&Bytes::from("2")));
 }
 
@@ -260,7 +267,10 @@
     let address = replicas.get(key).unwrap().listing.address;
     replicas.report_at(address, report);
     assert_eq!(choose(&replicas, WISH, Time::ZERO), None);
-    assert_eq!(choose(&replicas, WISH, Time::ZERO.after_ms(4_000)), Some(key));
+    assert_eq!(
+        choose(&replicas, WISH, Time::ZERO.after_ms(4_000)),
+        Some(key)
+    );
 }
 
 #[test]
--- a/crates/gradeloft_standin/src/lib.rs
+++ b/crates/gradeloft_standin/src/lib.rs
@@ -6,7 +6,9 @@
 //! - [`link`]: links of a certain speed.
 //! - [`list`]: the list of instances.
 //! - [`log`]: the append-only log.
+//! - [`scripted`]: a replica that plays a script, down to how a connection ends.
 //! - [`service`]: a plain service some of whose calls may not be repeated.
+//! - [`tables`]: the tables that a platform keeps.
 //! - [`weights`]: the weight store and the origin, and weights to put there.
 //!
 //! Each fake listens on a loopback port of its own and speaks the published interface of the real
@@ -19,7 +21,9 @@
 pub mod link;
 pub mod list;
 pub mod log;
+pub mod scripted;
 pub mod service;
+pub mod tables;
 pub mod weights;
 
 use std::rc::Rc;
--- /dev/null
+++ b/crates/gradeloft_standin/src/tables.rs
@@ -0,0 +1,133 @@
+//! A fake of the platform's tables.
+
+use std::{cell::Cell, cell::RefCell, collections::HashMap, time::Duration};
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use gradeloft_platform::{
+    Answer, Fault,
+    fleet::{Followed, Store},
+};
+use gradeloft_policy::process::mirror::{Record, Update};
+use gradeloft_wire::frame::Table;
+use tokio::{sync::Notify, time::timeout};
+
+/// What the store does with calls.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Mood {
+    /// It answers nothing.
+    Silent,
+    /// It refuses every call.
+    Refusing,
+    /// It serves.
+    #[default]
+    Well,
+}
+
+/// Tables, with knobs.
+#[derive(Default)]
+pub struct Tables {
+    records: RefCell<HashMap<Table, Vec<Record>>>,
+    /// Records before these offsets were dropped.
+    dropped: RefCell<HashMap<Table, u64>>,
+    /// What it does with calls.
+    pub mood: Cell<Mood>,
+    /// Calls so far.
+    pub calls: Cell<u64>,
+    changed: Notify,
+}
+
+impl Tables {
+    /// Adds a record.
+    pub fn write(&self, table: Table, key: &str, value: Option<&str>) {
+        let mut tables = self.records.borrow_mut();
+        let records = tables.entry(table).or_default();
+        records.push(Record {
+            key: key.to_owned(),
+            value: value.map(|it| Bytes::from(it.to_owned())),
+            offset: records.len() as u64,
+        });
+        drop(tables);
+        self.changed.notify_waiters();
+    }
+
+    /// Drops the history of a table; the newest record of each key stays.
+    pub fn compact(&self, table: Table) {
+        let end = self.records.borrow().get(&table).map_or(0, Vec::len);
+        self.dropped.borrow_mut().insert(table, end as u64);
+    }
+
+    async fn called(&self) -> Result<(), Fault> {
+        self.calls.set(self.calls.get() + 1);
+        match self.mood.get() {
+            Mood::Silent => std::future::pending().await,
+            Mood::Refusing => Err(Fault::Refused("out of order".to_owned())),
+            Mood::Well => Ok(()),
+        }
+    }
+
+    fn since(&self, table: Table, from: u64) -> Vec<Record> {
+        let tables = self.records.borrow();
+        let records = tables.get(&table).map_or(&[][..], Vec::as_slice);
+        records.iter().skip(from as usize).cloned().collect()
+    }
+}
+
+impl Store for Tables {
+    fn follow(&self, table: Table, from: u64, wait_ms: u64) -> Answer<'_, Followed> {
+        async move {
+            self.called().await?;
+            if from < self.dropped.borrow().get(&table).copied().unwrap_or(0) {
+                return Ok(Followed::Dropped);
+            }
+            let wait = Duration::from_millis(wait_ms);
+            let _ = timeout(wait, async {
+                loop {
+                    let changed = self.changed.notified();
+                    if !self.since(table, from).is_empty() {
+                        return;
+                    }
+                    changed.await;
+                }
+            })
+            .await;
+            let records = self.since(table, from);
+            let end = from + records.len() as u64;
+            Ok(Followed::Update(Update {
+                snapshot: false,
+                records,
+                end,
+            }))
+        }
+        .boxed_local()
+    }
+
+    fn snapshot(&self, table: Table) -> Answer<'_, Update> {
+        async move {
+            self.called().await?;
+            let all = self.since(table, 0);
+            let end = all.len() as u64;
+            let newest: HashMap<String, Record> =
+                all.into_iter().map(|it| (it.key.clone(), it)).collect();
+            let mut records: Vec<Record> = newest.into_values().collect();
+            records.retain(|it| it.value.is_some());
+            records.sort_by_key(|it| it.offset);
+            Ok(Update {
+                snapshot: true,
+                records,
+                end,
+            })
+        }
+        .boxed_local()
+    }
+
+    fn register<'a>(&'a self, key: &'a str, value: Bytes) -> Answer<'a, ()> {
+        async move {
+            self.called().await?;
+            let value = String::from_utf8_lossy(&value).into_owned();
+            self.write(Table::Entries, key, Some(&value));
+            Ok(())
+        }
+        .boxed_local()
+    }
+}
