--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -181,11 +181,20 @@
 }
 
 fn choose(entry: &Entry, job: &Job, now: Time) -> Option<ReplicaKey> {
+    // Asked again for each attempt: a version may have become due meanwhile.
+    let oldest = entry.oldest_versions(&job.service);
+    let preferred = choose_from(entry, job, oldest.preferred, now);
+    if preferred.is_some() || oldest.preferred == oldest.allowed {
+        return preferred;
+    }
+    choose_from(entry, job, oldest.allowed, now)
+}
+
+fn choose_from(entry: &Entry, job: &Job, oldest: Option<u64>, now: Time) -> Option<ReplicaKey> {
     let settings = entry.node.settings();
     let wish = Wish {
         zone: &settings.zone,
-        // Asked again for each attempt: a version may have become due meanwhile.
-        oldest: entry.oldest_version(&job.service),
+        oldest,
         same: job.version,
         tried: &job.tried,
     };
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -72,9 +72,12 @@
 const REGISTER: Duration = Duration::from_millis(500);
 /// Part of a replica's connections that all entries together use.
 const CONNECTIONS_USED: f64 = 0.85;
-/// Part of the time for new weights after which requests need them. The rest, over two seconds today, is for requests that
-/// wait at a replica before they begin.
-const VERSION_USED: f64 = 0.7;
+/// Part of the time for new weights after which requests go to replicas that hold them, if one has
+/// room.
+const VERSION_PREFERRED: f64 = 0.7;
+/// Part of the time for new weights after which requests need them. The rest, one and a half seconds today, is
+/// for requests that wait at a replica before they begin.
+const VERSION_DUE: f64 = 0.8;
 /// Time for which a leaving entry takes further connections: callers keep addresses for two seconds,
 /// and some three times as long.
 const LINGER: Duration = Duration::from_millis(3_500);
@@ -87,6 +90,15 @@
     connections: 512,
 };
 
+/// Oldest versions of weights on which a request may begin.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Oldest {
+    /// Where a replica with it has room; `None` for any.
+    pub preferred: Option<u64>,
+    /// At all; `None` for any.
+    pub allowed: Option<u64>,
+}
+
 /// Requests of one entry at replicas, by the hash of each replica's id.
 type Loads = HashMap<u64, Load>;
 
@@ -282,13 +294,19 @@
         (f64::from(most) * CONNECTIONS_USED / entries as f64).max(1.0) as usize
     }
 
-    /// Oldest version of weights on which a request to a service may begin now.
-    pub fn oldest_version(&self, service: &str) -> Option<u64> {
+    /// Oldest versions of weights on which a request to a service begins now: where a replica has
+    /// room, and at all.
+    pub fn oldest_versions(&self, service: &str) -> Oldest {
+        let now = self.node.clock.now();
         let config = self.config.borrow();
-        let service = config.as_ref()?.service(service)?;
+        let service = config.as_ref().and_then(|it| it.service(service));
         let weights = self.weights.borrow();
-        let named = service.models.iter().find_map(|it| weights.get(it))?;
-        named.oldest_allowed(self.node.clock.now())
+        let mut models = service.iter().flat_map(|it| &it.models);
+        let named = models.find_map(|it| weights.get(it));
+        Oldest {
+            preferred: named.and_then(|it| it.oldest_preferred(now)),
+            allowed: named.and_then(|it| it.oldest_allowed(now)),
+        }
     }
 
     fn meet_seeds(&self) {
@@ -352,12 +370,16 @@
         let now = self.node.clock.now();
         // What was named before this process started may be due already.
         let started = !self.node.loaded(Table::Operator) || self.config.borrow().is_none();
-        let time_ms = (self.node.settings().version_ms as f64 * VERSION_USED) as u64;
-        let due = if started { now } else { now.after_ms(time_ms) };
+        let version_ms = self.node.settings().version_ms as f64;
+        let after = |part: f64| match started {
+            true => now,
+            false => now.after_ms((version_ms * part) as u64),
+        };
+        let due = after(VERSION_DUE);
         let mut weights = self.weights.borrow_mut();
         let named = weights.entry(model.clone()).or_default();
         named.settle(now);
-        if !named.name(version, due) {
+        if !named.name(version, after(VERSION_PREFERRED), due) {
             return;
         }
         if let Some(log) = self.node.logs.line(Topic::Weights) {
--- a/crates/gradeloft_policy/src/version/named.rs
+++ b/crates/gradeloft_policy/src/version/named.rs
@@ -1,45 +1,70 @@
 //! Which versions of a model's weights requests may begin on.
 //!
 //! The operator may name a version before the one before it is everywhere. Each is due at its own
-//! time, so the oldest version allowed is the newest of those that are due.
+//! time, so the oldest version allowed is the newest of those that are due. A version is preferred
+//! some time before it is due: requests go to replicas that hold it if any of them has room, so that
+//! few requests wait at a replica that will soon be too old.
 
 use crate::clock::Time;
 
+/// A version that is not due yet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Coming {
+    version: u64,
+    preferred: Time,
+    /// Not before `preferred`.
+    due: Time,
+}
+
 /// Versions of one model that the operator named.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Named {
-    /// Versions that are not due yet, lowest first, with the time when each is.
-    coming: Vec<(u64, Time)>,
+    /// Versions that are not due yet, lowest first.
+    coming: Vec<Coming>,
     /// Newest version that is due; 0 for none.
     due: u64,
 }
 
 impl Named {
-    /// A version is named, and due at `due`; gives whether it is newer than all before.
-    pub fn name(&mut self, version: u64, due: Time) -> bool {
+    /// A version is named, preferred from `preferred` on, and due at `due`; gives whether it is newer
+    /// than all before.
+    pub fn name(&mut self, version: u64, preferred: Time, due: Time) -> bool {
         if version <= self.newest() {
             return false;
         }
-        self.coming.push((version, due));
+        self.coming.push(Coming {
+            version,
+            preferred,
+            due,
+        });
         true
     }
 
     /// Newest version named; 0 for none.
     pub fn newest(&self) -> u64 {
-        self.coming.last().map_or(self.due, |it| it.0)
+        self.coming.last().map_or(self.due, |it| it.version)
     }
 
     /// Oldest version on which a request may begin now; `None` for any.
     pub fn oldest_allowed(&self, now: Time) -> Option<u64> {
-        let due = self.coming.iter().filter(|it| it.1 <= now);
-        let oldest = due.map(|it| it.0).fold(self.due, u64::max);
-        (0 < oldest).then_some(oldest)
+        self.newest_of(|it| it.due <= now)
+    }
+
+    /// Oldest version on which a request begins now if a replica with it has room; `None` for any.
+    pub fn oldest_preferred(&self, now: Time) -> Option<u64> {
+        self.newest_of(|it| it.preferred <= now)
     }
 
     /// Forgets which versions were due before the newest of them.
     pub fn settle(&mut self, now: Time) {
         self.due = self.oldest_allowed(now).unwrap_or_default();
         let due = self.due;
-        self.coming.retain(|it| due < it.0);
+        self.coming.retain(|it| due < it.version);
+    }
+
+    fn newest_of(&self, counts: impl Fn(&Coming) -> bool) -> Option<u64> {
+        let counted = self.coming.iter().filter(|it| counts(it));
+        let newest = counted.map(|it| it.version).fold(self.due, u64::max);
+        (0 < newest).then_some(newest)
     }
 }
--- a/crates/gradeloft_policy/src/version/outside.rs
+++ b/crates/gradeloft_policy/src/version/outside.rs
@@ -5,8 +5,11 @@
 
 /// First wait after a failure, in milliseconds.
 const FIRST_BACKOFF_MS: u64 = 200;
-/// Longest wait after a failure, in milliseconds.
-const LONGEST_BACKOFF_MS: u64 = 5_000;
+/// Longest wait after a failure, in milliseconds: an origin that comes back is read soon, and each
+/// chunk has only one agent that asks.
+const LONGEST_BACKOFF_MS: u64 = 800;
+/// Pause between asks of the origin beyond an agent's part, in milliseconds.
+const SLOW_MS: u64 = 5_000;
 /// How long a store that lacked a chunk is passed over, in milliseconds.
 const MISSING_WAIT_MS: u64 = 10_000;
 
@@ -39,36 +42,39 @@
 pub struct Outside {
     origin: Gate,
     store: Gate,
-    /// Chunks asked of the origin so far, and when last.
-    origin_asks: u64,
+    /// Chunks that the origin sent so far, spoilt ones included. Asks that it did not answer cost it
+    /// nothing.
+    origin_given: u64,
+    /// When the origin was asked last.
     origin_asked: Time,
 }
 
 impl Outside {
-    /// Where to read now, if anywhere. After `part` asks the origin is asked slowly only, so that a
+    /// Where to read now, if anywhere. After `part` chunks the origin is asked slowly only, so that a
     /// chunk that nobody else reads is late, and not missing for ever.
     pub fn source(&self, part: u64, now: Time) -> Option<From> {
         if self.store.closed_until <= now {
             return Some(From::Store);
         }
-        let within =
-            self.origin_asks < part || self.origin_asked.after_ms(LONGEST_BACKOFF_MS) <= now;
+        let within = self.origin_given < part || self.origin_asked.after_ms(SLOW_MS) <= now;
         (self.origin.closed_until <= now && within).then_some(From::Origin)
     }
 
     /// The origin is asked for a chunk.
     pub fn asked_origin(&mut self, now: Time) {
-        self.origin_asks += 1;
         self.origin_asked = now;
     }
 
     /// A source answered well.
     pub fn answered(&mut self, from: From) {
         *self.gate(from) = Gate::default();
+        self.origin_given += u64::from(from == From::Origin);
     }
 
     /// A source failed.
     pub fn failed(&mut self, from: From, failure: Failure, now: Time) {
+        let sent = matches!(failure, Failure::Corrupt | Failure::Stalled);
+        self.origin_given += u64::from(from == From::Origin && sent);
         self.gate(from).failed(failure, now);
     }
 
--- a/crates/gradeloft_policy/tests/fetch.rs
+++ b/crates/gradeloft_policy/tests/fetch.rs
@@ -375,3 +375,29 @@
         "{gaps:?}"
     );
 }
+
+#[test]
+fn asks_that_an_origin_out_of_reach_did_not_answer_do_not_use_up_the_part() {
+    let manifest = manifest(1);
+    let tuning = Tuning {
+        origin_copies: 1.0,
+        ..TUNING
+    };
+    let mut fetch = Fetch::new(OWN, &manifest, |_| false, tuning, Time::ZERO);
+    fetch.set_members(vec![OWN]);
+    let mut now = Time::ZERO;
+    let mut asked_at = Vec::new();
+    while asked_at.len() < 12 {
+        for ask in asks(&mut fetch, now) {
+            if ask.from == From::Origin {
+                asked_at.push(now);
+                fetch.failed(ask.idx, ask.from, Failure::Gone, now);
+            } else {
+                fetch.failed(ask.idx, ask.from, Failure::Limited(1_000_000), now);
+            }
+        }
+        now = now.after_ms(100);
+    }
+    let gaps = asked_at.windows(2).map(|it| it[1].since(it[0]).as_millis());
+    assert!(gaps.max() <= Some(1_000), "{asked_at:?}");
+}
--- a/crates/gradeloft_policy/tests/versions.rs
+++ b/crates/gradeloft_policy/tests/versions.rs
@@ -14,9 +14,13 @@
 #[test]
 fn each_version_is_due_at_its_own_time() {
     let mut named = Named::default();
-    assert!(named.name(2, Time::ZERO.after_ms(5_000)));
-    assert!(named.name(3, Time::ZERO.after_ms(7_000)));
-    assert!(!named.name(2, Time::ZERO.after_ms(9_000)));
+    let at = |ms| Time::ZERO.after_ms(ms);
+    assert!(named.name(2, at(4_000), at(5_000)));
+    assert!(named.name(3, at(6_500), at(7_000)));
+    assert!(!named.name(2, at(9_000), at(9_000)));
+    assert_eq!(named.oldest_preferred(at(3_999)), None);
+    assert_eq!(named.oldest_preferred(at(4_000)), Some(2));
+    assert_eq!(named.oldest_preferred(at(6_500)), Some(3));
     assert_eq!(named.oldest_allowed(Time::ZERO.after_ms(4_999)), None);
     assert_eq!(named.oldest_allowed(Time::ZERO.after_ms(5_000)), Some(2));
     assert_eq!(named.oldest_allowed(Time::ZERO.after_ms(7_000)), Some(3));
