--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -439,8 +439,7 @@
             let switched = switched.filter(|it| (it.model, it.version) == (model, version.number));
             let switched = switched.map_or(0, |it| usize::from(it.replicas));
             let now = self.node.clock.now();
-            let superseded = self.target().as_ref() != Some(version);
-            if !serves || superseded || wave.may_load(switched, named, version_ms, now) {
+            if !serves || wave.may_load(switched, named, version_ms, now) {
                 return wave;
             }
             actix_rt::time::sleep(ASK_LOADING).await;
--- a/crates/gradeloft_policy/src/request/placement.rs
+++ b/crates/gradeloft_policy/src/request/placement.rs
@@ -30,6 +30,10 @@
 /// makes those behind it late.
 const WAITING: u32 = 2;
 
+/// Requests that have not begun which a replica is given at most. Behind so many prompts the first
+/// token is late by today's objectives, and should the replica stop, all of them are held up.
+const MAX_UNBEGUN: u32 = 8;
+
 /// What a request asks of its replica.
 #[derive(Clone, Copy, Debug)]
 pub struct Wish<'a> {
@@ -55,7 +59,7 @@
         .collect();
     let newest = open.iter().filter_map(|(_, it)| it.version(now)).max();
     open.into_iter()
-        .filter(|(_, it)| it.load() < it.listing.slots + WAITING)
+        .filter(|(_, it)| it.load() < it.listing.slots + WAITING && it.waiting() < MAX_UNBEGUN)
         .map(|(key, it)| {
             let noise = NOISE * rng.random::<f64>();
             (cost(it, wish, newest, now) + noise, key)
