--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -351,8 +351,6 @@
         let engine = self.state.get().map(|it| Engine {
             version: it.version,
             loading: self.loading.get() || it.busy,
-            active: it.active,
-            queued: it.queued,
         });
         self.told_at.set(self.node.clock.now());
         let sender = Sender::Agent { replica, engine };
--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -10,7 +10,7 @@
     },
     request::{
         attempt::{Failure, Progress, Ran},
-        placement::{self, Wish},
+        placement::{self, Census, Wish},
     },
 };
 use slog::info;
@@ -56,6 +56,8 @@
     pub keeps: bool,
     /// Failures so far, for the log.
     trail: Vec<Failure>,
+    /// Why no replica was found, for the log.
+    census: Option<Census>,
 }
 
 /// How a request ended.
@@ -140,6 +142,7 @@
         first_byte: None,
         keeps,
         trail: Vec::new(),
+        census: None,
     }
 }
 
@@ -155,6 +158,7 @@
             });
         }
         let Some(replica) = choose(entry, &job, now) else {
+            job.census = Some(census(entry, &job, now));
             break exhausted(&job);
         };
         if 0 < job.progress.attempts && !entry.take_repeat(&job.service) {
@@ -190,6 +194,18 @@
     choose_from(entry, job, oldest.allowed, now)
 }
 
+/// Why none of a service's replicas can get a request now.
+fn census(entry: &Entry, job: &Job, now: Time) -> Census {
+    let settings = entry.node.settings();
+    let wish = Wish {
+        zone: &settings.zone,
+        oldest: entry.oldest_versions(&job.service).allowed,
+        same: job.version,
+        tried: &job.tried,
+    };
+    placement::census(entry.replicas.borrow().of(&job.service), wish, now)
+}
+
 fn choose_from(entry: &Entry, job: &Job, oldest: Option<u64>, now: Time) -> Option<ReplicaKey> {
     let settings = entry.node.settings();
     let wish = Wish {
@@ -264,7 +280,7 @@
             // A replica's own failure says more than ours would.
             if let Some(stored) = stored.filter(|_| job.progress.ran == Ran::Unknown) {
                 conclude(entry, &job, stored.status(), "replica_failed");
-                let sent = stored.send(entry, caller, close).await;
+                let sent = stored.send(caller, close).await;
                 return after(sent && !close);
             }
             conclude(entry, &job, refusal.row().status, refusal.row().name);
@@ -314,7 +330,8 @@
         "replicas" => tried.join(","), "failures" => trail.join(","),
         "first_ms" => job.first_byte.map_or(-1, |it| since(it).as_millis() as i64),
         "ms" => since(now).as_millis() as u64, "config" => entry.config_version(),
-        "replicas_known" => entry.replicas.borrow().len(), "resumed" => resumed(job));
+        "replicas_known" => entry.replicas.borrow().len(), "resumed" => resumed(job),
+        "none_free" => job.census.map_or_else(String::new, |it| it.to_string()));
 }
 
 fn resumed(job: &Job) -> bool {
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -611,8 +611,6 @@
         let report = Report {
             version: engine.version,
             loading: engine.loading,
-            active: engine.active,
-            queued: engine.queued,
             at: now,
         };
         self.replicas.borrow_mut().report_at(address, report);
--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -42,12 +42,12 @@
     }
 
     /// Sends it to the caller; gives whether it went out.
-    pub async fn send(&self, entry: &Entry, caller: &mut Wire, close: bool) -> bool {
-        let bytes = self.encode(entry, close);
+    pub async fn send(&self, caller: &mut Wire, close: bool) -> bool {
+        let bytes = self.encode(close);
         matches!(timeout(SEND, caller.send(&bytes)).await, Ok(Ok(())))
     }
 
-    fn encode(&self, _entry: &Entry, close: bool) -> Bytes {
+    fn encode(&self, close: bool) -> Bytes {
         let mut out = BytesMut::with_capacity(512 + self.body.len());
         put_head(&mut out, &self.head, close);
         if !matches!(self.head.status, 204 | 304) {
@@ -200,7 +200,7 @@
     job.first_byte = Some(entry.node.clock.now());
     let close = !job.keeps || entry.node.leaving.get();
     let status = stored.status();
-    if stored.send(entry, caller, close).await {
+    if stored.send(caller, close).await {
         Ended::Answered(status)
     } else {
         Ended::Gone
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -54,10 +54,6 @@
     pub version: Option<u64>,
     /// Whether it takes no work now because weights are about to be loaded.
     pub loading: bool,
-    /// Requests that run.
-    pub active: u32,
-    /// Requests that wait.
-    pub queued: u32,
     /// When the report came.
     pub at: Time,
 }
--- a/crates/gradeloft_policy/src/request/placement.rs
+++ b/crates/gradeloft_policy/src/request/placement.rs
@@ -1,5 +1,7 @@
 //! Which replica of a service gets a request.
 
+use std::fmt;
+
 use rand::Rng;
 
 use crate::{
@@ -59,7 +61,7 @@
         .collect();
     let newest = open.iter().filter_map(|(_, it)| it.version(now)).max();
     open.into_iter()
-        .filter(|(_, it)| it.load() < it.listing.slots + WAITING && it.waiting() < MAX_UNBEGUN)
+        .filter(|(_, it)| has_room(it))
         .map(|(key, it)| {
             let noise = NOISE * rng.random::<f64>();
             (cost(it, wish, newest, now) + noise, key)
@@ -68,6 +70,57 @@
         .map(|(_, key)| key)
 }
 
+/// Why replicas can't get a request, by how many.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Census {
+    /// Leaving, about to load, or without weights.
+    pub closed: u32,
+    /// With as many requests as they are given.
+    pub full: u32,
+    /// With weights that are too old.
+    pub old: u32,
+    /// Sent this request before.
+    pub tried: u32,
+}
+
+impl fmt::Display for Census {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Census {
+            closed,
+            full,
+            old,
+            tried,
+        } = self;
+        write!(f, "closed:{closed},full:{full},old:{old},tried:{tried}")
+    }
+}
+
+/// Counts why replicas can't get a request; each counts once, by the first reason that holds.
+pub fn census<'a>(
+    replicas: impl Iterator<Item = (ReplicaKey, &'a Replica)>,
+    wish: Wish<'_>,
+    now: Time,
+) -> Census {
+    let mut census = Census::default();
+    for (key, replica) in replicas {
+        if wish.tried.contains(&key) {
+            census.tried += 1;
+        } else if !replica.open(now) {
+            census.closed += 1;
+        } else if !allowed(replica, wish, now) {
+            census.old += 1;
+        } else if !has_room(replica) {
+            census.full += 1;
+        }
+    }
+    census
+}
+
+fn has_room(replica: &Replica) -> bool {
+    let slots = replica.load() < replica.listing.slots + WAITING;
+    slots && replica.waiting() < MAX_UNBEGUN
+}
+
 fn allowed(replica: &Replica, wish: Wish<'_>, now: Time) -> bool {
     let new_enough = wish.oldest.is_none_or(|oldest| {
         let version = replica.version(now);
--- a/crates/gradeloft_policy/tests/forwarding.rs
+++ b/crates/gradeloft_policy/tests/forwarding.rs
@@ -260,8 +260,6 @@
     let report = Report {
         version: Some(1),
         loading: true,
-        active: 0,
-        queued: 0,
         at: Time::ZERO,
     };
     let address = replicas.get(key).unwrap().listing.address;
@@ -305,6 +303,26 @@
     assert_eq!(choose(&replicas, WISH, Time::ZERO), None);
 }
 
+#[test]
+fn a_census_says_why_no_replica_gets_a_request() {
+    let mut replicas = Replicas::default();
+    let full = replicas.list(listing("a", Some(2)));
+    replicas.get_mut(full).unwrap().own = 18;
+    let unbegun = replicas.list(listing("bb", Some(2)));
+    replicas.get_mut(unbegun).unwrap().own_waiting = 8;
+    replicas.list(listing("ccc", Some(1)));
+    replicas.list(listing("dddd", None));
+    let tried = replicas.list(listing("eeeee", Some(2)));
+    let wish = Wish {
+        oldest: Some(2),
+        tried: &[tried],
+        ..WISH
+    };
+    assert_eq!(choose(&replicas, wish, Time::ZERO), None);
+    let census = placement::census(replicas.of("m"), wish, Time::ZERO);
+    assert_eq!(census.to_string(), "closed:1,full:2,old:1,tried:1");
+}
+
 #[test]
 fn suspicion_passes_and_never_empties_a_service() {
     let mut replicas = Replicas::default();
--- a/crates/gradeloft_wire/src/datagram.rs
+++ b/crates/gradeloft_wire/src/datagram.rs
@@ -86,8 +86,4 @@
     pub version: Option<u64>,
     /// Whether it takes no work now because weights are about to be loaded.
     pub loading: bool,
-    /// Requests that run.
-    pub active: u32,
-    /// Requests that wait.
-    pub queued: u32,
 }
