Order a superseded version at once, and keep its replicas closed for a moment

Cause: between the last order of the first wave and the first of the second, the replica whose agent had ordered last took requests again; frozen then, it began them on version 2 when version 3 was due.

--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -62,6 +62,10 @@
 const BEGIN_MS: u64 = 600;
 /// Time for the prompts of requests that have a slot to be read: a few passes at full load.
 const PROMPTS: Duration = Duration::from_millis(400);
+/// Time for which a replica gets no requests after an order for a version that is superseded already,
+/// in milliseconds: until the others' orders are under way. Should its instance stop right after the
+/// order, requests that it holds would begin on that version when the newer one is due.
+const SUPERSEDED_MS: u64 = 700;
 /// Longest time for an order to show its effect, in milliseconds: the longest request of today, and
 /// the loading.
 const LOAD_MS: u64 = 8_000;
@@ -126,6 +130,10 @@
     /// Entries that spoke a moment ago.
     entries: RefCell<HashMap<Ipv4Addr, Time>>,
     told_at: Cell<Time>,
+    /// Whether entries were told last that the replica is to get no requests.
+    told_closed: Cell<bool>,
+    /// The replica is to get no requests until then.
+    closed_until: Cell<Time>,
 }
 
 /// A running agent.
@@ -163,6 +171,8 @@
             named: RefCell::default(),
             entries: RefCell::default(),
             told_at: Cell::default(),
+            told_closed: Cell::default(),
+            closed_until: Cell::default(),
         });
         let observing = Rc::downgrade(&agent);
         agent.node.observe(Rc::new(move |table, records| {
@@ -336,13 +346,20 @@
             .weights
             .set(version.unwrap_or_default() as i64);
         let told = |it: Option<State>| it.map(|it| (it.version, it.busy));
-        let changed = told(before) != told(state);
+        let closed = self.closed();
+        let reopened = self.told_closed.replace(closed) != closed;
+        let changed = reopened || told(before) != told(state);
         let due = self.told_at.get().after_ms(TELL_MS) <= self.node.clock.now();
         if changed || due {
             self.tell();
         }
     }
 
+    /// Whether the replica is to get no requests now.
+    fn closed(&self) -> bool {
+        self.loading.get() || self.node.clock.now() < self.closed_until.get()
+    }
+
     /// Tells entries what the replica holds.
     fn tell(&self) {
         let SocketAddr::V4(replica) = self.replica else {
@@ -350,7 +367,7 @@
         };
         let engine = self.state.get().map(|it| Engine {
             version: it.version,
-            loading: self.loading.get() || it.busy,
+            loading: self.closed() || it.busy,
         });
         self.told_at.set(self.node.clock.now());
         let sender = Sender::Agent { replica, engine };
@@ -420,6 +437,10 @@
         self.loading.set(true);
         self.tell();
         let loaded = self.load(version, wave).await;
+        if self.target().as_ref() != Some(version) {
+            let until = self.node.clock.now().after_ms(SUPERSEDED_MS);
+            self.closed_until.set(until);
+        }
         self.loading.set(false);
         self.ask().await;
         self.tell();
@@ -437,7 +458,9 @@
             let switched = switched.filter(|it| (it.model, it.version) == (model, version.number));
             let switched = switched.map_or(0, |it| usize::from(it.replicas));
             let now = self.node.clock.now();
-            if !serves || wave.may_load(switched, named, version_ms, now) {
+            // A version that is superseded already is not worth waiting for.
+            let superseded = self.target().as_ref() != Some(version);
+            if !serves || superseded || wave.may_load(switched, named, version_ms, now) {
                 return wave;
             }
             actix_rt::time::sleep(ASK_LOADING).await;
