--- /dev/null
+++ b/crates/gradeloft_gateway/src/agent/change.rs
@@ -0,0 +1,182 @@
+//! Brings the replica to the version that it is to hold.
+
+use std::{rc::Rc, time::Duration};
+
+use gradeloft_platform::fleet::{Load, Taken};
+use gradeloft_policy::{
+    clock::Time,
+    rendezvous,
+    version::waves::{Running, Wave},
+};
+use slog::{info, warn};
+
+use super::{ASK_LOADING, Agent, Version, fill, share};
+use crate::logs::Topic;
+
+/// Pause before a version is tried again.
+const RETRY: Duration = Duration::from_millis(300);
+/// Time for the entries to learn that the replica takes no work, before it is ordered to load.
+const HEADS_UP: Duration = Duration::from_millis(40);
+/// Longest time for requests that wait at the replica to get a slot, in milliseconds.
+const BEGIN_MS: u64 = 600;
+/// Time for the prompts of requests that have a slot to be read: a few passes at full load.
+const PROMPTS: Duration = Duration::from_millis(400);
+/// Time for which a replica gets no requests after an order for a version that is superseded already,
+/// in milliseconds: until the others' orders are under way. Should its instance stop right after the
+/// order, requests that it holds would begin on that version when the newer one is due.
+const SUPERSEDED_MS: u64 = 700;
+/// Longest time for an order to show its effect, in milliseconds: the longest request of today, and
+/// the loading.
+const LOAD_MS: u64 = 8_000;
+
+impl Agent {
+    /// Brings the replica to the version that it is to hold, again and again.
+    pub(super) async fn update(self: Rc<Agent>) {
+        loop {
+            let Some(version) = self.wanted() else {
+                share::adopt_target(&self);
+                tokio::select! {
+                    () = self.node.changed.notified() => {}
+                    () = actix_rt::time::sleep(RETRY) => {}
+                }
+                continue;
+            };
+            let started = self.node.clock.now();
+            match self.bring(&version).await {
+                Ok(()) => {
+                    if let Some(log) = self.node.logs.line(Topic::Weights) {
+                        let took = self.node.clock.now().since(started);
+                        info!(log, "weights loaded"; "model" => &version.model,
+                            "version" => version.number, "ms" => took.as_millis() as u64);
+                    }
+                }
+                Err(reason) => {
+                    if let Some(log) = self.node.logs.line(Topic::Weights) {
+                        warn!(log, "weights not loaded"; "model" => &version.model,
+                            "version" => version.number, "reason" => reason);
+                    }
+                    actix_rt::time::sleep(RETRY).await;
+                }
+            }
+        }
+    }
+
+    /// The version to bring the replica to, if it answers and does not hold it.
+    fn wanted(&self) -> Option<Version> {
+        let target = self.target()?;
+        let state = self.state.get()?;
+        let holds = state.version.is_some_and(|it| target.number <= it);
+        (!holds).then_some(target)
+    }
+
+    async fn bring(self: &Rc<Agent>, version: &Version) -> Result<(), String> {
+        let named = self.node.clock.now();
+        let others = fill::fill(self, version).await?;
+        let wave = self.turn(version, named, &others).await;
+        // What lies staged is loaded as it is when the order is taken.
+        fill::check(self, version).await?;
+        self.loading.set(true);
+        self.tell();
+        let loaded = self.load(version, wave).await;
+        if self.target().as_ref() != Some(version) {
+            let until = self.node.clock.now().after_ms(SUPERSEDED_MS);
+            self.closed_until.set(until);
+        }
+        self.loading.set(false);
+        self.ask().await;
+        self.tell();
+        loaded
+    }
+
+    /// Waits until it is this replica's turn to load.
+    async fn turn(&self, version: &Version, named: Time, others: &[u64]) -> Wave {
+        let wave = Wave::of(version.number, fill::node_hash(self.replica), others);
+        let version_ms = self.node.settings().version_ms;
+        let model = rendezvous::hash(version.model.as_bytes());
+        loop {
+            let serves = self.state.get().is_some_and(|it| it.version.is_some());
+            let switched = self.switched.get();
+            let switched = switched.filter(|it| (it.model, it.version) == (model, version.number));
+            let switched = switched.map_or(0, |it| usize::from(it.replicas));
+            let now = self.node.clock.now();
+            // A version that is superseded already is not worth waiting for.
+            let superseded = self.target().as_ref() != Some(version);
+            if !serves || superseded || wave.may_load(switched, named, version_ms, now) {
+                return wave;
+            }
+            actix_rt::time::sleep(ASK_LOADING).await;
+        }
+    }
+
+    async fn load(&self, version: &Version, wave: Wave) -> Result<(), String> {
+        actix_rt::time::sleep(HEADS_UP).await;
+        self.idle().await?;
+        let running = wave.running(self.resumable.get());
+        let serves = self.state.get().is_some_and(|it| it.version.is_some());
+        if serves && running == Running::Finished {
+            self.begun().await;
+        }
+        let load = Load {
+            model: &version.model,
+            version: version.number,
+            fence: version.number,
+            running,
+        };
+        let ordered = self.engine.load(load).await;
+        if let Some(log) = self.node.logs.line(Topic::Weights) {
+            info!(log, "ordered"; "order" => ?load, "result" => ?ordered);
+        }
+        match ordered {
+            Ok(Taken::Started) => self.loaded(version).await,
+            Ok(Taken::Conflict) => Err("the replica is in another state".to_owned()),
+            Ok(Taken::Fenced) => Err("a higher fence has been used".to_owned()),
+            // It may have been taken all the same; what the replica holds will show.
+            Err(fault) => Err(fault.to_string()),
+        }
+    }
+
+    /// Waits until no order is in progress at the replica.
+    async fn idle(&self) -> Result<(), String> {
+        let until = self.node.clock.now().after_ms(LOAD_MS);
+        while self.state.get().is_some_and(|it| it.busy) {
+            if until <= self.node.clock.now() {
+                return Err("an earlier order goes on".to_owned());
+            }
+            actix_rt::time::sleep(ASK_LOADING).await;
+        }
+        Ok(())
+    }
+
+    /// Waits until every request at the replica has begun, for a bounded time. One that has not, while
+    /// the replica stands still, would begin on weights that are no longer allowed.
+    async fn begun(&self) {
+        let until = self.node.clock.now().after_ms(BEGIN_MS);
+        while self.node.clock.now() < until && self.state.get().is_some_and(|it| 0 < it.queued) {
+            actix_rt::time::sleep(ASK_LOADING).await;
+        }
+        // Those that have a slot still have their prompts read.
+        actix_rt::time::sleep(PROMPTS).await;
+    }
+
+    /// Waits until the replica holds a version.
+    async fn loaded(&self, version: &Version) -> Result<(), String> {
+        let until = self.node.clock.now().after_ms(LOAD_MS);
+        loop {
+            let state = self.state.get();
+            match state {
+                Some(state) if state.version == Some(version.number) => return Ok(()),
+                None => return Err("the replica does not answer".to_owned()),
+                Some(_) => {}
+            }
+            // What is loaded was fixed when the order was taken, so the next version's pieces can
+            // be staged meanwhile.
+            if self.target().as_ref() != Some(version) {
+                return Err("another version was named".to_owned());
+            }
+            if until <= self.node.clock.now() {
+                return Err("the order shows no effect".to_owned());
+            }
+            actix_rt::time::sleep(ASK_LOADING).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gradeloft_gateway/src/entry/gossip.rs
@@ -0,0 +1,199 @@
+//! What entries and agents tell each other, and what an entry lets go of as it becomes old.
+
+use std::{
+    collections::HashMap,
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use gradeloft_policy::{
+    clock::Time,
+    process::{replicas::Report, roster::State},
+    rendezvous,
+};
+use gradeloft_wire::datagram::{Datagram, Engine, Load, Presence, Sender, Switched};
+use slog::info;
+
+use super::Entry;
+use crate::logs::Topic;
+
+/// Pause between datagrams to other entries.
+const TELL: Duration = Duration::from_millis(125);
+/// Datagrams to other entries for each one to the agents.
+const AGENT_TURN: u32 = 4;
+
+impl Entry {
+    pub(super) async fn tell(self: Rc<Entry>) {
+        let mut turn = 0;
+        loop {
+            self.tell_once(turn % AGENT_TURN == 0);
+            self.upkeep();
+            turn += 1;
+            tokio::select! {
+                () = actix_rt::time::sleep(TELL) => {}
+                () = self.left.notified() => {}
+            }
+        }
+    }
+
+    fn tell_once(&self, agents: bool) {
+        let entries: Vec<Ipv4Addr> = self.roster.borrow().addresses().collect();
+        let sender = Sender::Entry {
+            presence: self.presence(),
+            loads: self.loads(),
+            entries: entries.clone(),
+            switched: self.switched(),
+        };
+        let mut to = entries;
+        if agents {
+            to.extend(self.agents());
+        }
+        self.node.tell(sender, to.into_iter());
+    }
+
+    /// Instances on which agents run: those of the replicas that hold a model.
+    fn agents(&self) -> Vec<Ipv4Addr> {
+        let replicas = self.replicas.borrow();
+        let models = replicas.iter().filter(|(_, it)| it.listing.has_model);
+        models
+            .filter_map(|(_, it)| match it.listing.address {
+                SocketAddr::V4(address) => Some(*address.ip()),
+                SocketAddr::V6(_) => None,
+            })
+            .collect()
+    }
+
+    fn loads(&self) -> Vec<Load> {
+        let replicas = self.replicas.borrow();
+        let busy = replicas.iter().filter(|(_, it)| 0 < it.own);
+        busy.map(|(_, it)| Load {
+            replica: rendezvous::hash(it.listing.id.as_bytes()),
+            running: it.own.min(u32::from(u16::MAX)) as u16,
+            waiting: it.own_waiting.min(u32::from(u16::MAX)) as u16,
+        })
+        .collect()
+    }
+
+    /// Replicas that take requests with the newest version of each model.
+    fn switched(&self) -> Vec<Switched> {
+        let now = self.node.clock.now();
+        let config = self.config.borrow();
+        let services = config.iter().flat_map(|it| &it.document.services);
+        let weights = self.weights.borrow();
+        let replicas = self.replicas.borrow();
+        let models = services.flat_map(|it| it.models.iter().map(move |model| (it, model)));
+        models
+            .filter_map(|(service, model)| {
+                let version = weights.get(model)?.newest();
+                let all = replicas.of(&service.name);
+                let done = all.filter(|(_, it)| it.open(now) && it.version(now) == Some(version));
+                Some(Switched {
+                    model: rendezvous::hash(model.as_bytes()),
+                    version,
+                    replicas: done.count().min(usize::from(u16::MAX)) as u16,
+                })
+            })
+            .collect()
+    }
+
+    /// Lets go of what has become old.
+    fn upkeep(&self) {
+        let now = self.node.clock.now();
+        for id in self.replicas.borrow_mut().expire(now) {
+            if let Some(log) = self.node.logs.line(Topic::State) {
+                info!(log, "replica gone"; "replica" => &*id);
+            }
+        }
+        let replicas = self.replicas.borrow();
+        self.pool.expire(|it| replicas.get(it).is_some());
+        drop(replicas);
+        let seeds = self.node.settings().seeds.clone();
+        self.roster
+            .borrow_mut()
+            .forget(|it| seeds.contains(&it), now);
+        self.sum_elsewhere(now);
+    }
+
+    /// Sums the requests that other entries have at each replica.
+    fn sum_elsewhere(&self, now: Time) {
+        let mut elsewhere = self.elsewhere.borrow_mut();
+        let roster = self.roster.borrow();
+        elsewhere.retain(|address, _| roster.alive(*address, now));
+        let mut sums: HashMap<u64, (u32, u32)> = HashMap::new();
+        for load in elsewhere.values().flat_map(HashMap::values) {
+            let sum = sums.entry(load.replica).or_default();
+            sum.0 += u32::from(load.running);
+            sum.1 += u32::from(load.waiting);
+        }
+        self.replicas.borrow_mut().set_others(|id| {
+            let hash = rendezvous::hash(id.as_bytes());
+            sums.get(&hash).copied().unwrap_or_default()
+        });
+    }
+
+    pub(super) async fn listen(self: Rc<Entry>) {
+        loop {
+            let (from, datagram) = self.node.heard().await;
+            self.heard(from, datagram);
+        }
+    }
+
+    fn heard(&self, from: Ipv4Addr, datagram: Datagram) {
+        let now = self.node.clock.now();
+        match datagram.sender {
+            Sender::Agent { replica, engine } => {
+                self.agent_told(SocketAddr::V4(replica), engine, now);
+            }
+            Sender::Entry {
+                presence,
+                loads,
+                entries,
+                ..
+            } => {
+                self.entry_told(from, datagram.incarnation, &datagram.zone, presence, now);
+                self.learn(&entries);
+                let loads = loads.into_iter().map(|it| (it.replica, it));
+                self.elsewhere.borrow_mut().insert(from, loads.collect());
+            }
+        }
+        self.node.heard_ends(from, datagram.ends);
+    }
+
+    fn entry_told(
+        &self,
+        from: Ipv4Addr,
+        incarnation: u64,
+        zone: &str,
+        presence: Presence,
+        now: Time,
+    ) {
+        let state = match presence {
+            Presence::Leaving => State::Leaving,
+            Presence::Ready => State::Ready,
+            Presence::Starting => State::Starting,
+        };
+        let mut roster = self.roster.borrow_mut();
+        roster.heard(from, incarnation, zone, state, now);
+    }
+
+    fn learn(&self, entries: &[Ipv4Addr]) {
+        let own = self.node.settings().address;
+        let mut roster = self.roster.borrow_mut();
+        for address in entries.iter().filter(|it| **it != own) {
+            roster.learn(*address);
+        }
+    }
+
+    fn agent_told(&self, address: SocketAddr, engine: Option<Engine>, now: Time) {
+        let Some(engine) = engine else {
+            return;
+        };
+        let report = Report {
+            version: engine.version,
+            loading: engine.loading,
+            at: now,
+        };
+        self.replicas.borrow_mut().report_at(address, report);
+    }
+}
--- /dev/null
+++ b/crates/gradeloft_gateway/src/entry/learn.rs
@@ -0,0 +1,141 @@
+//! What an entry learns from the platform's tables.
+
+use std::rc::Rc;
+
+use gradeloft_platform::fleet::Order;
+use gradeloft_policy::process::{
+    document::{Config, Document},
+    mirror::Record,
+};
+use gradeloft_wire::frame::Table;
+use slog::{info, warn};
+
+use super::{Entry, Oldest};
+use crate::logs::Topic;
+
+/// Part of the time for new weights after which requests go to replicas that hold them, if one has
+/// room.
+const VERSION_PREFERRED: f64 = 0.7;
+/// Part of the time for new weights after which requests need them. The rest, one and a half seconds today, is
+/// for requests that wait at a replica before they begin.
+const VERSION_DUE: f64 = 0.8;
+
+impl Entry {
+    /// Oldest versions of weights on which a request to a service begins now: where a replica has
+    /// room, and at all.
+    pub fn oldest_versions(&self, service: &str) -> Oldest {
+        let now = self.node.clock.now();
+        let config = self.config.borrow();
+        let service = config.as_ref().and_then(|it| it.service(service));
+        let weights = self.weights.borrow();
+        let mut models = service.iter().flat_map(|it| &it.models);
+        let named = models.find_map(|it| weights.get(it));
+        Oldest {
+            preferred: named.and_then(|it| it.oldest_preferred(now)),
+            allowed: named.and_then(|it| it.oldest_allowed(now)),
+        }
+    }
+
+    pub(super) fn changed(&self, table: Table, records: &[Record]) {
+        match table {
+            Table::Entries => self.entries_changed(records),
+            Table::Operator => records.iter().for_each(|it| self.ordered(it)),
+            Table::Replicas => records.iter().for_each(|it| self.listed(it)),
+        }
+    }
+
+    fn entries_changed(&self, records: &[Record]) {
+        let own = self.node.settings().address;
+        let mut roster = self.roster.borrow_mut();
+        let addresses = records.iter().filter_map(|it| it.key.parse().ok());
+        for address in addresses.filter(|it| *it != own) {
+            roster.learn(address);
+        }
+    }
+
+    fn ordered(&self, record: &Record) {
+        if record.value.is_none() {
+            return;
+        }
+        match self.node.platform.decoder.order(record) {
+            Ok(Order::Config(document)) => self.configure(*document),
+            Ok(Order::Weights { model, version }) => self.name_weights(model, version),
+            Ok(Order::Other) => {}
+            Err(error) => {
+                if let Some(log) = self.node.logs.line(Topic::State) {
+                    warn!(log, "unreadable record"; "key" => &record.key, "error" => error);
+                }
+            }
+        }
+    }
+
+    fn configure(&self, document: Document) {
+        let version = document.version;
+        if version <= self.config_version() {
+            return;
+        }
+        if let Some(log) = self.node.logs.line(Topic::State) {
+            info!(log, "configuration"; "version" => version,
+                "before" => self.config_version(), "routes" => document.routes.len(),
+                "keys" => document.keys.len());
+        }
+        *self.config.borrow_mut() = Some(Rc::new(Config::new(document)));
+        self.node.metrics.config.set(version as i64);
+    }
+
+    fn name_weights(&self, model: String, version: u64) {
+        let now = self.node.clock.now();
+        // What was named before this process started may be due already.
+        let started = !self.node.loaded(Table::Operator) || self.config.borrow().is_none();
+        let version_ms = self.node.settings().version_ms as f64;
+        let after = |part: f64| match started {
+            true => now,
+            false => now.after_ms((version_ms * part) as u64),
+        };
+        let due = after(VERSION_DUE);
+        let mut weights = self.weights.borrow_mut();
+        let named = weights.entry(model.clone()).or_default();
+        named.settle(now);
+        if !named.name(version, after(VERSION_PREFERRED), due) {
+            return;
+        }
+        if let Some(log) = self.node.logs.line(Topic::Weights) {
+            info!(log, "weights named"; "model" => model, "version" => version,
+                "due_ms" => due.since(now).as_millis() as u64);
+        }
+    }
+
+    fn listed(&self, record: &Record) {
+        let now = self.node.clock.now();
+        let mut replicas = self.replicas.borrow_mut();
+        if record.value.is_none() {
+            let trust = self.node.trust(Table::Replicas);
+            replicas.unlist(&record.key, trust, now);
+            if let Some(log) = self.node.logs.line(Topic::State) {
+                info!(log, "replica unlisted"; "replica" => &record.key, "trust" => ?trust,
+                    "offset" => record.offset);
+            }
+            return;
+        }
+        match self.node.platform.decoder.listing(record) {
+            Ok(listing) => {
+                let before = replicas.state(&listing.id);
+                let after = (listing.draining, listing.version);
+                if before != Some(after)
+                    && let Some(log) = self.node.logs.line(Topic::State)
+                {
+                    info!(log, "replica listed"; "replica" => &*listing.id,
+                        "service" => &*listing.service, "address" => %listing.address,
+                        "draining" => listing.draining, "version" => ?listing.version,
+                        "offset" => record.offset);
+                }
+                replicas.list(listing);
+            }
+            Err(error) => {
+                if let Some(log) = self.node.logs.line(Topic::State) {
+                    warn!(log, "unreadable record"; "key" => &record.key, "error" => error);
+                }
+            }
+        }
+    }
+}
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -4,6 +4,8 @@
 //! - [`attempt`]: one request sent to one replica.
 //! - [`forward`]: one request, from its route to its end.
 //! - [`front`]: connections of callers.
+//! - [`gossip`]: what entries and agents tell each other.
+//! - [`learn`]: what an entry learns from the platform's tables.
 //! - [`lookup`]: addresses, readiness, metrics.
 //! - [`relay`]: a replica's answer on its way to the caller.
 
@@ -11,6 +13,8 @@
 pub mod attempt;
 pub mod forward;
 pub mod front;
+pub mod gossip;
+pub mod learn;
 pub mod lookup;
 pub mod relay;
 
@@ -28,21 +32,17 @@
     self as peer_server, Handler as PeerHandler, Outgoing, Server as PeerServer,
 };
 use gradeloft_http::server::Server;
-use gradeloft_platform::fleet::Order;
 use gradeloft_policy::{
-    clock::Time,
     process::{
-        document::{Config, Document},
-        mirror::Record,
+        document::Config,
         repeats::Budget,
-        replicas::{ReplicaKey, Replicas, Report},
-        roster::{Roster, State},
+        replicas::{ReplicaKey, Replicas},
+        roster::Roster,
     },
-    rendezvous,
     version::named::Named,
 };
 use gradeloft_wire::{
-    datagram::{Datagram, Engine, Load, Presence, Sender, Switched},
+    datagram::{Load, Presence},
     frame::{Call, Table},
 };
 use slog::{info, warn};
@@ -55,10 +55,6 @@
     settings::Role,
 };
 
-/// Pause between datagrams to other entries.
-const TELL: Duration = Duration::from_millis(125);
-/// Datagrams to other entries for each one to the agents.
-const AGENT_TURN: u32 = 4;
 /// Longest wait of one read of a table for something new.
 const WAIT_ORDERS: Duration = Duration::from_secs(4);
 const WAIT_REPLICAS: Duration = Duration::from_secs(2);
@@ -72,12 +68,6 @@
 const REGISTER: Duration = Duration::from_millis(500);
 /// Part of a replica's connections that all entries together use.
 const CONNECTIONS_USED: f64 = 0.85;
-/// Part of the time for new weights after which requests go to replicas that hold them, if one has
-/// room.
-const VERSION_PREFERRED: f64 = 0.7;
-/// Part of the time for new weights after which requests need them. The rest, one and a half seconds today, is
-/// for requests that wait at a replica before they begin.
-const VERSION_DUE: f64 = 0.8;
 /// Time for which a leaving entry takes further connections: callers keep addresses for two seconds,
 /// and some three times as long.
 const LINGER: Duration = Duration::from_millis(3_500);
@@ -294,21 +284,6 @@
         (f64::from(most) * CONNECTIONS_USED / entries as f64).max(1.0) as usize
     }
 
-    /// Oldest versions of weights on which a request to a service begins now: where a replica has
-    /// room, and at all.
-    pub fn oldest_versions(&self, service: &str) -> Oldest {
-        let now = self.node.clock.now();
-        let config = self.config.borrow();
-        let service = config.as_ref().and_then(|it| it.service(service));
-        let weights = self.weights.borrow();
-        let mut models = service.iter().flat_map(|it| &it.models);
-        let named = models.find_map(|it| weights.get(it));
-        Oldest {
-            preferred: named.and_then(|it| it.oldest_preferred(now)),
-            allowed: named.and_then(|it| it.oldest_allowed(now)),
-        }
-    }
-
     fn meet_seeds(&self) {
         let settings = self.node.settings();
         let mut roster = self.roster.borrow_mut();
@@ -319,109 +294,6 @@
         }
     }
 
-    fn changed(&self, table: Table, records: &[Record]) {
-        match table {
-            Table::Entries => self.entries_changed(records),
-            Table::Operator => records.iter().for_each(|it| self.ordered(it)),
-            Table::Replicas => records.iter().for_each(|it| self.listed(it)),
-        }
-    }
-
-    fn entries_changed(&self, records: &[Record]) {
-        let own = self.node.settings().address;
-        let mut roster = self.roster.borrow_mut();
-        let addresses = records.iter().filter_map(|it| it.key.parse().ok());
-        for address in addresses.filter(|it| *it != own) {
-            roster.learn(address);
-        }
-    }
-
-    fn ordered(&self, record: &Record) {
-        if record.value.is_none() {
-            return;
-        }
-        match self.node.platform.decoder.order(record) {
-            Ok(Order::Config(document)) => self.configure(*document),
-            Ok(Order::Weights { model, version }) => self.name_weights(model, version),
-            Ok(Order::Other) => {}
-            Err(error) => {
-                if let Some(log) = self.node.logs.line(Topic::State) {
-                    warn!(log, "unreadable record"; "key" => &record.key, "error" => error);
-                }
-            }
-        }
-    }
-
-    fn configure(&self, document: Document) {
-        let version = document.version;
-        if version <= self.config_version() {
-            return;
-        }
-        if let Some(log) = self.node.logs.line(Topic::State) {
-            info!(log, "configuration"; "version" => version,
-                "before" => self.config_version(), "routes" => document.routes.len(),
-                "keys" => document.keys.len());
-        }
-        *self.config.borrow_mut() = Some(Rc::new(Config::new(document)));
-        self.node.metrics.config.set(version as i64);
-    }
-
-    fn name_weights(&self, model: String, version: u64) {
-        let now = self.node.clock.now();
-        // What was named before this process started may be due already.
-        let started = !self.node.loaded(Table::Operator) || self.config.borrow().is_none();
-        let version_ms = self.node.settings().version_ms as f64;
-        let after = |part: f64| match started {
-            true => now,
-            false => now.after_ms((version_ms * part) as u64),
-        };
-        let due = after(VERSION_DUE);
-        let mut weights = self.weights.borrow_mut();
-        let named = weights.entry(model.clone()).or_default();
-        named.settle(now);
-        if !named.name(version, after(VERSION_PREFERRED), due) {
-            return;
-        }
-        if let Some(log) = self.node.logs.line(Topic::Weights) {
-            info!(log, "weights named"; "model" => model, "version" => version,
-                "due_ms" => due.since(now).as_millis() as u64);
-        }
-    }
-
-    fn listed(&self, record: &Record) {
-        let now = self.node.clock.now();
-        let mut replicas = self.replicas.borrow_mut();
-        if record.value.is_none() {
-            let trust = self.node.trust(Table::Replicas);
-            replicas.unlist(&record.key, trust, now);
-            if let Some(log) = self.node.logs.line(Topic::State) {
-                info!(log, "replica unlisted"; "replica" => &record.key, "trust" => ?trust,
-                    "offset" => record.offset);
-            }
-            return;
-        }
-        match self.node.platform.decoder.listing(record) {
-            Ok(listing) => {
-                let before = replicas.state(&listing.id);
-                let after = (listing.draining, listing.version);
-                if before != Some(after)
-                    && let Some(log) = self.node.logs.line(Topic::State)
-                {
-                    info!(log, "replica listed"; "replica" => &*listing.id,
-                        "service" => &*listing.service, "address" => %listing.address,
-                        "draining" => listing.draining, "version" => ?listing.version,
-                        "offset" => record.offset);
-                }
-                replicas.list(listing);
-            }
-            Err(error) => {
-                if let Some(log) = self.node.logs.line(Topic::State) {
-                    warn!(log, "unreadable record"; "key" => &record.key, "error" => error);
-                }
-            }
-        }
-    }
-
     /// Writes this entry into the table of entries, so that later ones find it without seeds.
     async fn register(self: Rc<Entry>) {
         let settings = self.node.settings();
@@ -442,179 +314,6 @@
             actix_rt::time::sleep(REGISTER).await;
         }
     }
-
-    async fn tell(self: Rc<Entry>) {
-        let mut turn = 0;
-        loop {
-            self.tell_once(turn % AGENT_TURN == 0);
-            self.upkeep();
-            turn += 1;
-            tokio::select! {
-                () = actix_rt::time::sleep(TELL) => {}
-                () = self.left.notified() => {}
-            }
-        }
-    }
-
-    fn tell_once(&self, agents: bool) {
-        let entries: Vec<Ipv4Addr> = self.roster.borrow().addresses().collect();
-        let sender = Sender::Entry {
-            presence: self.presence(),
-            loads: self.loads(),
-            entries: entries.clone(),
-            switched: self.switched(),
-        };
-        let mut to = entries;
-        if agents {
-            to.extend(self.agents());
-        }
-        self.node.tell(sender, to.into_iter());
-    }
-
-    /// Instances on which agents run: those of the replicas that hold a model.
-    fn agents(&self) -> Vec<Ipv4Addr> {
-        let replicas = self.replicas.borrow();
-        let models = replicas.iter().filter(|(_, it)| it.listing.has_model);
-        models
-            .filter_map(|(_, it)| match it.listing.address {
-                SocketAddr::V4(address) => Some(*address.ip()),
-                SocketAddr::V6(_) => None,
-            })
-            .collect()
-    }
-
-    fn loads(&self) -> Vec<Load> {
-        let replicas = self.replicas.borrow();
-        let busy = replicas.iter().filter(|(_, it)| 0 < it.own);
-        busy.map(|(_, it)| Load {
-            replica: rendezvous::hash(it.listing.id.as_bytes()),
-            running: it.own.min(u32::from(u16::MAX)) as u16,
-            waiting: it.own_waiting.min(u32::from(u16::MAX)) as u16,
-        })
-        .collect()
-    }
-
-    /// Replicas that take requests with the newest version of each model.
-    fn switched(&self) -> Vec<Switched> {
-        let now = self.node.clock.now();
-        let config = self.config.borrow();
-        let services = config.iter().flat_map(|it| &it.document.services);
-        let weights = self.weights.borrow();
-        let replicas = self.replicas.borrow();
-        let models = services.flat_map(|it| it.models.iter().map(move |model| (it, model)));
-        models
-            .filter_map(|(service, model)| {
-                let version = weights.get(model)?.newest();
-                let all = replicas.of(&service.name);
-                let done = all.filter(|(_, it)| it.open(now) && it.version(now) == Some(version));
-                Some(Switched {
-                    model: rendezvous::hash(model.as_bytes()),
-                    version,
-                    replicas: done.count().min(usize::from(u16::MAX)) as u16,
-                })
-            })
-            .collect()
-    }
-
-    /// Lets go of what has become old.
-    fn upkeep(&self) {
-        let now = self.node.clock.now();
-        for id in self.replicas.borrow_mut().expire(now) {
-            if let Some(log) = self.node.logs.line(Topic::State) {
-                info!(log, "replica gone"; "replica" => &*id);
-            }
-        }
-        let replicas = self.replicas.borrow();
-        self.pool.expire(|it| replicas.get(it).is_some());
-        drop(replicas);
-        let seeds = self.node.settings().seeds.clone();
-        self.roster
-            .borrow_mut()
-            .forget(|it| seeds.contains(&it), now);
-        self.sum_elsewhere(now);
-    }
-
-    /// Sums the requests that other entries have at each replica.
-    fn sum_elsewhere(&self, now: Time) {
-        let mut elsewhere = self.elsewhere.borrow_mut();
-        let roster = self.roster.borrow();
-        elsewhere.retain(|address, _| roster.alive(*address, now));
-        let mut sums: HashMap<u64, (u32, u32)> = HashMap::new();
-        for load in elsewhere.values().flat_map(HashMap::values) {
-            let sum = sums.entry(load.replica).or_default();
-            sum.0 += u32::from(load.running);
-            sum.1 += u32::from(load.waiting);
-        }
-        self.replicas.borrow_mut().set_others(|id| {
-            let hash = rendezvous::hash(id.as_bytes());
-            sums.get(&hash).copied().unwrap_or_default()
-        });
-    }
-
-    async fn listen(self: Rc<Entry>) {
-        loop {
-            let (from, datagram) = self.node.heard().await;
-            self.heard(from, datagram);
-        }
-    }
-
-    fn heard(&self, from: Ipv4Addr, datagram: Datagram) {
-        let now = self.node.clock.now();
-        match datagram.sender {
-            Sender::Agent { replica, engine } => {
-                self.agent_told(SocketAddr::V4(replica), engine, now);
-            }
-            Sender::Entry {
-                presence,
-                loads,
-                entries,
-                ..
-            } => {
-                self.entry_told(from, datagram.incarnation, &datagram.zone, presence, now);
-                self.learn(&entries);
-                let loads = loads.into_iter().map(|it| (it.replica, it));
-                self.elsewhere.borrow_mut().insert(from, loads.collect());
-            }
-        }
-        self.node.heard_ends(from, datagram.ends);
-    }
-
-    fn entry_told(
-        &self,
-        from: Ipv4Addr,
-        incarnation: u64,
-        zone: &str,
-        presence: Presence,
-        now: Time,
-    ) {
-        let state = match presence {
-            Presence::Leaving => State::Leaving,
-            Presence::Ready => State::Ready,
-            Presence::Starting => State::Starting,
-        };
-        let mut roster = self.roster.borrow_mut();
-        roster.heard(from, incarnation, zone, state, now);
-    }
-
-    fn learn(&self, entries: &[Ipv4Addr]) {
-        let own = self.node.settings().address;
-        let mut roster = self.roster.borrow_mut();
-        for address in entries.iter().filter(|it| **it != own) {
-            roster.learn(*address);
-        }
-    }
-
-    fn agent_told(&self, address: SocketAddr, engine: Option<Engine>, now: Time) {
-        let Some(engine) = engine else {
-            return;
-        };
-        let report = Report {
-            version: engine.version,
-            loading: engine.loading,
-            at: now,
-        };
-        self.replicas.borrow_mut().report_at(address, report);
-    }
 }
 
 /// A request that runs at a replica.
