--- a/crates/gradeloft_gateway/src/entry/learn.rs
+++ b/crates/gradeloft_gateway/src/entry/learn.rs
@@ -106,11 +106,10 @@
     }
 
     fn listed(&self, record: &Record) {
-        let now = self.node.clock.now();
         let mut replicas = self.replicas.borrow_mut();
         if record.value.is_none() {
             let trust = self.node.trust(Table::Replicas);
-            replicas.unlist(&record.key, trust, now);
+            replicas.unlist(&record.key, trust);
             if let Some(log) = self.node.logs.line(Topic::State) {
                 info!(log, "replica unlisted"; "replica" => &record.key, "trust" => ?trust,
                     "offset" => record.offset);
--- a/crates/gradeloft_gateway/src/node.rs
+++ b/crates/gradeloft_gateway/src/node.rs
@@ -51,8 +51,12 @@
 const FIRST_PAUSE_MS: u64 = 150;
 const MAX_PAUSE_MS: u64 = 1_000;
 /// Time after an interruption of reading a table within which the store may still drop records of
-/// replicas that live, in milliseconds: they are back within two seconds of its return.
+/// replicas that live, in milliseconds.
 const DOUBT_MS: u64 = 1_500;
+/// Time after the interruption by which dropped records of replicas that live are back, in
+/// milliseconds: two seconds, and a read. Counted from there and not from the removal, so that a
+/// replica which leaves just then is left in time.
+const BACK_MS: u64 = 2_300;
 
 /// What the composition root gives a process: adapters to its platform.
 #[derive(Clone)]
@@ -108,6 +112,8 @@
     /// Tables that are being read from a peer.
     asking: Cell<[bool; 3]>,
     reading: RefCell<[Reading; 3]>,
+    /// Set while an update is taken in from a peer that vouches for its removals.
+    peer_sound: Cell<bool>,
     store_lost: Cell<bool>,
     observer: RefCell<Option<Observer>>,
     socket: UdpSocket,
@@ -143,6 +149,7 @@
             copies: RefCell::default(),
             asking: Cell::default(),
             reading: RefCell::default(),
+            peer_sound: Cell::default(),
             store_lost: Cell::default(),
             observer: RefCell::default(),
             socket,
@@ -174,10 +181,15 @@
 
     /// Whether a removal from a table may be an error of the store's.
     pub fn trust(&self, table: Table) -> Trust {
+        if self.peer_sound.get() {
+            return Trust::Sound;
+        }
         let now = self.clock.now();
         match self.reading.borrow()[index(table)] {
-            Reading::Interrupted => Trust::Doubtful,
-            Reading::Resumed(at) if now < at.after_ms(DOUBT_MS) => Trust::Doubtful,
+            Reading::Interrupted => Trust::Doubtful(now.after_ms(BACK_MS)),
+            Reading::Resumed(at) if now < at.after_ms(DOUBT_MS) => {
+                Trust::Doubtful(at.after_ms(BACK_MS))
+            }
             Reading::Resumed(_) | Reading::Steady => Trust::Sound,
         }
     }
@@ -297,6 +309,7 @@
             snapshot: update.snapshot,
             rows: rows.collect(),
             end: update.end,
+            sound: self.trust(table) == Trust::Sound,
         };
         outgoing.finish(&reply).await;
     }
@@ -343,6 +356,7 @@
             snapshot,
             rows,
             end,
+            sound,
         })) = reply
         else {
             return false;
@@ -357,7 +371,10 @@
             records: records.collect(),
             end,
         };
+        // A peer that reads the store steadily knows better than a process that is cut off from it.
+        self.peer_sound.set(sound);
         self.apply(table, update);
+        self.peer_sound.set(false);
         true
     }
 
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -11,9 +11,6 @@
 const FIRST_PAUSE_MS: u64 = 300;
 /// Longest pause, in milliseconds: about the platform's own time to notice that a replica is gone.
 const MAX_PAUSE_MS: u64 = 4_000;
-/// Time for which a removal is put off while the platform's store may have forgotten replicas that
-/// live, in milliseconds. Their entries come back within two seconds of its return.
-const LAPSE_MS: u64 = 2_500;
 /// Age at which an agent's word is no longer used, in milliseconds: three of its usual pauses.
 const REPORT_MS: u64 = 3_000;
 
@@ -61,8 +58,9 @@
 /// Whether a removal may be an error of the platform's store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Trust {
-    /// The store was out of reach a moment ago and may have dropped replicas that live.
-    Doubtful,
+    /// The store was out of reach a moment ago and may have dropped replicas that live; those are back
+    /// by then.
+    Doubtful(Time),
     /// The store has been well.
     Sound,
 }
@@ -197,13 +195,13 @@
     }
 
     /// The platform no longer lists a replica.
-    pub fn unlist(&mut self, id: &str, trust: Trust, now: Time) {
+    pub fn unlist(&mut self, id: &str, trust: Trust) {
         let Some(&key) = self.by_id.get(id) else {
             return;
         };
         match trust {
             Trust::Sound => self.remove(key),
-            Trust::Doubtful => self.arena[key].gone_at = Some(now.after_ms(LAPSE_MS)),
+            Trust::Doubtful(until) => self.arena[key].gone_at = Some(until),
         }
     }
 
--- a/crates/gradeloft_wire/src/frame.rs
+++ b/crates/gradeloft_wire/src/frame.rs
@@ -124,6 +124,9 @@
         rows: Vec<Row>,
         /// Offset of the record that comes next.
         end: u64,
+        /// Whether the sender has read the table from the store without interruption, so that what
+        /// was removed from it is gone.
+        sound: bool,
     },
 }
 
