--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -382,6 +382,11 @@
 }
 
 impl Handle {
+    /// The agent.
+    pub fn agent(&self) -> &Rc<Agent> {
+        &self.agent
+    }
+
     /// Ends at once: the replica goes on without its agent.
     pub fn leave(self) {
         info!(self.agent.node.logs.root, "left");
--- a/crates/gradeloft_gateway/src/lib.rs
+++ b/crates/gradeloft_gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`node`]: what both processes share: copies of the platform's tables, peers, datagrams.
 //! - [`pool`]: connections to replicas.
 //! - [`settings`]: what a process is told at its start.
+//! - [`watch`]: tells when a file has changed.
 //!
 //! A process runs on one thread: its state is shared by `Rc` and `RefCell`, and no borrow is held
 //! over an await.
@@ -23,6 +24,7 @@
 pub mod node;
 pub mod pool;
 pub mod settings;
+pub mod watch;
 
 /// The names that most users of this crate want.
 pub mod prelude {
--- a/crates/gradeloft_gateway/tests/agents.rs
+++ b/crates/gradeloft_gateway/tests/agents.rs
@@ -27,7 +27,13 @@
     replicas::Listing,
 };
 use gradeloft_standin::tables::Tables;
-use gradeloft_wire::{frame::Table, id::Digest};
+use gradeloft_wire::{
+    codec,
+    datagram::{Datagram, MAX_BYTES, Presence, Sender},
+    frame::Table,
+    id::Digest,
+};
+use tokio::net::{TcpListener, UdpSocket};
 
 const PIECES: u32 = 12;
 const PIECE_BYTES: usize = 4_096;
@@ -57,6 +63,8 @@
     spoilt: Cell<bool>,
     /// So many next pieces turn bad after they were staged.
     rot: Cell<u32>,
+    /// Whether loading goes on until [`FakeEngine::finish`].
+    slow: Cell<bool>,
 }
 
 impl FakeEngine {
@@ -67,6 +75,12 @@
         }
         self.staged.borrow_mut().insert(idx, content);
     }
+
+    /// Ends the loading that was ordered last.
+    fn finish(&self) {
+        let ordered = self.orders.borrow().last().map(|it| it.0);
+        self.version.set(ordered);
+    }
 }
 
 impl Engine for FakeEngine {
@@ -100,7 +114,9 @@
         let whole =
             (0..PIECES).all(|it| self.staged.borrow().get(&it) == Some(&content(load.version, it)));
         self.spoilt.set(self.spoilt.get() || !whole);
-        self.version.set(Some(load.version));
+        if !self.slow.get() {
+            self.finish();
+        }
         Box::pin(async { Ok(Taken::Started) })
     }
 }
@@ -108,6 +124,10 @@
 #[derive(Default)]
 struct FakeOrigin {
     pieces: Cell<u64>,
+    manifests: Cell<u64>,
+    /// Connections that a silent peer had when the first manifest was asked for.
+    peer_connections: Rc<Cell<usize>>,
+    connections_before: Cell<usize>,
     /// Answers nothing while set.
     down: Cell<bool>,
     /// So many next pieces are spoilt.
@@ -117,6 +137,9 @@
 impl Origin for FakeOrigin {
     fn manifest<'a>(&'a self, _: SocketAddr, _: &'a str, version: u64) -> Answer<'a, Vec<Digest>> {
         Box::pin(async move {
+            if self.manifests.replace(self.manifests.get() + 1) == 0 {
+                self.connections_before.set(self.peer_connections.get());
+            }
             if self.down.get() {
                 return Err(Fault::Unreachable);
             }
@@ -238,7 +261,7 @@
     tables: Rc<Tables>,
     origin: Rc<FakeOrigin>,
     engines: Vec<Rc<FakeEngine>>,
-    _agents: Vec<Handle>,
+    agents: Vec<Handle>,
 }
 
 impl World {
@@ -260,7 +283,7 @@
             tables,
             origin,
             engines,
-            _agents: agents,
+            agents,
         }
     }
 
@@ -373,6 +396,102 @@
     });
 }
 
+/// An instance on which a process takes connections and answers nothing.
+async fn silent_peer(last: u8, connections: Rc<Cell<usize>>) {
+    let listener = TcpListener::bind((address(last), 7700)).await.unwrap();
+    actix_rt::spawn(async move {
+        let mut open = Vec::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            open.push(stream);
+            connections.set(open.len());
+        }
+    });
+}
+
+#[test]
+fn the_manifest_is_read_at_the_origin_before_any_peer_is_waited_for() {
+    run(async {
+        let tables = Rc::new(Tables::default());
+        let origin = Rc::new(FakeOrigin::default());
+        let engine = Rc::new(FakeEngine::default());
+        silent_peer(2, Rc::clone(&origin.peer_connections)).await;
+        tables.write(Table::Replicas, "1", Some("-"));
+        tables.write(Table::Replicas, "2", Some("-"));
+        tables.write(Table::Operator, "config", Some("-"));
+        let _agent = start_agent(1, &tables, &origin, &engine).await;
+        while origin.manifests.get() == 0 {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert_eq!(origin.connections_before.get(), 0);
+    });
+}
+
+/// Tells an agent again and again that an entry is here, and collects what it says of its replica.
+async fn hear(last: u8, agent: u8, heard: Rc<RefCell<Vec<Sender>>>) {
+    let socket = Rc::new(UdpSocket::bind((address(last), 7700)).await.unwrap());
+    let telling = Rc::clone(&socket);
+    actix_rt::spawn(async move {
+        let datagram = Datagram {
+            incarnation: 1,
+            zone: "z".to_owned(),
+            ends: [0; 3],
+            sender: Sender::Entry {
+                presence: Presence::Ready,
+                loads: Vec::new(),
+                entries: Vec::new(),
+                switched: Vec::new(),
+            },
+        };
+        let bytes = codec::body(&datagram);
+        loop {
+            telling.send_to(&bytes, (address(agent), 7700)).await.ok();
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+    actix_rt::spawn(async move {
+        let mut buffer = [0; MAX_BYTES];
+        while let Ok((length, _)) = socket.recv_from(&mut buffer).await {
+            let datagram: Datagram = codec::parse(&buffer[..length]).unwrap();
+            heard.borrow_mut().push(datagram.sender);
+        }
+    });
+}
+
+#[test]
+fn a_replica_stays_closed_after_an_order_for_a_version_that_is_superseded_already() {
+    run(async {
+        let world = World::start(1, |_, _| {}).await;
+        let heard = Rc::new(RefCell::new(Vec::new()));
+        hear(9, 1, Rc::clone(&heard)).await;
+        world.all_at(1).await;
+        let engine = &world.engines[0];
+        engine.slow.set(true);
+        world.name(2);
+        let ordered = |version| engine.orders.borrow().iter().any(|it| it.0 == version);
+        while !ordered(2) {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        world.name(3);
+        let target = || world.agents[0].agent().target().unwrap().number;
+        while target() != 3 {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        engine.finish();
+        while !ordered(3) {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        let open = |it: &Sender| {
+            let Sender::Agent { engine, .. } = it else {
+                return false;
+            };
+            engine.is_some_and(|it| it.version == Some(2) && !it.loading)
+        };
+        assert!(!heard.borrow().iter().any(open), "{:?}", heard.borrow());
+        engine.finish();
+        world.all_at(3).await;
+    });
+}
+
 #[test]
 fn versions_only_move_up_and_each_order_has_its_fence() {
     run(async {
--- /dev/null
+++ b/crates/gradeloft_gateway/tests/cut_off.rs
@@ -0,0 +1,93 @@
+//! Entries that the store or a peer does not answer, and versions that become due in the middle of a
+//! request.
+
+mod support;
+
+use std::{cell::Cell, rc::Rc};
+
+use gradeloft_gateway::settings::Settings;
+use gradeloft_policy::process::document::Kind;
+use gradeloft_standin::{
+    scripted::Step,
+    tables::{Mood, Tables},
+};
+use gradeloft_wire::frame::Table;
+use support::{Shape, World, address, get, ok, request, run, until};
+use tokio::net::TcpListener;
+
+fn well(body: &str) -> Vec<Vec<Step>> {
+    vec![vec![Step::Read, ok(body)]]
+}
+
+#[test]
+fn an_entry_that_is_cut_off_takes_a_steady_peers_word_for_a_removal() {
+    run(async {
+        let world = World::start(Shape::of(Kind::Once), vec![well("a"), well("b")]).await;
+        let refusing = Rc::new(Tables::default());
+        refusing.mood.set(Mood::Refusing);
+        let second = world.another(2, &refusing).await;
+        until(|| async { get(2, 8002, "/ready").await.starts_with("HTTP/1.1 200") }).await;
+        world.tables.write(Table::Replicas, "i-0", None);
+        let entry = second.entry();
+        let told = || {
+            let records = entry.node.records(Table::Replicas);
+            records.iter().all(|it| it.key != "i-0")
+        };
+        until(|| async { told() }).await;
+        // In the same moment, and not once the wait for doubtful removals is over.
+        assert_eq!(entry.replicas.borrow().len(), 1);
+    });
+}
+
+#[test]
+fn a_connection_on_which_a_peer_did_not_answer_is_not_used_again() {
+    run(async {
+        let world = World::start(Shape::of(Kind::Once), vec![well("a")]).await;
+        let silent = TcpListener::bind((address(9), 7700)).await.unwrap();
+        let connections = Rc::new(Cell::new(0));
+        let counted = Rc::clone(&connections);
+        actix_rt::spawn(async move {
+            let mut open = Vec::new();
+            while let Ok((stream, _)) = silent.accept().await {
+                open.push(stream);
+                counted.set(open.len());
+            }
+        });
+        let node = &world.entry.entry().node;
+        for asked in 1..=2 {
+            assert!(!node.ask_records(address(9), Table::Replicas).await);
+            assert_eq!(connections.get(), asked);
+        }
+    });
+}
+
+#[test]
+fn a_second_attempt_needs_the_version_that_became_due_during_the_first() {
+    run(async {
+        let silent = vec![vec![Step::Read, Step::UntilGone]];
+        let scripts = vec![silent, well("from weights that are too old")];
+        let world = World::unready(Shape::of(Kind::Idempotent), scripts).await;
+        (0..2).for_each(|it| world.holds(it, 1));
+        world.tables.write(Table::Operator, "config", Some("1"));
+        world.list_all();
+        let entry = world.entry.entry();
+        until(|| async { entry.replicas.borrow().len() == 2 }).await;
+        until(|| async { entry.config_version() == 1 }).await;
+        let before = entry.node.settings();
+        *entry.node.settings.borrow_mut() = Rc::new(Settings {
+            version_ms: 200,
+            ..(*before).clone()
+        });
+        let asking = request("GET", "");
+        let asked = world.ask(&asking);
+        let naming = async {
+            until(|| async { world.arrivals() == 1 }).await;
+            world.tables.write(Table::Operator, "weights/m", Some("2"));
+            until(|| async { entry.oldest_versions("s").allowed == Some(2) }).await;
+            assert_eq!(world.arrivals(), 1, "the first attempt still goes on");
+        };
+        let (answer, ()) = tokio::join!(asked, naming);
+        assert!(answer.starts_with("HTTP/1.1 502 "), "{answer}");
+        assert_eq!(world.arrivals(), 1);
+    });
+}
--- a/crates/gradeloft_gateway/tests/support/mod.rs
+++ b/crates/gradeloft_gateway/tests/support/mod.rs
@@ -76,6 +76,12 @@
     fn order(&self, record: &Record) -> Result<Order, String> {
         let value = record.value.as_deref().unwrap_or_default();
         let version = std::str::from_utf8(value).map_err(|it| it.to_string())?;
+        if let Some(model) = record.key.strip_prefix("weights/") {
+            return Ok(Order::Weights {
+                model: model.to_owned(),
+                version: version.parse().map_err(|_| "no version".to_owned())?,
+            });
+        }
         Ok(Order::Config(Box::new(Document {
             version: version.parse().map_err(|_| "no version".to_owned())?,
             ..self.document.clone()
@@ -182,7 +188,7 @@
             name: "s".into(),
             max_connections: 100,
             layout: None,
-            models: Vec::new(),
+            models: vec!["m".to_owned()],
             origin: None,
         }],
         keys: HashMap::from([("secret".to_owned(), Rc::from("rangers"))]),
@@ -272,6 +278,14 @@
         }
     }
 
+    /// Makes a replica one of a model that holds a version of its weights, once it is listed.
+    pub(crate) fn holds(&self, idx: usize, version: u64) {
+        let mut listings = self.decoder.listings.borrow_mut();
+        let listing = listings.get_mut(&id(idx)).unwrap();
+        listing.has_model = true;
+        listing.version = Some(version);
+    }
+
     /// Sends a request on a connection of its own, and gives all that comes until its end.
     pub(crate) async fn ask(&self, request: &str) -> String {
         let mut stream = self.connect().await;
