--- a/crates/gradeloft_gateway/tests/cut_off.rs
+++ b/crates/gradeloft_gateway/tests/entry/cut_off.rs
@@ -1,10 +1,9 @@
 //! Entries that the store or a peer does not answer, and versions that become due in the middle of a
 //! request.
 
-mod support;
-
 use std::{cell::Cell, rc::Rc};
 
+use crate::support::{Shape, World, address, get, ok, request, run, until};
 use gradeloft_gateway::settings::Settings;
 use gradeloft_policy::process::document::Kind;
 use gradeloft_standin::{
@@ -12,7 +11,6 @@
     tables::{Mood, Tables},
 };
 use gradeloft_wire::frame::Table;
-use support::{Shape, World, address, get, ok, request, run, until};
 use tokio::net::TcpListener;
 
 fn well(body: &str) -> Vec<Vec<Step>> {
--- a/crates/gradeloft_gateway/tests/forward.rs
+++ b/crates/gradeloft_gateway/tests/entry/forward.rs
@@ -1,14 +1,14 @@
 //! Requests through an entry, whatever its replicas and their connections do.
 
-mod support;
-
 use std::time::Duration;
 
+use crate::support::{
+    Shape, World, address, answer, get, last_chunk, ok, request, run, stream, until,
+};
 use gradeloft_policy::process::document::Kind;
 use gradeloft_standin::{scripted::Step, tables::Mood};
 use gradeloft_wire::frame::Table;
 use rstest::rstest;
-use support::{Shape, World, address, answer, get, last_chunk, ok, request, run, stream, until};
 use tokio::io::AsyncWriteExt;
 
 fn once(steps: Vec<Step>) -> Vec<Vec<Step>> {
--- /dev/null
+++ b/crates/gradeloft_gateway/tests/entry/main.rs
@@ -0,0 +1,5 @@
+//! An entry before scripted replicas.
+
+mod cut_off;
+mod forward;
+mod support;
