Read a version from the origin by as many agents as it has connections for

All 76 agents read the manifest and own pieces at the origin, which takes 48 connections and resets the others with what is on its way through them; and the client kept idle connections open until it was used again, so the places stayed taken (seen as 'reply lost' at the same two readers for fifteen seconds). Ruled out: the origin's link (0.9 copies sent), processor time (0.011 cores).

--- a/crates/gradeloft_gateway/src/agent/fetch.rs
+++ b/crates/gradeloft_gateway/src/agent/fetch.rs
@@ -40,7 +40,7 @@
 use crate::{logs::Topic, metrics::Reason};
 
 /// Pieces read from the origin at once by one agent.
-const ORIGIN_SLOTS: usize = 2;
+pub const ORIGIN_SLOTS: usize = 2;
 /// Pieces asked of one peer at once.
 const PER_SOURCE: u32 = 2;
 /// Time after which an ask counts as stalled, in milliseconds: all pieces that may wait for a slot
@@ -61,6 +61,9 @@
 /// Time after which pieces are taken from other regions although another agent of the own region is
 /// the one to do so, in milliseconds. Bytes between regions are dear.
 const FAR_MS: u64 = 2_500;
+/// Time without a piece after which the fetch begins again, with the agents that there are then, in
+/// milliseconds: longer than an ask may stall.
+const STUCK_MS: u64 = 4_000;
 /// Pause before a piece is handed to the replica again.
 const STAGE_RETRY: Duration = Duration::from_millis(60);
 
@@ -133,6 +136,8 @@
     /// Pieces that the replica does not hold yet.
     staging: usize,
     started: Time,
+    /// When a piece came last.
+    arrived: Time,
 }
 
 impl<'a> Driver<'a> {
@@ -166,8 +171,9 @@
             origin_copies: ORIGIN_COPIES,
         };
         let mut fetch = Fetch::new(own, &manifest, held, tuning, started);
-        fetch.set_members(members.iter().map(|it| it.node).collect());
         drop(holding);
+        let nodes: Vec<u64> = members.iter().map(|it| it.node).collect();
+        fetch.set_readers(agent.readers(version, &nodes));
         Driver {
             agent,
             version,
@@ -180,6 +186,7 @@
             events: FuturesUnordered::new(),
             staging: 0,
             started,
+            arrived: started,
         }
     }
 
@@ -198,6 +205,9 @@
             if self.superseded() {
                 return Err("another version was named".to_owned());
             }
+            if self.arrived.after_ms(STUCK_MS) <= self.agent.node.clock.now() {
+                return Err("no piece came for long".to_owned());
+            }
         }
         Ok(())
     }
@@ -375,6 +385,7 @@
     }
 
     fn arrived(&mut self, ask: Ask, content: Bytes) {
+        self.arrived = self.agent.node.clock.now();
         let label = Reason {
             reason: match ask.from {
                 From::Origin | From::Store => "origin",
@@ -479,7 +490,13 @@
     let address = agent.origin().ok_or(Failure::Gone)?;
     let origin = &agent.node.platform.origin;
     let read = origin.piece(address, &version.model, version.number, idx);
-    read.await.map_err(|_| Failure::Gone)
+    read.await.map_err(|fault| {
+        if let Some(log) = agent.node.logs.line(Topic::Weights) {
+            warn!(log, "origin did not give a piece"; "version" => version.number, "piece" => idx,
+                "fault" => %fault);
+        }
+        Failure::Gone
+    })
 }
 
 async fn peer_piece(agent: &Agent, address: SocketAddr, digest: Digest) -> Result<Bytes, Failure> {
--- a/crates/gradeloft_gateway/src/agent/fill.rs
+++ b/crates/gradeloft_gateway/src/agent/fill.rs
@@ -19,6 +19,11 @@
 const MANIFEST_PEERS: usize = 4;
 /// Time for a peer to say what it holds, or for an entry to list replicas.
 const QUESTION: Duration = Duration::from_millis(700);
+/// Time for which readers are asked for a manifest before the origin is, in milliseconds: several
+/// times what a reader needs to learn the members and to read it.
+const READERS_MS: u64 = 900;
+/// Pause before another reader is asked.
+const READER_PAUSE: Duration = Duration::from_millis(50);
 /// An agent that can hold pieces.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Member {
@@ -153,13 +158,16 @@
     })
 }
 
-/// Digests of a version's pieces. The manifest is small, so the origin gives it to everybody; peers
-/// are asked while the origin is out of reach.
+/// Digests of a version's pieces: from the origin for its readers, and from those for all others.
+/// Peers are asked too while the origin is out of reach, and the origin while the readers are.
 async fn manifest(
     agent: &Agent,
     version: &Version,
     members: &[Member],
 ) -> Result<Vec<Digest>, String> {
+    if let Some(digests) = readers_manifest(agent, version, members).await {
+        return Ok(digests);
+    }
     let mut last = match origin_manifest(agent, version).await {
         Ok(digests) if !digests.is_empty() => return Ok(digests),
         Ok(_) => "an empty manifest".to_owned(),
@@ -178,6 +186,41 @@
     Err(format!("manifest: {last}"))
 }
 
+/// The manifest as a reader of the version has it; `None` for readers themselves, and if none of them
+/// tells in time.
+async fn readers_manifest(
+    agent: &Agent,
+    version: &Version,
+    members: &[Member],
+) -> Option<Vec<Digest>> {
+    let nodes: Vec<u64> = members.iter().map(|it| it.node).collect();
+    let readers = agent.readers(version, &nodes);
+    let own = node_hash(agent.replica);
+    if readers.contains(&own) {
+        return None;
+    }
+    let readers: Vec<SocketAddr> = members
+        .iter()
+        .filter(|it| readers.contains(&it.node))
+        .map(|it| it.address)
+        .collect();
+    let until = agent.node.clock.now().after_ms(READERS_MS);
+    let first = own as usize % readers.len().max(1);
+    // Each agent begins with another reader, so that no reader is asked by all.
+    for address in readers.iter().cycle().skip(first) {
+        if until <= agent.node.clock.now() {
+            break;
+        }
+        if let Ok(digests) = peer_manifest(agent, version, *address).await
+            && !digests.is_empty()
+        {
+            return Some(digests);
+        }
+        actix_rt::time::sleep(READER_PAUSE).await;
+    }
+    None
+}
+
 async fn origin_manifest(agent: &Agent, version: &Version) -> Result<Vec<Digest>, String> {
     let address = agent.origin().ok_or("no origin")?;
     let origin = &agent.node.platform.origin;
--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -26,8 +26,11 @@
 use gradeloft_policy::{
     clock::Time,
     connection::pace::Pacer,
-    process::{document::Document, mirror::Record},
-    version::fetch::Fetch,
+    process::{
+        document::{Document, Service},
+        mirror::Record,
+    },
+    version::{fetch::Fetch, readers},
 };
 use gradeloft_wire::{
     datagram::{Engine, Sender, Switched},
@@ -55,6 +58,8 @@
 
 /// Part of the link that pieces of weights may use; the rest is for requests and tokens.
 const LINK_USED: f64 = 0.85;
+/// Connections of one reader to the origin: its pieces, and a manifest.
+const READER_CONNECTIONS: u32 = fetch::ORIGIN_SLOTS as u32 + 1;
 /// Bytes of a piece where the configuration does not tell.
 const PIECE_BYTES: u64 = 49_152;
 
@@ -238,8 +243,21 @@
 
     /// Where weights come from.
     pub fn origin(&self) -> Option<SocketAddr> {
+        self.with_origin(|it| it.origin).flatten()
+    }
+
+    /// The agents of `nodes` that read a version from the origin.
+    pub fn readers(&self, version: &Version, nodes: &[u64]) -> Vec<u64> {
+        let connections = self.with_origin(|it| it.max_connections);
+        let key = fetch::version_digest(version).short();
+        let connections = connections.unwrap_or(u32::MAX);
+        readers::choose(key, nodes, connections, READER_CONNECTIONS)
+    }
+
+    fn with_origin<T>(&self, get: impl FnOnce(&Service) -> T) -> Option<T> {
         let config = self.config.borrow();
-        config.as_ref()?.services.iter().find_map(|it| it.origin)
+        let mut services = config.as_ref()?.services.iter();
+        services.find(|it| it.origin.is_some()).map(get)
     }
 
     /// What the replica said of itself last.
--- a/crates/gradeloft_gateway/tests/agents.rs
+++ b/crates/gradeloft_gateway/tests/agents.rs
@@ -37,6 +37,8 @@
 
 const PIECES: u32 = 12;
 const PIECE_BYTES: usize = 4_096;
+/// Enough for two readers.
+const ORIGIN_CONNECTIONS: u32 = 8;
 /// A bound on every wait of a test; none comes near it unless something is wrong.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -128,6 +130,9 @@
     /// Connections that a silent peer had when the first manifest was asked for.
     peer_connections: Rc<Cell<usize>>,
     connections_before: Cell<usize>,
+    /// Pieces that are being read now, and most that were at once.
+    reading: Cell<u32>,
+    most_reading: Cell<u32>,
     /// Answers nothing while set.
     down: Cell<bool>,
     /// So many next pieces are spoilt.
@@ -155,6 +160,11 @@
                 return Err(Fault::Unreachable);
             }
             self.pieces.set(self.pieces.get() + 1);
+            self.reading.set(self.reading.get() + 1);
+            self.most_reading
+                .set(self.most_reading.get().max(self.reading.get()));
+            actix_rt::time::sleep(Duration::from_millis(3)).await;
+            self.reading.set(self.reading.get() - 1);
             if 0 < self.spoil.get() {
                 self.spoil.set(self.spoil.get() - 1);
                 return Ok(Bytes::from_static(b"spoilt"));
@@ -217,7 +227,11 @@
 fn document() -> Document {
     let service = |name: &str, origin: Option<SocketAddr>| Service {
         name: name.into(),
-        max_connections: 100,
+        max_connections: if origin.is_none() {
+            100
+        } else {
+            ORIGIN_CONNECTIONS
+        },
         layout: Some(Layout {
             layers: 4,
             pieces: PIECES,
@@ -368,6 +382,17 @@
     });
 }
 
+#[test]
+fn agents_read_from_the_origin_within_its_connections() {
+    run(async {
+        let world = World::start(8, |_, _| {}).await;
+        world.all_at(1).await;
+        let most = world.origin.most_reading.get();
+        // Two readers, with two pieces each.
+        assert!(most <= 4, "{most} pieces at once");
+    });
+}
+
 #[test]
 fn pieces_that_turn_bad_after_staging_are_never_loaded() {
     run(async {
--- a/crates/gradeloft_policy/src/version/fetch.rs
+++ b/crates/gradeloft_policy/src/version/fetch.rs
@@ -238,15 +238,30 @@
 
     /// Takes over the agents that fetch this version, by the hashes of their names.
     pub fn set_members(&mut self, members: Vec<u64>) {
-        if self.members == members {
+        self.set_owners(members, true);
+    }
+
+    /// Takes over the agents that read this version from outside, by the hashes of their names. An
+    /// agent that is not among them comes after them all.
+    pub fn set_readers(&mut self, readers: Vec<u64>) {
+        let reads = readers.contains(&self.own);
+        self.set_owners(readers, reads);
+    }
+
+    fn set_owners(&mut self, owners: Vec<u64>, reads: bool) {
+        if self.members == owners {
             return;
         }
         for item in &mut self.items {
-            let others = members.iter().copied().filter(|it| *it != self.own);
-            item.rank = rendezvous::rank(item.chunk.digest.short(), self.own, others);
-            item.absent.retain(|it| members.contains(it));
+            let others = owners.iter().copied().filter(|it| *it != self.own);
+            item.rank = if reads {
+                rendezvous::rank(item.chunk.digest.short(), self.own, others)
+            } else {
+                owners.len()
+            };
+            item.absent.retain(|it| owners.contains(it));
         }
-        self.members = members;
+        self.members = owners;
     }
 
     /// Changes how many chunks are asked for at once.
--- a/crates/gradeloft_policy/src/version/mod.rs
+++ b/crates/gradeloft_policy/src/version/mod.rs
@@ -7,6 +7,7 @@
 //! - [`partners`]: which agents tell each other what they hold.
 //! - [`named`]: which versions requests may begin on.
 //! - [`placement`]: which replica holds which model.
+//! - [`readers`]: which agents read a version from the origin.
 //! - [`fetch`]: which chunk to fetch next, and from where.
 //! - [`upload`]: which peer's request for a chunk is served when.
 //! - [`rollout`]: which version requests are pinned to.
@@ -21,6 +22,7 @@
 pub mod outside;
 pub mod partners;
 pub mod placement;
+pub mod readers;
 pub mod rollout;
 pub mod turns;
 pub mod upload;
