Compare a few replicas drawn at random in place of all

Ruled out: refusals (none), processor time. Each entry now compares three near and three far of the replicas with the fewest flaws.

--- a/crates/gradeloft_policy/src/request/placement.rs
+++ b/crates/gradeloft_policy/src/request/placement.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use rand::Rng;
+use rand::{Rng, seq::IteratorRandom};
 
 use crate::{
     clock::Time,
@@ -21,13 +21,10 @@
 /// What a replica with an older version than others is behind them by, as a part of its slots, so
 /// that it runs empty before it changes over.
 const OLD: f64 = 0.6;
-/// What a replica with another version than the one that began a stream is behind by, as a part of
-/// its slots: whole answers come from one version wherever a replica of it has room.
-const OTHER: f64 = 3.0;
-/// What a replica that sends nothing although it has requests is behind all others by.
-const SILENT: f64 = 10.0;
-/// What a replica that failed a moment ago is behind all others by.
-const SUSPECT: f64 = 1_000.0;
+/// Replicas that are compared, in the entry's availability zone and elsewhere. Entries learn of each
+/// other's requests an eighth of a second late, so if each compared all replicas, all entries of a large
+/// fleet would send what comes meanwhile to the same few.
+const COMPARED: usize = 3;
 /// Requests beyond a replica's slots that it is given. A request that waits for a slot is late, and
 /// makes those behind it late.
 const WAITING: u32 = 2;
@@ -49,7 +46,29 @@
     pub tried: &'a [ReplicaKey],
 }
 
-/// Picks the replica with the fewest requests for its slots; `None` if none takes work.
+/// What speaks against a replica before its load does. The first field that differs decides.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Flaws {
+    /// It failed a moment ago.
+    suspect: bool,
+    /// It sends nothing although it has requests.
+    silent: bool,
+    /// It has another version than the one that began the answer: whole answers come from one
+    /// version wherever a replica of it has room.
+    other_version: bool,
+}
+
+/// A replica that can get the request.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    key: ReplicaKey,
+    flaws: Flaws,
+    near: bool,
+    cost: f64,
+}
+
+/// Picks the replica with the fewest requests for its slots, among a few drawn from those with the
+/// fewest flaws; `None` if none takes work.
 pub fn choose<'a>(
     replicas: impl Iterator<Item = (ReplicaKey, &'a Replica)>,
     wish: Wish<'_>,
@@ -60,14 +79,26 @@
         .filter(|(key, it)| allowed(it, wish, now) && !wish.tried.contains(key))
         .collect();
     let newest = open.iter().filter_map(|(_, it)| it.version(now)).max();
-    open.into_iter()
+    let candidates: Vec<Candidate> = open
+        .into_iter()
         .filter(|(_, it)| has_room(it))
-        .map(|(key, it)| {
-            let noise = NOISE * rng.random::<f64>();
-            (cost(it, wish, newest, now) + noise, key)
+        .map(|(key, it)| Candidate {
+            key,
+            flaws: flaws(it, wish, now),
+            near: it.listing.zone == wish.zone,
+            cost: cost(it, wish, newest, now) + NOISE * rng.random::<f64>(),
         })
-        .min_by(|a, b| a.0.total_cmp(&b.0))
-        .map(|(_, key)| key)
+        .collect();
+    let fewest = candidates.iter().map(|it| it.flaws).min()?;
+    let candidates = candidates.iter().filter(|it| it.flaws == fewest);
+    let (near, far): (Vec<&Candidate>, Vec<&Candidate>) = candidates.partition(|it| it.near);
+    let compared = near
+        .into_iter()
+        .choose_multiple(rng, COMPARED)
+        .into_iter()
+        .chain(far.into_iter().choose_multiple(rng, COMPARED));
+    let best = compared.min_by(|a, b| a.cost.total_cmp(&b.cost));
+    best.map(|it| it.key)
 }
 
 /// Why replicas can't get a request, by how many.
@@ -139,16 +170,16 @@
     if replica.listing.zone != wish.zone {
         cost += FAR;
     }
-    match wish.same {
-        Some(_) if wish.same != version => cost += OTHER,
-        None if version < newest => cost += OLD,
-        Some(_) | None => {}
-    }
-    if replica.silent(now) {
-        cost += SILENT;
-    }
-    if replica.suspect(now) {
-        cost += SUSPECT;
+    if wish.same.is_none() && version < newest {
+        cost += OLD;
     }
     cost
 }
+
+fn flaws(replica: &Replica, wish: Wish<'_>, now: Time) -> Flaws {
+    Flaws {
+        suspect: replica.suspect(now),
+        silent: replica.silent(now),
+        other_version: wish.same.is_some() && wish.same != replica.version(now),
+    }
+}
