Change versions over in four waves, and tell entries of other regions less often

Cause: with two waves half of a fleet that is 94 in 100 busy is away at once, a second wave that finishes its requests for about two seconds. Three waves now cut their streams, which go on at later waves; the last finishes them. Cause: 42 entries told each other everything each 125 ms, 0.25 GB between regions, and 76 agents what only entries need.

--- a/crates/gradeloft_gateway/src/agent/change.rs
+++ b/crates/gradeloft_gateway/src/agent/change.rs
@@ -93,14 +93,17 @@
         let wave = Wave::of(version.number, fill::node_hash(self.replica), others);
         let version_ms = self.node.settings().version_ms;
         let model = rendezvous::hash(version.model.as_bytes());
+        let mut superseded_since = None;
         loop {
             let serves = self.state.get().is_some_and(|it| it.version.is_some());
             let switched = self.switched.get();
             let switched = switched.filter(|it| (it.model, it.version) == (model, version.number));
             let switched = switched.map_or(0, |it| usize::from(it.replicas));
             let now = self.node.clock.now();
-            // A version that is superseded already is not worth waiting for.
-            let superseded = self.target().as_ref() != Some(version);
+            if self.target().as_ref() != Some(version) {
+                superseded_since = superseded_since.or(Some(now));
+            }
+            let superseded = superseded_since.is_some_and(|it| wave.may_load_superseded(it, now));
             if !serves || superseded || wave.may_load(switched, named, version_ms, now) {
                 return wave;
             }
--- a/crates/gradeloft_gateway/src/entry/gossip.rs
+++ b/crates/gradeloft_gateway/src/entry/gossip.rs
@@ -18,46 +18,79 @@
 use super::Entry;
 use crate::logs::Topic;
 
-/// Pause between datagrams to other entries.
+/// Pause between datagrams to the entries of the own region.
 const TELL: Duration = Duration::from_millis(125);
-/// Datagrams to other entries for each one to the agents.
-const AGENT_TURN: u32 = 4;
+/// Of these datagrams, those that go to the entries of other regions, and to the agents of the own one.
+/// Bytes between regions are dear, and requests go there only when nothing near has room.
+const WIDE_TURNS: u32 = 4;
+/// Of these datagrams, those that go to the agents of other regions as well, whom the entries of their
+/// own region tell more often.
+const WIDEST_TURNS: u32 = 8;
+/// Of these datagrams, those that say which entries there are.
+const ROSTER_TURNS: u32 = 8;
 
 impl Entry {
     pub(super) async fn tell(self: Rc<Entry>) {
         let mut turn = 0;
         loop {
-            self.tell_once(turn % AGENT_TURN == 0);
+            self.tell_entries(turn);
+            self.tell_agents(turn);
             self.upkeep();
-            turn += 1;
             tokio::select! {
-                () = actix_rt::time::sleep(TELL) => {}
-                () = self.left.notified() => {}
+                () = actix_rt::time::sleep(TELL) => turn += 1,
+                // Everybody is told of a stop at once.
+                () = self.left.notified() => turn = 0,
             }
         }
     }
 
-    fn tell_once(&self, agents: bool) {
-        let entries: Vec<Ipv4Addr> = self.roster.borrow().addresses().collect();
+    fn tell_entries(&self, turn: u32) {
+        let settings = self.node.settings();
+        let roster = self.roster.borrow();
+        let everyone = roster.addresses();
         let sender = Sender::Entry {
             presence: self.presence(),
             loads: self.loads(),
-            entries: entries.clone(),
-            switched: self.switched(),
+            entries: match turn % ROSTER_TURNS {
+                0 => everyone.collect(),
+                _ => Vec::new(),
+            },
+            switched: Vec::new(),
         };
-        let mut to = entries;
-        if agents {
-            to.extend(self.agents());
+        let own = settings.region(&settings.zone);
+        let wide = turn.is_multiple_of(WIDE_TURNS);
+        let to = roster.addresses_in(|zone| wide || settings.region(zone) == own);
+        self.node.tell(sender, to);
+    }
+
+    fn tell_agents(&self, turn: u32) {
+        let settings = self.node.settings();
+        let switched = self.switched();
+        // Agents wait for each other while a version changes over.
+        let news = self.told_switched.replace(switched.clone()) != switched;
+        if !news && !turn.is_multiple_of(WIDE_TURNS) {
+            return;
         }
+        let sender = Sender::Entry {
+            presence: self.presence(),
+            loads: Vec::new(),
+            entries: Vec::new(),
+            switched,
+        };
+        let own = settings.region(&settings.zone);
+        let widest = turn.is_multiple_of(WIDEST_TURNS);
+        let to = self.agents(|zone| widest || settings.region(zone) == own);
         self.node.tell(sender, to.into_iter());
     }
 
-    /// Instances on which agents run: those of the replicas that hold a model.
-    fn agents(&self) -> Vec<Ipv4Addr> {
+    /// Instances on which agents run, in availability zones that fit: those of the replicas that hold
+    /// a model.
+    fn agents(&self, fits: impl Fn(&str) -> bool) -> Vec<Ipv4Addr> {
         let replicas = self.replicas.borrow();
-        let models = replicas.iter().filter(|(_, it)| it.listing.has_model);
-        models
-            .filter_map(|(_, it)| match it.listing.address {
+        let listings = replicas.iter().map(|(_, it)| &it.listing);
+        listings
+            .filter(|it| it.has_model && fits(&it.zone))
+            .filter_map(|it| match it.address {
                 SocketAddr::V4(address) => Some(*address.ip()),
                 SocketAddr::V6(_) => None,
             })
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -42,7 +42,7 @@
     version::named::Named,
 };
 use gradeloft_wire::{
-    datagram::{Load, Presence},
+    datagram::{Load, Presence, Switched},
     frame::{Call, Table},
 };
 use slog::{info, warn};
@@ -110,6 +110,8 @@
     budgets: RefCell<HashMap<Rc<str>, Budget>>,
     /// Requests of other entries at replicas, by entry and hash of the replica's id.
     elsewhere: RefCell<HashMap<Ipv4Addr, Loads>>,
+    /// Replicas that changed over, as agents were told last.
+    told_switched: RefCell<Vec<Switched>>,
     open: Cell<usize>,
 }
 
@@ -136,6 +138,7 @@
             weights: RefCell::default(),
             budgets: RefCell::default(),
             elsewhere: RefCell::default(),
+            told_switched: RefCell::default(),
             open: Cell::default(),
         });
         entry.meet_seeds();
--- a/crates/gradeloft_gateway/tests/entry/main.rs
+++ b/crates/gradeloft_gateway/tests/entry/main.rs
@@ -2,4 +2,5 @@
 
 mod cut_off;
 mod forward;
+mod gossip;
 mod support;
--- a/crates/gradeloft_policy/src/process/roster.rs
+++ b/crates/gradeloft_policy/src/process/roster.rs
@@ -79,6 +79,14 @@
         self.entries.keys().copied()
     }
 
+    /// Those whose availability zone fits, and those whose zone is not known yet.
+    pub fn addresses_in(&self, fits: impl Fn(&str) -> bool) -> impl Iterator<Item = Ipv4Addr> {
+        let entries = self.entries.iter();
+        entries
+            .filter(move |(_, it)| it.zone.is_empty() || fits(&it.zone))
+            .map(|(address, _)| *address)
+    }
+
     /// Most entries that were known at once, the own one included.
     pub fn most(&self) -> usize {
         self.most.max(1)
--- a/crates/gradeloft_policy/src/version/waves.rs
+++ b/crates/gradeloft_policy/src/version/waves.rs
@@ -1,16 +1,25 @@
 //! When each replica takes a new version, so that the fleet goes on serving.
 //!
-//! Replicas that already serve change over in two waves. Those of the first cut their streams off,
-//! which go on at replicas of the second, still on the same version, and are back within the time of
-//! one load. Then they take the new requests while those of the second finish what they have. The
-//! waves are drawn by rendezvous hashing, so every agent knows its own without asking.
+//! Replicas that already serve change over in waves, each once most of those before are back. All but
+//! the last cut their streams off, which go on at replicas of later waves, still on the same version:
+//! so they are back within the time of one load, and no more than a wave is away at once. For the
+//! streams of the last wave no replica with their version is left, so it finishes them. The waves are
+//! drawn by rendezvous hashing, so every agent knows its own without asking.
 
 use crate::{clock::Time, rendezvous};
 
-/// Part of the first wave that has to be back before the second begins.
+/// Waves, where there are as many replicas. With two, half of a fleet at full load was away at once,
+/// and a third of the requests were late while a version changed over.
+const WAVES: usize = 4;
+/// Part of the earlier waves that has to be back before one begins.
 const BACK: f64 = 0.75;
-/// Part of the time for a version after which the second wave begins in any case.
-const LATEST: f64 = 0.55;
+/// Part of the time for a version after which the first wave after the first, and the last, begin in
+/// any case.
+const LATEST_FIRST: f64 = 0.5;
+const LATEST_LAST: f64 = 0.65;
+
+/// Pause between waves of a superseded version, in milliseconds: a little more than a load takes.
+const SUPERSEDED_STEP_MS: u64 = 400;
 
 /// What a replica does with the requests that it has when it is ordered to load.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -23,46 +32,56 @@
 
 /// The wave of one replica.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Wave {
-    /// Loads as soon as it can.
-    First,
-    /// Loads once most of the first wave, of so many replicas, is back.
-    Second {
-        /// Replicas in the first wave.
-        first: usize,
-    },
+pub struct Wave {
+    /// From 0.
+    number: usize,
+    /// Waves in all, at least 1.
+    waves: usize,
+    /// Replicas in earlier waves.
+    before: usize,
 }
 
 impl Wave {
     /// The wave of the replica `own` for a version; `others` are all other replicas of the service.
     pub fn of(version: u64, own: u64, others: &[u64]) -> Wave {
         let all = others.len() + 1;
-        let first = all / 2;
+        let waves = WAVES.min(all);
         let rank = rendezvous::rank(version, own, others.iter().copied());
-        if rank < first {
-            Wave::First
-        } else {
-            Wave::Second { first }
+        let number = rank * waves / all;
+        Wave {
+            number,
+            waves,
+            before: (number * all).div_ceil(waves),
         }
     }
 
     /// Whether the replica may load now: `switched` replicas are back with the version, which was
     /// named at `named` and is due within `version_ms`.
     pub fn may_load(self, switched: usize, named: Time, version_ms: u64, now: Time) -> bool {
-        match self {
-            Wave::First => true,
-            Wave::Second { first } => {
-                let latest = named.after_ms((version_ms as f64 * LATEST) as u64);
-                (first as f64 * BACK) <= switched as f64 || latest <= now
-            }
-        }
+        let back = self.before as f64 * BACK <= switched as f64;
+        back || named.after_ms((version_ms as f64 * self.latest()) as u64) <= now
+    }
+
+    /// As [`Wave::may_load`], for a version that is known to be superseded since `since`: one wave after
+    /// the other without waiting for any, as the newer version is waited for already.
+    pub fn may_load_superseded(self, since: Time, now: Time) -> bool {
+        since.after_ms(SUPERSEDED_STEP_MS * self.number as u64) <= now
     }
 
     /// What becomes of the requests that run. Cutting needs streams that can all go on elsewhere.
     pub fn running(self, resumable: bool) -> Running {
-        match self {
-            Wave::First if resumable => Running::Cut,
-            Wave::First | Wave::Second { .. } => Running::Finished,
+        let last = self.number + 1 == self.waves;
+        if resumable && !last {
+            Running::Cut
+        } else {
+            Running::Finished
         }
     }
+
+    /// Part of the time for a version after which the wave begins in any case.
+    fn latest(self) -> f64 {
+        let between = self.waves.saturating_sub(2).max(1) as f64;
+        let step = (LATEST_LAST - LATEST_FIRST) / between;
+        LATEST_FIRST + step * self.number.saturating_sub(1) as f64
+    }
 }
--- a/crates/gradeloft_policy/tests/versions.rs
+++ b/crates/gradeloft_policy/tests/versions.rs
@@ -10,6 +10,7 @@
         waves::{Running, Wave},
     },
 };
+use rstest::rstest;
 
 #[test]
 fn each_version_is_due_at_its_own_time() {
@@ -29,35 +30,68 @@
     assert_eq!(named.newest(), 3);
 }
 
-#[test]
-fn half_of_the_replicas_change_first_and_the_rest_once_they_are_back() {
-    let nodes: Vec<u64> = (0..20).collect();
-    let waves = nodes.iter().map(|own| {
+/// The waves of so many replicas, for one version.
+fn waves(count: u64) -> Vec<Wave> {
+    let nodes: Vec<u64> = (0..count).collect();
+    let wave = |own: &u64| {
         let others: Vec<u64> = nodes.iter().copied().filter(|it| it != own).collect();
         Wave::of(9, *own, &others)
-    });
-    let waves: Vec<Wave> = waves.collect();
-    let first = waves.iter().filter(|it| **it == Wave::First).count();
-    assert_eq!(first, 10);
-    let second = Wave::Second { first };
-    let now = Time::ZERO.after_ms(1_000);
-    assert!(!second.may_load(7, Time::ZERO, 8_000, now));
-    assert!(second.may_load(8, Time::ZERO, 8_000, now));
-    assert!(second.may_load(0, Time::ZERO, 8_000, Time::ZERO.after_ms(4_400)));
-    assert!(Wave::First.may_load(0, Time::ZERO, 8_000, now));
+    };
+    nodes.iter().map(wave).collect()
+}
+
+/// How many of `waves` may load when so many replicas are back and so much time has passed.
+fn may_load(waves: &[Wave], switched: usize, passed_ms: u64) -> usize {
+    let now = Time::ZERO.after_ms(passed_ms);
+    let may = |it: &&Wave| it.may_load(switched, Time::ZERO, 8_000, now);
+    waves.iter().filter(may).count()
+}
+
+#[rstest]
+// Each wave of five waits for most of those before it.
+#[case(20, 0, 1_000, 5)]
+#[case(20, 3, 1_000, 5)]
+#[case(20, 4, 1_000, 10)]
+#[case(20, 7, 1_000, 10)]
+#[case(20, 8, 1_000, 15)]
+#[case(20, 12, 1_000, 20)]
+// And for a bounded time.
+#[case(20, 0, 3_999, 5)]
+#[case(20, 0, 4_000, 10)]
+#[case(20, 0, 5_200, 20)]
+// Waves as even as they can be.
+#[case(14, 0, 0, 4)]
+// One replica alone waits for nobody.
+#[case(1, 0, 0, 1)]
+#[case(2, 0, 0, 1)]
+fn a_wave_begins_once_those_before_are_back(
+    #[case] replicas: u64,
+    #[case] switched: usize,
+    #[case] passed_ms: u64,
+    #[case] expected: usize,
+) {
+    assert_eq!(may_load(&waves(replicas), switched, passed_ms), expected);
 }
 
 #[test]
-fn only_resumable_streams_of_the_first_wave_are_cut() {
-    assert_eq!(Wave::First.running(true), Running::Cut);
-    assert_eq!(Wave::First.running(false), Running::Finished);
-    assert_eq!(Wave::Second { first: 1 }.running(true), Running::Finished);
+fn waves_of_a_superseded_version_follow_each_other_without_waiting() {
+    let waves = waves(20);
+    let at = |ms| {
+        let now = Time::ZERO.after_ms(ms);
+        let may = |it: &&Wave| it.may_load_superseded(Time::ZERO, now);
+        waves.iter().filter(may).count()
+    };
+    assert_eq!([at(0), at(400), at(800), at(1_200)], [5, 10, 15, 20]);
 }
 
 #[test]
-fn one_replica_alone_waits_for_nobody() {
-    let wave = Wave::of(9, 1, &[]);
-    assert!(wave.may_load(0, Time::ZERO, 8_000, Time::ZERO));
+fn resumable_streams_are_cut_except_in_the_last_wave() {
+    let waves = waves(20);
+    let cut = |resumable| {
+        let cut = |it: &&Wave| it.running(resumable) == Running::Cut;
+        waves.iter().filter(cut).count()
+    };
+    assert_eq!([cut(true), cut(false)], [15, 0]);
 }
 
 #[test]
