Let two entries of each region read the store, and the others follow them

Entries say whether the store serves them; two by rendezvous in each region read, one that is not served or silent is replaced, what both miss comes from other regions. Agents read only while no entry tells them. A removal told by a peer that is not sure stays doubtful at those who follow it.

--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -16,7 +16,7 @@
     collections::HashMap,
     io,
     net::{Ipv4Addr, SocketAddr},
-    rc::Rc,
+    rc::{Rc, Weak},
     time::Duration,
 };
 
@@ -33,14 +33,19 @@
     version::{fetch::Fetch, readers},
 };
 use gradeloft_wire::{
-    datagram::{Engine, Sender, Switched},
+    datagram::{Access, Engine, Sender, Switched},
     frame::Table,
     id::Digest,
 };
 use slog::{info, warn};
 use tokio::sync::Notify;
 
-use crate::{entry::peer_listener, logs::Topic, node::Node, settings::Role};
+use crate::{
+    entry::peer_listener,
+    logs::Topic,
+    node::{Election, Node},
+    settings::Role,
+};
 
 /// Pause between questions to the replica. They are free, and an entry's view of the replica is this
 /// old at most.
@@ -50,6 +55,9 @@
 /// Silence after which an entry is no longer told anything: several of its pauses between datagrams
 /// to agents.
 const SILENCE_MS: u64 = 4_000;
+/// Silence of all entries that the store serves after which an agent reads what the operator writes
+/// itself, in milliseconds: three of their pauses.
+const TOLD_MS: u64 = 1_600;
 /// Longest pause between two datagrams to entries.
 const TELL_MS: u64 = 1_000;
 /// Longest wait of one read of the operator's table.
@@ -85,6 +93,14 @@
     pub staged: Vec<bool>,
 }
 
+/// What an entry said last.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: Time,
+    /// Whether the platform's store serves it.
+    store: Access,
+}
+
 /// The process.
 pub struct Agent {
     /// What it shares with entries.
@@ -116,7 +132,7 @@
     config: RefCell<Option<Document>>,
     named: RefCell<HashMap<String, u64>>,
     /// Entries that spoke a moment ago.
-    entries: RefCell<HashMap<Ipv4Addr, Time>>,
+    entries: RefCell<HashMap<Ipv4Addr, Heard>>,
     told_at: Cell<Time>,
     /// Whether entries were told last that the replica is to get no requests.
     told_closed: Cell<bool>,
@@ -168,6 +184,7 @@
                 agent.changed(table, &records);
             }
         }));
+        agent.node.elect(Rc::new(Rc::downgrade(&agent)));
         let handler = Rc::new(share::Peers(Rc::clone(&agent)));
         let peers = peer_listener(&agent.node, handler).await?;
         let metrics = crate::entry::lookup::serve_metrics(&agent.node).await?;
@@ -269,7 +286,7 @@
     pub fn entries(&self) -> Vec<Ipv4Addr> {
         let now = self.node.clock.now();
         let mut entries = self.entries.borrow_mut();
-        entries.retain(|_, at| now < at.after_ms(SILENCE_MS));
+        entries.retain(|_, it| now < it.at.after_ms(SILENCE_MS));
         entries.keys().copied().collect()
     }
 
@@ -378,10 +395,14 @@
     async fn listen(self: Rc<Agent>) {
         loop {
             let (from, datagram) = self.node.heard().await;
-            if let Sender::Entry { switched, .. } = datagram.sender {
-                let now = self.node.clock.now();
+            if let Sender::Entry {
+                store, switched, ..
+            } = datagram.sender
+            {
+                let at = self.node.clock.now();
                 self.switched.set(newest(self.switched.get(), &switched));
-                let new = self.entries.borrow_mut().insert(from, now).is_none();
+                let heard = Heard { at, store };
+                let new = self.entries.borrow_mut().insert(from, heard).is_none();
                 self.node.heard_ends(from, datagram.ends);
                 if new {
                     self.tell();
@@ -391,6 +412,22 @@
     }
 }
 
+impl Election for Weak<Agent> {
+    /// An agent reads what the operator writes only while no entry tells it.
+    fn reads(&self, _: Table) -> bool {
+        let Some(agent) = self.upgrade() else {
+            return false;
+        };
+        let now = agent.node.clock.now();
+        let tells = |it: &Heard| it.store == Access::Served && now < it.at.after_ms(TOLD_MS);
+        !agent.entries.borrow().values().any(tells)
+    }
+
+    fn troubled(&self) -> bool {
+        false
+    }
+}
+
 /// The newer word on how many replicas changed over.
 fn newest(before: Option<Switched>, now: &[Switched]) -> Option<Switched> {
     now.iter()
--- a/crates/gradeloft_gateway/src/entry/gossip.rs
+++ b/crates/gradeloft_gateway/src/entry/gossip.rs
@@ -3,20 +3,27 @@
 use std::{
     collections::HashMap,
     net::{Ipv4Addr, SocketAddr},
-    rc::Rc,
+    rc::{Rc, Weak},
     time::Duration,
 };
 
 use gradeloft_policy::{
     clock::Time,
-    process::{replicas::Report, roster::State},
+    process::{
+        readers,
+        replicas::Report,
+        roster::{State, Word},
+    },
     rendezvous,
 };
-use gradeloft_wire::datagram::{Datagram, Engine, Load, Presence, Sender, Switched};
+use gradeloft_wire::{
+    datagram::{Access, Datagram, Engine, Load, Presence, Sender, Switched},
+    frame::Table,
+};
 use slog::info;
 
 use super::Entry;
-use crate::logs::Topic;
+use crate::{logs::Topic, node::Election};
 
 /// Pause between datagrams to the entries of the own region.
 const TELL: Duration = Duration::from_millis(125);
@@ -50,6 +57,7 @@
         let everyone = roster.addresses();
         let sender = Sender::Entry {
             presence: self.presence(),
+            store: self.node.access(),
             loads: self.loads(),
             entries: match turn % ROSTER_TURNS {
                 0 => everyone.collect(),
@@ -66,13 +74,17 @@
     fn tell_agents(&self, turn: u32) {
         let settings = self.node.settings();
         let switched = self.switched();
-        // Agents wait for each other while a version changes over.
-        let news = self.told_switched.replace(switched.clone()) != switched;
+        // Agents wait for each other while a version changes over, and for the operator's word.
+        let tell = (switched, self.node.end(Table::Operator));
+        let news = *self.told_agents.borrow() != tell;
+        self.told_agents.replace(tell.clone());
+        let (switched, _) = tell;
         if !news && !turn.is_multiple_of(WIDE_TURNS) {
             return;
         }
         let sender = Sender::Entry {
             presence: self.presence(),
+            store: self.node.access(),
             loads: Vec::new(),
             entries: Vec::new(),
             switched,
@@ -180,11 +192,18 @@
             }
             Sender::Entry {
                 presence,
+                store,
                 loads,
                 entries,
                 ..
             } => {
-                self.entry_told(from, datagram.incarnation, &datagram.zone, presence, now);
+                let word = Word {
+                    incarnation: datagram.incarnation,
+                    zone: &datagram.zone,
+                    state: state(presence),
+                    served: store == Access::Served,
+                };
+                self.roster.borrow_mut().heard(from, word, now);
                 self.learn(&entries);
                 let loads = loads.into_iter().map(|it| (it.replica, it));
                 self.elsewhere.borrow_mut().insert(from, loads.collect());
@@ -193,23 +212,6 @@
         self.node.heard_ends(from, datagram.ends);
     }
 
-    fn entry_told(
-        &self,
-        from: Ipv4Addr,
-        incarnation: u64,
-        zone: &str,
-        presence: Presence,
-        now: Time,
-    ) {
-        let state = match presence {
-            Presence::Leaving => State::Leaving,
-            Presence::Ready => State::Ready,
-            Presence::Starting => State::Starting,
-        };
-        let mut roster = self.roster.borrow_mut();
-        roster.heard(from, incarnation, zone, state, now);
-    }
-
     fn learn(&self, entries: &[Ipv4Addr]) {
         let own = self.node.settings().address;
         let mut roster = self.roster.borrow_mut();
@@ -230,3 +232,37 @@
         self.replicas.borrow_mut().report_at(address, report);
     }
 }
+
+fn state(presence: Presence) -> State {
+    match presence {
+        Presence::Leaving => State::Leaving,
+        Presence::Ready => State::Ready,
+        Presence::Starting => State::Starting,
+    }
+}
+
+impl Election for Weak<Entry> {
+    fn reads(&self, table: Table) -> bool {
+        let Some(entry) = self.upgrade() else {
+            return false;
+        };
+        let settings = entry.node.settings();
+        let own = settings.region(&settings.zone);
+        let roster = entry.roster.borrow();
+        let near = roster.served(|zone| settings.region(zone) == own, entry.node.clock.now());
+        readers::reads(
+            table as u64,
+            address_hash(settings.address),
+            near.map(address_hash),
+        )
+    }
+
+    fn troubled(&self) -> bool {
+        let unserved = |it: Rc<Entry>| it.roster.borrow().any_unserved(it.node.clock.now());
+        self.upgrade().is_some_and(unserved)
+    }
+}
+
+fn address_hash(address: Ipv4Addr) -> u64 {
+    rendezvous::hash(&address.octets())
+}
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -110,8 +110,8 @@
     budgets: RefCell<HashMap<Rc<str>, Budget>>,
     /// Requests of other entries at replicas, by entry and hash of the replica's id.
     elsewhere: RefCell<HashMap<Ipv4Addr, Loads>>,
-    /// Replicas that changed over, as agents were told last.
-    told_switched: RefCell<Vec<Switched>>,
+    /// What agents were told last: replicas that changed over, and how far the operator's table goes.
+    told_agents: RefCell<(Vec<Switched>, u64)>,
     open: Cell<usize>,
 }
 
@@ -138,7 +138,7 @@
             weights: RefCell::default(),
             budgets: RefCell::default(),
             elsewhere: RefCell::default(),
-            told_switched: RefCell::default(),
+            told_agents: RefCell::default(),
             open: Cell::default(),
         });
         entry.meet_seeds();
@@ -148,6 +148,7 @@
                 entry.changed(table, &records);
             }
         }));
+        entry.node.elect(Rc::new(Rc::downgrade(&entry)));
         let peers = peer_listener(&entry.node, Rc::new(Peers(Rc::clone(&entry.node)))).await?;
         let servers = lookup::start(&entry).await?;
         let listener = TcpListener::bind(frontend).await?;
--- a/crates/gradeloft_gateway/src/node.rs
+++ b/crates/gradeloft_gateway/src/node.rs
@@ -27,7 +27,7 @@
 };
 use gradeloft_wire::{
     codec,
-    datagram::{Datagram, MAX_BYTES, Sender},
+    datagram::{Access, Datagram, MAX_BYTES, Sender},
     frame::{Call, Reply, Row, Table},
 };
 use rand::{Rng, SeedableRng};
@@ -50,6 +50,8 @@
 /// First and longest pause after a failed call to the store.
 const FIRST_PAUSE_MS: u64 = 150;
 const MAX_PAUSE_MS: u64 = 1_000;
+/// Pause before a process that leaves reading to others looks again whether it is to read.
+const STANDBY: Duration = Duration::from_millis(200);
 /// Time after an interruption of reading a table within which the store may still drop records of
 /// replicas that live, in milliseconds.
 const DOUBT_MS: u64 = 1_500;
@@ -85,6 +87,16 @@
     /// It has never failed.
     #[default]
     Steady,
+    /// It is left to others.
+    Standby,
+}
+
+/// Decides who reads the tables from the store.
+pub trait Election {
+    /// Whether this process is to read a table.
+    fn reads(&self, table: Table) -> bool;
+    /// Whether the store does not serve some other process.
+    fn troubled(&self) -> bool;
 }
 
 /// Learns what changed in a table.
@@ -112,6 +124,9 @@
     /// Tables that are being read from a peer.
     asking: Cell<[bool; 3]>,
     reading: RefCell<[Reading; 3]>,
+    election: RefCell<Option<Rc<dyn Election>>>,
+    /// Until when removals that peers told may be errors of the store's.
+    peer_doubt: Cell<Time>,
     /// Set while an update is taken in from a peer that vouches for its removals.
     peer_sound: Cell<bool>,
     store_lost: Cell<bool>,
@@ -149,6 +164,8 @@
             copies: RefCell::default(),
             asking: Cell::default(),
             reading: RefCell::default(),
+            election: RefCell::default(),
+            peer_doubt: Cell::default(),
             peer_sound: Cell::default(),
             store_lost: Cell::default(),
             observer: RefCell::default(),
@@ -169,6 +186,21 @@
         *self.observer.borrow_mut() = Some(observer);
     }
 
+    /// Sets who decides which process reads the tables.
+    pub fn elect(&self, election: Rc<dyn Election>) {
+        *self.election.borrow_mut() = Some(election);
+    }
+
+    /// Whether the store serves this process, as far as it knows.
+    pub fn access(&self) -> Access {
+        let interrupted = self.reading.borrow().contains(&Reading::Interrupted);
+        if interrupted {
+            Access::Unserved
+        } else {
+            Access::Served
+        }
+    }
+
     /// Runs a decision that needs randomness.
     pub fn with_rng<T>(&self, run: impl FnOnce(&mut ChaCha8Rng) -> T) -> T {
         run(&mut self.rng.borrow_mut())
@@ -190,7 +222,10 @@
             Reading::Resumed(at) if now < at.after_ms(DOUBT_MS) => {
                 Trust::Doubtful(at.after_ms(BACK_MS))
             }
-            Reading::Resumed(_) | Reading::Steady => Trust::Sound,
+            Reading::Standby if now < self.peer_doubt.get() => {
+                Trust::Doubtful(self.peer_doubt.get())
+            }
+            Reading::Resumed(_) | Reading::Standby | Reading::Steady => Trust::Sound,
         }
     }
 
@@ -200,7 +235,8 @@
         copies[index(table)].records().cloned().collect()
     }
 
-    fn end(&self, table: Table) -> u64 {
+    /// Offset up to which the copy of a table goes.
+    pub fn end(&self, table: Table) -> u64 {
         self.copies.borrow()[index(table)].end()
     }
 
@@ -221,7 +257,12 @@
         let mut failures = 0;
         let mut fresh = false;
         loop {
+            if self.stands_by(table) {
+                actix_rt::time::sleep(STANDBY).await;
+                continue;
+            }
             self.metrics.store_calls.inc();
+            fresh |= self.loaded(table);
             // After a failure, a read without a wait soon tells whether the store is back.
             let wait = if failures == 0 { wait } else { Duration::ZERO };
             let read = self.read(table, &mut fresh, wait).await;
@@ -242,6 +283,26 @@
         }
     }
 
+    /// Whether reading a table is left to others now. What was never read is read in any case.
+    fn stands_by(&self, table: Table) -> bool {
+        let election = self.election.borrow().clone();
+        let Some(election) = election.filter(|_| self.loaded(table)) else {
+            return false;
+        };
+        let reads = election.reads(table);
+        let reading = &mut self.reading.borrow_mut()[index(table)];
+        match (reads, *reading) {
+            (false, _) => *reading = Reading::Standby,
+            // What others could not read may have been dropped meanwhile.
+            (true, Reading::Standby) if election.troubled() => {
+                *reading = Reading::Resumed(self.clock.now());
+            }
+            (true, Reading::Standby) => *reading = Reading::Steady,
+            (true, _) => {}
+        }
+        !reads
+    }
+
     async fn read(
         &self,
         table: Table,
@@ -371,6 +432,9 @@
             records: records.collect(),
             end,
         };
+        if !sound {
+            self.peer_doubt.set(self.clock.now().after_ms(BACK_MS));
+        }
         // A peer that reads the store steadily knows better than a process that is cut off from it.
         self.peer_sound.set(sound);
         self.apply(table, update);
--- a/crates/gradeloft_gateway/tests/agents.rs
+++ b/crates/gradeloft_gateway/tests/agents.rs
@@ -29,7 +29,7 @@
 use gradeloft_standin::tables::Tables;
 use gradeloft_wire::{
     codec,
-    datagram::{Datagram, MAX_BYTES, Presence, Sender},
+    datagram::{Access, Datagram, MAX_BYTES, Presence, Sender},
     frame::Table,
     id::Digest,
 };
@@ -462,6 +462,8 @@
             ends: [0; 3],
             sender: Sender::Entry {
                 presence: Presence::Ready,
+                // The agent reads for itself what the operator writes.
+                store: Access::Unserved,
                 loads: Vec::new(),
                 entries: Vec::new(),
                 switched: Vec::new(),
--- a/crates/gradeloft_gateway/tests/entry/gossip.rs
+++ b/crates/gradeloft_gateway/tests/entry/gossip.rs
@@ -6,7 +6,7 @@
 use gradeloft_standin::scripted::Step;
 use gradeloft_wire::{
     codec,
-    datagram::{Datagram, MAX_BYTES, Presence, Sender},
+    datagram::{Access, Datagram, MAX_BYTES, Presence, Sender},
 };
 use tokio::net::UdpSocket;
 
@@ -21,6 +21,7 @@
         ends: [0; 3],
         sender: Sender::Entry {
             presence: Presence::Ready,
+            store: Access::Served,
             loads: Vec::new(),
             entries: Vec::new(),
             switched: Vec::new(),
--- a/crates/gradeloft_policy/src/process/mod.rs
+++ b/crates/gradeloft_policy/src/process/mod.rs
@@ -5,6 +5,7 @@
 //! - [`gossip`]: which peers a node asks for the bundle in force.
 //! - [`membership`]: which peers there are, by the list and by what connections show.
 //! - [`mirror`]: a copy of a table of the platform's store.
+//! - [`readers`]: which entries read the platform's tables from its store.
 //! - [`repeats`]: how often requests are sent again.
 //! - [`replicas`]: the replicas of all services.
 //! - [`roster`]: the entries that callers may be sent to.
@@ -15,6 +16,7 @@
 pub mod gossip;
 pub mod membership;
 pub mod mirror;
+pub mod readers;
 pub mod repeats;
 pub mod replicas;
 pub mod roster;
--- a/crates/gradeloft_policy/src/process/roster.rs
+++ b/crates/gradeloft_policy/src/process/roster.rs
@@ -12,7 +12,7 @@
 /// Entries named in one answer at most; the platform reads no more.
 const MAX_NAMED: usize = 64;
 
-/// What an entry says of itself.
+/// Whether an entry takes callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum State {
     /// It finishes what runs and takes nothing new.
@@ -28,9 +28,24 @@
     zone: String,
     state: State,
     incarnation: u64,
+    /// Whether the platform's store serves it, as it said last.
+    served: bool,
     heard: Option<Time>,
 }
 
+/// What an entry says of itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Word<'a> {
+    /// Names this start of it; later starts have higher numbers.
+    pub incarnation: u64,
+    /// Its availability zone.
+    pub zone: &'a str,
+    /// Whether it takes callers.
+    pub state: State,
+    /// Whether the platform's store serves it.
+    pub served: bool,
+}
+
 /// The other entries.
 #[derive(Debug, Default)]
 pub struct Roster {
@@ -46,29 +61,24 @@
             zone: String::new(),
             state: State::Starting,
             incarnation: 0,
+            served: false,
             heard: None,
         });
     }
 
     /// An entry said something of itself. Words of an earlier start of it are passed over.
-    pub fn heard(
-        &mut self,
-        address: Ipv4Addr,
-        incarnation: u64,
-        zone: &str,
-        state: State,
-        now: Time,
-    ) {
+    pub fn heard(&mut self, address: Ipv4Addr, word: Word<'_>, now: Time) {
         self.learn(address);
         let Some(entry) = self.entries.get_mut(&address) else {
             return;
         };
-        if incarnation < entry.incarnation {
+        if word.incarnation < entry.incarnation {
             return;
         }
-        entry.incarnation = incarnation;
-        zone.clone_into(&mut entry.zone);
-        entry.state = state;
+        entry.incarnation = word.incarnation;
+        word.zone.clone_into(&mut entry.zone);
+        entry.state = word.state;
+        entry.served = word.served;
         entry.heard = Some(now);
         let known = self.entries.values().filter(|it| it.heard.is_some());
         self.most = self.most.max(known.count() + 1);
@@ -92,6 +102,20 @@
         self.most.max(1)
     }
 
+    /// Entries that are alive and served by the platform's store, in availability zones that fit.
+    pub fn served(&self, fits: impl Fn(&str) -> bool, now: Time) -> impl Iterator<Item = Ipv4Addr> {
+        let entries = self.entries.iter();
+        entries
+            .filter(move |(_, it)| it.alive(now) && it.served && fits(&it.zone))
+            .map(|(address, _)| *address)
+    }
+
+    /// Whether the platform's store does not serve some entry that is alive.
+    pub fn any_unserved(&self, now: Time) -> bool {
+        let mut entries = self.entries.values();
+        entries.any(|it| it.alive(now) && !it.served)
+    }
+
     /// Whether an entry was heard a moment ago.
     pub fn alive(&self, address: Ipv4Addr, now: Time) -> bool {
         self.entries.get(&address).is_some_and(|it| it.alive(now))
--- a/crates/gradeloft_policy/tests/forwarding.rs
+++ b/crates/gradeloft_policy/tests/forwarding.rs
@@ -8,9 +8,10 @@
     process::{
         document::{CallerLimits, Config, Denied, Document, Kind, Route, Target},
         mirror::{Mirror, Record, Update},
+        readers,
         repeats::{Bounds, Budget},
         replicas::{Listing, ReplicaKey, Replicas, Report, Trust},
-        roster::{Roster, State},
+        roster::{Roster, State, Word},
     },
     request::{
         attempt::{Failure, Progress, Ran},
@@ -375,21 +376,60 @@
     assert!(failure == Failure::Unsent || !progress.may_repeat());
 }
 
+fn word(incarnation: u64, zone: &str, state: State) -> Word<'_> {
+    Word {
+        incarnation,
+        zone,
+        state,
+        served: true,
+    }
+}
+
 #[test]
 fn leaving_and_silent_entries_are_not_given_to_callers() {
     let [near, far, gone] = [1, 2, 3].map(|it| Ipv4Addr::new(10, 0, 0, it));
     let mut roster = Roster::default();
     let now = Time::ZERO;
-    roster.heard(far, 1, "y", State::Ready, now);
-    roster.heard(near, 1, "z", State::Ready, now);
-    roster.heard(gone, 1, "z", State::Leaving, now);
+    roster.heard(far, word(1, "y", State::Ready), now);
+    roster.heard(near, word(1, "z", State::Ready), now);
+    roster.heard(gone, word(1, "z", State::Leaving), now);
     assert_eq!(roster.ready("z", now), vec![near, far]);
     let later = now.after_ms(2_000);
-    roster.heard(far, 1, "y", State::Ready, later);
+    roster.heard(far, word(1, "y", State::Ready), later);
     assert_eq!(roster.ready("z", later), vec![far]);
     // A word from before a restart does not count while the new start speaks.
-    roster.heard(gone, 5, "z", State::Ready, later);
-    roster.heard(gone, 1, "z", State::Leaving, later);
+    roster.heard(gone, word(5, "z", State::Ready), later);
+    roster.heard(gone, word(1, "z", State::Leaving), later);
     assert_eq!(roster.ready("z", later), vec![gone, far]);
     assert_eq!(roster.most(), 4);
 }
+
+#[test]
+fn a_few_entries_of_a_region_read_the_store_and_others_take_over_from_those_it_does_not_serve() {
+    let now = Time::ZERO;
+    let region: Vec<Ipv4Addr> = (1..=9).map(|it| Ipv4Addr::new(10, 0, 0, it)).collect();
+    let own = |it: &Ipv4Addr| u64::from(it.to_bits());
+    let readers_of = |unserved: &[Ipv4Addr]| {
+        let reads = |entry: &Ipv4Addr| {
+            let mut roster = Roster::default();
+            for other in region.iter().filter(|it| *it != entry) {
+                let served = !unserved.contains(other);
+                let word = Word {
+                    served,
+                    ..word(1, "z", State::Ready)
+                };
+                roster.heard(*other, word, now);
+            }
+            let others = roster.served(|zone| zone == "z", now);
+            readers::reads(0, own(entry), others.map(|it| own(&it)))
+        };
+        let readers = region.iter().copied().filter(|it| reads(it));
+        readers.collect::<Vec<Ipv4Addr>>()
+    };
+    let readers = readers_of(&[]);
+    assert_eq!(readers.len(), 2);
+    let after = readers_of(&readers);
+    // Those that are not served go on trying, and two others read meanwhile.
+    assert_eq!(after.len(), 4);
+    assert!(readers.iter().all(|it| after.contains(it)));
+}
--- a/crates/gradeloft_wire/src/datagram.rs
+++ b/crates/gradeloft_wire/src/datagram.rs
@@ -37,6 +37,8 @@
     Entry {
         /// Whether it takes callers.
         presence: Presence,
+        /// Whether the platform's store serves it, as far as it knows.
+        store: Access,
         /// Requests that it has at replicas now.
         loads: Vec<Load>,
         /// Other entries that it knows of.
@@ -46,6 +48,15 @@
     },
 }
 
+/// Whether the platform's store serves a process.
+#[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
+pub enum Access {
+    /// Its last read went well, or it leaves reading to others.
+    Served,
+    /// Its last read failed.
+    Unserved,
+}
+
 /// Replicas that changed over to a version.
 #[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
 pub struct Switched {
