Take back a request that waits where the weights are about to expire

At 0.92 of a version's time what has not begun at a replica with older weights is cancelled, and sent elsewhere where it may be.

--- a/crates/gradeloft_gateway/src/entry/attempt.rs
+++ b/crates/gradeloft_gateway/src/entry/attempt.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::{BufMut, Bytes, BytesMut};
-use gradeloft_policy::{process::replicas::ReplicaKey, request::attempt::Failure};
+use gradeloft_policy::{clock::Time, process::replicas::ReplicaKey, request::attempt::Failure};
 use tokio::time::{Instant, sleep_until};
 
 use super::{
@@ -94,7 +94,7 @@
 }
 
 /// When a time of the process's clock is, for timers.
-pub fn instant(entry: &Entry, time: gradeloft_policy::clock::Time) -> Instant {
+pub fn instant(entry: &Entry, time: Time) -> Instant {
     Instant::now() + entry.node.clock.until(time)
 }
 
@@ -108,7 +108,10 @@
     bytes: &[u8],
 ) -> Result<(Response, bool), Ended> {
     let deadline = instant(entry, job.deadline);
-    let patient = sleep_until(patience(job, deadline));
+    let patience = patience(job, deadline);
+    let replica = link.replica();
+    let expiry = begin_by(entry, job, replica).map(|it| instant(entry, it));
+    let patient = sleep_until(expiry.map_or(patience, |it| it.min(patience)));
     tokio::pin!(patient);
     let mut sent = 0;
     let mut crossed = 0;
@@ -136,11 +139,19 @@
             },
             () = caller.gone() => return Err(Ended::Gone),
             () = &mut patient => {
-                return Err(if deadline <= Instant::now() {
-                    Ended::TimedOut
-                } else {
-                    Ended::Failed(Failure::Lost, None)
-                });
+                let now = Instant::now();
+                if deadline <= now {
+                    return Err(Ended::TimedOut);
+                }
+                if patience <= now {
+                    return Err(Ended::Failed(Failure::Lost, None));
+                }
+                let begin_by = begin_by(entry, job, replica);
+                if begin_by.is_some_and(|it| it <= entry.node.clock.now()) {
+                    return Err(Ended::Failed(Failure::Outdated, None));
+                }
+                // The replica has newer weights by now.
+                patient.as_mut().reset(patience);
             }
         }
     }
@@ -167,6 +178,12 @@
     deadline.min(Instant::now() + PATIENCE)
 }
 
+/// Until when the request may wait at a replica before it is taken back, as the weights there expire.
+fn begin_by(entry: &Entry, job: &Job, replica: ReplicaKey) -> Option<Time> {
+    let time = entry.begin_by(&job.service, replica);
+    time.filter(|_| job.route.kind.repeatable())
+}
+
 /// Whether an answer is to this request. Answers without an id are taken for it.
 fn is_own(entry: &Entry, job: &Job, head: &Response) -> bool {
     let name = entry.node.platform.headers.request;
--- a/crates/gradeloft_gateway/src/entry/learn.rs
+++ b/crates/gradeloft_gateway/src/entry/learn.rs
@@ -3,9 +3,14 @@
 use std::rc::Rc;
 
 use gradeloft_platform::fleet::Order;
-use gradeloft_policy::process::{
-    document::{Config, Document},
-    mirror::Record,
+use gradeloft_policy::{
+    clock::Time,
+    process::{
+        document::{Config, Document},
+        mirror::Record,
+        replicas::ReplicaKey,
+    },
+    version::named::{Named, Times},
 };
 use gradeloft_wire::frame::Table;
 use slog::{info, warn};
@@ -19,21 +24,36 @@
 /// Part of the time for new weights after which requests need them. The rest, one and a half seconds today, is
 /// for requests that wait at a replica before they begin.
 const VERSION_DUE: f64 = 0.8;
+/// Part of the time for new weights after which requests that wait at a replica with older ones are
+/// taken back, also from replicas behind links that carry little: a tenth of a second passes a link,
+/// the rest is for one that is slow.
+const VERSION_EXPIRED: f64 = 0.92;
 
 impl Entry {
     /// Oldest versions of weights on which a request to a service begins now: where a replica has
     /// room, and at all.
     pub fn oldest_versions(&self, service: &str) -> Oldest {
         let now = self.node.clock.now();
+        let oldest = |named: &Named| Oldest {
+            preferred: named.oldest_preferred(now),
+            allowed: named.oldest_allowed(now),
+        };
+        self.with_named(service, oldest).unwrap_or_default()
+    }
+
+    /// Until when a request to a service may wait at a replica to begin there; `None` for any time.
+    pub fn begin_by(&self, service: &str, replica: ReplicaKey) -> Option<Time> {
+        let held = self.version_of(replica)?;
+        self.with_named(service, |it| it.begin_by(held)).flatten()
+    }
+
+    /// What was named of a service's model.
+    fn with_named<T>(&self, service: &str, get: impl FnOnce(&Named) -> T) -> Option<T> {
         let config = self.config.borrow();
-        let service = config.as_ref().and_then(|it| it.service(service));
+        let service = config.as_ref()?.service(service)?;
         let weights = self.weights.borrow();
-        let mut models = service.iter().flat_map(|it| &it.models);
-        let named = models.find_map(|it| weights.get(it));
-        Oldest {
-            preferred: named.and_then(|it| it.oldest_preferred(now)),
-            allowed: named.and_then(|it| it.oldest_allowed(now)),
-        }
+        let named = service.models.iter().find_map(|it| weights.get(it));
+        named.map(get)
     }
 
     pub(super) fn changed(&self, table: Table, records: &[Record]) {
@@ -92,16 +112,20 @@
             true => now,
             false => now.after_ms((version_ms * part) as u64),
         };
-        let due = after(VERSION_DUE);
+        let times = Times {
+            preferred: after(VERSION_PREFERRED),
+            due: after(VERSION_DUE),
+            expired: after(VERSION_EXPIRED),
+        };
         let mut weights = self.weights.borrow_mut();
         let named = weights.entry(model.clone()).or_default();
         named.settle(now);
-        if !named.name(version, after(VERSION_PREFERRED), due) {
+        if !named.name(version, times) {
             return;
         }
         if let Some(log) = self.node.logs.line(Topic::Weights) {
             info!(log, "weights named"; "model" => model, "version" => version,
-                "due_ms" => due.since(now).as_millis() as u64);
+                "due_ms" => times.due.since(now).as_millis() as u64);
         }
     }
 
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -81,7 +81,7 @@
 };
 
 /// Oldest versions of weights on which a request may begin.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Oldest {
     /// Where a replica with it has room; `None` for any.
     pub preferred: Option<u64>,
--- a/crates/gradeloft_gateway/tests/entry/cut_off.rs
+++ b/crates/gradeloft_gateway/tests/entry/cut_off.rs
@@ -105,3 +105,39 @@
         until(|| async { entry.config_version() == 8 }).await;
     });
 }
+
+#[test]
+fn a_request_that_waits_at_a_replica_whose_weights_expire_is_taken_back() {
+    run(async {
+        let silent = vec![vec![Step::Read, Step::UntilGone]];
+        let scripts = vec![silent, well("from new weights")];
+        let world = World::unready(Shape::of(Kind::Idempotent), scripts).await;
+        world.holds(0, 1);
+        world.holds(1, 2);
+        world.tables.write(Table::Operator, "config", Some("1"));
+        world.tables.write(Table::Replicas, "i-0", Some("ready"));
+        let entry = world.entry.entry();
+        until(|| async { entry.replicas.borrow().len() == 1 && entry.config_version() == 1 }).await;
+        let before = entry.node.settings();
+        *entry.node.settings.borrow_mut() = Rc::new(Settings {
+            version_ms: 1_000,
+            ..(*before).clone()
+        });
+        world.tables.write(Table::Operator, "weights/m", Some("2"));
+        let old = entry.replicas.borrow().iter().next().unwrap().0;
+        until(|| async { entry.begin_by("s", old).is_some() }).await;
+        let asking = request("GET", "");
+        let asked = world.ask(&asking);
+        let filling = async {
+            until(|| async { world.arrivals() == 1 }).await;
+            world.tables.write(Table::Replicas, "i-1", Some("ready"));
+        };
+        let (answer, ()) = tokio::join!(asked, filling);
+        assert!(answer.ends_with("from new weights"), "{answer}");
+        let outdated = entry.node.metrics.text();
+        assert!(
+            outdated.contains(r#"reason="outdated"} 1"#),
+            "taken back, not given up: {outdated}"
+        );
+    });
+}
--- a/crates/gradeloft_policy/src/request/attempt.rs
+++ b/crates/gradeloft_policy/src/request/attempt.rs
@@ -13,6 +13,8 @@
     Lost,
     /// Another replica has the address now; it ran nothing.
     Misdirected,
+    /// It was taken back before it began, since the replica's weights became too old.
+    Outdated,
     /// The replica answered that it ran nothing.
     Refused,
     /// No connection could be made; nothing was sent.
@@ -33,13 +35,13 @@
     pub fn ran(self) -> Ran {
         match self {
             Failure::Misdirected | Failure::Refused | Failure::Unsent => Ran::No,
-            Failure::Broken | Failure::Failed | Failure::Lost => Ran::Unknown,
+            Failure::Broken | Failure::Failed | Failure::Lost | Failure::Outdated => Ran::Unknown,
         }
     }
 
     /// Whether it speaks against the replica, so that others are better for a while.
     pub fn blames_replica(self) -> bool {
-        !matches!(self, Failure::Refused | Failure::Failed)
+        !matches!(self, Failure::Failed | Failure::Outdated | Failure::Refused)
     }
 
     /// Name in logs and metrics.
@@ -49,6 +51,7 @@
             Failure::Failed => "failed",
             Failure::Lost => "lost",
             Failure::Misdirected => "misdirected",
+            Failure::Outdated => "outdated",
             Failure::Refused => "refused",
             Failure::Unsent => "unsent",
         }
--- a/crates/gradeloft_policy/src/version/named.rs
+++ b/crates/gradeloft_policy/src/version/named.rs
@@ -11,9 +11,18 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Coming {
     version: u64,
-    preferred: Time,
-    /// Not before `preferred`.
-    due: Time,
+    times: Times,
+}
+
+/// From when on a version counts how much.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Times {
+    /// Requests go to replicas that hold it if one has room.
+    pub preferred: Time,
+    /// Requests go to no others. Not before `preferred`.
+    pub due: Time,
+    /// Requests that have not begun at others are taken back. Not before `due`.
+    pub expired: Time,
 }
 
 /// Versions of one model that the operator named.
@@ -26,20 +35,22 @@
 }
 
 impl Named {
-    /// A version is named, preferred from `preferred` on, and due at `due`; gives whether it is newer
-    /// than all before.
-    pub fn name(&mut self, version: u64, preferred: Time, due: Time) -> bool {
+    /// A version is named; gives whether it is newer than all before.
+    pub fn name(&mut self, version: u64, times: Times) -> bool {
         if version <= self.newest() {
             return false;
         }
-        self.coming.push(Coming {
-            version,
-            preferred,
-            due,
-        });
+        self.coming.push(Coming { version, times });
         true
     }
 
+    /// Until when a request that was sent to a replica with `held` may wait there to begin; `None` for
+    /// any time.
+    pub fn begin_by(&self, held: u64) -> Option<Time> {
+        let newer = self.coming.iter().filter(|it| held < it.version);
+        newer.map(|it| it.times.expired).min()
+    }
+
     /// Newest version named; 0 for none.
     pub fn newest(&self) -> u64 {
         self.coming.last().map_or(self.due, |it| it.version)
@@ -47,12 +58,12 @@
 
     /// Oldest version on which a request may begin now; `None` for any.
     pub fn oldest_allowed(&self, now: Time) -> Option<u64> {
-        self.newest_of(|it| it.due <= now)
+        self.newest_of(|it| it.times.due <= now)
     }
 
     /// Oldest version on which a request begins now if a replica with it has room; `None` for any.
     pub fn oldest_preferred(&self, now: Time) -> Option<u64> {
-        self.newest_of(|it| it.preferred <= now)
+        self.newest_of(|it| it.times.preferred <= now)
     }
 
     /// Forgets which versions were due before the newest of them.
--- a/crates/gradeloft_policy/tests/versions.rs
+++ b/crates/gradeloft_policy/tests/versions.rs
@@ -6,7 +6,7 @@
     clock::Time,
     connection::window::Window,
     version::{
-        named::Named,
+        named::{Named, Times},
         waves::{Running, Wave},
     },
 };
@@ -16,9 +16,17 @@
 fn each_version_is_due_at_its_own_time() {
     let mut named = Named::default();
     let at = |ms| Time::ZERO.after_ms(ms);
-    assert!(named.name(2, at(4_000), at(5_000)));
-    assert!(named.name(3, at(6_500), at(7_000)));
-    assert!(!named.name(2, at(9_000), at(9_000)));
+    let times = |preferred, due, expired| Times {
+        preferred: at(preferred),
+        due: at(due),
+        expired: at(expired),
+    };
+    assert!(named.name(2, times(4_000, 5_000, 5_500)));
+    assert!(named.name(3, times(6_500, 7_000, 7_500)));
+    assert!(!named.name(2, times(9_000, 9_000, 9_000)));
+    assert_eq!(named.begin_by(1), Some(at(5_500)));
+    assert_eq!(named.begin_by(2), Some(at(7_500)));
+    assert_eq!(named.begin_by(3), None);
     assert_eq!(named.oldest_preferred(at(3_999)), None);
     assert_eq!(named.oldest_preferred(at(4_000)), Some(2));
     assert_eq!(named.oldest_preferred(at(6_500)), Some(3));
