--- a/crates/gradeloft_gateway/src/agent/fetch.rs
+++ b/crates/gradeloft_gateway/src/agent/fetch.rs
@@ -119,6 +119,7 @@
 impl Drop for Fetching {
     fn drop(&mut self) {
         *self.0.fetching.borrow_mut() = None;
+        self.0.congested.set(false);
     }
 }
 
@@ -295,6 +296,9 @@
     fn expire(&mut self) {
         let now = self.agent.node.clock.now();
         let stalled = self.fetch.borrow().stalled(now);
+        if !stalled.is_empty() {
+            self.agent.congested.set(true);
+        }
         for (idx, from) in stalled {
             self.fetch
                 .borrow_mut()
@@ -317,6 +321,7 @@
                 took,
             } => {
                 self.window.arrived(took);
+                self.agent.congested.set(self.window.congested());
                 if self.fetch.borrow_mut().arrived(ask.idx, ask.from, now) {
                     self.arrived(ask, content);
                 }
--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -136,6 +136,10 @@
     told_at: Cell<Time>,
     /// Whether entries were told last that the replica is to get no requests.
     told_closed: Cell<bool>,
+    /// Whether pieces come so slowly that the instance's link must be full.
+    pub congested: Cell<bool>,
+    /// What entries were told of it last.
+    told_congested: Cell<bool>,
     /// The replica is to get no requests until then.
     closed_until: Cell<Time>,
 }
@@ -176,6 +180,8 @@
             entries: RefCell::default(),
             told_at: Cell::default(),
             told_closed: Cell::default(),
+            congested: Cell::default(),
+            told_congested: Cell::default(),
             closed_until: Cell::default(),
         });
         let observing = Rc::downgrade(&agent);
@@ -366,7 +372,9 @@
         let told = |it: Option<State>| it.map(|it| (it.version, it.busy));
         let closed = self.closed();
         let reopened = self.told_closed.replace(closed) != closed;
-        let changed = reopened || told(before) != told(state);
+        let congested = self.congested.get();
+        let turned = self.told_congested.replace(congested) != congested;
+        let changed = reopened || turned || told(before) != told(state);
         let due = self.told_at.get().after_ms(TELL_MS) <= self.node.clock.now();
         if changed || due {
             self.tell();
@@ -386,6 +394,7 @@
         let engine = self.state.get().map(|it| Engine {
             version: it.version,
             loading: self.closed() || it.busy,
+            congested: self.congested.get(),
         });
         self.told_at.set(self.node.clock.now());
         let sender = Sender::Agent { replica, engine };
--- a/crates/gradeloft_gateway/src/entry/gossip.rs
+++ b/crates/gradeloft_gateway/src/entry/gossip.rs
@@ -227,6 +227,7 @@
         let report = Report {
             version: engine.version,
             loading: engine.loading,
+            congested: engine.congested,
             at: now,
         };
         self.replicas.borrow_mut().report_at(address, report);
--- a/crates/gradeloft_policy/src/connection/window.rs
+++ b/crates/gradeloft_policy/src/connection/window.rs
@@ -44,6 +44,11 @@
         self.size as usize
     }
 
+    /// Whether the last pieces took so long that one at a time is asked for.
+    pub fn congested(&self) -> bool {
+        self.size < 2.0
+    }
+
     /// A piece came after `took`.
     pub fn arrived(&mut self, took: Duration) {
         self.size = if self.nominal * SLOW < took {
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -51,6 +51,8 @@
     pub version: Option<u64>,
     /// Whether it takes no work now because weights are about to be loaded.
     pub loading: bool,
+    /// Whether its instance's link is full.
+    pub congested: bool,
     /// When the report came.
     pub at: Time,
 }
@@ -107,6 +109,11 @@
         0 < self.own && self.heard.after_ms(SILENCE_MS) <= now
     }
 
+    /// Whether requests wait before its instance's link, as its agent sees it.
+    pub fn congested(&self, now: Time) -> bool {
+        self.fresh(now).is_some_and(|it| it.congested)
+    }
+
     /// Whether it failed a moment ago.
     pub fn suspect(&self, now: Time) -> bool {
         now < self.paused_until
--- a/crates/gradeloft_policy/src/request/placement.rs
+++ b/crates/gradeloft_policy/src/request/placement.rs
@@ -53,6 +53,8 @@
     suspect: bool,
     /// It sends nothing although it has requests.
     silent: bool,
+    /// Its instance's link is full.
+    congested: bool,
     /// It has another version than the one that began the answer: whole answers come from one
     /// version wherever a replica of it has room.
     other_version: bool,
@@ -180,6 +182,7 @@
     Flaws {
         suspect: replica.suspect(now),
         silent: replica.silent(now),
+        congested: replica.congested(now),
         other_version: wish.same.is_some() && wish.same != replica.version(now),
     }
 }
--- a/crates/gradeloft_policy/tests/forwarding.rs
+++ b/crates/gradeloft_policy/tests/forwarding.rs
@@ -261,6 +261,7 @@
     let report = Report {
         version: Some(1),
         loading: true,
+        congested: false,
         at: Time::ZERO,
     };
     let address = replicas.get(key).unwrap().listing.address;
@@ -272,6 +273,27 @@
     );
 }
 
+#[test]
+fn a_replica_behind_a_full_link_gets_requests_only_when_nothing_else_has_room() {
+    let mut replicas = Replicas::default();
+    let behind = replicas.list(listing("a", Some(1)));
+    let report = Report {
+        version: Some(1),
+        loading: false,
+        congested: true,
+        at: Time::ZERO,
+    };
+    replicas.report_at(replicas.get(behind).unwrap().listing.address, report);
+    let busy = replicas.list(Listing {
+        address: "10.0.0.9:1".parse().unwrap(),
+        ..listing("b", Some(1))
+    });
+    replicas.get_mut(busy).unwrap().own = 4;
+    assert_eq!(choose(&replicas, WISH, Time::ZERO), Some(busy));
+    replicas.get_mut(busy).unwrap().own = 100;
+    assert_eq!(choose(&replicas, WISH, Time::ZERO), Some(behind));
+}
+
 #[test]
 fn requests_that_have_not_begun_weigh_more_than_free_slots() {
     let mut replicas = Replicas::default();
--- a/crates/gradeloft_wire/src/datagram.rs
+++ b/crates/gradeloft_wire/src/datagram.rs
@@ -97,4 +97,6 @@
     pub version: Option<u64>,
     /// Whether it takes no work now because weights are about to be loaded.
     pub loading: bool,
+    /// Whether the instance's link is full, so that requests to the replica wait before it.
+    pub congested: bool,
 }
