--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -30,6 +30,7 @@
         document::{Document, Service},
         mirror::Record,
     },
+    rendezvous,
     version::{fetch::Fetch, readers},
 };
 use gradeloft_wire::{
@@ -58,6 +59,9 @@
 /// Silence of all entries that the store serves after which an agent reads what the operator writes
 /// itself, in milliseconds: three of their pauses.
 const TOLD_MS: u64 = 1_600;
+/// Pause between questions for the operator's records while no version is named, in milliseconds. A
+/// configuration may be large and follow others closely, and little of it concerns an agent.
+const REFRESH_MS: u64 = 2_000;
 /// Longest pause between two datagrams to entries.
 const TELL_MS: u64 = 1_000;
 /// Longest wait of one read of the operator's table.
@@ -125,6 +129,8 @@
     loading: Cell<bool>,
     /// Replicas that changed over to the newest version, as an entry said last.
     switched: Cell<Option<Switched>>,
+    /// When an entry was asked for the operator's records last.
+    asked_at: Cell<Time>,
     /// Whether every stream of the service can go on at another replica.
     resumable: Cell<bool>,
     /// Whether the staged pieces are being looked through.
@@ -173,6 +179,7 @@
             state: Cell::default(),
             loading: Cell::default(),
             switched: Cell::default(),
+            asked_at: Cell::default(),
             resumable: Cell::default(),
             adopting: Cell::default(),
             config: RefCell::default(),
@@ -401,6 +408,18 @@
         self.node.tell(sender, self.entries().into_iter());
     }
 
+    /// Whether to ask an entry for the operator's records now: a version was named that this agent does
+    /// not know, or it has not asked for a while.
+    fn wants(&self, switched: &[Switched], now: Time) -> bool {
+        let target = self.target();
+        let newer = |it: &Switched| {
+            target.as_ref().is_none_or(|own| {
+                rendezvous::hash(own.model.as_bytes()) == it.model && own.number < it.version
+            })
+        };
+        switched.iter().any(newer) || self.asked_at.get().after_ms(REFRESH_MS) <= now
+    }
+
     async fn listen(self: Rc<Agent>) {
         loop {
             let (from, datagram) = self.node.heard().await;
@@ -412,7 +431,10 @@
                 self.switched.set(newest(self.switched.get(), &switched));
                 let heard = Heard { at, store };
                 let new = self.entries.borrow_mut().insert(from, heard).is_none();
-                self.node.heard_ends(from, datagram.ends);
+                if self.wants(&switched, at) {
+                    self.asked_at.set(at);
+                    self.node.heard_ends(from, &datagram.zone, datagram.ends);
+                }
                 if new {
                     self.tell();
                 }
--- a/crates/gradeloft_gateway/src/entry/gossip.rs
+++ b/crates/gradeloft_gateway/src/entry/gossip.rs
@@ -209,7 +209,7 @@
                 self.elsewhere.borrow_mut().insert(from, loads.collect());
             }
         }
-        self.node.heard_ends(from, datagram.ends);
+        self.node.heard_ends(from, &datagram.zone, datagram.ends);
     }
 
     fn learn(&self, entries: &[Ipv4Addr]) {
--- a/crates/gradeloft_gateway/src/node.rs
+++ b/crates/gradeloft_gateway/src/node.rs
@@ -50,6 +50,9 @@
 /// First and longest pause after a failed call to the store.
 const FIRST_PAUSE_MS: u64 = 150;
 const MAX_PAUSE_MS: u64 = 1_000;
+/// Time for which a peer of another region has to be ahead before it is asked for records, in
+/// milliseconds: two pauses between near entries' datagrams, and an answer.
+const FAR_MS: u64 = 300;
 /// Pause before a process that leaves reading to others looks again whether it is to read.
 const STANDBY: Duration = Duration::from_millis(200);
 /// Time after an interruption of reading a table within which the store may still drop records of
@@ -123,6 +126,8 @@
     copies: RefCell<[Mirror; 3]>,
     /// Tables that are being read from a peer.
     asking: Cell<[bool; 3]>,
+    /// Since when a peer of another region has been ahead with a table.
+    behind: Cell<[Option<Time>; 3]>,
     reading: RefCell<[Reading; 3]>,
     election: RefCell<Option<Rc<dyn Election>>>,
     /// Until when removals that peers told may be errors of the store's.
@@ -163,6 +168,7 @@
             leaving: Cell::new(false),
             copies: RefCell::default(),
             asking: Cell::default(),
+            behind: Cell::default(),
             reading: RefCell::default(),
             election: RefCell::default(),
             peer_doubt: Cell::default(),
@@ -376,14 +382,21 @@
         outgoing.finish(&reply).await;
     }
 
-    /// A peer's copies go up to `ends`: reads from it what this process lacks.
-    pub fn heard_ends(self: &Rc<Node>, peer: Ipv4Addr, ends: [u64; 3]) {
+    /// A peer's copies go up to `ends`: reads from it what this process lacks. Peers of other regions
+    /// are left alone for a moment, in which near ones most likely have it too.
+    pub fn heard_ends(self: &Rc<Node>, peer: Ipv4Addr, zone: &str, ends: [u64; 3]) {
+        let settings = self.settings();
+        let near = settings.region(zone) == settings.region(&settings.zone);
         for table in Table::ALL {
-            let behind = self.end(table) < ends[index(table)];
             let mut asking = self.asking.get();
-            if !behind || asking[index(table)] || !self.follows(table) {
+            if asking[index(table)] || !self.follows(table) {
+                continue;
+            }
+            let behind = self.end(table) < ends[index(table)];
+            if !behind || (!near && !self.long_behind(table)) {
                 continue;
             }
+            self.set_behind(table, None);
             asking[index(table)] = true;
             self.asking.set(asking);
             let node = Rc::clone(self);
@@ -396,6 +409,22 @@
         }
     }
 
+    /// Whether peers of other regions have been ahead with a table for a while.
+    fn long_behind(&self, table: Table) -> bool {
+        let now = self.clock.now();
+        let since = self.behind.get()[index(table)];
+        // What near peers brought meanwhile does not count as being behind.
+        let recent = since.filter(|it| now < it.after_ms(2 * FAR_MS));
+        self.set_behind(table, recent.or(Some(now)));
+        recent.is_some_and(|it| it.after_ms(FAR_MS) <= now)
+    }
+
+    fn set_behind(&self, table: Table, since: Option<Time>) {
+        let mut behind = self.behind.get();
+        behind[index(table)] = since;
+        self.behind.set(behind);
+    }
+
     /// Agents need replicas only while they fetch weights, and entries never.
     fn follows(&self, table: Table) -> bool {
         match self.settings.borrow().role {
--- a/crates/gradeloft_policy/src/process/mirror.rs
+++ b/crates/gradeloft_policy/src/process/mirror.rs
@@ -81,16 +81,20 @@
         changed
     }
 
-    /// What brings a copy that ends at `from` up to date.
+    /// What brings a copy that ends at `from` up to date: the records since, or the newest of every key
+    /// if those are fewer bytes, as after many versions of one large record.
     pub fn since(&self, from: u64) -> Update {
         let first = self.end - self.tail.len() as u64;
         if first <= from {
             let skip = (from - first) as usize;
-            return Update {
-                snapshot: false,
-                records: self.tail.iter().skip(skip).cloned().collect(),
-                end: self.end,
-            };
+            let missed = || self.tail.iter().skip(skip);
+            if bytes(missed()) <= bytes(self.newest.values()) {
+                return Update {
+                    snapshot: false,
+                    records: missed().cloned().collect(),
+                    end: self.end,
+                };
+            }
         }
         let mut records: Vec<Record> = self.newest.values().cloned().collect();
         records.sort_by_key(|it| it.offset);
@@ -164,3 +168,8 @@
         Some(record)
     }
 }
+
+fn bytes<'a>(records: impl Iterator<Item = &'a Record>) -> usize {
+    let value = |it: &Record| it.value.as_ref().map_or(0, Bytes::len);
+    records.map(|it| it.key.len() + value(it)).sum()
+}
--- a/crates/gradeloft_policy/tests/forwarding.rs
+++ b/crates/gradeloft_policy/tests/forwarding.rs
@@ -132,6 +132,24 @@
     assert_eq!(mirror.value("a"), Some(&Bytes::from("2")));
 }
 
+#[test]
+fn many_versions_of_a_large_record_are_passed_on_as_the_newest() {
+    let mut mirror = Mirror::default();
+    let large = "x".repeat(1_000);
+    let versions = (0..5).map(|it| record("config", Some(&format!("{it}{large}")), it));
+    mirror.apply(follow(versions.collect()));
+    let missed = mirror.since(1);
+    assert!(missed.snapshot);
+    assert_eq!((missed.records.len(), missed.end), (1, 5));
+    let last = mirror.since(4);
+    assert!(!last.snapshot);
+    assert_eq!(last.records.len(), 1);
+    let mut other = Mirror::default();
+    other.apply(missed);
+    assert_eq!(other.value("config"), mirror.value("config"));
+    assert_eq!(other.end(), 5);
+}
+
 #[test]
 fn a_snapshot_removes_what_it_does_not_name_and_an_old_one_removes_nothing() {
     let mut mirror = Mirror::default();
