Replace owners of pieces sooner that are slow to read them

Cause: an owner behind a link narrowed to 1.2 Mbit/s answers 'about to read' for six seconds, and every other agent waits for its pieces.

--- a/crates/gradeloft_gateway/src/agent/fetch.rs
+++ b/crates/gradeloft_gateway/src/agent/fetch.rs
@@ -46,9 +46,13 @@
 /// Time after which an ask counts as stalled, in milliseconds: all pieces that may wait for a slot
 /// at a peer, several times over.
 const STALL_MS: u64 = 2_000;
-/// Time given to the owner of a piece, for each rank, in milliseconds: half of the time in which the
+/// Time given to the owner of a piece, for each rank, in milliseconds: a third of the time in which the
 /// origin sends one copy.
-const TAKEOVER_MS: u64 = 600;
+const TAKEOVER_MS: u64 = 400;
+/// How often an owner may say that it is about to read a piece, beside the time that a whole version
+/// takes on its link, before the next one reads it. An owner behind a link that carries little would
+/// hold up all others, and a piece that is read twice costs little.
+const PENDINGS: u64 = 0;
 /// Copies of a version that all agents together may read from the origin before they slow down. Above
 /// one, since agents own unequal numbers of few pieces.
 const ORIGIN_COPIES: f64 = 4.0;
@@ -168,6 +172,7 @@
             stall_ms: STALL_MS,
             chunk_ms: piece_time.as_millis() as u64,
             takeover_ms: TAKEOVER_MS,
+            pendings: PENDINGS,
             objective: Objective::Time,
             origin_copies: ORIGIN_COPIES,
         };
--- a/crates/gradeloft_policy/src/version/fetch.rs
+++ b/crates/gradeloft_policy/src/version/fetch.rs
@@ -20,9 +20,6 @@
 
 /// Strikes after which a source is left alone for the rest of the fetch.
 const MAX_STRIKES: u32 = 4;
-/// How often an owner may say that it is about to read a chunk before it is doubted, beside the time
-/// that the whole version takes.
-const MAX_PENDINGS: u64 = 8;
 /// Wait before a peer that had no free slot is asked again, in milliseconds.
 const BUSY_WAIT_MS: u64 = 40;
 /// How many times longer the objective `origin_bytes` waits before it doubts an owner.
@@ -66,6 +63,9 @@
     pub chunk_ms: u64,
     /// Wait before an owner's silence is looked into, in milliseconds, times the square of the rank.
     pub takeover_ms: u64,
+    /// How often an owner may say that it is about to read a chunk before another reads it, beside the
+    /// time that the whole version takes.
+    pub pendings: u64,
     /// What the rollout spends.
     pub objective: Objective,
     /// Copies of the version that all members together may read from the origin.
@@ -525,7 +525,7 @@
 
     fn owner_failed(&mut self, idx: usize, node: u64, failure: Failure, now: Time) {
         let version_ms = self.items.len() as u64 * self.tuning.chunk_ms;
-        let most = MAX_PENDINGS + version_ms / self.tuning.takeover_ms.max(1);
+        let most = self.tuning.pendings + version_ms / self.tuning.takeover_ms.max(1);
         let item = &mut self.items[idx];
         match failure {
             Failure::Busy => item.waiting_since = now,
