--- a/crates/gradeloft_gateway/src/agent/change.rs
+++ b/crates/gradeloft_gateway/src/agent/change.rs
@@ -29,6 +29,21 @@
 /// the loading.
 const LOAD_MS: u64 = 8_000;
 
+/// Why a version was not brought to the replica.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Stop {
+    /// It failed, for this reason.
+    Failed(String),
+    /// A newer version was named.
+    Superseded,
+}
+
+impl From<String> for Stop {
+    fn from(reason: String) -> Stop {
+        Stop::Failed(reason)
+    }
+}
+
 impl Agent {
     /// Brings the replica to the version that it is to hold, again and again.
     pub(super) async fn update(self: Rc<Agent>) {
@@ -50,7 +65,13 @@
                             "version" => version.number, "ms" => took.as_millis() as u64);
                     }
                 }
-                Err(reason) => {
+                Err(Stop::Superseded) => {
+                    if let Some(log) = self.node.logs.line(Topic::Weights) {
+                        info!(log, "weights superseded"; "model" => &version.model,
+                            "version" => version.number);
+                    }
+                }
+                Err(Stop::Failed(reason)) => {
                     if let Some(log) = self.node.logs.line(Topic::Weights) {
                         warn!(log, "weights not loaded"; "model" => &version.model,
                             "version" => version.number, "reason" => reason);
@@ -69,7 +90,7 @@
         (!holds).then_some(target)
     }
 
-    async fn bring(self: &Rc<Agent>, version: &Version) -> Result<(), String> {
+    async fn bring(self: &Rc<Agent>, version: &Version) -> Result<(), Stop> {
         let named = self.node.clock.now();
         let others = fill::fill(self, version).await?;
         let wave = self.turn(version, named, &others).await;
@@ -90,7 +111,8 @@
 
     /// Waits until it is this replica's turn to load.
     async fn turn(&self, version: &Version, named: Time, others: &[u64]) -> Wave {
-        let wave = Wave::of(version.number, fill::node_hash(self.replica), others);
+        let own = fill::node_hash(self.replica);
+        let mut wave = Wave::of(version.number, own, others);
         let version_ms = self.node.settings().version_ms;
         let model = rendezvous::hash(version.model.as_bytes());
         let mut superseded_since = None;
@@ -100,8 +122,14 @@
             let switched = switched.filter(|it| (it.model, it.version) == (model, version.number));
             let switched = switched.map_or(0, |it| usize::from(it.replicas));
             let now = self.node.clock.now();
-            if self.target().as_ref() != Some(version) {
-                superseded_since = superseded_since.or(Some(now));
+            if let Some(newer) = self.target().filter(|it| it != version)
+                && superseded_since.is_none()
+            {
+                superseded_since = Some(now);
+                // Everybody waits for the newer version's readers, so they are done with this one first.
+                let all: Vec<u64> = others.iter().copied().chain([own]).collect();
+                let readers = self.readers(&newer, &all);
+                wave = Wave::after(version.number, own, others, &readers);
             }
             let superseded = superseded_since.is_some_and(|it| wave.may_load_superseded(it, now));
             if !serves || superseded || wave.may_load(switched, named, version_ms, now) {
@@ -111,7 +139,7 @@
         }
     }
 
-    async fn load(&self, version: &Version, wave: Wave) -> Result<(), String> {
+    async fn load(&self, version: &Version, wave: Wave) -> Result<(), Stop> {
         actix_rt::time::sleep(HEADS_UP).await;
         self.idle().await?;
         let running = wave.running(self.resumable.get());
@@ -131,10 +159,10 @@
         }
         match ordered {
             Ok(Taken::Started) => self.loaded(version).await,
-            Ok(Taken::Conflict) => Err("the replica is in another state".to_owned()),
-            Ok(Taken::Fenced) => Err("a higher fence has been used".to_owned()),
+            Ok(Taken::Conflict) => Err("the replica is in another state".to_owned().into()),
+            Ok(Taken::Fenced) => Err("a higher fence has been used".to_owned().into()),
             // It may have been taken all the same; what the replica holds will show.
-            Err(fault) => Err(fault.to_string()),
+            Err(fault) => Err(fault.to_string().into()),
         }
     }
 
@@ -162,22 +190,22 @@
     }
 
     /// Waits until the replica holds a version.
-    async fn loaded(&self, version: &Version) -> Result<(), String> {
+    async fn loaded(&self, version: &Version) -> Result<(), Stop> {
         let until = self.node.clock.now().after_ms(LOAD_MS);
         loop {
             let state = self.state.get();
             match state {
                 Some(state) if state.version == Some(version.number) => return Ok(()),
-                None => return Err("the replica does not answer".to_owned()),
+                None => return Err("the replica does not answer".to_owned().into()),
                 Some(_) => {}
             }
             // What is loaded was fixed when the order was taken, so the next version's pieces can
             // be staged meanwhile.
             if self.target().as_ref() != Some(version) {
-                return Err("another version was named".to_owned());
+                return Err(Stop::Superseded);
             }
             if until <= self.node.clock.now() {
-                return Err("the order shows no effect".to_owned());
+                return Err("the order shows no effect".to_owned().into());
             }
             actix_rt::time::sleep(ASK_LOADING).await;
         }
--- a/crates/gradeloft_gateway/src/agent/fetch.rs
+++ b/crates/gradeloft_gateway/src/agent/fetch.rs
@@ -35,6 +35,7 @@
 
 use super::{
     Agent, Version,
+    change::Stop,
     fill::{Member, node_hash},
 };
 use crate::{logs::Topic, metrics::Reason};
@@ -95,11 +96,7 @@
 }
 
 /// Gets the pieces of `version` that are not staged; gives how many those were.
-pub async fn run(
-    agent: &Rc<Agent>,
-    version: &Version,
-    members: &[Member],
-) -> Result<usize, String> {
+pub async fn run(agent: &Rc<Agent>, version: &Version, members: &[Member]) -> Result<usize, Stop> {
     let mut driver = Driver::new(agent, version, members);
     let missing = driver.fetch.borrow().left();
     if missing == 0 {
@@ -196,7 +193,7 @@
         }
     }
 
-    async fn run(&mut self) -> Result<(), String> {
+    async fn run(&mut self) -> Result<(), Stop> {
         self.follow_partners();
         let settled = self.agent.node.clock.now().after(SETTLE);
         while !(self.fetch.borrow().complete() && self.staging == 0) {
@@ -209,10 +206,10 @@
                 () = actix_rt::time::sleep(TICK) => self.expire(),
             }
             if self.superseded() {
-                return Err("another version was named".to_owned());
+                return Err(Stop::Superseded);
             }
             if self.arrived.after_ms(STUCK_MS) <= self.agent.node.clock.now() {
-                return Err("no piece came for long".to_owned());
+                return Err("no piece came for long".to_owned().into());
             }
         }
         Ok(())
--- a/crates/gradeloft_gateway/src/agent/fill.rs
+++ b/crates/gradeloft_gateway/src/agent/fill.rs
@@ -12,7 +12,7 @@
 use slog::{info, warn};
 use tokio::time::timeout;
 
-use super::{Agent, Holding, Version, fetch};
+use super::{Agent, Holding, Version, change::Stop, fetch};
 use crate::logs::Topic;
 
 /// Peers that are asked for a manifest while the origin is out of reach.
@@ -36,7 +36,7 @@
 }
 
 /// Fetches what is missing of a version until all of it is staged; gives the other agents.
-pub async fn fill(agent: &Rc<Agent>, version: &Version) -> Result<Vec<u64>, String> {
+pub async fn fill(agent: &Rc<Agent>, version: &Version) -> Result<Vec<u64>, Stop> {
     let members = members(agent).await;
     // What a known other version left staged can't be of this one, so only pieces of unknown origin
     // are looked through.
--- a/crates/gradeloft_policy/src/version/waves.rs
+++ b/crates/gradeloft_policy/src/version/waves.rs
@@ -44,9 +44,18 @@
 impl Wave {
     /// The wave of the replica `own` for a version; `others` are all other replicas of the service.
     pub fn of(version: u64, own: u64, others: &[u64]) -> Wave {
+        Wave::after(version, own, others, &[])
+    }
+
+    /// As [`Wave::of`], with `first` before all others.
+    pub fn after(version: u64, own: u64, others: &[u64], first: &[u64]) -> Wave {
         let all = others.len() + 1;
         let waves = WAVES.min(all);
-        let rank = rendezvous::rank(version, own, others.iter().copied());
+        let is_first = |it: &u64| first.contains(it);
+        let (ahead, alike): (Vec<u64>, Vec<u64>) =
+            others.iter().partition(|it| is_first(it) != is_first(&own));
+        let ahead = if is_first(&own) { 0 } else { ahead.len() };
+        let rank = ahead + rendezvous::rank(version, own, alike.into_iter());
         let number = rank * waves / all;
         Wave {
             number,
--- a/crates/gradeloft_policy/tests/versions.rs
+++ b/crates/gradeloft_policy/tests/versions.rs
@@ -92,6 +92,19 @@
     assert_eq!([at(0), at(400), at(800), at(1_200)], [5, 10, 15, 20]);
 }
 
+#[test]
+fn those_that_are_to_be_first_are_in_the_earliest_waves() {
+    let nodes: Vec<u64> = (0..20).collect();
+    let first = [3, 11, 17, 18, 19];
+    let begins = |own: &u64| {
+        let others: Vec<u64> = nodes.iter().copied().filter(|it| it != own).collect();
+        let wave = Wave::after(9, *own, &others, &first);
+        wave.may_load_superseded(Time::ZERO, Time::ZERO)
+    };
+    let begun: Vec<u64> = nodes.iter().copied().filter(begins).collect();
+    assert_eq!(begun, first);
+}
+
 #[test]
 fn resumable_streams_are_cut_except_in_the_last_wave() {
     let waves = waves(20);
