--- a/crates/gradeloft_gateway/src/entry/attempt.rs
+++ b/crates/gradeloft_gateway/src/entry/attempt.rs
@@ -237,7 +237,7 @@
         "content-length",
         "expect",
     ];
-    if job.last_event.is_some() {
+    if job.cursor.last().is_some() {
         drop.push("last-event-id");
     }
     for header in received.head.fields.forwarded(&drop) {
@@ -250,7 +250,7 @@
     if let Some(team) = &job.team {
         set(headers.team, team);
     }
-    if let Some(event) = job.last_event {
+    if let Some(event) = job.cursor.last() {
         set("Last-Event-Id", &event.to_string());
     }
     if received.has_body {
--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -23,6 +23,7 @@
     relay::Stored,
 };
 use crate::{
+    events::Cursor,
     h1::wire::Wire,
     logs::Topic,
     metrics::{Ending, Metrics, Reason},
@@ -46,8 +47,8 @@
     pub tried: Vec<ReplicaKey>,
     /// Whether the head of a stream went out to the caller.
     pub head_sent: bool,
-    /// Id of the last event that went out to the caller.
-    pub last_event: Option<u64>,
+    /// How far a stream went out to the caller.
+    pub cursor: Cursor,
     /// Version of the weights that began the answer.
     pub version: Option<u64>,
     /// When the answer began.
@@ -137,7 +138,7 @@
         route,
         tried: Vec::new(),
         head_sent: false,
-        last_event: None,
+        cursor: Cursor::default(),
         version: None,
         first_byte: None,
         keeps,
--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -274,7 +274,7 @@
             Read::Broken => return Ended::Failed(Failure::Broken, None),
             Read::Silent => return Ended::Failed(Failure::Lost, None),
         };
-        if take_events(job, &mut splitter, &mut out).is_err() {
+        if job.cursor.pass(&mut splitter, &mut out).is_err() {
             return Ended::Failed(Failure::Broken, None);
         }
         if ended && splitter.partial() {
@@ -307,25 +307,6 @@
     }
 }
 
-/// Moves whole events to `out`; those that the caller has are left out.
-fn take_events(
-    job: &mut Job,
-    splitter: &mut Splitter,
-    out: &mut BytesMut,
-) -> Result<(), crate::events::TooLong> {
-    while let Some(event) = splitter.take()? {
-        let had = event
-            .id
-            .is_some_and(|id| job.last_event.is_some_and(|it| id <= it));
-        if had {
-            continue;
-        }
-        job.last_event = event.id.or(job.last_event);
-        out.extend_from_slice(&event.bytes);
-    }
-    Ok(())
-}
-
 async fn send(caller: &mut Wire, bytes: &[u8], deadline: Instant) -> bool {
     let sent = tokio::time::timeout_at(deadline, caller.send(bytes)).await;
     matches!(sent, Ok(Ok(())))
--- a/crates/gradeloft_gateway/src/events.rs
+++ b/crates/gradeloft_gateway/src/events.rs
@@ -79,6 +79,47 @@
     }
 }
 
+/// How far a stream has been passed on, over all replicas that gave part of it.
+///
+/// ```
+/// use bytes::BytesMut;
+/// use gradeloft_gateway::events::{Cursor, Splitter};
+/// let mut cursor = Cursor::default();
+/// let mut out = BytesMut::new();
+/// for replica in [&b"id: 1\n\nid: 2\n\nid: 3\nhal"[..], b"id: 2\n\nid: 3\n\n"] {
+///     let mut splitter = Splitter::default();
+///     splitter.feed(replica);
+///     cursor.pass(&mut splitter, &mut out).unwrap();
+/// }
+/// assert_eq!(&out[..], b"id: 1\n\nid: 2\n\nid: 3\n\n");
+/// ```
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Cursor {
+    last: Option<u64>,
+}
+
+impl Cursor {
+    /// Id of the last event that was passed on.
+    pub fn last(self) -> Option<u64> {
+        self.last
+    }
+
+    /// Moves whole events to `out`; those that were passed on before are left out.
+    pub fn pass(&mut self, splitter: &mut Splitter, out: &mut BytesMut) -> Result<(), TooLong> {
+        while let Some(event) = splitter.take()? {
+            let had = event
+                .id
+                .is_some_and(|id| self.last.is_some_and(|it| id <= it));
+            if had {
+                continue;
+            }
+            self.last = event.id.or(self.last);
+            out.extend_from_slice(&event.bytes);
+        }
+        Ok(())
+    }
+}
+
 fn id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|it| *it == b'\n');
     let value = lines
--- a/crates/gradeloft_gateway/tests/framing.rs
+++ b/crates/gradeloft_gateway/tests/framing.rs
@@ -2,7 +2,7 @@
 
 use bytes::BytesMut;
 use gradeloft_gateway::{
-    events::Splitter,
+    events::{Cursor, Splitter},
     h1::{
         body::{Decoder, Framing, Piece},
         head,
@@ -90,3 +90,36 @@
     let mut short = Decoder::new(Framing::Length(9));
     assert!(!short.closed());
 }
+
+/// The bytes of a stream's events from number `from` on.
+fn events(from: u64, to: u64) -> Vec<u8> {
+    let event = |it: u64| format!("id: {it}\ndata: {}\n\n", "x".repeat(it as usize % 5));
+    (from..=to).map(event).collect::<String>().into_bytes()
+}
+
+proptest! {
+    /// Replicas break off anywhere, and those that go on repeat some events, or all: the caller gets
+    /// each event once and in order. Fails if events that the caller has are not left out, or if half
+    /// an event is passed on.
+    #[test]
+    fn a_stream_over_any_replicas_has_each_event_once(
+        runs in prop::collection::vec((0..8u64, 0..200usize, 1..40usize), 0..6),
+        count in 1..20u64,
+    ) {
+        let mut cursor = Cursor::default();
+        let mut out = BytesMut::new();
+        let last_run = (0, usize::MAX, 7);
+        for (repeated, bytes, part) in runs.into_iter().chain([last_run]) {
+            let from = (cursor.last().unwrap_or(0) + 1).saturating_sub(repeated).max(1);
+            let run = events(from, count);
+            let run = &run[..bytes.min(run.len())];
+            let mut splitter = Splitter::default();
+            for part in run.chunks(part) {
+                splitter.feed(part);
+                cursor.pass(&mut splitter, &mut out).unwrap();
+            }
+        }
+        prop_assert_eq!(&out[..], &events(1, count)[..]);
+        prop_assert_eq!(cursor.last(), Some(count));
+    }
+}
--- a/crates/gradeloft_policy/tests/forwarding.rs
+++ b/crates/gradeloft_policy/tests/forwarding.rs
@@ -173,6 +173,11 @@
     assert_eq!((mirror.value("a"), mirror.end()), (None, 9));
 }
 
+/// Offset of the newest record that a copy has.
+fn newest(copy: &Mirror) -> Option<u64> {
+    copy.records().map(|it| it.offset).max()
+}
+
 proptest! {
     /// Whatever a copy saw before, what a peer gives it brings it to the peer's state.
     #[test]
@@ -198,6 +203,82 @@
         }
     }
 
+    /// Whatever order a process reads the store, an old page of it and its peers in, and whenever
+    /// processes start again and the store drops what is older than the newest records, the value
+    /// that a process has of a key never goes back, and after one more read it is the store's. Fails
+    /// if an old snapshot is taken in and the offsets of its records are not compared.
+    #[test]
+    fn a_value_never_goes_back(
+        steps in prop::collection::vec((0..6u8, 0..3usize, 0..60usize), 1..200),
+    ) {
+        let mut log: Vec<Record> = vec![record("config", Some("0"), 0)];
+        let mut copies: Vec<Mirror> = (0..3).map(|_| Mirror::default()).collect();
+        let snapshot = |log: &[Record]| Update {
+            snapshot: true,
+            records: log.last().cloned().into_iter().collect(),
+            end: log.len() as u64,
+        };
+        for (step, copy, back) in steps {
+            let before = newest(&copies[copy]);
+            match step {
+                // The operator writes.
+                0 => log.push(record("config", Some(&log.len().to_string()), log.len() as u64)),
+                // The records since the copy's end, or since some time before.
+                1 => {
+                    let from = (copies[copy].end() as usize).saturating_sub(back);
+                    let update = follow(log[from.min(log.len())..].to_vec());
+                    copies[copy].apply(update);
+                }
+                // The newest records, as they are or as they were.
+                2 => {
+                    let upto = log.len().saturating_sub(back).max(1);
+                    copies[copy].apply(snapshot(&log[..upto]));
+                }
+                // A peer.
+                3 | 4 => {
+                    let update = copies[(copy + 1) % 3].since(copies[copy].end());
+                    copies[copy].apply(update);
+                }
+                // It starts again.
+                _ => copies[copy] = Mirror::default(),
+            }
+            prop_assert!(step == 5 || before <= newest(&copies[copy]));
+        }
+        for copy in &mut copies {
+            copy.apply(snapshot(&log));
+            prop_assert_eq!(newest(copy), log.last().map(|it| it.offset));
+        }
+    }
+
+    /// A request that may run once goes to another replica only while it certainly has not run, no
+    /// request goes to more replicas than allowed, and "not run" is known only if no attempt may have
+    /// run. Fails if any failure counts for less than it is.
+    #[test]
+    fn attempts_in_any_order_keep_the_promises(
+        kind in prop::sample::select(vec![Kind::Idempotent, Kind::Once, Kind::ResumableStream, Kind::Stream]),
+        failures in prop::collection::vec(prop::sample::select(vec![
+            Failure::Broken, Failure::Failed, Failure::Lost, Failure::Misdirected,
+            Failure::Outdated, Failure::Refused, Failure::Unsent,
+        ]), 0..12),
+        max_attempts in 0..5u32,
+    ) {
+        let mut progress = Progress::new(kind, max_attempts);
+        let mut arrivals = 0;
+        let mut may_have_run = false;
+        for failure in failures {
+            if !progress.may_repeat() {
+                break;
+            }
+            progress.ended(failure);
+            arrivals += u32::from(failure != Failure::Unsent);
+            may_have_run |= !matches!(failure, Failure::Misdirected | Failure::Refused | Failure::Unsent);
+            let repeatable = matches!(kind, Kind::Idempotent | Kind::ResumableStream);
+            prop_assert!(arrivals <= max_attempts.max(1));
+            prop_assert_eq!(progress.ran == Ran::Unknown, may_have_run);
+            prop_assert!(!progress.may_repeat() || !may_have_run || repeatable);
+        }
+    }
+
     /// In every span of the window's length all entries together repeat at most the ratio of the
     /// requests in the wider span that is counted with it, and the slack.
     #[test]
