--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -62,6 +62,12 @@
 /// Pause between questions for the operator's records while no version is named, in milliseconds. A
 /// configuration may be large and follow others closely, and little of it concerns an agent.
 const REFRESH_MS: u64 = 2_000;
+/// Time after a replica's first answer for an entry to tell its agent, in milliseconds. Until then the
+/// agent has nothing to do; longer would keep an added replica empty.
+const TOLD_START_MS: u64 = 250;
+/// Time after a start at which an agent reads for itself even if its replica does not answer, in
+/// milliseconds.
+const LATEST_START_MS: u64 = 3_000;
 /// Longest pause between two datagrams to entries.
 const TELL_MS: u64 = 1_000;
 /// Longest wait of one read of the operator's table.
@@ -129,6 +135,8 @@
     loading: Cell<bool>,
     /// Replicas that changed over to the newest version, as an entry said last.
     switched: Cell<Option<Switched>>,
+    /// When the replica answered first.
+    begun_at: Cell<Option<Time>>,
     /// When an entry was asked for the operator's records last.
     asked_at: Cell<Time>,
     /// Whether every stream of the service can go on at another replica.
@@ -179,6 +187,7 @@
             state: Cell::default(),
             loading: Cell::default(),
             switched: Cell::default(),
+            begun_at: Cell::default(),
             asked_at: Cell::default(),
             resumable: Cell::default(),
             adopting: Cell::default(),
@@ -364,6 +373,9 @@
                 None
             }
         };
+        if state.is_some() && self.begun_at.get().is_none() {
+            self.begun_at.set(Some(self.node.clock.now()));
+        }
         if before.is_none()
             && state.is_some()
             && let Some(log) = self.node.logs.line(Topic::Dependency)
@@ -444,12 +456,19 @@
 }
 
 impl Election for Weak<Agent> {
-    /// An agent reads what the operator writes only while no entry tells it.
-    fn reads(&self, _: Table) -> bool {
+    /// An agent reads what the operator writes only while no entry tells it. After a start it gives the
+    /// entries time to: when everything starts at once, the configuration would else go to each agent
+    /// over the links that requests and weights need.
+    fn reads(&self, table: Table) -> bool {
         let Some(agent) = self.upgrade() else {
             return false;
         };
         let now = agent.node.clock.now();
+        let begun = agent.begun_at.get();
+        let patient = begun.is_none_or(|it| now < it.after_ms(TOLD_START_MS));
+        if !agent.node.loaded(table) && patient && now < Time::ZERO.after_ms(LATEST_START_MS) {
+            return false;
+        }
         let tells = |it: &Heard| it.store == Access::Served && now < it.at.after_ms(TOLD_MS);
         !agent.entries.borrow().values().any(tells)
     }
--- a/crates/gradeloft_gateway/src/entry/gossip.rs
+++ b/crates/gradeloft_gateway/src/entry/gossip.rs
@@ -247,6 +247,10 @@
         let Some(entry) = self.upgrade() else {
             return false;
         };
+        // What was never read is read in any case.
+        if !entry.node.loaded(table) {
+            return true;
+        }
         let settings = entry.node.settings();
         let own = settings.region(&settings.zone);
         let roster = entry.roster.borrow();
--- a/crates/gradeloft_gateway/src/node.rs
+++ b/crates/gradeloft_gateway/src/node.rs
@@ -265,7 +265,7 @@
         loop {
             if self.stands_by(table) {
                 // Peers keep the copy up to date, so reading goes on where it ends.
-                fresh = true;
+                fresh = self.loaded(table);
                 actix_rt::time::sleep(STANDBY).await;
                 continue;
             }
@@ -290,10 +290,10 @@
         }
     }
 
-    /// Whether reading a table is left to others now. What was never read is read in any case.
+    /// Whether reading a table is left to others now.
     fn stands_by(&self, table: Table) -> bool {
         let election = self.election.borrow().clone();
-        let Some(election) = election.filter(|_| self.loaded(table)) else {
+        let Some(election) = election else {
             return false;
         };
         let reads = election.reads(table);
