--- a/crates/gradeloft_cli/src/args.rs
+++ b/crates/gradeloft_cli/src/args.rs
@@ -40,6 +40,18 @@
         /// The shell.
         shell: Shell,
     },
+    /// Say what happened to a request, from the logs of the processes.
+    #[command(
+        after_help = "Example:\n  gradeloft explain --request 9c41d07be2a35f68 entry-1.log entry-2.log"
+    )]
+    Explain {
+        /// Id of the caller's attempt.
+        #[arg(long)]
+        request: String,
+        /// Log files, in any order.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Look at the fleet.
     #[command(subcommand)]
     Fleet(FleetCommand),
--- a/crates/gradeloft_cli/src/command.rs
+++ b/crates/gradeloft_cli/src/command.rs
@@ -1,8 +1,9 @@
 //! The commands and what they print.
 
 use std::{
+    fs,
     io::{self, IsTerminal, Write},
-    path::Path,
+    path::{Path, PathBuf},
     process::ExitCode,
     rc::Rc,
     time::Duration,
@@ -10,7 +11,7 @@
 
 use clap::CommandFactory;
 use gradeloft_cli::{
-    bundles, diff,
+    bundles, diff, explain,
     fleet::{self, Member},
     history::History,
     keys,
@@ -66,6 +67,7 @@
             let text = String::from_utf8_lossy(&text).into_owned();
             Output::done(text.clone(), json!({ "completions": text }))
         }
+        Command::Explain { request, logs } => explain_request(&request, &logs),
         Command::Fleet(FleetCommand::Status(platform)) => fleet_status(&platform).await,
         Command::Keygen { out } => keygen(&out),
         Command::Settings(SettingsCommand::Check { file }) => check_settings(&file),
@@ -107,6 +109,45 @@
     }
 }
 
+fn explain_request(request: &str, logs: &[PathBuf]) -> Output {
+    let mut text = String::new();
+    for path in logs {
+        match fs::read(path) {
+            Ok(content) => {
+                text.push_str(&String::from_utf8_lossy(&content));
+                text.push('\n');
+            }
+            Err(error) => {
+                let error = format!("{}: {error}", path.display());
+                return Output::failed(Ending::BadInput, error);
+            }
+        }
+    }
+    let found = explain::explain(text.lines(), request);
+    if found.endings.is_empty() {
+        let error = format!(
+            "no line of request {request} in {} lines; {} were left out by the processes",
+            found.lines, found.left_out
+        );
+        return Output::failed(Ending::Refused, error);
+    }
+    let mut shown = String::new();
+    for ending in &found.endings {
+        shown.push_str(&format!("at {}\n", ending.node));
+        for step in &ending.steps {
+            shown.push_str(&format!("  {step}\n"));
+        }
+    }
+    if !found.related.is_empty() {
+        shown.push_str("lines about its replicas\n");
+    }
+    for line in &found.related {
+        shown.push_str(&format!("  {line}\n"));
+    }
+    let json = serde_json::to_value(&found).unwrap_or_default();
+    Output::done(shown, json)
+}
+
 fn keygen(out: &Path) -> Output {
     match keys::generate(out) {
         Ok(key) => {
--- a/crates/gradeloft_cli/src/lib.rs
+++ b/crates/gradeloft_cli/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`bundles`]: bundles and their signed form in files.
 //! - [`diff`]: what a bundle changes.
+//! - [`explain`]: what happened to a request, from logs.
 //! - [`fleet`]: the state of all nodes.
 //! - [`history`]: what the log says was published, and what became of it.
 //! - [`keys`]: key files.
@@ -11,6 +12,7 @@
 
 pub mod bundles;
 pub mod diff;
+pub mod explain;
 pub mod fleet;
 pub mod history;
 pub mod keys;
--- a/crates/gradeloft_gateway/src/node.rs
+++ b/crates/gradeloft_gateway/src/node.rs
@@ -297,6 +297,12 @@
             return false;
         };
         let reads = election.reads(table);
+        let before = self.reading.borrow()[index(table)];
+        if reads == (before == Reading::Standby)
+            && let Some(log) = self.logs.line(Topic::Dependency)
+        {
+            info!(log, "duty"; "table" => ?table, "reads_store" => reads);
+        }
         let reading = &mut self.reading.borrow_mut()[index(table)];
         match (reads, *reading) {
             (false, _) => *reading = Reading::Standby,
