Split the fetch of versions, the node's tables and the questions for pieces into modules of their own

No change of behaviour. Names that the field does not use go: strikes are failures, doubted owners are suspected, and an owner announces that it will read a chunk.

--- a/crates/gradeloft_bench/src/footprint.rs
+++ b/crates/gradeloft_bench/src/footprint.rs
@@ -400,7 +400,7 @@
         stall_ms: 1_000_000,
         chunk_ms: 0,
         takeover_ms: 1_000_000,
-        pendings: 8,
+        announced: 8,
         objective: Objective::Time,
         origin_copies: 4.0,
     };
--- a/crates/gradeloft_daemon/src/agent/fetch.rs
+++ b/crates/gradeloft_daemon/src/agent/fetch.rs
@@ -45,7 +45,7 @@
 const TAKEOVER_MS: u64 = 600;
 /// How often an owner may say that it is about to read a chunk before it is doubted, beside the time
 /// that the whole version takes.
-const PENDINGS: u64 = 8;
+const ANNOUNCED: u64 = 8;
 /// Pause before a chunk is handed to the engine again.
 const STAGE_RETRY: Duration = Duration::from_millis(60);
 /// How often asks are looked at again without an event.
@@ -416,7 +416,7 @@
         stall_ms: LEAST_STALL_MS + QUEUED_CHUNKS * chunk_ms,
         chunk_ms,
         takeover_ms: TAKEOVER_MS,
-        pendings: PENDINGS,
+        announced: ANNOUNCED,
         objective,
         origin_copies: agent.rollout().origin_copies,
     }
--- a/crates/gradeloft_gateway/src/agent/fetch.rs
+++ b/crates/gradeloft_gateway/src/agent/fetch.rs
@@ -27,7 +27,7 @@
 };
 use gradeloft_wire::{
     border::bundle::Objective,
-    frame::{Absence, Call, Reply},
+    frame::{Call, Reply},
     id::Digest,
 };
 use slog::warn;
@@ -35,6 +35,7 @@
 
 use super::{
     Agent, Version,
+    ask::{self, Answered},
     change::Stop,
     fill::{Member, node_hash},
 };
@@ -53,7 +54,7 @@
 /// How often an owner may say that it is about to read a piece, beside the time that a whole version
 /// takes on its link, before the next one reads it. An owner behind a link that carries little would
 /// hold up all others, and a piece that is read twice costs little.
-const PENDINGS: u64 = 0;
+const ANNOUNCED: u64 = 0;
 /// Copies of a version that all agents together may read from the origin before they slow down. Above
 /// one, since agents own unequal numbers of few pieces.
 const ORIGIN_COPIES: f64 = 4.0;
@@ -73,11 +74,7 @@
 const STAGE_RETRY: Duration = Duration::from_millis(60);
 
 enum Event {
-    Asked {
-        ask: Ask,
-        result: Result<Bytes, Failure>,
-        took: Duration,
-    },
+    Asked(Answered),
     Followed {
         key: SourceKey,
         node: u64,
@@ -169,7 +166,7 @@
             stall_ms: STALL_MS,
             chunk_ms: piece_time.as_millis() as u64,
             takeover_ms: TAKEOVER_MS,
-            pendings: PENDINGS,
+            announced: ANNOUNCED,
             objective: Objective::Time,
             origin_copies: ORIGIN_COPIES,
         };
@@ -275,13 +272,13 @@
             let Some(ask) = next else {
                 return;
             };
-            let asking = ask_source(
+            let asking = ask::piece(
                 Rc::clone(self.agent),
                 self.version.clone(),
                 ask,
                 self.address(ask.from),
             );
-            self.events.push(asking.boxed_local());
+            self.events.push(asking.map(Event::Asked).boxed_local());
         }
     }
 
@@ -317,22 +314,22 @@
     fn handle(&mut self, event: Event) {
         let now = self.agent.node.clock.now();
         match event {
-            Event::Asked {
+            Event::Asked(Answered {
                 ask,
                 result: Ok(content),
                 took,
-            } => {
+            }) => {
                 self.window.arrived(took);
                 self.agent.congested.set(self.window.congested());
                 if self.fetch.borrow_mut().arrived(ask.idx, ask.from, now) {
                     self.arrived(ask, content);
                 }
             }
-            Event::Asked {
+            Event::Asked(Answered {
                 ask,
                 result: Err(failure),
                 ..
-            } => {
+            }) => {
                 self.warn(ask, failure);
                 self.fetch
                     .borrow_mut()
@@ -462,59 +459,3 @@
     }
     .boxed_local()
 }
-
-async fn ask_source(
-    agent: Rc<Agent>,
-    version: Version,
-    ask: Ask,
-    address: Option<SocketAddr>,
-) -> Event {
-    let started = agent.node.clock.now();
-    let result = match ask.from {
-        From::Origin => origin_piece(&agent, &version, ask.chunk.digest).await,
-        // This platform has no store of weights beside the origin.
-        From::Store => Err(Failure::NotHeld),
-        From::Owner(_) | From::Source(_) => match address {
-            Some(address) => peer_piece(&agent, address, ask.chunk.digest).await,
-            None => Err(Failure::Gone),
-        },
-    };
-    let digest = |it: &Bytes| agent.node.platform.origin.digest(it);
-    let result = result.and_then(|content| {
-        if digest(&content) == ask.chunk.digest {
-            Ok(content)
-        } else {
-            Err(Failure::Corrupt)
-        }
-    });
-    let took = agent.node.clock.now().since(started);
-    Event::Asked { ask, result, took }
-}
-
-async fn origin_piece(agent: &Agent, version: &Version, digest: Digest) -> Result<Bytes, Failure> {
-    let idx = agent.holding.borrow().positions.get(&digest).copied();
-    let idx = idx.ok_or(Failure::NotHeld)?;
-    let address = agent.origin().ok_or(Failure::Gone)?;
-    let origin = &agent.node.platform.origin;
-    let read = origin.piece(address, &version.model, version.number, idx);
-    read.await.map_err(|fault| {
-        if let Some(log) = agent.node.logs.line(Topic::Weights) {
-            warn!(log, "origin did not give a piece"; "version" => version.number, "piece" => idx,
-                "fault" => %fault);
-        }
-        Failure::Gone
-    })
-}
-
-async fn peer_piece(agent: &Agent, address: SocketAddr, digest: Digest) -> Result<Bytes, Failure> {
-    let peer = address.to_string();
-    let call = Call::Chunk { digest };
-    let reply = agent.node.peers.ask(&peer, Lane::Bulk, &call).await;
-    match reply {
-        Ok(Reply::Chunk(content)) => Ok(Bytes::from(content)),
-        Ok(Reply::Absent(Absence::Busy)) => Err(Failure::Busy),
-        Ok(Reply::Absent(Absence::NotHeld)) => Err(Failure::NotHeld),
-        Ok(Reply::Absent(Absence::Pending)) => Err(Failure::Pending),
-        Ok(_) | Err(_) => Err(Failure::Gone),
-    }
-}
--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -1,11 +1,13 @@
 //! The process beside a replica: brings the weights that the operator named, and tells entries what
 //! the replica holds.
 //!
+//! - [`ask`]: one question for a piece of weights.
 //! - [`change`]: brings the replica to the version that it is to hold.
 //! - [`fetch`]: gets the pieces of a version from peers and the origin.
 //! - [`fill`]: stages and checks the pieces of a version.
 //! - [`share`]: gives pieces to other agents.
 
+pub mod ask;
 pub mod change;
 pub mod fetch;
 pub mod fill;
--- /dev/null
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -0,0 +1,200 @@
+//! What entries and agents share: copies of the platform's tables, peers, datagrams.
+//!
+//! - [`tables`]: who reads the tables from the store, and what peers bring.
+
+pub mod tables;
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    rc::Rc,
+    time::{Duration, SystemTime},
+};
+
+use gradeloft_daemon::{clock::Clock, scope::Scope, transport::client::Pool};
+use gradeloft_platform::fleet::{Decoder, Directory, Engine, Headers, Origin, Store};
+use gradeloft_policy::{
+    clock::Time,
+    process::mirror::{Mirror, Record},
+};
+use gradeloft_wire::{
+    codec,
+    datagram::{Datagram, MAX_BYTES, Sender},
+    frame::Table,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::{net::UdpSocket, sync::Notify};
+
+use tables::Reading;
+
+use crate::{logs::Logs, metrics::Metrics, settings::Settings};
+
+/// Largest frame between processes, in bytes: the largest record of the store, and room for its key.
+pub const MAX_FRAME: usize = 1 << 20;
+/// Time to connect to a peer: far above the links' delays.
+const PEER_CONNECT: Duration = Duration::from_millis(500);
+
+/// What the composition root gives a process: adapters to its platform.
+#[derive(Clone)]
+pub struct Platform {
+    /// Tables.
+    pub store: Rc<dyn Store>,
+    /// Reads the platform's records.
+    pub decoder: Rc<dyn Decoder>,
+    /// Answers to questions for addresses and readiness.
+    pub directory: Rc<dyn Directory>,
+    /// Origin of weights.
+    pub origin: Rc<dyn Origin>,
+    /// Engine beside this process, for agents.
+    pub engine: Option<Rc<dyn Engine>>,
+    /// Names of headers.
+    pub headers: Headers,
+}
+
+/// Decides who reads the tables from the store.
+pub trait Election {
+    /// Whether this process is to read a table.
+    fn reads(&self, table: Table) -> bool;
+    /// Whether the store does not serve some other process.
+    fn troubled(&self) -> bool;
+}
+
+/// Learns what changed in a table.
+pub type Observer = Rc<dyn Fn(Table, Vec<Record>)>;
+
+/// A process, whatever its role.
+pub struct Node {
+    /// Settings.
+    pub settings: RefCell<Rc<Settings>>,
+    /// Adapters.
+    pub platform: Platform,
+    /// Log.
+    pub logs: Logs,
+    /// Metrics.
+    pub metrics: Rc<Metrics>,
+    /// Clock.
+    pub clock: Clock,
+    /// Tasks.
+    pub scope: Rc<Scope>,
+    /// Connections to peers.
+    pub peers: Pool,
+    /// Set once SIGTERM came.
+    pub leaving: Cell<bool>,
+    copies: RefCell<[Mirror; 3]>,
+    /// Tables that are being read from a peer.
+    asking: Cell<[bool; 3]>,
+    /// Since when a peer of another region has been ahead with a table.
+    behind: Cell<[Option<Time>; 3]>,
+    reading: RefCell<[Reading; 3]>,
+    election: RefCell<Option<Rc<dyn Election>>>,
+    /// Until when removals that peers told may be errors of the store's.
+    peer_doubt: Cell<Time>,
+    /// Set while an update is taken in from a peer that vouches for its removals.
+    peer_sound: Cell<bool>,
+    store_lost: Cell<bool>,
+    observer: RefCell<Option<Observer>>,
+    socket: UdpSocket,
+    incarnation: u64,
+    rng: RefCell<ChaCha8Rng>,
+    /// Told when a table changed.
+    pub changed: Notify,
+}
+
+impl Node {
+    /// A process that is about to start.
+    pub async fn new(
+        settings: Settings,
+        platform: Platform,
+        logs: Logs,
+        clock: Clock,
+    ) -> io::Result<Rc<Node>> {
+        let own = SocketAddrV4::new(settings.address, settings.peer_port);
+        let socket = UdpSocket::bind(own).await?;
+        let mut seed = [0; 8];
+        getrandom::fill(&mut seed).map_err(io::Error::other)?;
+        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let incarnation = since.unwrap_or_default().as_millis() as u64;
+        Ok(Rc::new(Node {
+            settings: RefCell::new(Rc::new(settings)),
+            platform,
+            logs,
+            metrics: Metrics::new(),
+            clock,
+            scope: Rc::default(),
+            peers: Pool::new(MAX_FRAME, PEER_CONNECT, None),
+            leaving: Cell::new(false),
+            copies: RefCell::default(),
+            asking: Cell::default(),
+            behind: Cell::default(),
+            reading: RefCell::default(),
+            election: RefCell::default(),
+            peer_doubt: Cell::default(),
+            peer_sound: Cell::default(),
+            store_lost: Cell::default(),
+            observer: RefCell::default(),
+            socket,
+            incarnation,
+            rng: RefCell::new(ChaCha8Rng::seed_from_u64(u64::from_le_bytes(seed))),
+            changed: Notify::new(),
+        }))
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> Rc<Settings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Sets who learns what changed.
+    pub fn observe(&self, observer: Observer) {
+        *self.observer.borrow_mut() = Some(observer);
+    }
+
+    /// Sets who decides which process reads the tables.
+    pub fn elect(&self, election: Rc<dyn Election>) {
+        *self.election.borrow_mut() = Some(election);
+    }
+
+    /// Runs a decision that needs randomness.
+    pub fn with_rng<T>(&self, run: impl FnOnce(&mut ChaCha8Rng) -> T) -> T {
+        run(&mut self.rng.borrow_mut())
+    }
+
+    /// Where the process on an instance listens for peers.
+    pub fn peer_address(&self, peer: Ipv4Addr) -> String {
+        SocketAddr::from((peer, self.settings.borrow().peer_port)).to_string()
+    }
+
+    /// Sends this process's state to others. A datagram that can't be sent is as good as lost.
+    pub fn tell(&self, sender: Sender, to: impl Iterator<Item = Ipv4Addr>) {
+        let settings = self.settings();
+        let datagram = Datagram {
+            incarnation: self.incarnation,
+            zone: settings.zone.clone(),
+            ends: Table::ALL.map(|it| self.end(it)),
+            sender,
+        };
+        let bytes = codec::body(&datagram);
+        for address in to {
+            let to = SocketAddrV4::new(address, settings.peer_port);
+            let _ = self.socket.try_send_to(&bytes, to.into());
+        }
+    }
+
+    /// The next datagram, and who sent it.
+    pub async fn heard(&self) -> (Ipv4Addr, Datagram) {
+        let mut buffer = [0; MAX_BYTES];
+        loop {
+            let received = self.socket.recv_from(&mut buffer).await;
+            let Ok((length, SocketAddr::V4(from))) = received else {
+                // An earlier datagram was refused, most likely.
+                tokio::task::yield_now().await;
+                continue;
+            };
+            if let Ok(datagram) = codec::parse(&buffer[..length]) {
+                return (*from.ip(), datagram);
+            }
+        }
+    }
+}
--- a/crates/gradeloft_policy/src/version/fetch.rs
+++ b/crates/gradeloft_policy/src/version/fetch/mod.rs
@@ -5,12 +5,18 @@
 //! agent of a lower rank reads the origin only after the better ones, asked directly, turned out
 //! to be gone. So changes of membership, or views of it that differ, cost few extra copies.
 
-use std::collections::{HashMap, HashSet};
+mod item;
+mod source;
+
+use std::collections::HashMap;
 
 use gradeloft_wire::{border::bundle::Objective, id::Digest};
 use rand::Rng;
 use slotmap::{SlotMap, new_key_type};
 
+use item::{Item, State};
+use source::Source;
+
 use super::{
     manifest::{Chunk, Manifest},
     outside::Outside,
@@ -18,11 +24,9 @@
 };
 use crate::{clock::Time, rendezvous};
 
-/// Strikes after which a source is left alone for the rest of the fetch.
-const MAX_STRIKES: u32 = 4;
 /// Wait before a peer that had no free slot is asked again, in milliseconds.
 const BUSY_WAIT_MS: u64 = 40;
-/// How many times longer the objective `origin_bytes` waits before it doubts an owner.
+/// How many times longer the objective `origin_bytes` waits before it suspects an owner.
 const PATIENCE: u64 = 2;
 
 new_key_type! {
@@ -65,7 +69,7 @@
     pub takeover_ms: u64,
     /// How often an owner may say that it is about to read a chunk before another reads it, beside the
     /// time that the whole version takes.
-    pub pendings: u64,
+    pub announced: u64,
     /// What the rollout spends.
     pub objective: Objective,
     /// Copies of the version that all members together may read from the origin.
@@ -115,37 +119,6 @@
     Stalled,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum State {
-    Asked { from: From, at: Time },
-    Held,
-    Missing { not_before: Time },
-}
-
-struct Item {
-    chunk: Chunk,
-    state: State,
-    /// Sources in good standing that hold it.
-    holders: u32,
-    /// How many members come before this one for the chunk.
-    rank: usize,
-    /// When its owners were last given time.
-    waiting_since: Time,
-    /// Better-ranked owners that turned out not to be reading it.
-    absent: HashSet<u64>,
-    /// How often the present owner said that it is about to.
-    pendings: u64,
-}
-
-struct Source {
-    /// Whether it is in this agent's availability zone.
-    near: bool,
-    held: Vec<bool>,
-    asked: u32,
-    strikes: u32,
-    not_before: Time,
-}
-
 /// Chunks by where they came from.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Tally {
@@ -187,7 +160,7 @@
         let items: Vec<Item> = manifest
             .distinct()
             .into_iter()
-            .map(|it| item(it, held(it.digest), now))
+            .map(|it| Item::new(it, held(it.digest), now))
             .collect();
         let index = items
             .iter()
@@ -276,7 +249,7 @@
             near,
             held,
             asked: 0,
-            strikes: 0,
+            failures: 0,
             not_before: Time::ZERO,
         })
     }
@@ -302,7 +275,7 @@
         for idx in positions {
             if let Some(held @ false) = source.held.get_mut(idx) {
                 *held = true;
-                if source.strikes < MAX_STRIKES {
+                if source.reliable() {
                     self.items[idx].holders += 1;
                 }
             }
@@ -414,7 +387,7 @@
             let from = match self.rank(item) {
                 0 if self.asked_outside < self.tuning.origin_slots => outside,
                 0 => None,
-                rank => self.doubted(item, rank, now),
+                rank => self.suspected(item, rank, now),
             };
             let Some(from) = from else {
                 continue;
@@ -437,7 +410,7 @@
     }
 
     /// The best owner of a chunk that has kept silent for too long.
-    fn doubted(&self, item: &Item, rank: usize, now: Time) -> Option<From> {
+    fn suspected(&self, item: &Item, rank: usize, now: Time) -> Option<From> {
         let patience = match self.tuning.objective {
             Objective::OriginBytes => PATIENCE,
             Objective::Time => 1,
@@ -464,7 +437,7 @@
         let free: Vec<(SourceKey, &Source)> = self
             .sources
             .iter()
-            .filter(|(_, it)| self.free(it, now))
+            .filter(|(_, it)| it.free(self.tuning.per_source, now))
             .collect();
         if free.is_empty() {
             return None;
@@ -499,12 +472,6 @@
         Some((idx, From::Source(chosen.0)))
     }
 
-    fn free(&self, source: &Source, now: Time) -> bool {
-        source.strikes < MAX_STRIKES
-            && source.asked < self.tuning.per_source
-            && source.not_before <= now
-    }
-
     /// Takes back an ask, whatever came of it.
     fn release(&mut self, idx: usize, now: Time) {
         let Some(from) = self.items[idx].asked_of() else {
@@ -525,16 +492,16 @@
 
     fn owner_failed(&mut self, idx: usize, node: u64, failure: Failure, now: Time) {
         let version_ms = self.items.len() as u64 * self.tuning.chunk_ms;
-        let most = self.tuning.pendings + version_ms / self.tuning.takeover_ms.max(1);
+        let most = self.tuning.announced + version_ms / self.tuning.takeover_ms.max(1);
         let item = &mut self.items[idx];
         match failure {
             Failure::Busy => item.waiting_since = now,
-            Failure::Pending if item.pendings < most => {
-                item.pendings += 1;
+            Failure::Pending if item.announced < most => {
+                item.announced += 1;
                 item.waiting_since = now;
             }
             _ => {
-                item.pendings = 0;
+                item.announced = 0;
                 item.absent.insert(node);
             }
         }
@@ -545,15 +512,15 @@
         let Some(source) = self.sources.get_mut(key) else {
             return;
         };
-        let standing = source.strikes < MAX_STRIKES;
+        let standing = source.reliable();
         match failure {
             Failure::Busy => source.not_before = now.after_ms(BUSY_WAIT_MS),
             Failure::Limited(ms) => source.not_before = now.after_ms(ms),
             Failure::Gone | Failure::Stalled => {
-                source.strikes += 1;
+                source.failures += 1;
                 source.not_before = now.after_ms(stall_ms);
             }
-            Failure::Corrupt => source.strikes += 1,
+            Failure::Corrupt => source.failures += 1,
             Failure::NotHeld | Failure::Pending => {}
         }
         if matches!(failure, Failure::Corrupt | Failure::NotHeld) && source.held[idx] {
@@ -562,14 +529,14 @@
                 self.items[idx].holders -= 1;
             }
         }
-        if standing && MAX_STRIKES <= source.strikes {
+        if standing && !source.reliable() {
             let held = source.held.clone();
             self.uncount(&held);
         }
     }
 
     fn forget(&mut self, source: &Source) {
-        if source.strikes < MAX_STRIKES {
+        if source.reliable() {
             self.uncount(&source.held);
         }
     }
@@ -580,37 +547,3 @@
         }
     }
 }
-
-impl Item {
-    fn asked_of(&self) -> Option<From> {
-        match self.state {
-            State::Asked { from, .. } => Some(from),
-            _ => None,
-        }
-    }
-
-    fn askable(&self, now: Time) -> bool {
-        matches!(self.state, State::Missing { not_before } if not_before <= now)
-    }
-
-    fn effective_rank(&self) -> usize {
-        self.rank.saturating_sub(self.absent.len())
-    }
-}
-
-fn item(chunk: Chunk, held: bool, now: Time) -> Item {
-    let state = if held {
-        State::Held
-    } else {
-        State::Missing { not_before: now }
-    };
-    Item {
-        chunk,
-        state,
-        holders: 0,
-        rank: 0,
-        waiting_since: now,
-        absent: HashSet::new(),
-        pendings: 0,
-    }
-}
--- a/crates/gradeloft_policy/tests/fetch.rs
+++ b/crates/gradeloft_policy/tests/fetch.rs
@@ -22,7 +22,7 @@
     stall_ms: 1_000,
     chunk_ms: 100,
     takeover_ms: 500,
-    pendings: 8,
+    announced: 8,
     objective: Objective::Time,
     origin_copies: 4.0,
 };
