Let an agent that no entry answers read the store for itself

What was never read is asked for at once and, once the replica answers, read from the store. The new test fails without the change.

--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -431,7 +431,8 @@
                 rendezvous::hash(own.model.as_bytes()) == it.model && own.number < it.version
             })
         };
-        switched.iter().any(newer) || self.asked_at.get().after_ms(REFRESH_MS) <= now
+        let unknown = !self.node.loaded(Table::Operator);
+        unknown || switched.iter().any(newer) || self.asked_at.get().after_ms(REFRESH_MS) <= now
     }
 
     async fn listen(self: Rc<Agent>) {
@@ -445,9 +446,10 @@
                 self.switched.set(newest(self.switched.get(), &switched));
                 let heard = Heard { at, store };
                 let new = self.entries.borrow_mut().insert(from, heard).is_none();
-                if self.wants(&switched, at) {
+                if self.wants(&switched, at)
+                    && self.node.heard_ends(from, &datagram.zone, datagram.ends)
+                {
                     self.asked_at.set(at);
-                    self.node.heard_ends(from, &datagram.zone, datagram.ends);
                 }
                 if new {
                     self.tell();
@@ -468,8 +470,8 @@
         let now = agent.node.clock.now();
         let begun = agent.begun_at.get();
         let patient = begun.is_none_or(|it| now < it.after_ms(TOLD_START_MS));
-        if !agent.node.loaded(table) && patient && now < Time::ZERO.after_ms(LATEST_START_MS) {
-            return false;
+        if !agent.node.loaded(table) {
+            return !patient || Time::ZERO.after_ms(LATEST_START_MS) <= now;
         }
         let tells = |it: &Heard| it.store == Access::Served && now < it.at.after_ms(TOLD_MS);
         !agent.entries.borrow().values().any(tells)
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -236,9 +236,11 @@
         outgoing.finish(&reply).await;
     }
 
-    /// A peer's copies go up to `ends`: reads from it what this process lacks. Peers of other regions
-    /// are left alone for a moment, in which near ones most likely have it too.
-    pub fn heard_ends(self: &Rc<Node>, peer: Ipv4Addr, zone: &str, ends: [u64; 3]) {
+    /// A peer's copies go up to `ends`: reads from it what this process lacks; gives whether that was
+    /// anything. Peers of other regions are left alone for a moment, in which near ones most likely
+    /// have it too.
+    pub fn heard_ends(self: &Rc<Node>, peer: Ipv4Addr, zone: &str, ends: [u64; 3]) -> bool {
+        let mut asked = false;
         let settings = self.settings();
         let near = settings.region(zone) == settings.region(&settings.zone);
         for table in Table::ALL {
@@ -247,9 +249,11 @@
                 continue;
             }
             let behind = self.end(table) < ends[index(table)];
-            if !behind || (!near && !self.long_behind(table)) {
+            let waits = !near && self.loaded(table) && !self.long_behind(table);
+            if !behind || waits {
                 continue;
             }
+            asked = true;
             self.set_behind(table, None);
             asking[index(table)] = true;
             self.asking.set(asking);
@@ -261,6 +265,7 @@
                 node.asking.set(asking);
             });
         }
+        asked
     }
 
     /// Whether peers of other regions have been ahead with a table for a while.
--- a/crates/gradeloft_gateway/tests/agents.rs
+++ b/crates/gradeloft_gateway/tests/agents.rs
@@ -452,18 +452,17 @@
 }
 
 /// Tells an agent again and again that an entry is here, and collects what it says of its replica.
-async fn hear(last: u8, agent: u8, heard: Rc<RefCell<Vec<Sender>>>) {
+async fn hear(last: u8, agent: u8, store: Access, heard: Rc<RefCell<Vec<Sender>>>) {
     let socket = Rc::new(UdpSocket::bind((address(last), 7700)).await.unwrap());
     let telling = Rc::clone(&socket);
     actix_rt::spawn(async move {
         let datagram = Datagram {
             incarnation: 1,
-            zone: "z".to_owned(),
-            ends: [0; 3],
+            zone: "elsewhere".to_owned(),
+            ends: [9; 3],
             sender: Sender::Entry {
                 presence: Presence::Ready,
-                // The agent reads for itself what the operator writes.
-                store: Access::Unserved,
+                store,
                 loads: Vec::new(),
                 entries: Vec::new(),
                 switched: Vec::new(),
@@ -489,7 +488,8 @@
     run(async {
         let world = World::start(1, |_, _| {}).await;
         let heard = Rc::new(RefCell::new(Vec::new()));
-        hear(9, 1, Rc::clone(&heard)).await;
+        // The agent reads for itself what the operator writes.
+        hear(9, 1, Access::Unserved, Rc::clone(&heard)).await;
         world.all_at(1).await;
         let engine = &world.engines[0];
         engine.slow.set(true);
@@ -535,3 +535,13 @@
         }
     });
 }
+
+#[test]
+fn an_agent_that_no_entry_answers_reads_the_store_itself() {
+    run(async {
+        // An entry of another region says that it knows more, and answers no calls.
+        hear(9, 1, Access::Served, Rc::default()).await;
+        let world = World::start(1, |_, _| {}).await;
+        world.all_at(1).await;
+    });
+}
