Trust what an entry reads after taking over; tell other regions as often as the fleet's size allows

Whether the store is away shows in its own first read; and an entry whose reading was interrupted leaves it to others until what it reads is beyond doubt.

--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -476,10 +476,6 @@
         let tells = |it: &Heard| it.store == Access::Served && now < it.at.after_ms(TOLD_MS);
         !agent.entries.borrow().values().any(tells)
     }
-
-    fn troubled(&self) -> bool {
-        false
-    }
 }
 
 /// The newer word on how many replicas changed over.
--- a/crates/gradeloft_gateway/src/entry/gossip.rs
+++ b/crates/gradeloft_gateway/src/entry/gossip.rs
@@ -27,9 +27,12 @@
 
 /// Pause between datagrams to the entries of the own region.
 const TELL: Duration = Duration::from_millis(125);
-/// Of these datagrams, those that go to the entries of other regions, and to the agents of the own one.
-/// Bytes between regions are dear, and requests go there only when nothing near has room.
+/// Of these datagrams, those that go to the agents of the own region; and at least so many of them go
+/// to the entries of other regions.
 const WIDE_TURNS: u32 = 4;
+/// Entries for each turn between datagrams to other regions: what an entry sends there stays bounded in
+/// a large fleet, and a small one, whose requests often go to another region, knows more exactly.
+const ENTRIES_PER_TURN: usize = 10;
 /// Of these datagrams, those that go to the agents of other regions as well, whom the entries of their
 /// own region tell more often.
 const WIDEST_TURNS: u32 = 8;
@@ -66,7 +69,8 @@
             switched: Vec::new(),
         };
         let own = settings.region(&settings.zone);
-        let wide = turn.is_multiple_of(WIDE_TURNS);
+        let wide_turns = roster.most().div_ceil(ENTRIES_PER_TURN) as u32;
+        let wide = turn.is_multiple_of(wide_turns.min(WIDE_TURNS));
         let to = roster.addresses_in(|zone| wide || settings.region(zone) == own);
         self.node.tell(sender, to);
     }
@@ -261,11 +265,6 @@
             near.map(address_hash),
         )
     }
-
-    fn troubled(&self) -> bool {
-        let unserved = |it: Rc<Entry>| it.roster.borrow().any_unserved(it.node.clock.now());
-        self.upgrade().is_some_and(unserved)
-    }
 }
 
 fn address_hash(address: Ipv4Addr) -> u64 {
--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -57,8 +57,6 @@
 pub trait Election {
     /// Whether this process is to read a table.
     fn reads(&self, table: Table) -> bool;
-    /// Whether the store does not serve some other process.
-    fn troubled(&self) -> bool;
 }
 
 /// Learns what changed in a table.
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -55,10 +55,21 @@
 }
 
 impl Node {
-    /// Whether the store serves this process, as far as it knows.
+    /// Whether this process leaves reading a table from the store to others.
+    pub fn on_standby(&self, table: Table) -> bool {
+        self.reading.borrow()[index(table)] == Reading::Standby
+    }
+
+    /// Whether the store serves this process, as far as it knows. For a moment after an interruption it
+    /// counts as unserved, so that others, which saw none, go on reading: what it reads is doubtful.
     pub fn access(&self) -> Access {
-        let interrupted = self.reading.borrow().contains(&Reading::Interrupted);
-        if interrupted {
+        let now = self.clock.now();
+        let doubtful = |it: &Reading| match it {
+            Reading::Interrupted => true,
+            Reading::Resumed(at) => now < at.after_ms(DOUBT_MS),
+            Reading::Standby | Reading::Steady => false,
+        };
+        if self.reading.borrow().iter().any(doubtful) {
             Access::Unserved
         } else {
             Access::Served
@@ -159,10 +170,8 @@
         let reading = &mut self.reading.borrow_mut()[index(table)];
         match (reads, *reading) {
             (false, _) => *reading = Reading::Standby,
-            // What others could not read may have been dropped meanwhile.
-            (true, Reading::Standby) if election.troubled() => {
-                *reading = Reading::Resumed(self.clock.now());
-            }
+            // That others are not served says little of the store; whether it is out of reach shows in
+            // the first read.
             (true, Reading::Standby) => *reading = Reading::Steady,
             (true, _) => {}
         }
--- a/crates/gradeloft_policy/src/process/roster.rs
+++ b/crates/gradeloft_policy/src/process/roster.rs
@@ -110,12 +110,6 @@
             .map(|(address, _)| *address)
     }
 
-    /// Whether the platform's store does not serve some entry that is alive.
-    pub fn any_unserved(&self, now: Time) -> bool {
-        let mut entries = self.entries.values();
-        entries.any(|it| it.alive(now) && !it.served)
-    }
-
     /// Whether an entry was heard a moment ago.
     pub fn alive(&self, address: Ipv4Addr, now: Time) -> bool {
         self.entries.get(&address).is_some_and(|it| it.alive(now))
