End the wait of a caller that has left before its request is sent

Cause: two stages did not look for the caller's close. Ruled out: the relay of an answer, which already ends at the close.

--- a/crates/gradeloft_gateway/src/entry/attempt.rs
+++ b/crates/gradeloft_gateway/src/entry/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: a request sent to one replica, up to the head of its answer.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::{BufMut, Bytes, BytesMut};
 use gradeloft_policy::{clock::Time, process::replicas::ReplicaKey, request::attempt::Failure};
@@ -50,16 +50,14 @@
     let Some((address, id)) = entry.replica_address(replica) else {
         return Ended::Failed(Failure::Unsent, None);
     };
+    // A caller may have left while its request waited to be read, or during an earlier attempt.
+    if caller.has_gone() {
+        return Ended::Gone;
+    }
     let running = entry.running(replica);
-    let mut link = match entry.pool.take(replica) {
-        Some(link) => link,
-        None => {
-            entry.node.metrics.connections.inc();
-            match entry.pool.connect(replica, address).await {
-                Ok(link) => link,
-                Err(_) => return Ended::Failed(Failure::Unsent, None),
-            }
-        }
+    let mut link = match connected(entry, caller, replica, address).await {
+        Ok(link) => link,
+        Err(ended) => return ended,
     };
     let bytes = encode(entry, job, &id);
     let (head, whole) = match ask(entry, caller, job, &mut link, &bytes).await {
@@ -77,6 +75,26 @@
     relay::relay(entry, caller, job, &running, link, head, whole).await
 }
 
+/// A connection to a replica, unless the caller leaves before there is one.
+async fn connected(
+    entry: &Entry,
+    caller: &mut Wire,
+    replica: ReplicaKey,
+    address: SocketAddr,
+) -> Result<Link, Ended> {
+    if let Some(link) = entry.pool.take(replica) {
+        return Ok(link);
+    }
+    entry.node.metrics.connections.inc();
+    tokio::select! {
+        biased;
+        () = caller.gone() => Err(Ended::Gone),
+        link = entry.pool.connect(replica, address) => {
+            link.map_err(|_| Ended::Failed(Failure::Unsent, None))
+        }
+    }
+}
+
 /// The failure behind an answer by which the replica says that it ran nothing.
 fn not_run(entry: &Entry, head: &Response, id: &str) -> Option<Failure> {
     let headers = &entry.node.platform.headers;
@@ -132,12 +150,13 @@
             continue;
         }
         tokio::select! {
+            biased;
+            () = caller.gone() => return Err(Ended::Gone),
             moved = link.wire.exchange(&bytes[sent..]) => match moved {
                 Ok(Moved::Sent(count)) => sent += count,
                 Ok(Moved::Read(0)) | Err(_) => return Err(ended(link, sent)),
                 Ok(Moved::Read(_)) => {}
             },
-            () = caller.gone() => return Err(Ended::Gone),
             () = &mut patient => {
                 let now = Instant::now();
                 if deadline <= now {
--- a/crates/gradeloft_gateway/src/h1/wire.rs
+++ b/crates/gradeloft_gateway/src/h1/wire.rs
@@ -1,6 +1,6 @@
 //! A connection and what has been read from it.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, mem::MaybeUninit, net::SocketAddr, time::Duration};
 
 use bytes::BytesMut;
 use socket2::SockRef;
@@ -66,6 +66,16 @@
         }
     }
 
+    /// Whether the other side has gone, as far as can be told without waiting. The socket itself is
+    /// asked, as the runtime learns of a close only when it next looks for events.
+    pub fn has_gone(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit(); 1];
+        match SockRef::from(&self.stream).peek(&mut byte) {
+            Ok(read) => read == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Whether nothing came since the last answer and the connection is open, as far as can be told
     /// without waiting.
     pub fn quiet(&mut self) -> bool {
--- a/crates/gradeloft_gateway/tests/entry/support/mod.rs
+++ b/crates/gradeloft_gateway/tests/entry/support/mod.rs
@@ -286,6 +286,12 @@
         listing.version = Some(version);
     }
 
+    /// Moves a replica to another address, once it is listed again.
+    pub(crate) fn listens_at(&self, idx: usize, address: SocketAddr) {
+        let mut listings = self.decoder.listings.borrow_mut();
+        listings.get_mut(&id(idx)).unwrap().address = address;
+    }
+
     /// Sends a request on a connection of its own, and gives all that comes until its end.
     pub(crate) async fn ask(&self, request: &str) -> String {
         let mut stream = self.connect().await;
