Send requests where they can be in time, and split replicas' slots among entries

Cause: requests were placed first come, first served on views an eighth of a second old. Ruled out: the replicas' speed (by the true queue the first token follows the published times) and capacity (served 95 % of what the formulas give, but late).

Change: the first token is forecast by the published speed, corrected by answers; requests that can be in time go before those that can't, and the latter only to spare slots and behind others at the replica; the entry's own part of each replica's slots is filled without regard to stale views, others' slots by chance; callers come back after the time that a shortage has lasted.

--- a/crates/gradeloft_gateway/src/entry/answer.rs
+++ b/crates/gradeloft_gateway/src/entry/answer.rs
@@ -1,5 +1,7 @@
 //! Answers that an entry gives by itself.
 
+use std::time::Duration;
+
 use bytes::{BufMut, BytesMut};
 use gradeloft_policy::request::attempt::Ran;
 use serde_json::json;
@@ -17,8 +19,8 @@
     Malformed,
     /// This process does not know the configuration yet.
     NoConfig,
-    /// No replica takes it now.
-    NoReplica,
+    /// No replica takes it now; one may after this time.
+    NoReplica(Duration),
     /// No route for its host and path.
     NoRoute,
     /// Time ran out after it was sent to a replica.
@@ -44,8 +46,8 @@
     pub retry_after_ms: Option<u64>,
 }
 
-/// When to come back after a refusal for want of a replica, in milliseconds: about the time in which
-/// a replica finishes a request.
+/// When to come back after a refusal for another reason than want of a replica, in milliseconds: about
+/// the time in which an entry learns the configuration.
 const RETRY_AFTER_MS: u64 = 250;
 
 impl Refusal {
@@ -72,7 +74,10 @@
             Refusal::Lost => unknown(502, "Bad Gateway", "lost"),
             Refusal::Malformed => row(400, "Bad Request", "malformed"),
             Refusal::NoConfig => later("no_config"),
-            Refusal::NoReplica => later("no_replica"),
+            Refusal::NoReplica(back) => Row {
+                retry_after_ms: Some(back.as_millis() as u64),
+                ..row(503, "Service Unavailable", "no_replica")
+            },
             Refusal::NoRoute => row(404, "Not Found", "no_route"),
             Refusal::TimedOut => unknown(504, "Gateway Timeout", "timed_out"),
             Refusal::Unsent => later("unsent"),
--- a/crates/gradeloft_gateway/src/entry/attempt.rs
+++ b/crates/gradeloft_gateway/src/entry/attempt.rs
@@ -3,12 +3,16 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::{BufMut, Bytes, BytesMut};
-use gradeloft_policy::{clock::Time, process::replicas::ReplicaKey, request::attempt::Failure};
+use gradeloft_policy::{
+    clock::Time,
+    process::replicas::ReplicaKey,
+    request::{attempt::Failure, forecast},
+};
 use tokio::time::{Instant, sleep_until};
 
 use super::{
     Entry,
-    forward::Job,
+    forward::{Expected, Job},
     relay::{self, Stored},
 };
 use crate::{
@@ -54,7 +58,8 @@
     if caller.has_gone() {
         return Ended::Gone;
     }
-    let running = entry.running(replica);
+    expect(entry, job, replica);
+    let running = entry.running(replica, job.prompt_tokens);
     let mut link = match connected(entry, caller, replica, address).await {
         Ok(link) => link,
         Err(ended) => return ended,
@@ -95,6 +100,20 @@
     }
 }
 
+/// Notes when a replica is to begin the answer, for services that run a model.
+fn expect(entry: &Entry, job: &mut Job, replica: ReplicaKey) {
+    let replicas = entry.replicas.borrow();
+    let Some((speed, replica)) = entry.speed(&job.service).zip(replicas.get(replica)) else {
+        return;
+    };
+    let after_ms = forecast::first_token_ms(&speed, replica.queue(&speed), job.prompt_tokens);
+    job.expected_ms = (after_ms * replica.slowness.factor()) as u64;
+    job.expected = Some(Expected {
+        sent: entry.node.clock.now(),
+        after_ms,
+    });
+}
+
 /// The failure behind an answer by which the replica says that it ran nothing.
 fn not_run(entry: &Entry, head: &Response, id: &str) -> Option<Failure> {
     let headers = &entry.node.platform.headers;
@@ -266,6 +285,8 @@
     let mut set = |name: &str, value: &str| put(&mut out, name.as_bytes(), value.as_bytes());
     set(headers.deadline, &left.as_millis().max(1).to_string());
     set(headers.replica, id);
+    let rank = job.claim.rank(job.route.priority);
+    set(headers.priority, &rank.to_string());
     if let Some(team) = &job.team {
         set(headers.team, team);
     }
--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -1,16 +1,16 @@
 //! One request: its route, its replicas, its answer.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use gradeloft_policy::{
     clock::Time,
     process::{
-        document::{Config, Denied, Kind, Route},
+        document::{Config, Denied, Kind, Route, Speed},
         replicas::ReplicaKey,
     },
     request::{
         attempt::{Failure, Progress, Ran},
-        placement::{self, Census, Wish},
+        placement::{self, Census, Claim, Wish},
     },
 };
 use slog::info;
@@ -41,6 +41,17 @@
     pub team: Option<Rc<str>>,
     /// When it gets its final answer at the latest.
     pub deadline: Time,
+    /// When its answer is to have begun to be in time.
+    pub goal: Time,
+    /// Tokens of its prompt; 0 where it has none.
+    pub prompt_tokens: f64,
+    /// What its answer could still be when the present replica was chosen.
+    pub claim: Claim,
+    /// When the present replica was sent it, and when it is to begin by the published speed.
+    pub expected: Option<Expected>,
+    /// Time until the first token that was forecast when the present replica was chosen, in milliseconds;
+    /// 0 where none was.
+    pub expected_ms: u64,
     /// Attempts.
     pub progress: Progress,
     /// Replicas tried.
@@ -61,6 +72,15 @@
     census: Option<Census>,
 }
 
+/// When a replica is to begin an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Expected {
+    /// When the request was sent.
+    pub sent: Time,
+    /// Time until the first token by the published speed, in milliseconds.
+    pub after_ms: f64,
+}
+
 /// How a request ended.
 enum Outcome {
     Answered(u16),
@@ -128,9 +148,17 @@
         .get(name)
         .and_then(|it| it.parse().ok());
     let patience_ms = told.map_or(route.timeout_ms, |it: u64| it.min(route.timeout_ms));
+    let left = Duration::from_millis(told.unwrap_or(route.timeout_ms));
+    let age = entry.age(&route.name, left);
+    let goal = Duration::from_millis(route.goal_ms).saturating_sub(age);
     let service = entry.node.with_rng(|it| route.draw(it));
     Job {
         deadline: received.at.after_ms(patience_ms),
+        goal: received.at.after(goal),
+        prompt_tokens: prompt_tokens(entry, &received),
+        claim: Claim::Late,
+        expected: None,
+        expected_ms: 0,
         progress: Progress::new(route.kind, route.max_attempts),
         service,
         team,
@@ -147,6 +175,15 @@
     }
 }
 
+/// Tokens of a request's prompt, as its caller counts them.
+fn prompt_tokens(entry: &Entry, received: &Received) -> f64 {
+    let told = received.head.fields.get(entry.node.platform.headers.tokens);
+    let prompt = told.and_then(|it| it.split(',').next());
+    prompt
+        .and_then(|it| it.trim().parse().ok())
+        .unwrap_or_default()
+}
+
 async fn run(entry: &Rc<Entry>, caller: &mut Wire, mut job: Job) -> After {
     entry.count_request(&job.service);
     let mut stored = None;
@@ -158,7 +195,7 @@
                 Ran::Unknown => Refusal::TimedOut,
             });
         }
-        let Some(replica) = choose(entry, &job, now) else {
+        let Some(replica) = choose(entry, &mut job, now) else {
             job.census = Some(census(entry, &job, now));
             break exhausted(&job);
         };
@@ -185,7 +222,22 @@
     finish(entry, caller, job, stored, outcome).await
 }
 
-fn choose(entry: &Entry, job: &Job, now: Time) -> Option<ReplicaKey> {
+/// The replica that gets a request: first of all one by which it can be in time.
+fn choose(entry: &Entry, job: &mut Job, now: Time) -> Option<ReplicaKey> {
+    job.claim = match job.head_sent {
+        true => Claim::Begun,
+        false => Claim::of(job.goal.since(now)),
+    };
+    let mut chosen = choose_by_version(entry, job, now);
+    if let Some(weaker) = job.claim.weaker().filter(|_| chosen.is_none()) {
+        job.claim = weaker;
+        chosen = choose_by_version(entry, job, now);
+    }
+    entry.count_choice(&job.service, chosen);
+    chosen
+}
+
+fn choose_by_version(entry: &Entry, job: &Job, now: Time) -> Option<ReplicaKey> {
     // Asked again for each attempt: a version may have become due meanwhile.
     let oldest = entry.oldest_versions(&job.service);
     let preferred = choose_from(entry, job, oldest.preferred, now);
@@ -198,22 +250,20 @@
 /// Why none of a service's replicas can get a request now.
 fn census(entry: &Entry, job: &Job, now: Time) -> Census {
     let settings = entry.node.settings();
+    let speed = entry.speed(&job.service);
     let wish = Wish {
-        zone: &settings.zone,
         oldest: entry.oldest_versions(&job.service).allowed,
-        same: job.version,
-        tried: &job.tried,
+        ..wish(entry, job, &settings.zone, speed.as_ref(), now)
     };
     placement::census(entry.replicas.borrow().of(&job.service), wish, now)
 }
 
 fn choose_from(entry: &Entry, job: &Job, oldest: Option<u64>, now: Time) -> Option<ReplicaKey> {
     let settings = entry.node.settings();
+    let speed = entry.speed(&job.service);
     let wish = Wish {
-        zone: &settings.zone,
         oldest,
-        same: job.version,
-        tried: &job.tried,
+        ..wish(entry, job, &settings.zone, speed.as_ref(), now)
     };
     let replicas = entry.replicas.borrow();
     let most = entry.connections_each(&job.service);
@@ -225,6 +275,27 @@
         .with_rng(|rng| placement::choose(open, wish, now, rng))
 }
 
+fn wish<'a>(
+    entry: &Entry,
+    job: &'a Job,
+    zone: &'a str,
+    speed: Option<&'a Speed>,
+    now: Time,
+) -> Wish<'a> {
+    let view = entry.view(&job.service, now);
+    Wish {
+        zone,
+        oldest: None,
+        same: job.version,
+        tried: &job.tried,
+        claim: job.claim,
+        prompt_tokens: job.prompt_tokens,
+        speed,
+        chance: view.chance,
+        unseen: view.unseen,
+    }
+}
+
 fn failed(entry: &Entry, job: &mut Job, replica: ReplicaKey, failure: Failure) {
     job.progress.ended(failure);
     job.trail.push(failure);
@@ -247,7 +318,7 @@
         return Outcome::Cut;
     }
     Outcome::Refused(match job.progress.ran {
-        Ran::No => Refusal::NoReplica,
+        Ran::No => Refusal::NoReplica(Duration::ZERO),
         Ran::Unknown => Refusal::Lost,
     })
 }
@@ -286,6 +357,10 @@
             }
             conclude(entry, &job, refusal.row().status, refusal.row().name);
             let head = Some(&job.received.head);
+            let refusal = match refusal {
+                Refusal::NoReplica(_) => Refusal::NoReplica(entry.back_in(&job)),
+                refusal => refusal,
+            };
             let sent = refuse(entry, caller, refusal, head, close).await;
             after(sent && !close)
         }
@@ -330,7 +405,8 @@
         "route" => &*job.route.name, "service" => &*job.service, "team" => team.unwrap_or("-"),
         "replicas" => tried.join(","), "failures" => trail.join(","),
         "first_ms" => job.first_byte.map_or(-1, |it| since(it).as_millis() as i64),
-        "ms" => since(now).as_millis() as u64, "config" => entry.config_version(),
+        "ms" => since(now).as_millis() as u64, "claim" => %job.claim, "expected_ms" => job.expected_ms,
+        "config" => entry.config_version(),
         "replicas_known" => entry.replicas.borrow().len(), "resumed" => resumed(job),
         "none_free" => job.census.map_or_else(String::new, |it| it.to_string()));
 }
--- a/crates/gradeloft_gateway/src/entry/gossip.rs
+++ b/crates/gradeloft_gateway/src/entry/gossip.rs
@@ -11,8 +11,9 @@
     clock::Time,
     process::{
         readers,
-        replicas::Report,
+        replicas::{Replica, ReplicaKey, Report},
         roster::{State, Word},
+        split,
     },
     rendezvous,
 };
@@ -22,7 +23,7 @@
 };
 use slog::info;
 
-use super::Entry;
+use super::{Entry, Told};
 use crate::{logs::Topic, node::Election};
 
 /// Pause between datagrams to the entries of the own region.
@@ -162,6 +163,35 @@
             .borrow_mut()
             .forget(|it| seeds.contains(&it), now);
         self.sum_elsewhere(now);
+        self.split_slots(now);
+    }
+
+    /// Splits the slots of each model's replicas that take requests among the entries that take callers.
+    fn split_slots(&self, now: Time) {
+        let own = self.node.settings().address;
+        let mut entries: Vec<Ipv4Addr> = self.roster.borrow().serving(now).collect();
+        entries.push(own);
+        entries.sort_unstable();
+        let position = entries.iter().take_while(|it| **it != own).count();
+        let config = self.config.borrow();
+        let services = config.iter().flat_map(|it| &it.document.services);
+        let mut replicas = self.replicas.borrow_mut();
+        for service in services.filter(|it| it.speed.is_some()) {
+            let oldest = self.oldest_versions(&service.name).allowed;
+            let takes = |it: &Replica| it.open(now) && oldest <= it.version(now);
+            let open = replicas.of(&service.name).filter(|(_, it)| takes(it));
+            let mut open: Vec<(Rc<str>, ReplicaKey, u32)> = open
+                .map(|(key, it)| (Rc::clone(&it.listing.id), key, it.listing.slots))
+                .collect();
+            open.sort_unstable();
+            let slots: Vec<u32> = open.iter().map(|it| it.2).collect();
+            let parts = split::parts(position, entries.len(), &slots);
+            for ((_, key, _), part) in open.iter().zip(parts) {
+                if let Some(replica) = replicas.get_mut(*key) {
+                    replica.part = part;
+                }
+            }
+        }
     }
 
     /// Sums the requests that other entries have at each replica.
@@ -170,7 +200,7 @@
         let roster = self.roster.borrow();
         elsewhere.retain(|address, _| roster.alive(*address, now));
         let mut sums: HashMap<u64, (u32, u32)> = HashMap::new();
-        for load in elsewhere.values().flat_map(HashMap::values) {
+        for load in elsewhere.values().flat_map(|it| it.loads.values()) {
             let sum = sums.entry(load.replica).or_default();
             sum.0 += u32::from(load.running);
             sum.1 += u32::from(load.waiting);
@@ -210,7 +240,11 @@
                 self.roster.borrow_mut().heard(from, word, now);
                 self.learn(&entries);
                 let loads = loads.into_iter().map(|it| (it.replica, it));
-                self.elsewhere.borrow_mut().insert(from, loads.collect());
+                let told = Told {
+                    at: now,
+                    loads: loads.collect(),
+                };
+                self.elsewhere.borrow_mut().insert(from, told);
             }
         }
         self.node.heard_ends(from, &datagram.zone, datagram.ends);
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -33,12 +33,15 @@
 };
 use gradeloft_http::server::Server;
 use gradeloft_policy::{
+    clock::Time,
     process::{
-        document::Config,
+        document::{Config, Speed},
         repeats::Budget,
-        replicas::{ReplicaKey, Replicas},
+        replicas::{Replica, ReplicaKey, Replicas},
         roster::Roster,
+        split::{self, Demand},
     },
+    request::{age::Patience, shortage::Shortage},
     version::named::Named,
 };
 use gradeloft_wire::{
@@ -48,6 +51,7 @@
 use slog::{info, warn};
 use tokio::{net::TcpListener, sync::Notify};
 
+use self::forward::{Expected, Job};
 use crate::{
     logs::Topic,
     node::{MAX_FRAME, Node},
@@ -89,8 +93,30 @@
     pub allowed: Option<u64>,
 }
 
-/// Requests of one entry at replicas, by the hash of each replica's id.
-type Loads = HashMap<u64, Load>;
+/// Requests of another entry at replicas.
+struct Told {
+    /// When it told them.
+    at: Time,
+    /// By the hash of each replica's id.
+    loads: HashMap<u64, Load>,
+}
+
+/// Requests that come for a service.
+#[derive(Default)]
+struct Demands {
+    all: Demand,
+    /// Those that do not go to a slot of this entry's part.
+    beyond: Demand,
+}
+
+/// How far what an entry knows of replicas may be off.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct View {
+    /// Part of the requests beyond the entry's own slots that may go to others'.
+    pub chance: f64,
+    /// Requests that may have come to each replica since others told.
+    pub unseen: f64,
+}
 
 /// The process.
 pub struct Entry {
@@ -108,8 +134,13 @@
     /// Versions of each model's weights that replicas are to serve.
     weights: RefCell<HashMap<String, Named>>,
     budgets: RefCell<HashMap<Rc<str>, Budget>>,
+    patience: RefCell<Patience>,
+    /// Requests that come for each service.
+    demands: RefCell<HashMap<Rc<str>, Demands>>,
+    /// Want of room, by service.
+    shortages: RefCell<HashMap<Rc<str>, Shortage>>,
     /// Requests of other entries at replicas, by entry and hash of the replica's id.
-    elsewhere: RefCell<HashMap<Ipv4Addr, Loads>>,
+    elsewhere: RefCell<HashMap<Ipv4Addr, Told>>,
     /// What agents were told last: replicas that changed over, and how far the operator's table goes.
     told_agents: RefCell<(Vec<Switched>, u64)>,
     open: Cell<usize>,
@@ -137,6 +168,9 @@
             roster: RefCell::default(),
             weights: RefCell::default(),
             budgets: RefCell::default(),
+            patience: RefCell::default(),
+            demands: RefCell::default(),
+            shortages: RefCell::default(),
             elsewhere: RefCell::default(),
             told_agents: RefCell::default(),
             open: Cell::default(),
@@ -237,8 +271,68 @@
         self.replicas.borrow_mut().heard(key, now);
     }
 
-    /// Counts a request as running at a replica until the guard is dropped.
-    pub fn running(self: &Rc<Entry>, key: ReplicaKey) -> Running {
+    /// How long a caller that still has `left` has waited since it first asked.
+    pub fn age(&self, route: &Rc<str>, left: Duration) -> Duration {
+        let now = self.node.clock.now();
+        self.patience.borrow_mut().age(route, left, now)
+    }
+
+    /// How fast the engines of a service work, if it runs a model.
+    pub fn speed(&self, service: &str) -> Option<Speed> {
+        self.config.borrow().as_ref()?.service(service)?.speed
+    }
+
+    /// How far what this entry knows of a service's replicas may be off.
+    pub fn view(&self, service: &str, now: Time) -> View {
+        let demands = self.demands.borrow();
+        let Some(demand) = demands.get(service) else {
+            return View::default();
+        };
+        let (others, age) = self.told(now);
+        let replicas = self.replicas.borrow();
+        let open = || replicas.of(service).filter(|(_, it)| it.open(now));
+        let rate = demand.all.rate(now) * others as f64 / open().count().max(1) as f64;
+        let unseen = split::unseen(rate, age);
+        let spare = open().map(|(_, it)| it.spare(unseen)).sum();
+        View {
+            chance: split::chance(spare, others, demand.beyond.rate(now), age),
+            unseen,
+        }
+    }
+
+    /// How many other entries told what they have at replicas, and how long ago on average.
+    fn told(&self, now: Time) -> (usize, Duration) {
+        let elsewhere = self.elsewhere.borrow();
+        let ages = elsewhere.values().map(|it| now.since(it.at));
+        let sum: Duration = ages.sum();
+        let others = elsewhere.len();
+        (others, sum / others.max(1) as u32)
+    }
+
+    /// Counts a request that goes to a replica, or to none, if that is not to a slot of this entry's part.
+    pub fn count_choice(&self, service: &Rc<str>, chosen: Option<ReplicaKey>) {
+        let replicas = self.replicas.borrow();
+        let chosen = chosen.and_then(|it| replicas.get(it));
+        if chosen.is_some_and(Replica::has_own_slot) {
+            return;
+        }
+        let now = self.node.clock.now();
+        let mut demands = self.demands.borrow_mut();
+        let demand = demands.entry(Rc::clone(service)).or_default();
+        demand.beyond.count(now);
+    }
+
+    /// When the caller of a request that found no replica is to come back.
+    pub fn back_in(&self, job: &Job) -> Duration {
+        let now = self.node.clock.now();
+        let mut shortages = self.shortages.borrow_mut();
+        let shortage = shortages.entry(Rc::clone(&job.service)).or_default();
+        let left = job.deadline.since(now);
+        self.node.with_rng(|rng| shortage.refuse(left, now, rng))
+    }
+
+    /// Counts a request with a prompt as running at a replica until the guard is dropped.
+    pub fn running(self: &Rc<Entry>, key: ReplicaKey, prompt_tokens: f64) -> Running {
         let now = self.node.clock.now();
         if let Some(replica) = self.replicas.borrow_mut().get_mut(key) {
             if replica.own == 0 {
@@ -246,11 +340,22 @@
             }
             replica.own += 1;
             replica.own_waiting += 1;
+            replica.own_waiting_tokens += prompt_tokens;
         }
         Running {
             waiting: Cell::new(true),
             entry: Rc::clone(self),
             key,
+            prompt_tokens,
+        }
+    }
+
+    /// A replica began an answer.
+    pub fn began(&self, key: ReplicaKey, expected: Expected) {
+        let took = self.node.clock.now().since(expected.sent);
+        if let Some(replica) = self.replicas.borrow_mut().get_mut(key) {
+            let took_ms = took.as_secs_f64() * 1000.0;
+            replica.slowness.learn(expected.after_ms, took_ms);
         }
     }
 
@@ -261,6 +366,9 @@
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(Rc::clone(service)).or_default();
         budget.request(bounds, now);
+        let mut demands = self.demands.borrow_mut();
+        let demand = demands.entry(Rc::clone(service)).or_default();
+        demand.all.count(now);
     }
 
     /// Takes a repeat out of a service's budget.
@@ -324,6 +432,7 @@
 pub struct Running {
     entry: Rc<Entry>,
     key: ReplicaKey,
+    prompt_tokens: f64,
     /// Whether its answer has not begun.
     waiting: Cell<bool>,
 }
@@ -336,6 +445,7 @@
             && self.waiting.replace(false)
         {
             replica.own_waiting -= 1;
+            replica.own_waiting_tokens -= self.prompt_tokens;
         }
     }
 }
--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -265,6 +265,9 @@
             Read::Data(data) => {
                 entry.heard_replica(source.link.replica());
                 running.begun();
+                if let Some(expected) = job.expected.take() {
+                    entry.began(source.link.replica(), expected);
+                }
                 splitter.feed(&data);
                 false
             }
--- a/crates/gradeloft_gateway/tests/agents.rs
+++ b/crates/gradeloft_gateway/tests/agents.rs
@@ -232,6 +232,7 @@
         } else {
             ORIGIN_CONNECTIONS
         },
+        speed: None,
         layout: Some(Layout {
             layers: 4,
             pieces: PIECES,
@@ -266,6 +267,7 @@
     replica: "e",
     replica_id: "f",
     version: "g",
+    tokens: "h",
     priority: "h",
     seal: "i",
     not_run: "j",
--- a/crates/gradeloft_platform/src/fleet.rs
+++ b/crates/gradeloft_platform/src/fleet.rs
@@ -145,6 +145,8 @@
     pub replica_id: &'static str,
     /// Pins a request to a version of weights.
     pub version: &'static str,
+    /// Tokens of the prompt and the most that an answer may have, with a comma between.
+    pub tokens: &'static str,
     /// Rank of a request in its replica's queue.
     pub priority: &'static str,
     /// Marks an answer as a replica's own.
--- a/crates/gradeloft_policy/src/process/document.rs
+++ b/crates/gradeloft_policy/src/process/document.rs
@@ -90,6 +90,23 @@
     pub piece_bytes: u32,
 }
 
+/// How fast the engines of a service work, as the operator publishes it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Speed {
+    /// Time of a step, which writes one token of each request, in milliseconds. Above 0.
+    pub step_ms: f64,
+    /// What each request that writes adds to a step, in milliseconds.
+    pub step_ms_per_request: f64,
+    /// Steps of one pass; at least 1.
+    pub steps: u32,
+    /// Prompt tokens that are read in a millisecond. Above 0.
+    pub read_per_ms: f64,
+    /// Tokens of a usual prompt.
+    pub usual_prompt: f64,
+    /// Tokens of a usual answer.
+    pub usual_answer: f64,
+}
+
 /// A service and what its replicas bear.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -99,6 +116,8 @@
     pub max_connections: u32,
     /// How its weights are cut, for services that run a model.
     pub layout: Option<Layout>,
+    /// How fast its engines work, for services that run a model.
+    pub speed: Option<Speed>,
     /// Models that its replicas may hold.
     pub models: Vec<String>,
     /// Where pieces of weights are read, for the service that is the origin.
--- a/crates/gradeloft_policy/src/process/mod.rs
+++ b/crates/gradeloft_policy/src/process/mod.rs
@@ -10,6 +10,7 @@
 //! - [`replicas`]: the replicas of all services.
 //! - [`roster`]: the entries that callers may be sent to.
 //! - [`shares`]: shares of a rate between entries.
+//! - [`split`]: how the slots of replicas are split among entries.
 
 pub mod address;
 pub mod document;
@@ -21,3 +22,4 @@
 pub mod replicas;
 pub mod roster;
 pub mod shares;
+pub mod split;
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -5,7 +5,11 @@
 
 use slotmap::{SlotMap, new_key_type};
 
-use crate::clock::Time;
+use crate::{
+    clock::Time,
+    process::document::Speed,
+    request::forecast::{Queue, Slowness},
+};
 
 /// First pause after a failure, in milliseconds; doubles with each further failure in a row.
 const FIRST_PAUSE_MS: u64 = 300;
@@ -78,10 +82,16 @@
     pub own: u32,
     /// Of those, requests whose answer has not begun.
     pub own_waiting: u32,
+    /// Prompt tokens of those.
+    pub own_waiting_tokens: f64,
     /// Requests of other entries that it works on, as they said last.
     pub others: u32,
     /// Of those, requests whose answer has not begun.
     pub others_waiting: u32,
+    /// Slots of it that this entry fills without regard to others.
+    pub part: u32,
+    /// How much later than the operator publishes its answers begin.
+    pub slowness: Slowness,
     /// When it sent something last, or was given the only request that it has from this entry.
     pub heard: Time,
     failures: u32,
@@ -129,6 +139,37 @@
         self.own_waiting + self.others_waiting
     }
 
+    /// Whether a slot of this entry's part is free.
+    pub fn has_own_slot(&self) -> bool {
+        self.own < self.part
+    }
+
+    /// Slots that are free as far as this entry knows, where so many more requests may have come.
+    pub fn spare(&self, unseen: f64) -> f64 {
+        (f64::from(self.listing.slots) - f64::from(self.load()) - unseen).max(0.0)
+    }
+
+    /// What a request finds at it, as far as this entry knows. How long the prompts are that other
+    /// entries sent is not told. Where this entry has a free slot of its own, others can't have taken it,
+    /// whatever they told some time ago.
+    pub fn queue(&self, speed: &Speed) -> Queue {
+        let slots = self.listing.slots;
+        let others = if self.has_own_slot() {
+            self.others.min(slots - self.part.min(slots))
+        } else {
+            self.others
+        };
+        let others_waiting = self.others_waiting.min(others);
+        let waiting = self.own_waiting + others_waiting;
+        let others_tokens = f64::from(others_waiting) * speed.usual_prompt;
+        Queue {
+            slots,
+            begun: (self.own + others).saturating_sub(waiting),
+            waiting,
+            waiting_tokens: self.own_waiting_tokens + others_tokens,
+        }
+    }
+
     fn fresh(&self, now: Time) -> Option<Report> {
         self.report.filter(|it| now < it.at.after_ms(REPORT_MS))
     }
@@ -189,8 +230,11 @@
             report: None,
             own: 0,
             own_waiting: 0,
+            own_waiting_tokens: 0.0,
             others: 0,
             others_waiting: 0,
+            part: 0,
+            slowness: Slowness::default(),
             heard: Time::ZERO,
             failures: 0,
             paused_until: Time::ZERO,
--- a/crates/gradeloft_policy/src/process/roster.rs
+++ b/crates/gradeloft_policy/src/process/roster.rs
@@ -110,6 +110,14 @@
             .map(|(address, _)| *address)
     }
 
+    /// Entries that take callers.
+    pub fn serving(&self, now: Time) -> impl Iterator<Item = Ipv4Addr> {
+        let entries = self.entries.iter();
+        entries
+            .filter(move |(_, it)| it.alive(now) && it.state == State::Ready)
+            .map(|(address, _)| *address)
+    }
+
     /// Whether an entry was heard a moment ago.
     pub fn alive(&self, address: Ipv4Addr, now: Time) -> bool {
         self.entries.get(&address).is_some_and(|it| it.alive(now))
--- a/crates/gradeloft_policy/src/request/mod.rs
+++ b/crates/gradeloft_policy/src/request/mod.rs
@@ -1,17 +1,23 @@
 //! What lives for a request.
 //!
 //! - [`admission`]: rates of teams and the shedding of classes.
+//! - [`age`]: how long ago a caller first asked.
 //! - [`answer`]: whether the frames of an answer are whole and its own.
 //! - [`attempt`]: what may follow a failed attempt.
+//! - [`forecast`]: when a replica would begin an answer.
 //! - [`once`]: calls that run at most once.
 //! - [`placement`]: which replica gets a forwarded request.
 //! - [`retry`]: whether a failed attempt is tried again.
 //! - [`route`]: which replica gets it.
+//! - [`shortage`]: when callers that are refused come back.
 
 pub mod admission;
+pub mod age;
 pub mod answer;
 pub mod attempt;
+pub mod forecast;
 pub mod once;
 pub mod placement;
 pub mod retry;
 pub mod route;
+pub mod shortage;
--- a/crates/gradeloft_policy/src/request/placement.rs
+++ b/crates/gradeloft_policy/src/request/placement.rs
@@ -1,12 +1,19 @@
 //! Which replica of a service gets a request.
 
-use std::fmt;
+use std::{fmt, time::Duration};
 
-use rand::{Rng, seq::IteratorRandom};
+use rand::{
+    Rng,
+    seq::{IndexedRandom, IteratorRandom},
+};
 
 use crate::{
     clock::Time,
-    process::replicas::{Replica, ReplicaKey},
+    process::{
+        document::Speed,
+        replicas::{Replica, ReplicaKey},
+    },
+    request::forecast,
 };
 
 /// What a replica in another availability zone has to be emptier by, as a part of its slots: the way
@@ -32,6 +39,59 @@
 /// Requests that have not begun which a replica is given at most. Behind so many prompts the first
 /// token is late by today's objectives, and should the replica stop, all of them are held up.
 const MAX_UNBEGUN: u32 = 8;
+/// Part of the time within which an answer has to begin that a forecast may take. The rest is for the
+/// way back to the caller, and for what other entries send to the same replica meanwhile.
+const TIMELY: f64 = 0.9;
+/// Part of a replica's slots that requests which are late in any case leave free. Fresh requests come
+/// to a busy replica every tenth of a second, and need a slot at once.
+const SPARE: f64 = 0.125;
+
+/// What an answer to a request can still be.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Claim {
+    /// It has begun, and goes on at another replica.
+    Begun,
+    /// It is late whenever it begins.
+    Late,
+    /// It is in time if it begins within so many milliseconds.
+    Timely(f64),
+}
+
+impl Claim {
+    /// Of a request that has so much time left to be in time.
+    pub fn of(left: Duration) -> Claim {
+        if left.is_zero() {
+            Claim::Late
+        } else {
+            Claim::Timely(left.as_secs_f64() * 1000.0)
+        }
+    }
+
+    /// What the request can be where no replica makes it that.
+    pub fn weaker(self) -> Option<Claim> {
+        matches!(self, Claim::Timely(_)).then_some(Claim::Late)
+    }
+
+    /// Rank in a replica's queue, from 0 for the first to 9: streams that go on, then what can be in
+    /// time, then what is late; within each by the operator's `priority` of its route.
+    pub fn rank(self, priority: u32) -> u32 {
+        match self {
+            Claim::Begun => 0,
+            Claim::Timely(_) => 1 + priority.min(3),
+            Claim::Late => 5 + priority.min(4),
+        }
+    }
+}
+
+impl fmt::Display for Claim {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Claim::Begun => f.write_str("begun"),
+            Claim::Late => f.write_str("late"),
+            Claim::Timely(within_ms) => write!(f, "timely:{within_ms:.0}"),
+        }
+    }
+}
 
 /// What a request asks of its replica.
 #[derive(Clone, Copy, Debug)]
@@ -44,6 +104,16 @@
     pub same: Option<u64>,
     /// Replicas that this request has been sent to.
     pub tried: &'a [ReplicaKey],
+    /// What its answer can still be.
+    pub claim: Claim,
+    /// Tokens of its prompt.
+    pub prompt_tokens: f64,
+    /// How fast the service's engines work; `None` for services without a model.
+    pub speed: Option<&'a Speed>,
+    /// Part of the requests beyond this entry's own slots that may go where others' slots are free.
+    pub chance: f64,
+    /// Requests that may have come to each replica since others told what they have there.
+    pub unseen: f64,
 }
 
 /// What speaks against a replica before its load does. The first field that differs decides.
@@ -60,6 +130,15 @@
     other_version: bool,
 }
 
+/// Slots that a request may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Slots {
+    /// Those that other entries leave free, too.
+    Any,
+    /// Those of this entry's part.
+    Own,
+}
+
 /// A replica that can get the request.
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
@@ -67,33 +146,67 @@
     flaws: Flaws,
     near: bool,
     cost: f64,
+    /// Whether it has a free slot of this entry's part.
+    own: bool,
+    /// Slots that are likely free, whoever's part they are.
+    spare: f64,
 }
 
-/// Picks the replica with the fewest requests for its slots, among a few drawn from those with the
-/// fewest flaws; `None` if none takes work.
+/// Picks a replica among those with the fewest flaws; `None` if none takes the request.
+///
+/// A request to a model goes to the entry's own slots first. Where others' slots are seen free, entries
+/// draw among them, as all see the same; own slots are known, and so is what other services have.
 pub fn choose<'a>(
     replicas: impl Iterator<Item = (ReplicaKey, &'a Replica)>,
     wish: Wish<'_>,
     now: Time,
     rng: &mut impl Rng,
 ) -> Option<ReplicaKey> {
+    let candidates = candidates(replicas, wish, now, rng);
+    let fewest = candidates.iter().map(|it| it.flaws).min()?;
+    let flawless = candidates.into_iter().filter(|it| it.flaws == fewest);
+    let candidates: Vec<Candidate> = flawless.collect();
+    let is_split = wish.speed.is_some() && wish.claim != Claim::Begun;
+    if !is_split {
+        return least_cost(candidates, rng);
+    }
+    let (own, others): (Vec<Candidate>, Vec<Candidate>) =
+        candidates.into_iter().partition(|it| it.own);
+    least_cost(own, rng).or_else(|| drawn_by_spare(&others, rng))
+}
+
+fn candidates<'a>(
+    replicas: impl Iterator<Item = (ReplicaKey, &'a Replica)>,
+    wish: Wish<'_>,
+    now: Time,
+    rng: &mut impl Rng,
+) -> Vec<Candidate> {
     let open: Vec<(ReplicaKey, &Replica)> = replicas
         .filter(|(key, it)| allowed(it, wish, now) && !wish.tried.contains(key))
         .collect();
+    let slots = if rng.random::<f64>() < wish.chance {
+        Slots::Any
+    } else {
+        Slots::Own
+    };
     let newest = open.iter().filter_map(|(_, it)| it.version(now)).max();
-    let candidates: Vec<Candidate> = open
-        .into_iter()
-        .filter(|(_, it)| has_room(it))
+    open.into_iter()
+        .filter(|(_, it)| has_room(it, wish, slots))
         .map(|(key, it)| Candidate {
             key,
             flaws: flaws(it, wish, now),
             near: it.listing.zone == wish.zone,
             cost: cost(it, wish, newest, now) + NOISE * rng.random::<f64>(),
+            own: it.has_own_slot(),
+            spare: it.spare(wish.unseen),
         })
-        .collect();
-    let fewest = candidates.iter().map(|it| it.flaws).min()?;
-    let candidates = candidates.iter().filter(|it| it.flaws == fewest);
-    let (near, far): (Vec<&Candidate>, Vec<&Candidate>) = candidates.partition(|it| it.near);
+        .collect()
+}
+
+/// The one with the fewest requests for its slots, among a few drawn near and far.
+fn least_cost(candidates: Vec<Candidate>, rng: &mut impl Rng) -> Option<ReplicaKey> {
+    let (near, far): (Vec<Candidate>, Vec<Candidate>) =
+        candidates.into_iter().partition(|it| it.near);
     let compared = near
         .into_iter()
         .choose_multiple(rng, COMPARED)
@@ -103,6 +216,12 @@
     best.map(|it| it.key)
 }
 
+/// One of them, each as likely as it has slots to spare.
+fn drawn_by_spare(candidates: &[Candidate], rng: &mut impl Rng) -> Option<ReplicaKey> {
+    let drawn = candidates.choose_weighted(rng, |it| it.spare);
+    drawn.ok().map(|it| it.key)
+}
+
 /// Why replicas can't get a request, by how many.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Census {
@@ -142,16 +261,36 @@
             census.closed += 1;
         } else if !allowed(replica, wish, now) {
             census.old += 1;
-        } else if !has_room(replica) {
+        } else if !has_room(replica, wish, Slots::Any) {
             census.full += 1;
         }
     }
     census
 }
 
-fn has_room(replica: &Replica) -> bool {
-    let slots = replica.load() < replica.listing.slots + WAITING;
-    slots && replica.waiting() < MAX_UNBEGUN
+/// Whether a replica can take the request. Where all are short of time, those that can be answered in
+/// time come before those that can't, as both take the same work.
+fn has_room(replica: &Replica, wish: Wish<'_>, slots: Slots) -> bool {
+    let all = replica.listing.slots;
+    let takes_more = replica.load() < all + WAITING && replica.waiting() < MAX_UNBEGUN;
+    let Some(speed) = wish.speed else {
+        return takes_more;
+    };
+    let borrows = slots == Slots::Any;
+    match wish.claim {
+        Claim::Begun => takes_more,
+        Claim::Late => borrows && f64::from(all) * SPARE < replica.spare(wish.unseen),
+        Claim::Timely(within_ms) => {
+            (replica.has_own_slot() || (borrows && 0.0 < replica.spare(wish.unseen)))
+                && first_token_ms(replica, speed, wish.prompt_tokens) <= within_ms * TIMELY
+        }
+    }
+}
+
+/// Time until a replica would send the first token of an answer, in milliseconds.
+pub fn first_token_ms(replica: &Replica, speed: &Speed, prompt_tokens: f64) -> f64 {
+    let published_ms = forecast::first_token_ms(speed, replica.queue(speed), prompt_tokens);
+    published_ms * replica.slowness.factor()
 }
 
 fn allowed(replica: &Replica, wish: Wish<'_>, now: Time) -> bool {
--- /dev/null
+++ b/crates/gradeloft_policy/tests/admission.rs
@@ -0,0 +1,225 @@
+//! Decisions about requests to a service that is short: who is sent where, and who comes back when.
+
+use std::{rc::Rc, time::Duration};
+
+use gradeloft_policy::{
+    clock::Time,
+    process::{
+        document::Speed,
+        replicas::{Listing, ReplicaKey, Replicas},
+        split,
+    },
+    request::{
+        age::Patience,
+        forecast::{Queue, Slowness, first_token_ms},
+        placement::{self, Claim, Wish},
+        shortage::Shortage,
+    },
+};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const SPEED: Speed = Speed {
+    step_ms: 7.0,
+    step_ms_per_request: 0.0,
+    steps: 6,
+    read_per_ms: 30.0,
+    usual_prompt: 900.0,
+    usual_answer: 120.0,
+};
+
+const WISH: Wish<'static> = Wish {
+    zone: "z",
+    oldest: None,
+    same: None,
+    tried: &[],
+    claim: Claim::Timely(400.0),
+    prompt_tokens: 900.0,
+    speed: Some(&SPEED),
+    chance: 1.0,
+    unseen: 0.0,
+};
+
+fn listed(replicas: &mut Replicas, id: &str) -> ReplicaKey {
+    replicas.list(Listing {
+        id: id.into(),
+        service: "m".into(),
+        address: format!("10.0.0.{}:80", id.len()).parse().unwrap(),
+        zone: "z".to_owned(),
+        slots: 16,
+        draining: false,
+        has_model: true,
+        version: Some(1),
+    })
+}
+
+fn choose(replicas: &Replicas, wish: Wish<'_>) -> Option<ReplicaKey> {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    placement::choose(replicas.of("m"), wish, Time::ZERO, &mut rng)
+}
+
+#[rstest]
+// Its prompt and a pass.
+#[case(0, 0, 72.0)]
+// Half of a pass that goes on as well.
+#[case(4, 0, 93.0)]
+// Two prompts before its own.
+#[case(4, 2, 153.0)]
+// A slot of sixteen that is free after a sixteenth of an answer.
+#[case(16, 0, 145.5)]
+fn the_first_token_comes_after_a_slot_the_prompts_before_and_a_pass(
+    #[case] begun: u32,
+    #[case] waiting: u32,
+    #[case] expected_ms: f64,
+) {
+    let queue = Queue {
+        slots: 16,
+        begun,
+        waiting,
+        waiting_tokens: 900.0 * f64::from(waiting),
+    };
+    assert_eq!(first_token_ms(&SPEED, queue, 900.0), expected_ms);
+}
+
+#[test]
+fn answers_correct_the_forecast_within_bounds() {
+    let mut slowness = Slowness::default();
+    (0..100).for_each(|_| slowness.learn(100.0, 250.0));
+    assert!((2.4..2.6).contains(&slowness.factor()));
+    (0..100).for_each(|_| slowness.learn(100.0, 60_000.0));
+    assert!(slowness.factor() <= 4.0);
+    let before = slowness;
+    slowness.learn(0.0, 100.0);
+    assert_eq!(slowness, before);
+}
+
+#[test]
+fn a_request_goes_where_it_can_be_in_time_and_is_refused_where_it_cannot() {
+    let mut replicas = Replicas::default();
+    let key = listed(&mut replicas, "a");
+    let replica = replicas.get_mut(key).unwrap();
+    (replica.own, replica.own_waiting, replica.own_waiting_tokens) = (4, 4, 9_000.0);
+    assert_eq!(choose(&replicas, WISH), None, "behind 300 ms of prompts");
+    replicas.get_mut(key).unwrap().own_waiting_tokens = 1_800.0;
+    assert_eq!(choose(&replicas, WISH), Some(key));
+    replicas.get_mut(key).unwrap().slowness.learn(1.0, 100.0);
+    (0..30).for_each(|_| {
+        let slow = &mut replicas.get_mut(key).unwrap().slowness;
+        slow.learn(100.0, 300.0);
+    });
+    assert_eq!(choose(&replicas, WISH), None, "a slow replica");
+}
+
+#[rstest]
+// An eighth of the slots stays free for those that can be in time.
+#[case(13, Claim::Late, true)]
+#[case(14, Claim::Late, false)]
+#[case(14, Claim::Timely(400.0), true)]
+// A stream that goes on is not held up by a full replica's slots.
+#[case(17, Claim::Timely(400.0), false)]
+#[case(17, Claim::Begun, true)]
+fn late_requests_fill_what_is_left_free(
+    #[case] load: u32,
+    #[case] claim: Claim,
+    #[case] sent: bool,
+) {
+    let mut replicas = Replicas::default();
+    let key = listed(&mut replicas, "a");
+    replicas.get_mut(key).unwrap().own = load;
+    let wish = Wish { claim, ..WISH };
+    assert_eq!(choose(&replicas, wish), sent.then_some(key));
+}
+
+#[test]
+fn own_slots_are_filled_whatever_others_told_and_theirs_only_by_chance() {
+    let mut replicas = Replicas::default();
+    let own = listed(&mut replicas, "a");
+    let other = listed(&mut replicas, "bb");
+    let replica = replicas.get_mut(own).unwrap();
+    (replica.part, replica.own, replica.others) = (4, 3, 16);
+    let never = Wish {
+        chance: 0.0,
+        ..WISH
+    };
+    assert_eq!(choose(&replicas, never), Some(own));
+    replicas.get_mut(own).unwrap().own = 4;
+    assert_eq!(choose(&replicas, never), None);
+    assert_eq!(choose(&replicas, WISH), Some(other));
+    let stale = Wish {
+        unseen: 16.0,
+        ..WISH
+    };
+    assert_eq!(choose(&replicas, stale), None);
+}
+
+#[test]
+fn ranks_put_streams_first_and_late_requests_last() {
+    let ranks = [
+        Claim::Begun.rank(9),
+        Claim::Timely(1.0).rank(0),
+        Claim::Timely(1.0).rank(9),
+        Claim::Late.rank(0),
+        Claim::Late.rank(9),
+    ];
+    assert_eq!(ranks, [0, 1, 4, 5, 9]);
+}
+
+#[test]
+fn a_caller_that_comes_back_is_as_old_as_the_time_that_it_lacks() {
+    let route: Rc<str> = "r".into();
+    let mut patience = Patience::default();
+    let mut age = |left_ms, now_ms| {
+        let left = Duration::from_millis(left_ms);
+        let age = patience.age(&route, left, Time::ZERO.after_ms(now_ms));
+        age.as_millis()
+    };
+    assert_eq!(age(6_000, 0), 0);
+    assert_eq!(age(4_500, 100), 1_500);
+    // Callers that all wait for less time are no older for it, some time after others did.
+    assert_eq!(age(1_000, 10_000), 5_000);
+    assert_eq!(age(1_000, 20_000), 0);
+}
+
+#[test]
+fn callers_come_back_soon_from_a_moments_shortage_and_late_from_a_long_one() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut shortage = Shortage::default();
+    let left = Duration::from_millis(6_000);
+    let mut back_ms = |at_ms| {
+        let back = shortage.refuse(left, Time::ZERO.after_ms(at_ms), &mut rng);
+        back.as_millis()
+    };
+    assert!((45..=60).contains(&back_ms(1_000)));
+    let (mut second, mut fourth) = (0, 0);
+    for at in (1_000..=5_000).step_by(100) {
+        let back = back_ms(at);
+        second = if at == 2_000 { back } else { second };
+        fourth = if at == 5_000 { back } else { fourth };
+    }
+    assert!((750..=1_000).contains(&second), "{second}");
+    // No longer than callers heed it.
+    assert!((1_500..=2_000).contains(&fourth), "{fourth}");
+    assert!(back_ms(9_000) <= 60, "another shortage");
+}
+
+proptest! {
+    #[test]
+    fn every_slot_is_the_part_of_one_entry_and_entries_have_much_the_same(
+        entries in 1usize..420,
+        replicas in 1usize..120,
+        slots in 1u32..20,
+    ) {
+        let all = vec![slots; replicas];
+        let of: Vec<Vec<u32>> = (0..entries).map(|it| split::parts(it, entries, &all)).collect();
+        for replica in 0..replicas {
+            let sum: u32 = of.iter().map(|it| it[replica]).sum();
+            prop_assert_eq!(sum, slots);
+        }
+        let totals = of.iter().map(|it| it.iter().sum::<u32>());
+        let (least, most) = (totals.clone().min().unwrap(), totals.max().unwrap());
+        // A holder more or less, and what is left over at each of its replicas.
+        prop_assert!(most - least <= 2 + slots + replicas as u32, "{least}..{most}");
+    }
+}
