Hedge late pieces, finish versions that are half in the fleet, mend spoilt pieces before an order

Ruled out: the origin (it had sent 1.2 copies by 20 s) and the links of the others.

Two tests of the fetch fail without the change.

--- a/crates/gradeloft_emulator/src/entry.rs
+++ b/crates/gradeloft_emulator/src/entry.rs
@@ -5,7 +5,7 @@
 use gradeloft_policy::{
     clock::Time,
     process::{
-        replicas::{Listing, ReplicaKey, Replicas},
+        replicas::{Listing, Replica, ReplicaKey, Replicas},
         split::{self, Demand},
     },
     request::{
@@ -205,7 +205,7 @@
     /// Whether it has a free slot of its own at a replica.
     fn is_within(&self, replica: usize) -> bool {
         let replica = self.replicas.get(self.keys[replica]);
-        replica.is_some_and(|it| it.has_own_slot())
+        replica.is_some_and(Replica::has_own_slot)
     }
 
     /// Counts a request with a prompt as sent to a replica.
--- a/crates/gradeloft_emulator/tests/overload.rs
+++ b/crates/gradeloft_emulator/tests/overload.rs
@@ -99,8 +99,8 @@
         let mean = |idx: usize| runs.iter().map(|it| it[idx]).sum::<f64>() / SEEDS as f64;
         (0..runs[0].len()).map(mean).collect::<Vec<f64>>()
     };
-    let kinds = parts(|it| it.kinds.iter().map(|it| it.part_in_time()).collect());
-    let halves = parts(|it| it.halves.iter().map(|it| it.part_in_time()).collect());
+    let kinds = parts(|it| it.kinds.iter().map(Tally::part_in_time).collect());
+    let halves = parts(|it| it.halves.iter().map(Tally::part_in_time).collect());
     for parts in [kinds, halves] {
         let least = parts.iter().copied().fold(1.0, f64::min);
         let most = parts.iter().copied().fold(0.0, f64::max);
--- a/crates/gradeloft_gateway/src/agent/change.rs
+++ b/crates/gradeloft_gateway/src/agent/change.rs
@@ -25,6 +25,8 @@
 /// in milliseconds: until the others' orders are under way. Should its instance stop right after the
 /// order, requests that it holds would begin on that version when the newer one is due.
 const SUPERSEDED_MS: u64 = 700;
+/// How often pieces that were spoilt while they lay staged are fetched again before an order.
+const MENDS: usize = 3;
 /// Longest time for an order to show its effect, in milliseconds: the longest request of today, and
 /// the loading.
 const LOAD_MS: u64 = 8_000;
@@ -94,8 +96,7 @@
         let named = self.node.clock.now();
         let others = fill::fill(self, version).await?;
         let wave = self.turn(version, named, &others).await;
-        // What lies staged is loaded as it is when the order is taken.
-        fill::check(self, version).await?;
+        self.mend(version).await?;
         self.loading.set(true);
         self.tell();
         let loaded = self.load(version, wave).await;
@@ -109,6 +110,18 @@
         loaded
     }
 
+    /// Checks what lies staged, as it is loaded as it is when the order is taken, and fetches again what
+    /// is spoilt: a version that is superseded meanwhile would not be begun again.
+    async fn mend(self: &Rc<Agent>, version: &Version) -> Result<(), Stop> {
+        for _ in 0..MENDS {
+            if fill::check(self, version).await.is_ok() {
+                return Ok(());
+            }
+            fill::fill(self, version).await?;
+        }
+        Ok(fill::check(self, version).await?)
+    }
+
     /// Waits until it is this replica's turn to load.
     async fn turn(&self, version: &Version, named: Time, others: &[u64]) -> Wave {
         let own = fill::node_hash(self.replica);
--- a/crates/gradeloft_gateway/src/agent/fetch.rs
+++ b/crates/gradeloft_gateway/src/agent/fetch.rs
@@ -212,12 +212,13 @@
         Ok(())
     }
 
-    /// Whether a newer version was named before much of this one came. A version that is partly
-    /// here is finished: the newer one may not be had for long.
+    /// Whether a newer version was named before much of this one came into the fleet. One of which half
+    /// is somewhere is finished: the newer one may not be had for long, and until it is there nothing
+    /// else may serve once this one is due.
     fn superseded(&self) -> bool {
         let all = self.manifest.chunks.len();
-        let mostly_missing = all * 3 < self.fetch.borrow().left() * 4;
-        mostly_missing && self.agent.target().as_ref() != Some(self.version)
+        let mostly_unseen = all < self.fetch.borrow().unseen() * 2;
+        mostly_unseen && self.agent.target().as_ref() != Some(self.version)
     }
 
     fn partners(&self) -> Vec<partners::Member> {
@@ -365,6 +366,7 @@
     fn learn(&mut self, key: SourceKey, positions: Vec<u32>) {
         let positions = positions.into_iter().map(|it| it as usize);
         let positions: HashSet<usize> = positions.collect();
+        self.fetch.borrow_mut().seen(positions.iter().copied());
         let Some(withheld) = self.withheld.get_mut(&key) else {
             self.fetch.borrow_mut().have(key, positions.into_iter());
             return;
--- a/crates/gradeloft_policy/src/request/placement.rs
+++ b/crates/gradeloft_policy/src/request/placement.rs
@@ -154,8 +154,8 @@
 
 /// Picks a replica among those with the fewest flaws; `None` if none takes the request.
 ///
-/// A request to a model goes to the entry's own slots first. Where others' slots are seen free, entries
-/// draw among them, as all see the same; own slots are known, and so is what other services have.
+/// A request to a model goes to the entry's own slots first, near ones before far ones. Where others'
+/// slots are seen free, entries draw among them, as all see the same.
 pub fn choose<'a>(
     replicas: impl Iterator<Item = (ReplicaKey, &'a Replica)>,
     wish: Wish<'_>,
@@ -170,6 +170,13 @@
     if !is_split {
         return least_cost(candidates, rng);
     }
+    let (near, far): (Vec<Candidate>, Vec<Candidate>) =
+        candidates.into_iter().partition(|it| it.near);
+    split(near, rng).or_else(|| split(far, rng))
+}
+
+/// One with a free slot of this entry's part, else one where others' slots are free.
+fn split(candidates: Vec<Candidate>, rng: &mut impl Rng) -> Option<ReplicaKey> {
     let (own, others): (Vec<Candidate>, Vec<Candidate>) =
         candidates.into_iter().partition(|it| it.own);
     least_cost(own, rng).or_else(|| drawn_by_spare(&others, rng))
--- a/crates/gradeloft_policy/src/version/fetch/item.rs
+++ b/crates/gradeloft_policy/src/version/fetch/item.rs
@@ -19,6 +19,8 @@
     pub(super) state: State,
     /// Sources in good standing that hold it.
     pub(super) holders: u32,
+    /// Whether any peer was known to hold it, in good standing or not.
+    pub(super) seen: bool,
     /// How many members come before this one for the chunk.
     pub(super) rank: usize,
     /// When its owners were last given time.
@@ -41,6 +43,7 @@
             chunk,
             state,
             holders: 0,
+            seen: held,
             rank: 0,
             waiting_since: now,
             absent: HashSet::new(),
--- a/crates/gradeloft_policy/src/version/fetch/mod.rs
+++ b/crates/gradeloft_policy/src/version/fetch/mod.rs
@@ -5,6 +5,7 @@
 //! agent of a lower rank reads the origin only after the better ones, asked directly, turned out
 //! to be gone. So changes of membership, or views of it that differ, cost few extra copies.
 
+mod hedge;
 mod item;
 mod source;
 
@@ -14,6 +15,7 @@
 use rand::Rng;
 use slotmap::{SlotMap, new_key_type};
 
+use hedge::Hedge;
 use item::{Item, State};
 use source::Source;
 
@@ -26,6 +28,9 @@
 
 /// Wait before a peer that had no free slot is asked again, in milliseconds.
 const BUSY_WAIT_MS: u64 = 40;
+/// Part of the time that an owner is given before its silence is looked into within which it answers a
+/// question, as a multiple.
+const OWNER_PATIENCE: u64 = 2;
 /// How many times longer the objective `origin_bytes` waits before it suspects an owner.
 const PATIENCE: u64 = 2;
 
@@ -141,6 +146,7 @@
     sources: SlotMap<SourceKey, Source>,
     members: Vec<u64>,
     outside: Outside,
+    hedge: Hedge,
     asked: usize,
     /// Of those, chunks asked of the store or the origin.
     asked_outside: usize,
@@ -176,6 +182,7 @@
             sources: SlotMap::with_key(),
             members: Vec::new(),
             outside: Outside::default(),
+            hedge: Hedge::default(),
             asked: 0,
             asked_outside: 0,
             left,
@@ -275,6 +282,7 @@
         for idx in positions {
             if let Some(held @ false) = source.held.get_mut(idx) {
                 *held = true;
+                self.items[idx].seen = true;
                 if source.reliable() {
                     self.items[idx].holders += 1;
                 }
@@ -282,11 +290,27 @@
         }
     }
 
+    /// Some peer holds these chunks, by position, whether or not they are to be asked of it.
+    pub fn seen(&mut self, positions: impl Iterator<Item = usize>) {
+        for idx in positions {
+            if let Some(item) = self.items.get_mut(idx) {
+                item.seen = true;
+            }
+        }
+    }
+
+    /// Chunks that are neither held here nor known to be held by any peer.
+    pub fn unseen(&self) -> usize {
+        let unseen = |it: &&Item| !it.seen && it.state != State::Held;
+        self.items.iter().filter(unseen).count()
+    }
+
     /// The next ask, if there is one to make now. Call until it gives none.
     pub fn next(&mut self, now: Time, rng: &mut impl Rng) -> Option<Ask> {
         if self.tuning.slots <= self.asked {
             return None;
         }
+        self.hedge.learn(self.unseen(), self.items.len(), now);
         let (idx, from) = self
             .owner_ask(now, rng)
             .or_else(|| self.peer_ask(now, rng))?;
@@ -324,7 +348,12 @@
         let queued = (self.members.len() * self.tuning.origin_slots) as u64;
         match from {
             From::Origin | From::Store => self.tuning.stall_ms + queued * self.tuning.chunk_ms,
-            From::Owner(_) | From::Source(_) => self.tuning.stall_ms,
+            // An owner has the chunk, or says at once that it is about to read it.
+            From::Owner(_) => self
+                .tuning
+                .stall_ms
+                .min(OWNER_PATIENCE * self.tuning.takeover_ms),
+            From::Source(_) => self.tuning.stall_ms,
         }
     }
 
@@ -384,7 +413,9 @@
             if 0 < item.holders || !item.askable(now) {
                 continue;
             }
-            let from = match self.rank(item) {
+            let rank = self.rank(item);
+            let hedged = !item.seen && self.hedge.reads(rank, now);
+            let from = match if hedged { 0 } else { rank } {
                 0 if self.asked_outside < self.tuning.origin_slots => outside,
                 0 => None,
                 rank => self.suspected(item, rank, now),
--- a/crates/gradeloft_policy/tests/fetch.rs
+++ b/crates/gradeloft_policy/tests/fetch.rs
@@ -102,6 +102,49 @@
     assert!(owners.iter().all(|it| *it == 1));
 }
 
+#[test]
+fn what_is_left_of_a_version_that_is_nearly_there_is_read_by_the_next_in_rank() {
+    let manifest = manifest(16);
+    let members = [OWN, 2, 3];
+    let late = foreign(&manifest, &members);
+    let mut fetch = fetch(&manifest, &members);
+    let peer = fetch.join(true);
+    let now = Time::ZERO.after_ms(100);
+    let outside = |asks: Vec<Ask>| -> Vec<usize> {
+        let outside = asks
+            .iter()
+            .filter(|it| matches!(it.from, From::Store | From::Origin));
+        outside.map(|it| it.idx).collect()
+    };
+    fetch.have(peer, (0..16).filter(|it| *it != late).take(11));
+    assert!(
+        !outside(asks(&mut fetch, now)).contains(&late),
+        "five are left"
+    );
+    fetch.have(peer, (0..16).filter(|it| *it != late));
+    // Its owner has said that it reads it, and has its time from there.
+    asks(&mut fetch, now);
+    assert_eq!(fetch.unseen(), 1);
+    let waited = now.after_ms(149);
+    assert!(!outside(asks(&mut fetch, waited)).contains(&late));
+    let mut rest = fetch;
+    (0..16).filter(|it| *it != late).for_each(|it| {
+        rest.arrived(it, From::Source(peer), waited);
+    });
+    assert_eq!(outside(asks(&mut rest, now.after_ms(150))), [late]);
+}
+
+#[test]
+fn what_a_far_peer_holds_is_not_read_again() {
+    let manifest = manifest(4);
+    let members = [OWN, 2, 3];
+    let late = foreign(&manifest, &members);
+    let mut fetch = fetch(&manifest, &members);
+    fetch.seen(0..4);
+    let later = asks(&mut fetch, Time::ZERO.after_ms(400));
+    assert!(later.iter().all(|it| it.idx != late));
+}
+
 #[test]
 fn the_rarest_chunk_is_asked_for_first_and_of_the_nearer_peer() {
     let manifest = manifest(3);
