--- a/crates/gradeloft_gateway/src/agent/fetch.rs
+++ b/crates/gradeloft_gateway/src/agent/fetch.rs
@@ -216,9 +216,8 @@
     /// is somewhere is finished: the newer one may not be had for long, and until it is there nothing
     /// else may serve once this one is due.
     fn superseded(&self) -> bool {
-        let all = self.manifest.chunks.len();
-        let mostly_unseen = all < self.fetch.borrow().unseen() * 2;
-        mostly_unseen && self.agent.target().as_ref() != Some(self.version)
+        let half_there = self.fetch.borrow().half_there();
+        !half_there && self.agent.target().as_ref() != Some(self.version)
     }
 
     fn partners(&self) -> Vec<partners::Member> {
--- a/crates/gradeloft_gateway/src/entry/learn.rs
+++ b/crates/gradeloft_gateway/src/entry/learn.rs
@@ -18,16 +18,18 @@
 use super::{Entry, Oldest};
 use crate::logs::Topic;
 
-/// Part of the time for new weights after which requests go to replicas that hold them, if one has
-/// room.
-const VERSION_PREFERRED: f64 = 0.7;
-/// Part of the time for new weights after which requests need them. The rest, one and a half seconds today, is
-/// for requests that wait at a replica before they begin.
-const VERSION_DUE: f64 = 0.8;
-/// Part of the time for new weights after which requests that wait at a replica with older ones are
-/// taken back, also from replicas behind links that carry little: a tenth of a second passes a link,
-/// the rest is for one that is slow.
-const VERSION_EXPIRED: f64 = 0.92;
+/// Time before the end of that for new weights from which on requests go to replicas that hold them, if
+/// one has room, in milliseconds: until then the last replicas change over.
+const VERSION_PREFERRED_MS: u64 = 1_600;
+/// Time before the end of that for new weights from which on requests need them, in milliseconds. A
+/// request goes where it begins within its objective, 0.4 s today; what was named is known to all entries
+/// 0.3 s after it was at the latest. With 1.6 s, replicas with older weights stood idle for 0.8 s while
+/// requests were refused.
+const VERSION_DUE_MS: u64 = 800;
+/// Time before the end of that for new weights at which requests that wait at a replica with older ones
+/// are taken back, in milliseconds: a tenth of a second passes a link, also one that carries little, and
+/// what was named may have been learned 0.3 s late.
+const VERSION_EXPIRED_MS: u64 = 500;
 
 impl Entry {
     /// Oldest versions of weights on which a request to a service begins now: where a replica has
@@ -107,15 +109,15 @@
         let now = self.node.clock.now();
         // What was named before this process started may be due already.
         let started = !self.node.loaded(Table::Operator) || self.config.borrow().is_none();
-        let version_ms = self.node.settings().version_ms as f64;
-        let after = |part: f64| match started {
+        let version_ms = self.node.settings().version_ms;
+        let before_end = |ms: u64| match started {
             true => now,
-            false => now.after_ms((version_ms * part) as u64),
+            false => now.after_ms(version_ms.saturating_sub(ms)),
         };
         let times = Times {
-            preferred: after(VERSION_PREFERRED),
-            due: after(VERSION_DUE),
-            expired: after(VERSION_EXPIRED),
+            preferred: before_end(VERSION_PREFERRED_MS),
+            due: before_end(VERSION_DUE_MS),
+            expired: before_end(VERSION_EXPIRED_MS),
         };
         let mut weights = self.weights.borrow_mut();
         let named = weights.entry(model.clone()).or_default();
--- a/crates/gradeloft_policy/src/version/fetch/mod.rs
+++ b/crates/gradeloft_policy/src/version/fetch/mod.rs
@@ -299,8 +299,13 @@
         }
     }
 
+    /// Whether half of the version is in the fleet: held here, or known to be held by a peer.
+    pub fn half_there(&self) -> bool {
+        self.unseen() * 2 <= self.items.len()
+    }
+
     /// Chunks that are neither held here nor known to be held by any peer.
-    pub fn unseen(&self) -> usize {
+    fn unseen(&self) -> usize {
         let unseen = |it: &&Item| !it.seen && it.state != State::Held;
         self.items.iter().filter(unseen).count()
     }
