Count the time for new weights from when peers first knew of them

Cause: the operator's records come in one order, and in the grown deployments a named version lay behind 25 configurations of over a thousand routes, which go to 110 processes over narrow links. Change: peers' datagrams tell how far their copies go well before the records are passed on; a version's time counts from the first that went beyond its record.

A test failed once: an_entry_that_takes_over_reading_trusts_what_it_reads. Cause: it looked for two addresses that come before the entry's in the rendezvous order, and addresses depend on the process id; for 126 of 5,000 ids, the failing one among them, there were fewer than two. It now takes the third of the order as its subject.

--- a/crates/gradeloft_gateway/src/entry/learn.rs
+++ b/crates/gradeloft_gateway/src/entry/learn.rs
@@ -81,7 +81,9 @@
         }
         match self.node.platform.decoder.order(record) {
             Ok(Order::Config(document)) => self.configure(*document),
-            Ok(Order::Weights { model, version }) => self.name_weights(model, version),
+            Ok(Order::Weights { model, version }) => {
+                self.name_weights(model, version, self.node.written(record));
+            }
             Ok(Order::Other) => {}
             Err(error) => {
                 if let Some(log) = self.node.logs.line(Topic::State) {
@@ -105,14 +107,14 @@
         self.node.metrics.config.set(version as i64);
     }
 
-    fn name_weights(&self, model: String, version: u64) {
+    fn name_weights(&self, model: String, version: u64, named_at: Time) {
         let now = self.node.clock.now();
         // What was named before this process started may be due already.
         let started = !self.node.loaded(Table::Operator) || self.config.borrow().is_none();
         let version_ms = self.node.settings().version_ms;
         let before_end = |ms: u64| match started {
             true => now,
-            false => now.after_ms(version_ms.saturating_sub(ms)),
+            false => named_at.after_ms(version_ms.saturating_sub(ms)),
         };
         let times = Times {
             preferred: before_end(VERSION_PREFERRED_MS),
@@ -127,6 +129,7 @@
         }
         if let Some(log) = self.node.logs.line(Topic::Weights) {
             info!(log, "weights named"; "model" => model, "version" => version,
+                "learned_ms" => now.since(named_at).as_millis() as u64,
                 "due_ms" => times.due.since(now).as_millis() as u64);
         }
     }
--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -16,7 +16,10 @@
 use gradeloft_platform::fleet::{Decoder, Directory, Engine, Headers, Origin, Store};
 use gradeloft_policy::{
     clock::Time,
-    process::mirror::{Mirror, Record},
+    process::{
+        ends::Ends,
+        mirror::{Mirror, Record},
+    },
 };
 use gradeloft_wire::{
     codec,
@@ -85,6 +88,8 @@
     asking: Cell<[bool; 3]>,
     /// Since when a peer of another region has been ahead with a table.
     behind: Cell<[Option<Time>; 3]>,
+    /// How far peers said that the operator's table goes.
+    operator_ends: RefCell<Ends>,
     reading: RefCell<[Reading; 3]>,
     election: RefCell<Option<Rc<dyn Election>>>,
     /// Until when removals that peers told may be errors of the store's.
@@ -126,6 +131,7 @@
             copies: RefCell::default(),
             asking: Cell::default(),
             behind: Cell::default(),
+            operator_ends: RefCell::default(),
             reading: RefCell::default(),
             election: RefCell::default(),
             peer_doubt: Cell::default(),
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -228,6 +228,13 @@
         }
     }
 
+    /// Since when a record of the operator's is known to have been written, at the latest.
+    pub fn written(&self, record: &Record) -> Time {
+        let now = self.clock.now();
+        let told = self.operator_ends.borrow().known_since(record.offset);
+        told.map_or(now, |it| it.min(now))
+    }
+
     /// Answers a peer's call for records.
     pub async fn give_records(&self, table: Table, from: u64, outgoing: Outgoing) {
         let update = self.copies.borrow()[index(table)].since(from);
@@ -250,6 +257,9 @@
     /// have it too.
     pub fn heard_ends(self: &Rc<Node>, peer: Ipv4Addr, zone: &str, ends: [u64; 3]) -> bool {
         let mut asked = false;
+        let now = self.clock.now();
+        let end = ends[index(Table::Operator)];
+        self.operator_ends.borrow_mut().told(end, now);
         let settings = self.settings();
         let near = settings.region(zone) == settings.region(&settings.zone);
         for table in Table::ALL {
--- a/crates/gradeloft_gateway/tests/entry/gossip.rs
+++ b/crates/gradeloft_gateway/tests/entry/gossip.rs
@@ -30,12 +30,12 @@
 }
 
 /// Another entry, which says again and again whether the store serves it.
-async fn telling_entry(last: u8, store: Rc<Cell<Access>>) {
+async fn telling_entry(last: u8, to: u8, store: Rc<Cell<Access>>) {
     let socket = UdpSocket::bind((address(last), 7700)).await.unwrap();
     actix_rt::spawn(async move {
         loop {
             let told = codec::body(&datagram("z", store.get()));
-            socket.send_to(&told, (address(1), 7700)).await.unwrap();
+            socket.send_to(&told, (address(to), 7700)).await.unwrap();
             actix_rt::time::sleep(Duration::from_millis(50)).await;
         }
     });
@@ -91,17 +91,19 @@
     run(async {
         let well = || vec![vec![Step::Read, ok("receipt")]];
         let world = World::start(Shape::of(Kind::Once), vec![well(), well()]).await;
-        let entry = world.entry.entry();
-        // Two entries that come before this one for the table.
+        // The third in order for the table, and the two before it. Which those are depends on the
+        // addresses, and so on this process.
         let table = Table::Replicas;
-        let hash = |last| rendezvous::hash(&address(last).octets());
-        let before = (10..90).filter(|it| {
-            let it = hash(*it);
-            rendezvous::rank(table as u64, hash(1), [it].into_iter()) == 1
-        });
+        let nodes: Vec<u64> = (10..90)
+            .map(|it| rendezvous::hash(&address(it).octets()))
+            .collect();
+        let order = rendezvous::order(table as u64, &nodes);
+        let last = |place: usize| 10 + order[place] as u8;
+        let another = world.another(last(2), &world.tables).await;
+        let entry = another.entry();
         let store = Rc::new(Cell::new(Access::Served));
-        for last in before.take(2) {
-            telling_entry(last, Rc::clone(&store)).await;
+        for place in 0..2 {
+            telling_entry(last(place), last(2), Rc::clone(&store)).await;
         }
         until(|| async {
             // Ends the read that waits.
--- a/crates/gradeloft_policy/src/process/mod.rs
+++ b/crates/gradeloft_policy/src/process/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`address`]: which entries a caller is told to use.
 //! - [`document`]: the operator's configuration.
+//! - [`ends`]: when peers first said that a table goes beyond a record.
 //! - [`gossip`]: which peers a node asks for the bundle in force.
 //! - [`membership`]: which peers there are, by the list and by what connections show.
 //! - [`mirror`]: a copy of a table of the platform's store.
@@ -14,6 +15,7 @@
 
 pub mod address;
 pub mod document;
+pub mod ends;
 pub mod gossip;
 pub mod membership;
 pub mod mirror;
