--- a/crates/gradeloft_bench/src/main.rs
+++ b/crates/gradeloft_bench/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`bundles`]: from publish to in force everywhere.
 //! - [`distribute`]: a new version reaches many agents.
+//! - [`fleet`]: what callers get from a short fleet, in virtual time.
 //! - [`footprint`]: state, messages and time for each replica, team, chunk and bundle.
 //! - [`limits`]: a team's rate over several entries.
 //! - [`live`]: live requests beside a rollout.
@@ -11,6 +12,7 @@
 
 mod bundles;
 mod distribute;
+mod fleet;
 mod footprint;
 mod idle;
 mod limits;
@@ -43,6 +45,8 @@
     Bundle(bundles::Args),
     /// Time until replicas serve a new version, and bytes read from the origin.
     Distribute(distribute::Args),
+    /// What callers get from a fleet under a load, in virtual time.
+    Fleet(fleet::Args),
     /// Bytes of state, bytes of messages and time, at several sizes each, with the fitted slopes.
     Footprint(footprint::Args),
     /// What is admitted of a team's rate while demand moves between entries.
@@ -58,6 +62,7 @@
     match Args::parse().command {
         Command::Bundle(args) => bundles::run(&args),
         Command::Distribute(args) => distribute::run(&args),
+        Command::Fleet(args) => fleet::run(&args),
         Command::Footprint(args) => footprint::run(&args),
         Command::Limits(args) => limits::run(&args),
         Command::Relay(args) => relay::run(&args),
