--- a/crates/gradeloft_gateway/src/entry/gossip.rs
+++ b/crates/gradeloft_gateway/src/entry/gossip.rs
@@ -23,7 +23,7 @@
 };
 use slog::info;
 
-use super::{Entry, Told};
+use super::{Entry, view::Told};
 use crate::{logs::Topic, node::Election};
 
 /// Pause between datagrams to the entries of the own region.
--- a/crates/gradeloft_gateway/src/entry/learn.rs
+++ b/crates/gradeloft_gateway/src/entry/learn.rs
@@ -1,6 +1,6 @@
 //! What an entry learns from the platform's tables.
 
-use std::rc::Rc;
+use std::{collections::HashSet, rc::Rc};
 
 use gradeloft_platform::fleet::Order;
 use gradeloft_policy::{
@@ -103,6 +103,12 @@
                 "before" => self.config_version(), "routes" => document.routes.len(),
                 "keys" => document.keys.len());
         }
+        let routes: HashSet<Rc<str>> = document
+            .routes
+            .iter()
+            .map(|it| Rc::clone(&it.name))
+            .collect();
+        self.patience.borrow_mut().retain(|it| routes.contains(it));
         *self.config.borrow_mut() = Some(Rc::new(Config::new(document)));
         self.node.metrics.config.set(version as i64);
     }
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -8,6 +8,7 @@
 //! - [`learn`]: what an entry learns from the platform's tables.
 //! - [`lookup`]: addresses, readiness, metrics.
 //! - [`relay`]: a replica's answer on its way to the caller.
+//! - [`view`]: what it knows of other entries' requests, and when callers come back.
 
 pub mod answer;
 pub mod attempt;
@@ -17,6 +18,7 @@
 pub mod learn;
 pub mod lookup;
 pub mod relay;
+pub mod view;
 
 use std::{
     cell::{Cell, RefCell},
@@ -33,25 +35,26 @@
 };
 use gradeloft_http::server::Server;
 use gradeloft_policy::{
-    clock::Time,
     process::{
         document::{Config, Speed},
         repeats::Budget,
-        replicas::{Replica, ReplicaKey, Replicas},
+        replicas::{ReplicaKey, Replicas},
         roster::Roster,
-        split::{self, Demand},
     },
     request::{age::Patience, shortage::Shortage},
     version::named::Named,
 };
 use gradeloft_wire::{
-    datagram::{Load, Presence, Switched},
+    datagram::{Presence, Switched},
     frame::{Call, Table},
 };
 use slog::{info, warn};
 use tokio::{net::TcpListener, sync::Notify};
 
-use self::forward::{Expected, Job};
+use self::{
+    forward::Expected,
+    view::{Demands, Told},
+};
 use crate::{
     logs::Topic,
     node::{MAX_FRAME, Node},
@@ -93,31 +96,6 @@
     pub allowed: Option<u64>,
 }
 
-/// Requests of another entry at replicas.
-struct Told {
-    /// When it told them.
-    at: Time,
-    /// By the hash of each replica's id.
-    loads: HashMap<u64, Load>,
-}
-
-/// Requests that come for a service.
-#[derive(Default)]
-struct Demands {
-    all: Demand,
-    /// Those that do not go to a slot of this entry's part.
-    beyond: Demand,
-}
-
-/// How far what an entry knows of replicas may be off.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct View {
-    /// Part of the requests beyond the entry's own slots that may go to others'.
-    pub chance: f64,
-    /// Requests that may have come to each replica since others told.
-    pub unseen: f64,
-}
-
 /// The process.
 pub struct Entry {
     /// What it shares with agents.
@@ -282,55 +260,6 @@
         self.config.borrow().as_ref()?.service(service)?.speed
     }
 
-    /// How far what this entry knows of a service's replicas may be off.
-    pub fn view(&self, service: &str, now: Time) -> View {
-        let demands = self.demands.borrow();
-        let Some(demand) = demands.get(service) else {
-            return View::default();
-        };
-        let (others, age) = self.told(now);
-        let replicas = self.replicas.borrow();
-        let open = || replicas.of(service).filter(|(_, it)| it.open(now));
-        let rate = demand.all.rate(now) * others as f64 / open().count().max(1) as f64;
-        let unseen = split::unseen(rate, age);
-        let spare = open().map(|(_, it)| it.spare(unseen)).sum();
-        View {
-            chance: split::chance(spare, others, demand.beyond.rate(now), age),
-            unseen,
-        }
-    }
-
-    /// How many other entries told what they have at replicas, and how long ago on average.
-    fn told(&self, now: Time) -> (usize, Duration) {
-        let elsewhere = self.elsewhere.borrow();
-        let ages = elsewhere.values().map(|it| now.since(it.at));
-        let sum: Duration = ages.sum();
-        let others = elsewhere.len();
-        (others, sum / others.max(1) as u32)
-    }
-
-    /// Counts a request that goes to a replica, or to none, if that is not to a slot of this entry's part.
-    pub fn count_choice(&self, service: &Rc<str>, chosen: Option<ReplicaKey>) {
-        let replicas = self.replicas.borrow();
-        let chosen = chosen.and_then(|it| replicas.get(it));
-        if chosen.is_some_and(Replica::has_own_slot) {
-            return;
-        }
-        let now = self.node.clock.now();
-        let mut demands = self.demands.borrow_mut();
-        let demand = demands.entry(Rc::clone(service)).or_default();
-        demand.beyond.count(now);
-    }
-
-    /// When the caller of a request that found no replica is to come back.
-    pub fn back_in(&self, job: &Job) -> Duration {
-        let now = self.node.clock.now();
-        let mut shortages = self.shortages.borrow_mut();
-        let shortage = shortages.entry(Rc::clone(&job.service)).or_default();
-        let left = job.deadline.since(now);
-        self.node.with_rng(|rng| shortage.refuse(left, now, rng))
-    }
-
     /// Counts a request with a prompt as running at a replica until the guard is dropped.
     pub fn running(self: &Rc<Entry>, key: ReplicaKey, prompt_tokens: f64) -> Running {
         let now = self.node.clock.now();
--- a/crates/gradeloft_policy/src/version/fetch/mod.rs
+++ b/crates/gradeloft_policy/src/version/fetch/mod.rs
@@ -5,9 +5,11 @@
 //! agent of a lower rank reads the origin only after the better ones, asked directly, turned out
 //! to be gone. So changes of membership, or views of it that differ, cost few extra copies.
 
+mod ask;
 mod hedge;
 mod item;
 mod source;
+mod tuning;
 
 use std::collections::HashMap;
 
@@ -15,15 +17,13 @@
 use rand::Rng;
 use slotmap::{SlotMap, new_key_type};
 
+pub use ask::{Ask, Failure, From, Tally};
 use hedge::Hedge;
 use item::{Item, State};
 use source::Source;
+pub use tuning::{Scheme, Tuning};
 
-use super::{
-    manifest::{Chunk, Manifest},
-    outside::Outside,
-    partners,
-};
+use super::{manifest::Manifest, outside::Outside, partners};
 use crate::{clock::Time, rendezvous};
 
 /// Wait before a peer that had no free slot is asked again, in milliseconds.
@@ -39,104 +39,6 @@
     pub struct SourceKey;
 }
 
-/// How chunks are spread. All but [`Scheme::Owners`] are baselines to measure against.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum Scheme {
-    /// Every agent reads everything from outside.
-    Origin,
-    /// Each chunk has its owner; the rest comes from peers, rarest first.
-    #[default]
-    Owners,
-    /// Any chunk of any peer that has it, at random; from outside if no known peer has it.
-    Random,
-    /// Everything comes from one parent; the root reads from outside.
-    Tree,
-}
-
-/// Bounds of one fetch.
-#[derive(Clone, Copy, Debug)]
-pub struct Tuning {
-    /// How chunks are spread.
-    pub scheme: Scheme,
-    /// Chunks asked for at once.
-    pub slots: usize,
-    /// Of those, chunks read from the store or the origin at once.
-    pub origin_slots: usize,
-    /// Chunks asked of one peer at once.
-    pub per_source: u32,
-    /// An ask that takes longer is given up, in milliseconds.
-    pub stall_ms: u64,
-    /// Time of a chunk on one agent's link, in milliseconds. All owners may ask the origin at once,
-    /// and its link carries at least as much as one agent's, so an ask there gets this much more
-    /// time for each member.
-    pub chunk_ms: u64,
-    /// Wait before an owner's silence is looked into, in milliseconds, times the square of the rank.
-    pub takeover_ms: u64,
-    /// How often an owner may say that it is about to read a chunk before another reads it, beside the
-    /// time that the whole version takes.
-    pub announced: u64,
-    /// What the rollout spends.
-    pub objective: Objective,
-    /// Copies of the version that all members together may read from the origin.
-    pub origin_copies: f64,
-}
-
-/// Where a chunk is asked for.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub enum From {
-    /// The origin.
-    Origin,
-    /// A better-ranked owner, by the hash of its name, which did not say that it has the chunk.
-    Owner(u64),
-    /// A peer that said it has the chunk.
-    Source(SourceKey),
-    /// The weight store.
-    Store,
-}
-
-/// An order to ask for a chunk.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Ask {
-    /// Position among the manifest's distinct chunks.
-    pub idx: usize,
-    /// The chunk.
-    pub chunk: Chunk,
-    /// Whom to ask.
-    pub from: From,
-}
-
-/// How an ask failed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Failure {
-    /// No slot free now.
-    Busy,
-    /// The content does not have the digest.
-    Corrupt,
-    /// The connection failed, or can't be made.
-    Gone,
-    /// Asked to come back after so many milliseconds.
-    Limited(u64),
-    /// It does not hold the chunk.
-    NotHeld,
-    /// It is the owner and is about to read the chunk.
-    Pending,
-    /// Nothing came for too long.
-    Stalled,
-}
-
-/// Chunks by where they came from.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Tally {
-    /// Chunks whose content did not have its digest.
-    pub corrupt: u64,
-    /// From the origin.
-    pub origin: u64,
-    /// From peers.
-    pub peers: u64,
-    /// From the weight store.
-    pub store: u64,
-}
-
 /// The fetch of one version by one agent.
 pub struct Fetch {
     own: u64,
--- a/crates/gradeloft_policy/tests/admission.rs
+++ b/crates/gradeloft_policy/tests/admission.rs
@@ -182,6 +182,16 @@
     assert_eq!(age(1_000, 20_000), 0);
 }
 
+#[test]
+fn what_callers_of_a_route_that_is_gone_told_is_forgotten() {
+    let route: Rc<str> = "r".into();
+    let mut patience = Patience::default();
+    patience.age(&route, Duration::from_millis(6_000), Time::ZERO);
+    patience.retain(|it| it != "r");
+    let left = Duration::from_millis(1_000);
+    assert_eq!(patience.age(&route, left, Time::ZERO), Duration::ZERO);
+}
+
 #[test]
 fn callers_come_back_soon_from_a_moments_shortage_and_late_from_a_long_one() {
     let mut rng = ChaCha8Rng::seed_from_u64(1);
