Doubt a removal from when peers first knew of it, not from when it is read

Cause: after an interruption an entry doubts removals for 2.3 s, since the platform's store may have dropped replicas that live. Change: the 2.3 s count from when any peer was known to have the record, as for versions. Test of the decision added.

--- a/crates/gradeloft_gateway/src/entry/learn.rs
+++ b/crates/gradeloft_gateway/src/entry/learn.rs
@@ -82,7 +82,8 @@
         match self.node.platform.decoder.order(record) {
             Ok(Order::Config(document)) => self.configure(*document),
             Ok(Order::Weights { model, version }) => {
-                self.name_weights(model, version, self.node.written(record));
+                let written = self.node.written(Table::Operator, record);
+                self.name_weights(model, version, written);
             }
             Ok(Order::Other) => {}
             Err(error) => {
@@ -143,7 +144,7 @@
     fn listed(&self, record: &Record) {
         let mut replicas = self.replicas.borrow_mut();
         if record.value.is_none() {
-            let trust = self.node.trust(Table::Replicas);
+            let trust = self.node.trust_in(Table::Replicas, record);
             replicas.unlist(&record.key, trust);
             if let Some(log) = self.node.logs.line(Topic::State) {
                 info!(log, "replica unlisted"; "replica" => &record.key, "trust" => ?trust,
--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -88,8 +88,8 @@
     asking: Cell<[bool; 3]>,
     /// Since when a peer of another region has been ahead with a table.
     behind: Cell<[Option<Time>; 3]>,
-    /// How far peers said that the operator's table goes.
-    operator_ends: RefCell<Ends>,
+    /// How far peers said that each table goes.
+    ends: RefCell<[Ends; 3]>,
     reading: RefCell<[Reading; 3]>,
     election: RefCell<Option<Rc<dyn Election>>>,
     /// Until when removals that peers told may be errors of the store's.
@@ -131,7 +131,7 @@
             copies: RefCell::default(),
             asking: Cell::default(),
             behind: Cell::default(),
-            operator_ends: RefCell::default(),
+            ends: RefCell::default(),
             reading: RefCell::default(),
             election: RefCell::default(),
             peer_doubt: Cell::default(),
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -228,13 +228,19 @@
         }
     }
 
-    /// Since when a record of the operator's is known to have been written, at the latest.
-    pub fn written(&self, record: &Record) -> Time {
+    /// Since when a record of a table is known to have been written, at the latest.
+    pub fn written(&self, table: Table, record: &Record) -> Time {
         let now = self.clock.now();
-        let told = self.operator_ends.borrow().known_since(record.offset);
+        let told = self.ends.borrow()[index(table)].known_since(record.offset);
         told.map_or(now, |it| it.min(now))
     }
 
+    /// Whether a record that removes something from a table may be an error of the store's.
+    pub fn trust_in(&self, table: Table, record: &Record) -> Trust {
+        let written = self.written(table, record);
+        self.trust(table).of_written(written, BACK_MS)
+    }
+
     /// Answers a peer's call for records.
     pub async fn give_records(&self, table: Table, from: u64, outgoing: Outgoing) {
         let update = self.copies.borrow()[index(table)].since(from);
@@ -258,8 +264,9 @@
     pub fn heard_ends(self: &Rc<Node>, peer: Ipv4Addr, zone: &str, ends: [u64; 3]) -> bool {
         let mut asked = false;
         let now = self.clock.now();
-        let end = ends[index(Table::Operator)];
-        self.operator_ends.borrow_mut().told(end, now);
+        for (known, told) in self.ends.borrow_mut().iter_mut().zip(ends) {
+            known.told(told, now);
+        }
         let settings = self.settings();
         let near = settings.region(zone) == settings.region(&settings.zone);
         for table in Table::ALL {
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -71,6 +71,17 @@
     Sound,
 }
 
+impl Trust {
+    /// Of a removal that was written at `written`: whoever is dropped in error is back so many milliseconds
+    /// after it, however late it is read.
+    pub fn of_written(self, written: Time, back_ms: u64) -> Trust {
+        match self {
+            Trust::Doubtful(until) => Trust::Doubtful(until.min(written.after_ms(back_ms))),
+            Trust::Sound => Trust::Sound,
+        }
+    }
+}
+
 /// A replica.
 #[derive(Clone, Debug)]
 pub struct Replica {
--- a/crates/gradeloft_policy/tests/forwarding.rs
+++ b/crates/gradeloft_policy/tests/forwarding.rs
@@ -478,6 +478,18 @@
     assert!(replicas.is_empty());
 }
 
+#[test]
+fn a_removal_that_is_read_late_is_doubted_no_longer_than_one_that_is_read_at_once() {
+    let written = Time::ZERO.after_ms(1_000);
+    let read = Time::ZERO.after_ms(2_000);
+    let trust = Trust::Doubtful(read.after_ms(2_300));
+    let until = written.after_ms(2_300);
+    assert_eq!(trust.of_written(written, 2_300), Trust::Doubtful(until));
+    let sooner = Trust::Doubtful(written);
+    assert_eq!(sooner.of_written(written, 2_300), sooner);
+    assert_eq!(Trust::Sound.of_written(written, 2_300), Trust::Sound);
+}
+
 #[rstest]
 // A call that may not be repeated goes elsewhere only if it certainly has not run.
 #[case(Kind::Once, Failure::Unsent, true, Ran::No)]
