--- a/crates/gradeloft_policy/src/process/split.rs
+++ b/crates/gradeloft_policy/src/process/split.rs
@@ -9,11 +9,13 @@
 
 use crate::clock::Time;
 
-/// Slots of one replica in one entry's part, as far as there are enough. Several, so that an entry has
-/// another free one there while it learns that one has ended.
+/// Slots of one replica in one entry's part, as far as there are enough. Many small parts differ less in
+/// what is free in each than few large ones: in time, at a third more than the fleet can answer, 0.703 with
+/// two, 0.693 with four, 0.683 with six (emulated, 20 seeds).
 const PART: usize = 2;
 /// Time over which requests are counted, in seconds: some twenty requests of a busy entry.
 const MEMORY_S: f64 = 1.0;
+
 /// Slots of each replica that are the part of the entry at position `own` of `entries`, for replicas with
 /// these slots. Both lists are in the same order at every entry.
 ///
@@ -70,7 +72,8 @@
 
 /// Requests that may have come to a replica since others told what they have there, `age` ago, where
 /// `rate` come to it in a second: their mean, and a standard deviation more. As many may have ended, but
-/// of slots that are taken twice one request is late, and of one that is free none.
+/// of slots that are taken twice one request is late, and of one that is free none. Without it 0.699 in
+/// place of 0.709 are in time at a third more than the fleet can answer (emulated, 20 seeds).
 pub fn unseen(rate: f64, age: Duration) -> f64 {
     let mean = rate * age.as_secs_f64();
     mean + mean.sqrt()
--- a/crates/gradeloft_policy/src/request/shortage.rs
+++ b/crates/gradeloft_policy/src/request/shortage.rs
@@ -10,6 +10,7 @@
 /// between two requests at one entry.
 const OVER_MS: u64 = 300;
 /// Shortest time to come back, in milliseconds: about the time in which a slot frees at a busy replica.
+/// With half a second 0.893 in place of 0.916 are in time at just what the fleet can answer (emulated).
 const SHORTEST_MS: f64 = 60.0;
 /// Part of the time that a caller still has after which it comes back at the latest: callers wait no
 /// longer.
--- a/crates/gradeloft_policy/src/version/fetch/hedge.rs
+++ b/crates/gradeloft_policy/src/version/fetch/hedge.rs
@@ -7,7 +7,8 @@
 use crate::clock::Time;
 
 /// Part of a version's chunks that may be left for it to count as nearly there: at most so much of it is
-/// read once more, for each rank that reads it.
+/// read once more, for each rank that reads it. Behind two links narrowed to a twentieth the first of
+/// twenty replicas had a version 3.8 s after its naming in place of 7.2 s.
 const LEFT: f64 = 0.25;
 /// Wait for each rank, in milliseconds: several times that of a chunk from an origin with little to do.
 const RANK_MS: u64 = 150;
