--- a/crates/gradeloft_policy/tests/admission.rs
+++ b/crates/gradeloft_policy/tests/admission.rs
@@ -1,12 +1,14 @@
 //! Decisions about requests to a service that is short: who is sent where, and who comes back when.
 
+mod support;
+
 use std::{rc::Rc, time::Duration};
 
 use gradeloft_policy::{
     clock::Time,
     process::{
         document::Speed,
-        replicas::{Listing, ReplicaKey, Replicas},
+        replicas::{ReplicaKey, Replicas},
         split,
     },
     request::{
@@ -20,6 +22,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
+use support::listing;
 
 const SPEED: Speed = Speed {
     step_ms: 7.0,
@@ -43,16 +46,7 @@
 };
 
 fn listed(replicas: &mut Replicas, id: &str) -> ReplicaKey {
-    replicas.list(Listing {
-        id: id.into(),
-        service: "m".into(),
-        address: format!("10.0.0.{}:80", id.len()).parse().unwrap(),
-        zone: "z".to_owned(),
-        slots: 16,
-        draining: false,
-        has_model: true,
-        version: Some(1),
-    })
+    replicas.list(listing(id, Some(1)))
 }
 
 fn choose(replicas: &Replicas, wish: Wish<'_>) -> Option<ReplicaKey> {
--- /dev/null
+++ b/crates/gradeloft_policy/tests/placement.rs
@@ -0,0 +1,178 @@
+//! Which replica of a service gets a request, and which replicas there are.
+
+mod support;
+
+use gradeloft_policy::{
+    clock::Time,
+    process::replicas::{Listing, ReplicaKey, Replicas, Report, Trust},
+    request::placement::{self, Claim, Wish},
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use support::listing;
+
+const WISH: Wish<'static> = Wish {
+    zone: "z",
+    oldest: None,
+    same: None,
+    tried: &[],
+    claim: Claim::Timely(400.0),
+    prompt_tokens: 0.0,
+    speed: None,
+    chance: 1.0,
+    unseen: 0.0,
+};
+
+fn choose(replicas: &Replicas, wish: Wish<'_>, now: Time) -> Option<ReplicaKey> {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    placement::choose(replicas.of("m"), wish, now, &mut rng)
+}
+
+#[test]
+fn only_replicas_with_weights_that_are_new_enough_and_not_leaving_get_requests() {
+    let mut replicas = Replicas::default();
+    replicas.list(listing("a", None));
+    let old = replicas.list(listing("bb", Some(1)));
+    let mut leaving = listing("ccc", Some(2));
+    leaving.draining = true;
+    replicas.list(leaving);
+    let now = Time::ZERO;
+    assert_eq!(choose(&replicas, WISH, now), Some(old));
+    let strict = Wish {
+        oldest: Some(2),
+        ..WISH
+    };
+    assert_eq!(choose(&replicas, strict, now), None);
+}
+
+#[test]
+fn a_replica_that_is_about_to_load_gets_no_requests_until_its_agent_falls_silent() {
+    let mut replicas = Replicas::default();
+    let key = replicas.list(listing("a", Some(1)));
+    let report = Report {
+        version: Some(1),
+        loading: true,
+        congested: false,
+        at: Time::ZERO,
+    };
+    let address = replicas.get(key).unwrap().listing.address;
+    replicas.report_at(address, report);
+    assert_eq!(choose(&replicas, WISH, Time::ZERO), None);
+    assert_eq!(
+        choose(&replicas, WISH, Time::ZERO.after_ms(4_000)),
+        Some(key)
+    );
+}
+
+#[test]
+fn a_replica_behind_a_full_link_gets_requests_only_when_nothing_else_has_room() {
+    let mut replicas = Replicas::default();
+    let behind = replicas.list(listing("a", Some(1)));
+    let report = Report {
+        version: Some(1),
+        loading: false,
+        congested: true,
+        at: Time::ZERO,
+    };
+    replicas.report_at(replicas.get(behind).unwrap().listing.address, report);
+    let busy = replicas.list(Listing {
+        address: "10.0.0.9:1".parse().unwrap(),
+        ..listing("b", Some(1))
+    });
+    replicas.get_mut(busy).unwrap().own = 4;
+    assert_eq!(choose(&replicas, WISH, Time::ZERO), Some(busy));
+    replicas.get_mut(busy).unwrap().own = 100;
+    assert_eq!(choose(&replicas, WISH, Time::ZERO), Some(behind));
+}
+
+#[test]
+fn requests_that_have_not_begun_weigh_more_than_free_slots() {
+    let mut replicas = Replicas::default();
+    let busy = replicas.list(listing("a", Some(1)));
+    let fresh = replicas.list(listing("bb", Some(1)));
+    replicas.get_mut(busy).unwrap().own = 6;
+    let empty = replicas.get_mut(fresh).unwrap();
+    (empty.own, empty.own_waiting) = (4, 4);
+    assert_eq!(choose(&replicas, WISH, Time::ZERO), Some(busy));
+}
+
+#[test]
+fn a_stream_goes_on_at_the_version_that_began_it() {
+    let mut replicas = Replicas::default();
+    let same = replicas.list(listing("a", Some(1)));
+    replicas.list(listing("bb", Some(2)));
+    replicas.get_mut(same).unwrap().own = 12;
+    let wish = Wish {
+        same: Some(1),
+        ..WISH
+    };
+    assert_eq!(choose(&replicas, wish, Time::ZERO), Some(same));
+}
+
+#[test]
+fn full_replicas_are_refused_rather_than_queued_at() {
+    let mut replicas = Replicas::default();
+    let key = replicas.list(listing("a", Some(1)));
+    replicas.get_mut(key).unwrap().own = 18;
+    assert_eq!(choose(&replicas, WISH, Time::ZERO), None);
+}
+
+#[test]
+fn a_census_says_why_no_replica_gets_a_request() {
+    let mut replicas = Replicas::default();
+    let full = replicas.list(listing("a", Some(2)));
+    replicas.get_mut(full).unwrap().own = 18;
+    let unbegun = replicas.list(listing("bb", Some(2)));
+    replicas.get_mut(unbegun).unwrap().own_waiting = 8;
+    replicas.list(listing("ccc", Some(1)));
+    replicas.list(listing("dddd", None));
+    let tried = replicas.list(listing("eeeee", Some(2)));
+    let wish = Wish {
+        oldest: Some(2),
+        tried: &[tried],
+        ..WISH
+    };
+    assert_eq!(choose(&replicas, wish, Time::ZERO), None);
+    let census = placement::census(replicas.of("m"), wish, Time::ZERO);
+    assert_eq!(census.to_string(), "closed:1,full:2,old:1,tried:1");
+}
+
+#[test]
+fn suspicion_passes_and_never_empties_a_service() {
+    let mut replicas = Replicas::default();
+    let one = replicas.list(listing("a", Some(1)));
+    let two = replicas.list(listing("bb", Some(1)));
+    replicas.failed(one, Time::ZERO);
+    assert_eq!(choose(&replicas, WISH, Time::ZERO), Some(two));
+    replicas.failed(two, Time::ZERO);
+    assert!(choose(&replicas, WISH, Time::ZERO).is_some());
+    assert!(!replicas.get(one).unwrap().suspect(Time::ZERO.after_ms(300)));
+}
+
+#[test]
+fn a_removal_after_an_outage_waits_and_is_undone_by_a_new_entry() {
+    let mut replicas = Replicas::default();
+    replicas.list(listing("a", Some(1)));
+    let doubtful = Trust::Doubtful(Time::ZERO.after_ms(2_000));
+    replicas.unlist("a", doubtful);
+    assert!(replicas.expire(Time::ZERO.after_ms(1_999)).is_empty());
+    replicas.list(listing("a", Some(1)));
+    assert!(replicas.expire(Time::ZERO.after_ms(9_000)).is_empty());
+    replicas.unlist("a", doubtful);
+    assert_eq!(replicas.expire(Time::ZERO.after_ms(2_000)).len(), 1);
+    replicas.list(listing("a", Some(1)));
+    replicas.unlist("a", Trust::Sound);
+    assert!(replicas.is_empty());
+}
+
+#[test]
+fn a_removal_that_is_read_late_is_doubted_no_longer_than_one_that_is_read_at_once() {
+    let written = Time::ZERO.after_ms(1_000);
+    let read = Time::ZERO.after_ms(2_000);
+    let trust = Trust::Doubtful(read.after_ms(2_300));
+    let until = written.after_ms(2_300);
+    assert_eq!(trust.of_written(written, 2_300), Trust::Doubtful(until));
+    let sooner = Trust::Doubtful(written);
+    assert_eq!(sooner.of_written(written, 2_300), sooner);
+    assert_eq!(Trust::Sound.of_written(written, 2_300), Trust::Sound);
+}
--- /dev/null
+++ b/crates/gradeloft_policy/tests/support/mod.rs
@@ -0,0 +1,17 @@
+//! Replicas for tests of where requests go.
+
+use gradeloft_policy::process::replicas::Listing;
+
+/// A model's replica with sixteen slots; its address follows from the length of its id.
+pub(crate) fn listing(id: &str, version: Option<u64>) -> Listing {
+    Listing {
+        id: id.into(),
+        service: "m".into(),
+        address: format!("10.0.0.{}:80", id.len()).parse().unwrap(),
+        zone: "z".to_owned(),
+        slots: 16,
+        draining: false,
+        has_model: true,
+        version,
+    }
+}
