Say where records come from, how old they are, and why a peer did not give them

Cause looked for: a configuration that was confirmed is not in force at one entry. No logic changes.

Added: log lines `records` and `records not given`; `source` and `learned_ms` of a configuration and of named weights; `behind_ms` at each request; metrics `records_bytes`, `records_not_given`, `behind_seconds`.

--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -13,6 +13,7 @@
         placement::{self, Census, Claim, Wish},
     },
 };
+use gradeloft_wire::frame::Table;
 use slog::info;
 
 use super::{
@@ -406,11 +407,17 @@
         "replicas" => tried.join(","), "failures" => trail.join(","),
         "first_ms" => job.first_byte.map_or(-1, |it| since(it).as_millis() as i64),
         "ms" => since(now).as_millis() as u64, "claim" => %job.claim, "expected_ms" => job.expected_ms,
-        "config" => entry.config_version(),
+        "config" => entry.config_version(), "behind_ms" => behind_ms(entry),
         "replicas_known" => entry.replicas.borrow().len(), "resumed" => resumed(job),
         "none_free" => job.census.map_or_else(String::new, |it| it.to_string()));
 }
 
+/// For how long the configuration has lacked what peers have, in milliseconds; -1 if it lacks nothing.
+fn behind_ms(entry: &Entry) -> i64 {
+    let behind = entry.node.behind(Table::Operator);
+    behind.map_or(-1, |it| it.as_millis() as i64)
+}
+
 fn resumed(job: &Job) -> bool {
     job.route.kind == Kind::ResumableStream && job.head_sent && 1 < job.tried.len()
 }
@@ -421,6 +428,7 @@
     };
     info!(log, "request"; "request" => id(entry, received), "outcome" => refusal.row().name,
         "status" => refusal.row().status, "config" => entry.config_version(),
+        "behind_ms" => behind_ms(entry),
         "host" => received.head.fields.get("host").unwrap_or("-"),
         "path" => received.head.path());
 }
--- a/crates/gradeloft_gateway/src/entry/gossip.rs
+++ b/crates/gradeloft_gateway/src/entry/gossip.rs
@@ -150,6 +150,7 @@
     /// Lets go of what has become old.
     fn upkeep(&self) {
         let now = self.node.clock.now();
+        self.node.show_behind();
         for id in self.replicas.borrow_mut().expire(now) {
             if let Some(log) = self.node.logs.line(Topic::State) {
                 info!(log, "replica gone"; "replica" => &*id);
--- a/crates/gradeloft_gateway/src/entry/learn.rs
+++ b/crates/gradeloft_gateway/src/entry/learn.rs
@@ -80,7 +80,10 @@
             return;
         }
         match self.node.platform.decoder.order(record) {
-            Ok(Order::Config(document)) => self.configure(*document),
+            Ok(Order::Config(document)) => {
+                let written = self.node.written(Table::Operator, record);
+                self.configure(*document, written);
+            }
             Ok(Order::Weights { model, version }) => {
                 let written = self.node.written(Table::Operator, record);
                 self.name_weights(model, version, written);
@@ -94,7 +97,7 @@
         }
     }
 
-    fn configure(&self, document: Document) {
+    fn configure(&self, document: Document, written: Time) {
         let version = document.version;
         if version <= self.config_version() {
             return;
@@ -102,7 +105,8 @@
         if let Some(log) = self.node.logs.line(Topic::State) {
             info!(log, "configuration"; "version" => version,
                 "before" => self.config_version(), "routes" => document.routes.len(),
-                "keys" => document.keys.len());
+                "keys" => document.keys.len(), "source" => %self.node.source(),
+                "learned_ms" => self.node.clock.now().since(written).as_millis() as u64);
         }
         let routes: HashSet<Rc<str>> = document
             .routes
@@ -136,6 +140,7 @@
         }
         if let Some(log) = self.node.logs.line(Topic::Weights) {
             info!(log, "weights named"; "model" => model, "version" => version,
+                "source" => %self.node.source(),
                 "learned_ms" => now.since(named_at).as_millis() as u64,
                 "due_ms" => times.due.since(now).as_millis() as u64);
         }
--- a/crates/gradeloft_gateway/src/metrics.rs
+++ b/crates/gradeloft_gateway/src/metrics.rs
@@ -3,7 +3,7 @@
 //! Labels take their values from the configuration in force and from closed lists, so that what
 //! callers send can't grow them.
 
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, sync::atomic::AtomicU64, time::Duration};
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -61,6 +61,12 @@
     pub store_calls: Counter,
     /// Calls to the platform's store that failed.
     pub store_faults: Counter,
+    /// Bytes of the platform's tables that were read, by source.
+    pub records: Family<Reason, Counter>,
+    /// Asks for records that a peer did not answer with them, by reason.
+    pub records_not_given: Family<Reason, Counter>,
+    /// Seconds for which the operator's table has lacked what peers have; 0 if it lacks nothing.
+    pub behind: Gauge<f64, AtomicU64>,
     /// Version of the configuration in force.
     pub config: Gauge,
     /// Version of the weights that the replica beside an agent holds.
@@ -82,6 +88,9 @@
             connections: Counter::default(),
             store_calls: Counter::default(),
             store_faults: Counter::default(),
+            records: Family::default(),
+            records_not_given: Family::default(),
+            behind: Gauge::default(),
             config: Gauge::default(),
             weights: Gauge::default(),
             pieces: Family::default(),
@@ -140,6 +149,21 @@
             "Failed calls to the store",
             self.store_faults.clone(),
         );
+        it.register(
+            "records_bytes",
+            "Bytes of the platform's tables read, by source",
+            self.records.clone(),
+        );
+        it.register(
+            "records_not_given",
+            "Asks for records that a peer did not answer with them",
+            self.records_not_given.clone(),
+        );
+        it.register(
+            "behind_seconds",
+            "Time for which the operator's table has lacked what peers have",
+            self.behind.clone(),
+        );
         it.register(
             "config_version",
             "Configuration in force",
--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -30,7 +30,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::{net::UdpSocket, sync::Notify};
 
-use tables::Reading;
+use tables::{Reading, Source};
 
 use crate::{logs::Logs, metrics::Metrics, settings::Settings};
 
@@ -96,6 +96,8 @@
     peer_doubt: Cell<Time>,
     /// Set while an update is taken in from a peer that vouches for its removals.
     peer_sound: Cell<bool>,
+    /// Where the records that are being taken in came from.
+    source: Cell<Source>,
     store_lost: Cell<bool>,
     observer: RefCell<Option<Observer>>,
     socket: UdpSocket,
@@ -136,6 +138,7 @@
             election: RefCell::default(),
             peer_doubt: Cell::default(),
             peer_sound: Cell::default(),
+            source: Cell::default(),
             store_lost: Cell::default(),
             observer: RefCell::default(),
             socket,
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -1,9 +1,12 @@
 //! Copies of the platform's tables: who reads them from the store, and what peers bring.
 
-use std::{net::Ipv4Addr, rc::Rc, time::Duration};
+use std::{fmt, net::Ipv4Addr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use gradeloft_daemon::transport::{client::Lane, server::Outgoing};
+use gradeloft_daemon::transport::{
+    client::{self, Lane},
+    server::Outgoing,
+};
 use gradeloft_platform::{Fault, fleet::Followed};
 use gradeloft_policy::{
     clock::Time,
@@ -20,7 +23,7 @@
 use slog::{info, warn};
 
 use super::Node;
-use crate::{logs::Topic, settings::Role};
+use crate::{logs::Topic, metrics::Reason, settings::Role};
 
 /// Time for a peer to answer a call for records.
 const PEER_ANSWER: Duration = Duration::from_millis(1_500);
@@ -40,6 +43,34 @@
 /// replica which leaves just then is left in time.
 const BACK_MS: u64 = 2_300;
 
+/// Where records came from.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Source {
+    /// Another process.
+    Peer(Ipv4Addr),
+    /// The platform's store.
+    #[default]
+    Store,
+}
+
+impl Source {
+    fn name(self) -> &'static str {
+        match self {
+            Source::Peer(_) => "peer",
+            Source::Store => "store",
+        }
+    }
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Source::Peer(address) => write!(f, "{address}"),
+            Source::Store => f.write_str("store"),
+        }
+    }
+}
+
 /// How reading a table from the store goes.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) enum Reading {
@@ -122,6 +153,48 @@
         self.changed.notify_waiters();
     }
 
+    /// How long the copy of a table has lacked what peers are known to have; `None` if it lacks nothing.
+    pub fn behind(&self, table: Table) -> Option<Duration> {
+        let lacks_since = self.ends.borrow()[index(table)].known_since(self.end(table));
+        lacks_since.map(|it| self.clock.now().since(it))
+    }
+
+    /// Takes in what a source brought, and says so where a request may later depend on it.
+    fn take(&self, table: Table, update: Update, source: Source, asked: Time) {
+        let bytes = update.bytes();
+        let label = Reason {
+            reason: source.name(),
+        };
+        self.metrics
+            .records
+            .get_or_create(&label)
+            .inc_by(bytes as u64);
+        if table == Table::Operator
+            && (update.snapshot || !update.records.is_empty())
+            && let Some(log) = self.logs.line(Topic::State)
+        {
+            info!(log, "records"; "table" => ?table, "source" => %source,
+                "snapshot" => update.snapshot, "rows" => update.records.len(),
+                "bytes" => bytes, "end" => update.end, "before" => self.end(table),
+                "behind_ms" => self.behind(table).map_or(-1, |it| it.as_millis() as i64),
+                "ms" => self.clock.now().since(asked).as_millis() as u64);
+        }
+        self.source.set(source);
+        self.apply(table, update);
+        self.show_behind();
+    }
+
+    /// Shows in the metrics for how long the operator's table has lacked something.
+    pub fn show_behind(&self) {
+        let behind = self.behind(Table::Operator).unwrap_or_default();
+        self.metrics.behind.set(behind.as_secs_f64());
+    }
+
+    /// Where the records that are being taken in came from.
+    pub fn source(&self) -> Source {
+        self.source.get()
+    }
+
     /// Keeps the copy of a table up to date from the store, with `pause` between reads.
     pub async fn follow(self: Rc<Node>, table: Table, wait: Duration, pause: Duration) {
         let mut failures = 0;
@@ -180,10 +253,11 @@
 
     async fn read(&self, table: Table, fresh: &mut bool, wait: Duration) -> Result<(), Fault> {
         let store = &self.platform.store;
+        let asked = self.clock.now();
         if !*fresh {
             let update = store.snapshot(table).await?;
             *fresh = true;
-            self.apply(table, update);
+            self.take(table, update, Source::Store, asked);
             return Ok(());
         }
         let wait_ms = wait.as_millis() as u64;
@@ -191,7 +265,7 @@
             Followed::Dropped => *fresh = false,
             Followed::Update(update) => {
                 // Before what was read is taken in: records of an interruption are doubtful.
-                self.apply(table, update);
+                self.take(table, update, Source::Store, asked);
             }
         }
         Ok(())
@@ -200,8 +274,9 @@
     /// Reads a table whole from the store, once.
     pub async fn read_snapshot(&self, table: Table) {
         self.metrics.store_calls.inc();
+        let asked = self.clock.now();
         match self.platform.store.snapshot(table).await {
-            Ok(update) => self.apply(table, update),
+            Ok(update) => self.take(table, update, Source::Store, asked),
             Err(fault) => self.store_fault(table, &fault),
         }
     }
@@ -322,20 +397,24 @@
     pub async fn ask_records(&self, peer: Ipv4Addr, table: Table) -> bool {
         let address = self.peer_address(peer);
         let from = self.end(table);
+        let asked = self.clock.now();
         let call = Call::Records { table, from };
-        let asked = self.peers.ask(&address, Lane::Live, &call);
-        let reply = tokio::time::timeout(PEER_ANSWER, asked).await;
+        let asking = self.peers.ask(&address, Lane::Live, &call);
+        let reply = tokio::time::timeout(PEER_ANSWER, asking).await;
         if reply.is_err() {
             self.peers.forget(&address, Lane::Live);
         }
-        let Ok(Ok(Reply::Records {
-            snapshot,
-            rows,
-            end,
-            sound,
-        })) = reply
-        else {
-            return false;
+        let (snapshot, rows, end, sound) = match reply {
+            Ok(Ok(Reply::Records {
+                snapshot,
+                rows,
+                end,
+                sound,
+            })) => (snapshot, rows, end, sound),
+            Ok(Ok(_)) => return self.not_given(peer, table, asked, "unexpected"),
+            Ok(Err(client::Fault::Lost)) => return self.not_given(peer, table, asked, "lost"),
+            Ok(Err(client::Fault::Unsent)) => return self.not_given(peer, table, asked, "unsent"),
+            Err(_) => return self.not_given(peer, table, asked, "late"),
         };
         let records = rows.into_iter().map(|it| Record {
             key: it.key,
@@ -352,10 +431,23 @@
         }
         // A peer that reads the store steadily knows better than a process that is cut off from it.
         self.peer_sound.set(sound);
-        self.apply(table, update);
+        self.take(table, update, Source::Peer(peer), asked);
         self.peer_sound.set(false);
         true
     }
+
+    /// Notes that a peer did not give what it was asked for.
+    fn not_given(&self, peer: Ipv4Addr, table: Table, asked: Time, reason: &'static str) -> bool {
+        let label = Reason { reason };
+        self.metrics.records_not_given.get_or_create(&label).inc();
+        if let Some(log) = self.logs.line(Topic::Dependency) {
+            warn!(log, "records not given"; "table" => ?table, "peer" => %peer, "reason" => reason,
+                "end" => self.end(table),
+                "behind_ms" => self.behind(table).map_or(-1, |it| it.as_millis() as i64),
+                "ms" => self.clock.now().since(asked).as_millis() as u64);
+        }
+        false
+    }
 }
 
 /// Position of a table in arrays of one value for each.
--- a/crates/gradeloft_policy/src/process/mirror.rs
+++ b/crates/gradeloft_policy/src/process/mirror.rs
@@ -34,6 +34,13 @@
     pub end: u64,
 }
 
+impl Update {
+    /// Bytes of its keys and values.
+    pub fn bytes(&self) -> usize {
+        bytes(self.records.iter())
+    }
+}
+
 /// A copy of a table.
 #[derive(Debug, Default)]
 pub struct Mirror {
