Show that waves of a change-over never go on by what entries say

Cause: an agent keeps, of several words on the same version, the first (the later of equal maxima is the one that it held before), so its count of replicas that are back stays at none. Each wave then begins only when its part of the version's time has passed. Evidence: with a version named at second 18.0, the orders of the four waves fell at 21.3, 22.1, 22.7 and 23.2, that is on 0.5, 0.575 and 0.65 of 8 s after the first.

The test gives the parts of the time no way to come: eight agents, a version of 200 s, an entry that tells how many are back. It fails: not in time after 20 s.

--- a/crates/gradeloft_gateway/tests/agents.rs
+++ b/crates/gradeloft_gateway/tests/agents.rs
@@ -20,16 +20,19 @@
     Answer, Fault,
     fleet::{Decoder, Directory, Engine, Headers, Load, Order, Origin, State, Taken},
 };
-use gradeloft_policy::process::{
-    document::{CallerLimits, Document, Layout, Service},
-    mirror::Record,
-    repeats,
-    replicas::Listing,
+use gradeloft_policy::{
+    process::{
+        document::{CallerLimits, Document, Layout, Service},
+        mirror::Record,
+        repeats,
+        replicas::Listing,
+    },
+    rendezvous,
 };
 use gradeloft_standin::tables::Tables;
 use gradeloft_wire::{
     codec,
-    datagram::{Access, Datagram, MAX_BYTES, Presence, Sender},
+    datagram::{Access, Datagram, MAX_BYTES, Presence, Sender, Switched},
     frame::Table,
     id::Digest,
 };
@@ -541,6 +544,63 @@
     });
 }
 
+/// Tells every agent again and again how many engines hold a version, as an entry does that sees them.
+async fn tell_progress(last: u8, version: u64, engines: Vec<Rc<FakeEngine>>) {
+    let socket = UdpSocket::bind((address(last), 7700)).await.unwrap();
+    actix_rt::spawn(async move {
+        loop {
+            let done = engines
+                .iter()
+                .filter(|it| it.version.get() == Some(version));
+            let datagram = Datagram {
+                incarnation: 1,
+                zone: "z".to_owned(),
+                ends: [0; 3],
+                sender: Sender::Entry {
+                    presence: Presence::Ready,
+                    store: Access::Unserved,
+                    loads: Vec::new(),
+                    entries: Vec::new(),
+                    switched: vec![Switched {
+                        model: rendezvous::hash(b"w"),
+                        version,
+                        replicas: done.count() as u16,
+                    }],
+                },
+            };
+            let bytes = codec::body(&datagram);
+            for agent in 1..=engines.len() as u8 {
+                socket.send_to(&bytes, (address(agent), 7700)).await.ok();
+            }
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+}
+
+/// Users saw requests begin on older weights after their time: the last replicas changed over late. Each
+/// wave of replicas waits until most of those before it are back, or until a fixed part of the version's
+/// time has passed. Every order of the waves after the first fell on just those parts: an agent kept the
+/// first count that it heard of a version, which is none, however many entries told later.
+#[test]
+fn a_wave_goes_on_as_soon_as_entries_say_that_those_before_it_are_back() {
+    run(async {
+        let world = World::start(8, |_, _| {}).await;
+        world.all_at(1).await;
+        for agent in &world.agents {
+            let node = &agent.agent().node;
+            let before = node.settings();
+            // So long that no wave begins because its time has come.
+            *node.settings.borrow_mut() = Rc::new(Settings {
+                version_ms: 10 * PATIENCE.as_millis() as u64,
+                ..(*before).clone()
+            });
+        }
+        tell_progress(9, 2, world.engines.clone()).await;
+        world.name(2);
+        world.all_at(2).await;
+    });
+}
+
 #[test]
 fn versions_only_move_up_and_each_order_has_its_fence() {
     run(async {
