Take the later word on a change-over, for each model

Cause: of two words on the same version an agent kept the one that it held before, so the count of replicas that are back stayed at the first, which is none; every wave waited until its part of the version's time had passed (0.5 to 0.65 of 8 s), and a version that was learned late was late by so much more. Words on several models were also mixed into one.

Ruled out: that entries don't tell (their datagrams carry the count) or tell too late (four times a second).

Change: `waves::Progress`, one for each model, in which the later word on a version counts.

Before: the agents' test is not done after 20 s. After: it passes; all 232 tests of the gateway and of the policies pass.

--- a/crates/gradeloft_gateway/src/agent/change.rs
+++ b/crates/gradeloft_gateway/src/agent/change.rs
@@ -5,7 +5,6 @@
 use gradeloft_platform::fleet::{Load, Taken};
 use gradeloft_policy::{
     clock::Time,
-    rendezvous,
     version::waves::{Running, Wave},
 };
 use slog::{info, warn};
@@ -127,13 +126,10 @@
         let own = fill::node_hash(self.replica);
         let mut wave = Wave::of(version.number, own, others);
         let version_ms = self.node.settings().version_ms;
-        let model = rendezvous::hash(version.model.as_bytes());
         let mut superseded_since = None;
         loop {
             let serves = self.state.get().is_some_and(|it| it.version.is_some());
-            let switched = self.switched.get();
-            let switched = switched.filter(|it| (it.model, it.version) == (model, version.number));
-            let switched = switched.map_or(0, |it| usize::from(it.replicas));
+            let switched = self.switched(version);
             let now = self.node.clock.now();
             if let Some(newer) = self.target().filter(|it| it != version)
                 && superseded_since.is_none()
--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -33,7 +33,7 @@
         mirror::Record,
     },
     rendezvous,
-    version::{fetch::Fetch, readers},
+    version::{fetch::Fetch, readers, waves::Progress},
 };
 use gradeloft_wire::{
     datagram::{Access, Engine, Sender, Switched},
@@ -135,8 +135,8 @@
     pub uploads: Cell<usize>,
     state: Cell<Option<State>>,
     loading: Cell<bool>,
-    /// Replicas that changed over to the newest version, as an entry said last.
-    switched: Cell<Option<Switched>>,
+    /// How far each model's change-over is, as an entry said last.
+    switched: RefCell<HashMap<u64, Progress>>,
     /// When the replica answered first.
     begun_at: Cell<Option<Time>>,
     /// When an entry was asked for the operator's records last.
@@ -188,7 +188,7 @@
             uploads: Cell::default(),
             state: Cell::default(),
             loading: Cell::default(),
-            switched: Cell::default(),
+            switched: RefCell::default(),
             begun_at: Cell::default(),
             asked_at: Cell::default(),
             resumable: Cell::default(),
@@ -435,6 +435,26 @@
         unknown || switched.iter().any(newer) || self.asked_at.get().after_ms(REFRESH_MS) <= now
     }
 
+    fn heard_progress(&self, words: &[Switched]) {
+        let mut switched = self.switched.borrow_mut();
+        for word in words {
+            let progress = Progress {
+                version: word.version,
+                replicas: usize::from(word.replicas),
+            };
+            switched.entry(word.model).or_default().hear(progress);
+        }
+    }
+
+    /// Replicas that take requests with a version, as an entry said last.
+    pub fn switched(&self, version: &Version) -> usize {
+        let model = rendezvous::hash(version.model.as_bytes());
+        let switched = self.switched.borrow();
+        switched
+            .get(&model)
+            .map_or(0, |it| it.back_with(version.number))
+    }
+
     async fn listen(self: Rc<Agent>) {
         loop {
             let (from, datagram) = self.node.heard().await;
@@ -443,7 +463,7 @@
             } = datagram.sender
             {
                 let at = self.node.clock.now();
-                self.switched.set(newest(self.switched.get(), &switched));
+                self.heard_progress(&switched);
                 let heard = Heard { at, store };
                 let new = self.entries.borrow_mut().insert(from, heard).is_none();
                 if self.wants(&switched, at)
@@ -478,14 +498,6 @@
     }
 }
 
-/// The newer word on how many replicas changed over.
-fn newest(before: Option<Switched>, now: &[Switched]) -> Option<Switched> {
-    now.iter()
-        .copied()
-        .chain(before)
-        .max_by_key(|it| it.version)
-}
-
 impl Handle {
     /// The agent.
     pub fn agent(&self) -> &Rc<Agent> {
--- a/crates/gradeloft_policy/src/version/waves.rs
+++ b/crates/gradeloft_policy/src/version/waves.rs
@@ -30,6 +30,34 @@
     Finished,
 }
 
+/// How far a change-over is, as entries say.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Progress {
+    /// Newest version that was heard of.
+    pub version: u64,
+    /// Replicas that take requests with it.
+    pub replicas: usize,
+}
+
+impl Progress {
+    /// Takes in what an entry says now. Of two words on one version the later counts, also if it is lower:
+    /// replicas come back one by one, and go again.
+    pub fn hear(&mut self, word: Progress) {
+        if self.version <= word.version {
+            *self = word;
+        }
+    }
+
+    /// Replicas that take requests with a version; none are known for any but the newest.
+    pub fn back_with(self, version: u64) -> usize {
+        if self.version == version {
+            self.replicas
+        } else {
+            0
+        }
+    }
+}
+
 /// The wave of one replica.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Wave {
--- a/crates/gradeloft_policy/tests/versions.rs
+++ b/crates/gradeloft_policy/tests/versions.rs
@@ -7,7 +7,7 @@
     connection::window::Window,
     version::{
         named::{Named, Times},
-        waves::{Running, Wave},
+        waves::{Progress, Running, Wave},
     },
 };
 use rstest::rstest;
@@ -127,3 +127,16 @@
     }
     assert_eq!(window.size(), 1);
 }
+
+#[test]
+fn the_later_word_on_a_change_over_counts() {
+    let word = |version, replicas| Progress { version, replicas };
+    let mut progress = Progress::default();
+    for heard in [word(2, 0), word(2, 5), word(2, 4), word(1, 9)] {
+        progress.hear(heard);
+    }
+    assert_eq!(progress.back_with(2), 4);
+    assert_eq!(progress.back_with(1), 0);
+    progress.hear(word(3, 1));
+    assert_eq!((progress.back_with(2), progress.back_with(3)), (0, 1));
+}
