Give agents the operator's large records abridged

Cause: `Call::Records` has one answer for all, and an agent, which needs the services and whether streams go on elsewhere, took 0.4 to 0.9 MB for each version of a large configuration.

Ruled out: leaving the configuration out of what agents ask (they need its services, layouts and origin), and a table of their own in the store (the operator writes one record).

An agent now asks for abridged records. The adapter translates: services and bounds as they are, no keys, and one route for each service and kind, so that `Document::resumes` says the same. It fails where reading the record would; such a record goes whole, with a log line. Records up to 4 KiB go as they are. An entry abridges a record for the first agent that asks and keeps the result.

What came abridged is not for entries: an agent tells peers that its copy of the operator's table goes nowhere while it ends with abridged records, and does not answer an ask for whole records with them. An agent that reads the store itself reads whole records as before.

Measured by the test, 4,000 routes and 2,000 keys: an agent took 991,215 bytes from an entry before and takes 814 now, and knows the same target, origin and services. All 256 ways in which routes of four kinds may lead to two services, alone and split, agree on `resumes`.

--- a/crates/gradeloft_gateway/src/agent/share.rs
+++ b/crates/gradeloft_gateway/src/agent/share.rs
@@ -38,8 +38,8 @@
                 Call::Pieces { model, version } => {
                     list(&agent, model, version, outgoing).await;
                 }
-                Call::Records { table, from } => {
-                    agent.node.give_records(table, from, outgoing).await;
+                Call::Records { table, from, brief } => {
+                    agent.node.give_records(table, from, brief, outgoing).await;
                 }
                 // Other calls are for other kinds of process; dropping the answer tells the caller.
                 _ => {}
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -402,10 +402,10 @@
 impl PeerHandler for Peers {
     fn call(&self, call: Call, outgoing: Outgoing) {
         // Other calls are for agents; dropping the answer tells the caller so.
-        if let Call::Records { table, from } = call {
+        if let Call::Records { table, from, brief } = call {
             let node = Rc::clone(&self.0);
             let scope = Rc::clone(&node.scope);
-            scope.spawn(async move { node.give_records(table, from, outgoing).await });
+            scope.spawn(async move { node.give_records(table, from, brief, outgoing).await });
         }
     }
 
--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -1,7 +1,9 @@
 //! What entries and agents share: copies of the platform's tables, peers, datagrams.
 //!
+//! - [`brief`]: the operator's records without what only entries need.
 //! - [`tables`]: who reads the tables from the store, and what peers bring.
 
+pub mod brief;
 pub mod tables;
 
 use std::{
@@ -30,6 +32,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::{net::UdpSocket, sync::Notify};
 
+use brief::Brief;
 use tables::{Reading, Source};
 
 use crate::{logs::Logs, metrics::Metrics, settings::Settings};
@@ -96,6 +99,7 @@
     peer_doubt: Cell<Time>,
     /// Set while an update is taken in from a peer that vouches for its removals.
     peer_sound: Cell<bool>,
+    brief: RefCell<Brief>,
     /// Where the records that are being taken in came from.
     source: Cell<Source>,
     store_lost: Cell<bool>,
@@ -138,6 +142,7 @@
             election: RefCell::default(),
             peer_doubt: Cell::default(),
             peer_sound: Cell::default(),
+            brief: RefCell::default(),
             source: Cell::default(),
             store_lost: Cell::default(),
             observer: RefCell::default(),
@@ -179,7 +184,7 @@
         let datagram = Datagram {
             incarnation: self.incarnation,
             zone: settings.zone.clone(),
-            ends: Table::ALL.map(|it| self.end(it)),
+            ends: Table::ALL.map(|it| self.offered(it)),
             sender,
         };
         let bytes = codec::body(&datagram);
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -317,8 +317,10 @@
     }
 
     /// Answers a peer's call for records.
-    pub async fn give_records(&self, table: Table, from: u64, outgoing: Outgoing) {
-        let update = self.copies.borrow()[index(table)].since(from);
+    pub async fn give_records(&self, table: Table, from: u64, brief: bool, outgoing: Outgoing) {
+        let Some(update) = self.given(table, from, brief) else {
+            return;
+        };
         let rows = update.records.into_iter().map(|it| Row {
             key: it.key,
             value: it.value.map(|it| it.to_vec()),
@@ -398,7 +400,8 @@
         let address = self.peer_address(peer);
         let from = self.end(table);
         let asked = self.clock.now();
-        let call = Call::Records { table, from };
+        let brief = self.takes_brief();
+        let call = Call::Records { table, from, brief };
         let asking = self.peers.ask(&address, Lane::Live, &call);
         let reply = tokio::time::timeout(PEER_ANSWER, asking).await;
         if reply.is_err() {
@@ -432,6 +435,9 @@
         // A peer that reads the store steadily knows better than a process that is cut off from it.
         self.peer_sound.set(sound);
         self.take(table, update, Source::Peer(peer), asked);
+        if brief {
+            self.took_brief(table);
+        }
         self.peer_sound.set(false);
         true
     }
@@ -451,7 +457,7 @@
 }
 
 /// Position of a table in arrays of one value for each.
-fn index(table: Table) -> usize {
+pub(super) fn index(table: Table) -> usize {
     match table {
         Table::Entries => 0,
         Table::Operator => 1,
--- a/crates/gradeloft_platform/src/fleet.rs
+++ b/crates/gradeloft_platform/src/fleet.rs
@@ -52,6 +52,12 @@
 pub trait Decoder {
     /// A record of the operator's.
     fn order(&self, record: &Record) -> Result<Order, String>;
+    /// Value that tells an agent as much as a record of the operator's does: a configuration without
+    /// keys, and with only so many routes that [`Document::resumes`] says the same of every service.
+    /// `None` where it is the record's own.
+    fn abridge(&self, _record: &Record) -> Result<Option<Bytes>, String> {
+        Ok(None)
+    }
     /// A replica's record.
     fn listing(&self, record: &Record) -> Result<Listing, String>;
 }
--- a/crates/gradeloft_wire/src/frame.rs
+++ b/crates/gradeloft_wire/src/frame.rs
@@ -50,6 +50,8 @@
         table: Table,
         /// Offset of the first record that the caller has not seen.
         from: u64,
+        /// Whether to leave out of the operator's records what only entries need.
+        brief: bool,
     },
     /// Send the digests of a version's pieces: one [`Reply::Pieces`] or [`Reply::Absent`].
     Pieces {
