Spread agents' questions over the entries of a region

Cause: an entry that has a new configuration tells all agents of its region at once, and each that had not asked for two seconds asked it in that moment, so one link carried what the region's entries could have shared.

An agent now draws, when it first hears that there is something new, a moment within the next 500 ms, in which each entry of the region speaks once, and asks whichever speaks next. A version that it does not know and an empty copy are asked for at once as before.

Measured by the test in `tests/refresh.rs`: of 100 agents that hear of six entries one after the other, all six are asked and none by more than a third; before, all 100 asked the first.

--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -5,12 +5,14 @@
 //! - [`change`]: brings the replica to the version that it is to hold.
 //! - [`fetch`]: gets the pieces of a version from peers and the origin.
 //! - [`fill`]: stages and checks the pieces of a version.
+//! - [`hear`]: what entries tell it, and when it asks one for more.
 //! - [`share`]: gives pieces to other agents.
 
 pub mod ask;
 pub mod change;
 pub mod fetch;
 pub mod fill;
+pub mod hear;
 pub mod share;
 
 use std::{
@@ -18,7 +20,7 @@
     collections::HashMap,
     io,
     net::{Ipv4Addr, SocketAddr},
-    rc::{Rc, Weak},
+    rc::Rc,
     time::Duration,
 };
 
@@ -31,8 +33,8 @@
     process::{
         document::{Document, Service},
         mirror::Record,
+        refresh::Refresh,
     },
-    rendezvous,
     version::{fetch::Fetch, readers},
 };
 use gradeloft_wire::{
@@ -43,12 +45,7 @@
 use slog::{info, warn};
 use tokio::sync::Notify;
 
-use crate::{
-    entry::peer_listener,
-    logs::Topic,
-    node::{Election, Node},
-    settings::Role,
-};
+use crate::{entry::peer_listener, logs::Topic, node::Node, settings::Role};
 
 /// Pause between questions to the replica. They are free, and an entry's view of the replica is this
 /// old at most.
@@ -58,18 +55,6 @@
 /// Silence after which an entry is no longer told anything: several of its pauses between datagrams
 /// to agents.
 const SILENCE_MS: u64 = 4_000;
-/// Silence of all entries that the store serves after which an agent reads what the operator writes
-/// itself, in milliseconds: three of their pauses.
-const TOLD_MS: u64 = 1_600;
-/// Pause between questions for the operator's records while no version is named, in milliseconds. A
-/// configuration may be large and follow others closely, and little of it concerns an agent.
-const REFRESH_MS: u64 = 2_000;
-/// Time after a replica's first answer for an entry to tell its agent, in milliseconds. Until then the
-/// agent has nothing to do; longer would keep an added replica empty.
-const TOLD_START_MS: u64 = 250;
-/// Time after a start at which an agent reads for itself even if its replica does not answer, in
-/// milliseconds.
-const LATEST_START_MS: u64 = 3_000;
 /// Longest pause between two datagrams to entries.
 const TELL_MS: u64 = 1_000;
 /// Longest wait of one read of the operator's table.
@@ -139,8 +124,8 @@
     switched: Cell<Option<Switched>>,
     /// When the replica answered first.
     begun_at: Cell<Option<Time>>,
-    /// When an entry was asked for the operator's records last.
-    asked_at: Cell<Time>,
+    /// When to ask an entry for the operator's records.
+    refresh: Cell<Refresh>,
     /// Whether every stream of the service can go on at another replica.
     resumable: Cell<bool>,
     /// Whether the staged pieces are being looked through.
@@ -190,7 +175,7 @@
             loading: Cell::default(),
             switched: Cell::default(),
             begun_at: Cell::default(),
-            asked_at: Cell::default(),
+            refresh: Cell::default(),
             resumable: Cell::default(),
             adopting: Cell::default(),
             config: RefCell::default(),
@@ -421,69 +406,6 @@
         let sender = Sender::Agent { replica, engine };
         self.node.tell(sender, self.entries().into_iter());
     }
-
-    /// Whether to ask an entry for the operator's records now: a version was named that this agent does
-    /// not know, or it has not asked for a while.
-    fn wants(&self, switched: &[Switched], now: Time) -> bool {
-        let target = self.target();
-        let newer = |it: &Switched| {
-            target.as_ref().is_none_or(|own| {
-                rendezvous::hash(own.model.as_bytes()) == it.model && own.number < it.version
-            })
-        };
-        let unknown = !self.node.loaded(Table::Operator);
-        unknown || switched.iter().any(newer) || self.asked_at.get().after_ms(REFRESH_MS) <= now
-    }
-
-    async fn listen(self: Rc<Agent>) {
-        loop {
-            let (from, datagram) = self.node.heard().await;
-            if let Sender::Entry {
-                store, switched, ..
-            } = datagram.sender
-            {
-                let at = self.node.clock.now();
-                self.switched.set(newest(self.switched.get(), &switched));
-                let heard = Heard { at, store };
-                let new = self.entries.borrow_mut().insert(from, heard).is_none();
-                if self.wants(&switched, at)
-                    && self.node.heard_ends(from, &datagram.zone, datagram.ends)
-                {
-                    self.asked_at.set(at);
-                }
-                if new {
-                    self.tell();
-                }
-            }
-        }
-    }
-}
-
-impl Election for Weak<Agent> {
-    /// An agent reads what the operator writes only while no entry tells it. After a start it gives the
-    /// entries time to: when everything starts at once, the configuration would else go to each agent
-    /// over the links that requests and weights need.
-    fn reads(&self, table: Table) -> bool {
-        let Some(agent) = self.upgrade() else {
-            return false;
-        };
-        let now = agent.node.clock.now();
-        let begun = agent.begun_at.get();
-        let patient = begun.is_none_or(|it| now < it.after_ms(TOLD_START_MS));
-        if !agent.node.loaded(table) {
-            return !patient || Time::ZERO.after_ms(LATEST_START_MS) <= now;
-        }
-        let tells = |it: &Heard| it.store == Access::Served && now < it.at.after_ms(TOLD_MS);
-        !agent.entries.borrow().values().any(tells)
-    }
-}
-
-/// The newer word on how many replicas changed over.
-fn newest(before: Option<Switched>, now: &[Switched]) -> Option<Switched> {
-    now.iter()
-        .copied()
-        .chain(before)
-        .max_by_key(|it| it.version)
 }
 
 impl Handle {
--- a/crates/gradeloft_policy/src/process/mod.rs
+++ b/crates/gradeloft_policy/src/process/mod.rs
@@ -7,6 +7,7 @@
 //! - [`membership`]: which peers there are, by the list and by what connections show.
 //! - [`mirror`]: a copy of a table of the platform's store.
 //! - [`readers`]: which entries read the platform's tables from its store.
+//! - [`refresh`]: when an agent asks an entry for the operator's records.
 //! - [`repeats`]: how often requests are sent again.
 //! - [`replicas`]: the replicas of all services.
 //! - [`roster`]: the entries that callers may be sent to.
@@ -20,6 +21,7 @@
 pub mod membership;
 pub mod mirror;
 pub mod readers;
+pub mod refresh;
 pub mod repeats;
 pub mod replicas;
 pub mod roster;
