--- a/crates/gradeloft_gateway/tests/entry/cut_off.rs
+++ b/crates/gradeloft_gateway/tests/entry/cut_off.rs
@@ -1,7 +1,7 @@
 //! Entries that the store or a peer does not answer, and versions that become due in the middle of a
 //! request.
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use crate::support::{Shape, World, address, get, ok, request, run, until};
 use gradeloft_gateway::settings::Settings;
@@ -106,6 +106,33 @@
     });
 }
 
+/// Callers got answers by a configuration that had been replaced five seconds before. In order: every entry
+/// that reads the operator's table waits at the store, all since the same record; connections go silent for
+/// good, without a reset, while new ones work; a configuration is confirmed. Cause: a read waits for four
+/// seconds, and one on a silent connection looks like one that has nothing to tell until it is overdue.
+/// Evidence: an entry far from the store still answered by an old version 5.1 s after a newer one was
+/// confirmed, though the store was well, and an entry cut off in this way takes as long here.
+#[test]
+fn a_configuration_written_while_waiting_reads_are_silent_is_in_force_within_two_seconds() {
+    run(async {
+        let world = World::start(Shape::of(Kind::Once), vec![well("a")]).await;
+        let entry = world.entry.entry();
+        let waits = async || until(|| async { world.tables.waiting(Table::Operator) == 1 }).await;
+        waits().await;
+        world.tables.write(Table::Operator, "config", Some("2"));
+        until(|| async { entry.config_version() == 2 }).await;
+        waits().await;
+        world.tables.silence();
+        world.tables.write(Table::Operator, "config", Some("3"));
+        let taken = tokio::time::timeout(
+            Duration::from_secs(2),
+            until(|| async { entry.config_version() == 3 }),
+        );
+        let taken = taken.await;
+        assert!(taken.is_ok(), "still version {}", entry.config_version());
+    });
+}
+
 #[test]
 fn a_copy_is_whole_up_to_the_last_read_before_the_store_was_away() {
     run(async {
--- a/crates/gradeloft_platform/src/fleet.rs
+++ b/crates/gradeloft_platform/src/fleet.rs
@@ -1,6 +1,6 @@
 //! A platform that keeps tables of records, and model engines that take weights in numbered pieces.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use gradeloft_policy::process::{
@@ -13,6 +13,9 @@
 
 use crate::Answer;
 
+/// Time after the end of a read's wait by which an answer begins that comes at all.
+pub const OVERDUE: Duration = Duration::from_millis(1_000);
+
 /// What reading a table gives.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Followed {
@@ -24,7 +27,8 @@
 
 /// The platform's tables.
 pub trait Store {
-    /// The records from offset `from` on; waits up to `wait_ms` for the first.
+    /// The records from offset `from` on; waits up to `wait_ms` for the first. Fails once the answer is
+    /// overdue by [`OVERDUE`].
     fn follow(&self, table: Table, from: u64, wait_ms: u64) -> Answer<'_, Followed>;
     /// The newest record of every key.
     fn snapshot(&self, table: Table) -> Answer<'_, Update>;
--- a/crates/gradeloft_standin/src/tables.rs
+++ b/crates/gradeloft_standin/src/tables.rs
@@ -6,7 +6,7 @@
 use futures_util::FutureExt;
 use gradeloft_platform::{
     Answer, Fault,
-    fleet::{Followed, Store},
+    fleet::{Followed, OVERDUE, Store},
 };
 use gradeloft_policy::process::mirror::{Record, Update};
 use gradeloft_wire::frame::Table;
@@ -36,6 +36,28 @@
     pub calls: Cell<u64>,
     changed: Notify,
     cut: Notify,
+    silent: Notify,
+    waiting: RefCell<HashMap<Table, usize>>,
+}
+
+/// A read that waits for records.
+struct Waiting<'a> {
+    tables: &'a Tables,
+    table: Table,
+}
+
+impl<'a> Waiting<'a> {
+    fn begin(tables: &'a Tables, table: Table) -> Waiting<'a> {
+        *tables.waiting.borrow_mut().entry(table).or_default() += 1;
+        Waiting { tables, table }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut waiting = self.tables.waiting.borrow_mut();
+        waiting.entry(self.table).and_modify(|it| *it -= 1);
+    }
 }
 
 impl Tables {
@@ -44,6 +66,17 @@
         self.cut.notify_waiters();
     }
 
+    /// Makes the connections silent on which reads wait now: no answer comes on them any more, while new
+    /// calls are served.
+    pub fn silence(&self) {
+        self.silent.notify_waiters();
+    }
+
+    /// Reads of a table that wait now.
+    pub fn waiting(&self, table: Table) -> usize {
+        self.waiting.borrow().get(&table).copied().unwrap_or(0)
+    }
+
     /// Adds a record.
     pub fn write(&self, table: Table, key: &str, value: Option<&str>) {
         let mut tables = self.records.borrow_mut();
@@ -87,6 +120,8 @@
                 return Ok(Followed::Dropped);
             }
             let wait = Duration::from_millis(wait_ms);
+            let overdue = tokio::time::sleep(wait + OVERDUE);
+            let waiting = Waiting::begin(self, table);
             let waited = timeout(wait, async {
                 loop {
                     let changed = self.changed.notified();
@@ -100,6 +135,11 @@
                 // Time over or not, what is there is the answer.
                 _ = waited => {}
                 () = self.cut.notified() => return Err(Fault::Lost),
+                () = self.silent.notified() => {
+                    drop(waiting);
+                    overdue.await;
+                    return Err(Fault::Lost);
+                }
             }
             let records = self.since(table, from);
             let end = from + records.len() as u64;
