--- a/crates/gradeloft_standin/src/tables.rs
+++ b/crates/gradeloft_standin/src/tables.rs
@@ -132,14 +132,16 @@
                 }
             });
             tokio::select! {
-                // Time over or not, what is there is the answer.
-                _ = waited => {}
+                // What happens to the connection comes before what is written right after.
+                biased;
                 () = self.cut.notified() => return Err(Fault::Lost),
                 () = self.silent.notified() => {
                     drop(waiting);
                     overdue.await;
                     return Err(Fault::Lost);
                 }
+                // Time over or not, what is there is the answer.
+                _ = waited => {}
             }
             let records = self.since(table, from);
             let end = from + records.len() as u64;
