Find silent connections to the store early, and read what comes for as long as it comes

A read waited 4 s and was overdue 1 s later, and all readers began to wait with the same record: on silent connections all were blind for up to 5 s. The next read then took what lay idle in the pool, as old and as silent. The time for an answer held for its body too, whatever its size. An answer above 4 MiB failed for ever.

Ruled out in the client's code: that a connection on which an answer was overdue is used again (dropping the call closes it).

A read says if more records are there (`Followed::Part`): a copy is not confirmed by it. `store lost` is said only if no answer began; refusals and answers that break off are a `store fault`.

Calls, worked out: a reader makes 0.84 a second while nothing is written, 0.25 before; two readers in each region. Not measured under load, nor what it costs there.

--- a/crates/gradeloft_daemon/src/agent/generate.rs
+++ b/crates/gradeloft_daemon/src/agent/generate.rs
@@ -152,8 +152,10 @@
 pub fn kind(fault: &Fault) -> Kind {
     match fault {
         Fault::Limited { .. } | Fault::Refused(_) => Kind::EndpointRefused,
-        Fault::Lost => Kind::ReplyLost,
-        Fault::Malformed | Fault::Missing | Fault::Status(_) => Kind::EndpointFailed,
+        Fault::Broken | Fault::Lost => Kind::ReplyLost,
+        Fault::Malformed | Fault::Missing | Fault::Status(_) | Fault::TooLarge => {
+            Kind::EndpointFailed
+        }
         Fault::Unreachable => Kind::Unreachable,
     }
 }
--- a/crates/gradeloft_daemon/src/agent/read.rs
+++ b/crates/gradeloft_daemon/src/agent/read.rs
@@ -66,11 +66,13 @@
         .await
         .map_err(|it| match it {
             Fault::Limited { retry_after_ms } => Failure::Limited(retry_after_ms),
-            Fault::Malformed => Failure::Corrupt,
+            Fault::Malformed | Fault::TooLarge => Failure::Corrupt,
             Fault::Missing => Failure::NotHeld,
-            Fault::Lost | Fault::Refused(_) | Fault::Status(_) | Fault::Unreachable => {
-                Failure::Gone
-            }
+            Fault::Broken
+            | Fault::Lost
+            | Fault::Refused(_)
+            | Fault::Status(_)
+            | Fault::Unreachable => Failure::Gone,
         })
 }
 
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -62,8 +62,11 @@
     settings::Role,
 };
 
-/// Longest wait of one read of a table for something new.
-const WAIT_ORDERS: Duration = Duration::from_secs(4);
+/// Longest wait of one read of a table for something new. Connections to the store may go silent for good,
+/// which only the end of a wait shows, and what the operator writes is to be in force in two seconds: see
+/// [`gradeloft_platform::fleet::OVERDUE`]. While nothing is written a reader makes 0.84 calls a second with
+/// this wait, and 0.25 with one of 4 s (worked out); there are two readers in each region.
+const WAIT_ORDERS: Duration = Duration::from_millis(1_300);
 const WAIT_REPLICAS: Duration = Duration::from_secs(2);
 const WAIT_ENTRIES: Duration = Duration::from_secs(8);
 /// Pause between reads of a table: well below the bound on following it, two seconds, and long
--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -104,7 +104,8 @@
     peer_sound: Cell<bool>,
     /// Where the records that are being taken in came from.
     source: Cell<Source>,
-    store_lost: Cell<bool>,
+    /// What was said last of a store that does not serve.
+    store_trouble: Cell<Option<&'static str>>,
     observer: RefCell<Option<Observer>>,
     socket: UdpSocket,
     incarnation: u64,
@@ -147,7 +148,7 @@
             peer_doubt: Cell::default(),
             peer_sound: Cell::default(),
             source: Cell::default(),
-            store_lost: Cell::default(),
+            store_trouble: Cell::default(),
             observer: RefCell::default(),
             socket,
             incarnation,
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -30,6 +30,8 @@
 /// First and longest pause after a failed call to the store.
 const FIRST_PAUSE_MS: u64 = 150;
 const MAX_PAUSE_MS: u64 = 1_000;
+/// Shortest wait of a read, in percent of the longest.
+const SHORTEST_WAIT_PERCENT: u64 = 75;
 /// Time for which a peer of another region has to be ahead before it is asked for records, in
 /// milliseconds: two pauses between near entries' datagrams, and an answer.
 const FAR_MS: u64 = 300;
@@ -195,7 +197,8 @@
         self.source.get()
     }
 
-    /// Keeps the copy of a table up to date from the store, with `pause` between reads.
+    /// Keeps the copy of a table up to date from the store, with `pause` between reads that wait `wait` at
+    /// most.
     pub async fn follow(self: Rc<Node>, table: Table, wait: Duration, pause: Duration) {
         let mut failures = 0;
         let mut fresh = false;
@@ -208,7 +211,11 @@
             }
             self.metrics.store_calls.inc();
             // After a failure, a read without a wait soon tells whether the store is back.
-            let wait = if failures == 0 { wait } else { Duration::ZERO };
+            let wait = if failures == 0 {
+                self.drawn(wait)
+            } else {
+                Duration::ZERO
+            };
             let read = self.read(table, &mut fresh, wait).await;
             match read {
                 Ok(()) => {
@@ -218,6 +225,12 @@
                 }
                 Err(fault) => {
                     self.store_fault(table, &fault);
+                    let silent = matches!(fault, Fault::Broken | Fault::Lost);
+                    if failures == 0 && silent {
+                        // Whether it was the connection only, a new one tells at once.
+                        failures = 1;
+                        continue;
+                    }
                     let longest = (FIRST_PAUSE_MS << failures).min(MAX_PAUSE_MS);
                     failures = (failures + 1).min(6);
                     let pause = self.with_rng(|it| it.random_range(longest / 2..=longest));
@@ -227,6 +240,14 @@
         }
     }
 
+    /// The wait of one read. Readers begin to wait together, with the last record: drawn waits spread, so
+    /// that one of them soon finds out that connections have gone silent.
+    fn drawn(&self, longest: Duration) -> Duration {
+        let longest = longest.as_millis() as u64;
+        let shortest = longest * SHORTEST_WAIT_PERCENT / 100;
+        Duration::from_millis(self.with_rng(|it| it.random_range(shortest..=longest)))
+    }
+
     /// Whether reading a table is left to others now.
     fn stands_by(&self, table: Table) -> bool {
         let election = self.election.borrow().clone();
@@ -265,6 +286,10 @@
         let wait_ms = wait.as_millis() as u64;
         match store.follow(table, self.end(table), wait_ms).await? {
             Followed::Dropped => *fresh = false,
+            Followed::Part(update) => {
+                self.note_interruption(table);
+                self.take(table, update, Source::Store, asked);
+            }
             Followed::Update(update) => {
                 let passed = update.records.is_empty();
                 self.note_interruption(table);
@@ -296,7 +321,7 @@
         if *reading == Reading::Interrupted {
             *reading = Reading::Resumed(self.clock.now());
         }
-        if self.store_lost.replace(false)
+        if self.store_trouble.take().is_some()
             && let Some(log) = self.logs.line(Topic::Dependency)
         {
             info!(log, "store regained");
@@ -306,10 +331,14 @@
     fn store_fault(&self, table: Table, fault: &Fault) {
         self.metrics.store_faults.inc();
         self.reading.borrow_mut()[index(table)] = Reading::Interrupted;
-        if !self.store_lost.replace(true)
+        let trouble = match fault {
+            Fault::Lost | Fault::Unreachable => "store lost",
+            _ => "store fault",
+        };
+        if self.store_trouble.replace(Some(trouble)) != Some(trouble)
             && let Some(log) = self.logs.line(Topic::Dependency)
         {
-            warn!(log, "store lost"; "table" => ?table, "fault" => %fault);
+            warn!(log, "{}", trouble; "table" => ?table, "fault" => %fault);
         }
     }
 
--- a/crates/gradeloft_platform/src/fleet.rs
+++ b/crates/gradeloft_platform/src/fleet.rs
@@ -13,14 +13,18 @@
 
 use crate::Answer;
 
-/// Time after the end of a read's wait by which an answer begins that comes at all.
-pub const OVERDUE: Duration = Duration::from_millis(1_000);
+/// Time after the end of a read's wait by which an answer begins that comes at all, where answers are
+/// quick. What is written is to be in force two seconds later: a wait of 1.3 s, this, and a read without a
+/// wait on a new connection, for which 0.3 s are left.
+pub const OVERDUE: Duration = Duration::from_millis(400);
 
 /// What reading a table gives.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Followed {
     /// The records asked for were dropped: only a snapshot helps.
     Dropped,
+    /// The first of the records: the others follow from the end of these.
+    Part(Update),
     /// The records, none if the wait passed without any.
     Update(Update),
 }
--- a/crates/gradeloft_platform/src/lib.rs
+++ b/crates/gradeloft_platform/src/lib.rs
@@ -29,6 +29,8 @@
 /// Why a call to the platform or an endpoint failed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Fault {
+    /// The answer began, and broke off or stopped: the call may have taken effect.
+    Broken,
     /// The other side asks to come back after so many milliseconds; it did nothing.
     Limited {
         /// Milliseconds to wait.
@@ -45,6 +47,8 @@
     Refused(String),
     /// Another HTTP status.
     Status(u16),
+    /// The answer is larger than what is read at once.
+    TooLarge,
     /// No connection could be made: nothing was sent.
     Unreachable,
 }
@@ -52,12 +56,14 @@
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Fault::Broken => f.write_str("answer broke off"),
             Fault::Limited { retry_after_ms } => write!(f, "limited for {retry_after_ms} ms"),
             Fault::Lost => f.write_str("reply lost"),
             Fault::Malformed => f.write_str("malformed answer"),
             Fault::Missing => f.write_str("missing"),
             Fault::Refused(reason) => write!(f, "refused: {reason}"),
             Fault::Status(status) => write!(f, "status {status}"),
+            Fault::TooLarge => f.write_str("answer too large"),
             Fault::Unreachable => f.write_str("unreachable"),
         }
     }
