--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -72,8 +72,7 @@
 const LATEST_START_MS: u64 = 3_000;
 /// Longest pause between two datagrams to entries.
 const TELL_MS: u64 = 1_000;
-/// Longest wait of one read of the operator's table: well below the time that a version has to be loaded in,
-/// eight seconds, as a silent connection shows only at its end.
+/// Longest wait of one read of the operator's table: half of the eight seconds to load a version in.
 const WAIT_ORDERS: Duration = Duration::from_secs(4);
 const PAUSE_ORDERS: Duration = Duration::from_millis(50);
 
