--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -57,8 +57,8 @@
 const SILENCE_MS: u64 = 4_000;
 /// Longest pause between two datagrams to entries.
 const TELL_MS: u64 = 1_000;
-/// Longest wait of one read of the operator's table.
-const WAIT_ORDERS: Duration = Duration::from_secs(8);
+/// Longest wait of one read of the operator's table: half of the eight seconds to load a version in.
+const WAIT_ORDERS: Duration = Duration::from_secs(4);
 const PAUSE_ORDERS: Duration = Duration::from_millis(50);
 
 /// Part of the link that pieces of weights may use; the rest is for requests and tokens.
--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -1,9 +1,11 @@
 //! What entries and agents share: copies of the platform's tables, peers, datagrams.
 //!
 //! - [`brief`]: the operator's records without what only entries need.
+//! - [`confirmed`]: until when each copy is known to have been whole.
 //! - [`tables`]: who reads the tables from the store, and what peers bring.
 
 pub mod brief;
+pub mod confirmed;
 pub mod tables;
 
 use std::{
@@ -94,6 +96,10 @@
     /// How far peers said that each table goes.
     ends: RefCell<[Ends; 3]>,
     reading: RefCell<[Reading; 3]>,
+    /// Until when each copy is known to have been whole, as read from the store.
+    confirmed: Cell<[Option<Time>; 3]>,
+    /// Whether the last good read of each table came after one that failed.
+    after_interruption: Cell<[bool; 3]>,
     election: RefCell<Option<Rc<dyn Election>>>,
     /// Until when removals that peers told may be errors of the store's.
     peer_doubt: Cell<Time>,
@@ -102,7 +108,8 @@
     brief: RefCell<Brief>,
     /// Where the records that are being taken in came from.
     source: Cell<Source>,
-    store_lost: Cell<bool>,
+    /// What was said last of a store that does not serve.
+    store_trouble: Cell<Option<&'static str>>,
     observer: RefCell<Option<Observer>>,
     socket: UdpSocket,
     incarnation: u64,
@@ -139,12 +146,14 @@
             behind: Cell::default(),
             ends: RefCell::default(),
             reading: RefCell::default(),
+            confirmed: Cell::default(),
+            after_interruption: Cell::default(),
             election: RefCell::default(),
             peer_doubt: Cell::default(),
             peer_sound: Cell::default(),
             brief: RefCell::default(),
             source: Cell::default(),
-            store_lost: Cell::default(),
+            store_trouble: Cell::default(),
             observer: RefCell::default(),
             socket,
             incarnation,
--- a/crates/gradeloft_platform/src/fleet.rs
+++ b/crates/gradeloft_platform/src/fleet.rs
@@ -1,6 +1,6 @@
 //! A platform that keeps tables of records, and model engines that take weights in numbered pieces.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use gradeloft_policy::process::{
@@ -13,18 +13,26 @@
 
 use crate::Answer;
 
+/// Time after the end of a read's wait by which an answer begins that comes at all, where answers are
+/// quick. What is written is to be in force two seconds later: a wait of 1.3 s, this, and a read without a
+/// wait on a new connection, for which 0.3 s are left.
+pub const OVERDUE: Duration = Duration::from_millis(400);
+
 /// What reading a table gives.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Followed {
     /// The records asked for were dropped: only a snapshot helps.
     Dropped,
+    /// The first of the records: the others follow from the end of these.
+    Part(Update),
     /// The records, none if the wait passed without any.
     Update(Update),
 }
 
 /// The platform's tables.
 pub trait Store {
-    /// The records from offset `from` on; waits up to `wait_ms` for the first.
+    /// The records from offset `from` on; waits up to `wait_ms` for the first. Fails once the answer is
+    /// overdue by [`OVERDUE`].
     fn follow(&self, table: Table, from: u64, wait_ms: u64) -> Answer<'_, Followed>;
     /// The newest record of every key.
     fn snapshot(&self, table: Table) -> Answer<'_, Update>;
