Large records travel between processes in parts

Cause: Node::ask_records bounded a whole answer by 1.5 s, threw away what had come at the time-out and asked anew, from the peer that spoke first; a frame above 1 MiB broke the answer. How long a record takes depends on its size, the link and who else asks, so a fixed time for all of it delivers nothing once the link is shared.

Reply::Records holds values up to 64 KiB and announces larger ones by offset, length and digest; Call::Parts brings these in frames of 32 KiB from a byte on, each bounded by 1.5 s. A record never changes, so what came is kept and goes on from any entry that is known to have it (transfer::Holders, from datagrams), near ones first, drawn at random. A record that is superseded on its way is finished while someone gives it. Values behind a missing one are used ahead of it, deletions and the copy's end are not moved (Mirror::ahead, Pending). The answer to Call::Records is bounded by 1.5 s without a byte, not as a whole. The tail of the mirror keeps 4 MiB. The peers' side moves from node/tables.rs to node/records.rs and node/parts.rs.

Weighed: one part for each call (a round trip for each, seven to fourteen for 0.9 MB; a stream of parts needs one); a larger frame and a longer time (moves the bound only); streaming whole values in Reply::Records (small news behind them wait, nothing goes on from another peer); dropping what was superseded for the newest (brings none while changes come quicker than the link carries them).

--- a/crates/gradeloft_daemon/src/node/calls.rs
+++ b/crates/gradeloft_daemon/src/node/calls.rs
@@ -37,6 +37,7 @@
         Call::Borrow { .. }
         | Call::Chunk { .. }
         | Call::Follow { .. }
+        | Call::Parts { .. }
         | Call::Pieces { .. }
         | Call::Records { .. }
         | Call::Work(_) => {}
--- a/crates/gradeloft_daemon/src/transport/client.rs
+++ b/crates/gradeloft_daemon/src/transport/client.rs
@@ -15,7 +15,10 @@
 };
 use h2::{Reason, RecvStream, SendStream, client::SendRequest};
 use socket2::SockRef;
-use tokio::{net::TcpSocket, time::timeout};
+use tokio::{
+    net::TcpSocket,
+    time::{error::Elapsed, timeout},
+};
 
 use super::{CONNECTION_WINDOW, MAX_H2_FRAME, STREAM_WINDOW};
 
@@ -96,6 +99,23 @@
             .ok_or(Fault::Lost)
     }
 
+    /// As [`Pool::ask`], unless for as long as `silence` no byte comes. An answer may take longer as a
+    /// whole: how long depends on its size and on the link, and says nothing of the peer.
+    pub async fn ask_within(
+        &self,
+        address: &str,
+        lane: Lane,
+        call: &Call,
+        silence: Duration,
+    ) -> Result<Result<Reply, Fault>, Elapsed> {
+        let mut incoming = match timeout(silence, self.open(address, lane, call)).await? {
+            Ok(incoming) => incoming,
+            Err(fault) => return Ok(Err(fault)),
+        };
+        let reply = incoming.next_within(silence).await?;
+        Ok(reply.and_then(|it| it.ok_or(Fault::Lost)))
+    }
+
     async fn sender(&self, address: &str, lane: Lane) -> Result<SendRequest<Bytes>, Fault> {
         let key = (address.to_owned(), lane);
         let kept = self.kept(&key);
@@ -188,26 +208,56 @@
 impl Incoming {
     /// The next frame; `None` at the regular end.
     pub async fn next(&mut self) -> Result<Option<Reply>, Fault> {
+        loop {
+            if let Some(reply) = self.decoded()? {
+                return Ok(Some(reply));
+            }
+            if !self.more().await? {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// As [`Incoming::next`], unless for as long as `silence` no byte comes.
+    async fn next_within(
+        &mut self,
+        silence: Duration,
+    ) -> Result<Result<Option<Reply>, Fault>, Elapsed> {
+        loop {
+            match self.decoded() {
+                Ok(None) => {}
+                known => return Ok(known),
+            }
+            match timeout(silence, self.more()).await? {
+                Ok(true) => {}
+                Ok(false) => return Ok(Ok(None)),
+                Err(fault) => return Ok(Err(fault)),
+            }
+        }
+    }
+
+    fn decoded(&mut self) -> Result<Option<Reply>, Fault> {
+        self.decoder.pop().map_err(|_| Fault::Lost)
+    }
+
+    /// Waits for further bytes; gives `false` at the end.
+    async fn more(&mut self) -> Result<bool, Fault> {
         if let Some(head) = &mut self.head {
             let response = head.await.map_err(|it| fault(&it))?;
             self.head = None;
             self.body = Some(response.into_body());
         }
-        loop {
-            if let Some(reply) = self.decoder.pop().map_err(|_| Fault::Lost)? {
-                return Ok(Some(reply));
-            }
-            let Some(body) = &mut self.body else {
-                return Ok(None);
-            };
-            match body.data().await {
-                Some(Ok(bytes)) => {
-                    let _ = body.flow_control().release_capacity(bytes.len());
-                    self.decoder.feed(&bytes);
-                }
-                Some(Err(_)) => return Err(Fault::Lost),
-                None => return Ok(None),
+        let Some(body) = &mut self.body else {
+            return Ok(false);
+        };
+        match body.data().await {
+            Some(Ok(bytes)) => {
+                let _ = body.flow_control().release_capacity(bytes.len());
+                self.decoder.feed(&bytes);
+                Ok(true)
             }
+            Some(Err(_)) => Err(Fault::Lost),
+            None => Ok(false),
         }
     }
 }
--- a/crates/gradeloft_daemon/src/transport/mod.rs
+++ b/crates/gradeloft_daemon/src/transport/mod.rs
@@ -9,6 +9,9 @@
 const STREAM_WINDOW: u32 = 1 << 20;
 const CONNECTION_WINDOW: u32 = 8 << 20;
 const MAX_H2_FRAME: u32 = 64 << 10;
+/// Bytes of one answer that wait in this process for the connection, above which its sender waits: the
+/// rest stays where it comes from, and that an answer went out says that most of it is on its way.
+const SEND_BUFFER: usize = 64 << 10;
 /// Bytes that a chunk's frame adds to its content.
 const CHUNK_FRAME_SLACK: usize = 64;
 
--- a/crates/gradeloft_daemon/src/transport/server.rs
+++ b/crates/gradeloft_daemon/src/transport/server.rs
@@ -19,7 +19,7 @@
     sync::Notify,
 };
 
-use super::{CONNECTION_WINDOW, MAX_H2_FRAME, STREAM_WINDOW};
+use super::{CONNECTION_WINDOW, MAX_H2_FRAME, SEND_BUFFER, STREAM_WINDOW};
 use crate::scope::Scope;
 
 /// Bounds of the listener.
@@ -123,6 +123,7 @@
             .initial_window_size(STREAM_WINDOW)
             .initial_connection_window_size(CONNECTION_WINDOW)
             .max_frame_size(MAX_H2_FRAME)
+            .max_send_buffer_size(SEND_BUFFER)
             .max_concurrent_streams(self.limits.streams);
         let Ok(mut connection) = builder.handshake::<_, Bytes>(stream).await else {
             self.handler.malformed();
--- a/crates/gradeloft_gateway/src/agent/share.rs
+++ b/crates/gradeloft_gateway/src/agent/share.rs
@@ -38,6 +38,11 @@
                 Call::Pieces { model, version } => {
                     list(&agent, model, version, outgoing).await;
                 }
+                Call::Parts {
+                    table,
+                    offset,
+                    start,
+                } => agent.node.give_parts(table, offset, start, outgoing).await,
                 Call::Records { table, from } => {
                     agent.node.give_records(table, from, outgoing).await;
                 }
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -401,12 +401,20 @@
 
 impl PeerHandler for Peers {
     fn call(&self, call: Call, outgoing: Outgoing) {
-        // Other calls are for agents; dropping the answer tells the caller so.
-        if let Call::Records { table, from } = call {
-            let node = Rc::clone(&self.0);
-            let scope = Rc::clone(&node.scope);
-            scope.spawn(async move { node.give_records(table, from, outgoing).await });
-        }
+        let node = Rc::clone(&self.0);
+        let scope = Rc::clone(&node.scope);
+        scope.spawn(async move {
+            match call {
+                Call::Parts {
+                    table,
+                    offset,
+                    start,
+                } => node.give_parts(table, offset, start, outgoing).await,
+                Call::Records { table, from } => node.give_records(table, from, outgoing).await,
+                // Other calls are for agents; dropping the answer tells the caller so.
+                _ => {}
+            }
+        });
     }
 
     fn malformed(&self) {
--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -1,7 +1,11 @@
 //! What entries and agents share: copies of the platform's tables, peers, datagrams.
 //!
-//! - [`tables`]: who reads the tables from the store, and what peers bring.
+//! - [`parts`]: large values, which processes give each other in parts.
+//! - [`records`]: what peers bring of the tables, and what they are given.
+//! - [`tables`]: who reads the tables from the store.
 
+pub mod parts;
+pub mod records;
 pub mod tables;
 
 use std::{
@@ -30,11 +34,12 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::{net::UdpSocket, sync::Notify};
 
+use records::Inbox;
 use tables::{Reading, Source};
 
 use crate::{logs::Logs, metrics::Metrics, settings::Settings};
 
-/// Largest frame between processes, in bytes: the largest record of the store, and room for its key.
+/// Largest frame between processes, in bytes: what [`records`] puts into one, and room for its keys.
 pub const MAX_FRAME: usize = 1 << 20;
 /// Time to connect to a peer: far above the links' delays.
 const PEER_CONNECT: Duration = Duration::from_millis(500);
@@ -84,10 +89,10 @@
     /// Set once SIGTERM came.
     pub leaving: Cell<bool>,
     copies: RefCell<[Mirror; 3]>,
-    /// Tables that are being read from a peer.
-    asking: Cell<[bool; 3]>,
-    /// Since when a peer of another region has been ahead with a table.
-    behind: Cell<[Option<Time>; 3]>,
+    /// What comes of each table from peers.
+    inboxes: RefCell<[Inbox; 3]>,
+    /// Large values that are being given to peers.
+    giving: Cell<usize>,
     /// How far peers said that each table goes.
     ends: RefCell<[Ends; 3]>,
     reading: RefCell<[Reading; 3]>,
@@ -131,8 +136,8 @@
             peers: Pool::new(MAX_FRAME, PEER_CONNECT, None),
             leaving: Cell::new(false),
             copies: RefCell::default(),
-            asking: Cell::default(),
-            behind: Cell::default(),
+            inboxes: RefCell::default(),
+            giving: Cell::default(),
             ends: RefCell::default(),
             reading: RefCell::default(),
             election: RefCell::default(),
@@ -199,7 +204,8 @@
                 tokio::task::yield_now().await;
                 continue;
             };
-            if let Ok(datagram) = codec::parse(&buffer[..length]) {
+            if let Ok(datagram) = codec::parse::<Datagram>(&buffer[..length]) {
+                self.know_holder(*from.ip(), &datagram.zone, datagram.ends);
                 return (*from.ip(), datagram);
             }
         }
--- /dev/null
+++ b/crates/gradeloft_gateway/src/node/parts.rs
@@ -0,0 +1,258 @@
+//! Large values, which processes give each other in parts.
+//!
+//! How long a configuration takes depends on its size, on the link and on who else asks, so only a part is
+//! bounded in time. What came is kept, and goes on from any peer that has the record
+//! ([`transfer`](gradeloft_policy::process::transfer)).
+
+use std::{net::Ipv4Addr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use gradeloft_daemon::transport::{client::Lane, server::Outgoing};
+use gradeloft_policy::process::{
+    mirror::Record,
+    transfer::{Choice, GIVEN_AT_ONCE, Progress, Refusal, Transfer, Want},
+};
+use gradeloft_wire::frame::{Absence, Call, Reply, Table};
+
+use super::{
+    Node,
+    records::{Inbox, reason},
+    tables::{Source, index},
+};
+
+/// Time for a peer to send one part: 22 KB/s at least, a fiftieth of an agent's link.
+const PART_TIME: Duration = Duration::from_millis(1_500);
+/// Bytes of a part.
+const PART_BYTES: usize = 32 << 10;
+
+/// A large value is being given; counted until dropped.
+struct Slot(Rc<Node>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.giving.set(self.0.giving.get() - 1);
+    }
+}
+
+/// Why a peer gave nothing further: in words, and for the choice of the next one.
+type Missed = (&'static str, Refusal);
+
+impl Node {
+    /// Answers a peer's call for a value, if it is held and few others get one now.
+    pub async fn give_parts(
+        self: &Rc<Node>,
+        table: Table,
+        offset: u64,
+        start: u64,
+        outgoing: Outgoing,
+    ) {
+        let Some(value) = self.value_at(table, offset) else {
+            outgoing.finish(&Reply::Absent(Absence::NotHeld)).await;
+            return;
+        };
+        let Some(_slot) = self.slot() else {
+            outgoing.finish(&Reply::Absent(Absence::Busy)).await;
+            return;
+        };
+        let rest = value.get(start as usize..).unwrap_or_default();
+        for part in rest.chunks(PART_BYTES) {
+            let part = Reply::Part(part.to_vec());
+            // Whoever gets no part in time has given this up, and may be out of reach.
+            let sent = tokio::time::timeout(PART_TIME, outgoing.send(&part)).await;
+            if sent != Ok(true) {
+                return;
+            }
+        }
+        outgoing.end();
+    }
+
+    fn slot(self: &Rc<Node>) -> Option<Slot> {
+        let used = self.giving.get();
+        (used < GIVEN_AT_ONCE).then(|| {
+            self.giving.set(used + 1);
+            Slot(Rc::clone(self))
+        })
+    }
+
+    /// Fetches the large values that are missing, unless that is under way.
+    pub(super) fn fetch(self: &Rc<Node>, table: Table) {
+        let fetching = self.with_inbox(table, |it| std::mem::replace(&mut it.fetching, true));
+        if fetching {
+            return;
+        }
+        let node = Rc::clone(self);
+        self.scope.spawn(async move {
+            node.fetch_all(table).await;
+            node.with_inbox(table, |it| it.fetching = false);
+        });
+    }
+
+    async fn fetch_all(self: &Rc<Node>, table: Table) {
+        while self.begin(table) {
+            match self.choose(table) {
+                Choice::Ask(peer) => self.receive(peer, table).await,
+                Choice::Queue(time) => actix_rt::time::sleep(time).await,
+                Choice::Nobody | Choice::Retry(_) if self.superseded(table) => {
+                    // What was superseded goes on only while someone gives it.
+                    self.with_inbox(table, |it| it.transfer = None);
+                }
+                Choice::Retry(time) => actix_rt::time::sleep(time).await,
+                Choice::Nobody => {
+                    // Whoever speaks next is asked what there is to have; what came is kept.
+                    self.with_inbox(table, |it| it.pending = None);
+                    self.not_given("none", table, self.clock.now(), "nobody");
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Whether something else is missing than what is being fetched.
+    fn superseded(&self, table: Table) -> bool {
+        self.with_inbox(table, |it| {
+            let fetched = it.transfer.as_ref().map(Transfer::want);
+            let missing = it.pending.as_ref().and_then(|it| it.pending.missing());
+            missing.is_some() && missing != fetched
+        })
+    }
+
+    /// Makes sure that the transfer is one that is of use; gives `false` if none would be.
+    fn begin(&self, table: Table) -> bool {
+        let copies = self.copies.borrow();
+        let copy = &copies[index(table)];
+        self.with_inbox(table, |it| {
+            if it
+                .pending
+                .as_ref()
+                .is_some_and(|it| it.pending.outdated(copy.end()))
+            {
+                it.pending = None;
+            }
+            let missing = it.pending.as_ref().and_then(|it| it.pending.missing());
+            let useful = |transfer: &Transfer| {
+                let want = transfer.want();
+                missing == Some(want) || copy.lacks(&want.key, want.offset)
+            };
+            if !it.transfer.as_ref().is_some_and(useful) {
+                it.transfer = missing.cloned().map(Transfer::new);
+            }
+            it.transfer.is_some()
+        })
+    }
+
+    fn choose(&self, table: Table) -> Choice {
+        let now = self.clock.now();
+        self.with_rng(|rng| {
+            self.with_inbox(table, |it| match &it.transfer {
+                Some(transfer) => transfer.choose(&it.holders, now, rng),
+                None => Choice::Nobody,
+            })
+        })
+    }
+
+    /// Receives parts from a peer for as long as it gives them and they are of use.
+    async fn receive(self: &Rc<Node>, peer: Ipv4Addr, table: Table) {
+        let asked = self.clock.now();
+        let (reason, refusal) = match self.receive_parts(peer, table).await {
+            Ok(()) => return,
+            Err(failure) => failure,
+        };
+        self.with_rng(|rng| {
+            self.with_inbox(table, |it| {
+                if let Some(transfer) = &mut it.transfer {
+                    transfer.refused(peer, refusal, asked, rng);
+                }
+            });
+        });
+        self.not_given(peer, table, asked, reason);
+    }
+    async fn receive_parts(self: &Rc<Node>, peer: Ipv4Addr, table: Table) -> Result<(), Missed> {
+        let wanted = self.with_inbox(table, |it| {
+            let transfer = it.transfer.as_ref()?;
+            Some((transfer.want().offset, transfer.start()))
+        });
+        let Some((offset, start)) = wanted else {
+            return Ok(());
+        };
+        let call = Call::Parts {
+            table,
+            offset,
+            start,
+        };
+        let address = self.peer_address(peer);
+        let late = |_| {
+            self.peers.forget(&address, Lane::Bulk);
+            ("late", Refusal::Faulty)
+        };
+        let broken = |it| (reason(it), Refusal::Faulty);
+        // Beside small news, which would else wait behind what is in the connection's buffers.
+        let opening = self.peers.open(&address, Lane::Bulk, &call);
+        let opened = tokio::time::timeout(PART_TIME, opening).await;
+        let mut incoming = opened.map_err(late)?.map_err(broken)?;
+        loop {
+            let next = tokio::time::timeout(PART_TIME, incoming.next()).await;
+            match next.map_err(late)?.map_err(broken)? {
+                Some(Reply::Part(part)) => {
+                    if !self.part_came(peer, table, offset, &part)? {
+                        return Ok(());
+                    }
+                }
+                Some(Reply::Absent(Absence::Busy)) => return Err(("busy", Refusal::Busy)),
+                Some(Reply::Absent(_)) => return Err(("not held", Refusal::NotHeld)),
+                Some(_) => return Err(("unexpected", Refusal::NotHeld)),
+                None => return Err(("lost", Refusal::Faulty)),
+            }
+        }
+    }
+
+    /// Takes in a part of the record at `offset`; gives whether the next one is of use.
+    fn part_came(
+        &self,
+        peer: Ipv4Addr,
+        table: Table,
+        offset: u64,
+        part: &[u8],
+    ) -> Result<bool, Missed> {
+        let fetched = |it: &Transfer| it.want().offset == offset;
+        let progress = self.with_inbox(table, |it| {
+            let transfer = it.transfer.as_mut().filter(|it| fetched(it));
+            transfer.map(|it| it.add(part))
+        });
+        match progress {
+            None => Ok(false),
+            Some(Progress::Spoilt) => Err(("spoilt", Refusal::NotHeld)),
+            Some(Progress::More) => {
+                let goes_on = self.begin(table);
+                let same = |it: &mut Inbox| it.transfer.as_ref().is_some_and(fetched);
+                Ok(goes_on && self.with_inbox(table, same))
+            }
+            Some(Progress::Whole(value)) => {
+                self.came(table, value, Source::Peer(peer));
+                Ok(false)
+            }
+        }
+    }
+
+    /// What was being fetched has come.
+    fn came(&self, table: Table, value: Bytes, source: Source) {
+        let transfer = self.with_inbox(table, |it| it.transfer.take());
+        let Some(transfer) = transfer else {
+            return;
+        };
+        let want = transfer.want();
+        self.with_inbox(table, |it| {
+            if let Some(announced) = &mut it.pending {
+                let same = |missing: &Want| (missing == want).then(|| value.clone());
+                announced.pending.fill(same);
+            }
+        });
+        self.settle(table, source);
+        // In case that it was superseded while it came.
+        let record = Record {
+            key: want.key.clone(),
+            value: Some(value),
+            offset: want.offset,
+        };
+        self.take_ahead(table, vec![record], source);
+    }
+}
--- /dev/null
+++ b/crates/gradeloft_gateway/src/node/records.rs
@@ -0,0 +1,325 @@
+//! What peers bring of the platform's tables, and what they are given.
+//!
+//! An answer to a call for records holds small values, and announces large ones, which then come in parts
+//! ([`parts`](super::parts)).
+
+use std::{fmt, net::Ipv4Addr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use gradeloft_daemon::transport::{
+    client::{self, Lane},
+    server::Outgoing,
+};
+use gradeloft_policy::{
+    clock::Time,
+    process::{
+        mirror::Record,
+        pending::{self, Pending},
+        replicas::Trust,
+        transfer::{Holders, Transfer, Want},
+    },
+};
+use gradeloft_wire::{
+    frame::{Call, Reply, Row, Table, Value},
+    id::Digest,
+};
+use slog::warn;
+
+use super::{
+    MAX_FRAME, Node,
+    tables::{BACK_MS, Source, index},
+};
+use crate::{logs::Topic, metrics::Reason, settings::Role};
+
+/// Longest time for which a peer that was asked for records sends nothing.
+const PEER_SILENCE: Duration = Duration::from_millis(1_500);
+/// Largest value that comes with its record, in bytes: at most 55 ms of an agent's link.
+const HERE_BYTES: usize = 64 << 10;
+/// Bytes of all values in an answer; the rest of the frame is for keys.
+const ANSWER_BYTES: usize = MAX_FRAME / 4 * 3;
+/// Time for which a peer of another region has to be ahead before it is asked for records, in
+/// milliseconds: two pauses between near entries' datagrams, and an answer.
+const FAR_MS: u64 = 300;
+
+/// What comes of a table from peers.
+#[derive(Default)]
+pub(super) struct Inbox {
+    /// Whether a peer is being asked for records.
+    asking: bool,
+    /// Since when a peer of another region has been ahead.
+    behind: Option<Time>,
+    pub(super) holders: Holders,
+    pub(super) pending: Option<Announced>,
+    /// Outlives what announced it: its record may be superseded meanwhile, and is still newer than what is
+    /// here. To drop it for the newest each time would bring none of them while they change quickly.
+    pub(super) transfer: Option<Transfer>,
+    /// Whether the transfer is being worked on.
+    pub(super) fetching: bool,
+}
+
+/// What a peer announced.
+pub(super) struct Announced {
+    pub(super) pending: Pending,
+    /// Whether the peer vouches for its removals.
+    sound: bool,
+    asked: Time,
+}
+
+impl Node {
+    /// Answers a peer's call for records.
+    pub async fn give_records(&self, table: Table, from: u64, outgoing: Outgoing) {
+        let update = self.copies.borrow()[index(table)].since(from);
+        let mut room = ANSWER_BYTES;
+        let rows = update.records.into_iter().map(|it| Row {
+            key: it.key,
+            value: told(it.value, &mut room),
+            offset: it.offset,
+        });
+        let reply = Reply::Records {
+            snapshot: update.snapshot,
+            rows: rows.collect(),
+            end: update.end,
+            sound: self.trust(table) == Trust::Sound,
+        };
+        outgoing.finish(&reply).await;
+    }
+
+    /// Value of a record, if it is held.
+    pub(super) fn value_at(&self, table: Table, offset: u64) -> Option<Bytes> {
+        let copies = self.copies.borrow();
+        copies[index(table)].at(offset)?.value.clone()
+    }
+
+    /// A peer said that its copies go up to `ends`.
+    pub(super) fn know_holder(&self, peer: Ipv4Addr, zone: &str, ends: [u64; 3]) {
+        let near = self.near(zone);
+        let now = self.clock.now();
+        for (inbox, end) in self.inboxes.borrow_mut().iter_mut().zip(ends) {
+            inbox.holders.told(peer, Some(near), end, now);
+        }
+    }
+
+    fn near(&self, zone: &str) -> bool {
+        let settings = self.settings();
+        settings.region(zone) == settings.region(&settings.zone)
+    }
+
+    /// A peer's copies go up to `ends`: reads from it what this process lacks; gives whether that was
+    /// anything. Peers of other regions are left alone for a moment, in which near ones most likely
+    /// have it too.
+    pub fn heard_ends(self: &Rc<Node>, peer: Ipv4Addr, zone: &str, ends: [u64; 3]) -> bool {
+        let mut asked = false;
+        let now = self.clock.now();
+        for (known, told) in self.ends.borrow_mut().iter_mut().zip(ends) {
+            known.told(told, now);
+        }
+        let near = self.near(zone);
+        for table in Table::ALL {
+            let asking = self.with_inbox(table, |it| it.asking);
+            if asking || !self.follows(table) {
+                continue;
+            }
+            let behind = self.announced_end(table) < ends[index(table)];
+            let waits = !near && self.loaded(table) && !self.long_behind(table);
+            if !behind || waits {
+                continue;
+            }
+            asked = true;
+            self.with_inbox(table, |it| {
+                it.behind = None;
+                it.asking = true;
+            });
+            let node = Rc::clone(self);
+            self.scope.spawn(async move {
+                node.ask_records(peer, table).await;
+                node.with_inbox(table, |it| it.asking = false);
+            });
+        }
+        asked
+    }
+
+    pub(super) fn with_inbox<T>(&self, table: Table, run: impl FnOnce(&mut Inbox) -> T) -> T {
+        run(&mut self.inboxes.borrow_mut()[index(table)])
+    }
+
+    /// Offset up to which the copy of a table goes once all is here that peers announced.
+    fn announced_end(&self, table: Table) -> u64 {
+        let announced = self.with_inbox(table, |it| it.pending.as_ref().map(|it| it.pending.end()));
+        self.end(table).max(announced.unwrap_or(0))
+    }
+
+    /// Whether peers of other regions have been ahead with a table for a while.
+    fn long_behind(&self, table: Table) -> bool {
+        let now = self.clock.now();
+        self.with_inbox(table, |it| {
+            // What near peers brought meanwhile does not count as being behind.
+            let recent = it.behind.filter(|it| now < it.after_ms(2 * FAR_MS));
+            it.behind = recent.or(Some(now));
+            recent.is_some_and(|it| it.after_ms(FAR_MS) <= now)
+        })
+    }
+
+    /// Agents need replicas only while they fetch weights, and entries never.
+    fn follows(&self, table: Table) -> bool {
+        match self.settings.borrow().role {
+            Role::Agent { .. } => table == Table::Operator,
+            Role::Entry { .. } => true,
+        }
+    }
+
+    /// Reads what this process lacks of a table from a peer; gives whether the peer answered. Large values
+    /// come later, from whoever gives them.
+    pub async fn ask_records(self: &Rc<Node>, peer: Ipv4Addr, table: Table) -> bool {
+        let address = self.peer_address(peer);
+        let from = self.end(table);
+        let asked = self.clock.now();
+        let call = Call::Records { table, from };
+        let asking = self
+            .peers
+            .ask_within(&address, Lane::Live, &call, PEER_SILENCE);
+        let reply = asking.await;
+        if reply.is_err() {
+            self.peers.forget(&address, Lane::Live);
+        }
+        let (snapshot, rows, end, sound) = match reply {
+            Ok(Ok(Reply::Records {
+                snapshot,
+                rows,
+                end,
+                sound,
+            })) => (snapshot, rows, end, sound),
+            Ok(Ok(_)) => return self.not_given(peer, table, asked, "unexpected"),
+            Ok(Err(fault)) => return self.not_given(peer, table, asked, reason(fault)),
+            Err(_) => return self.not_given(peer, table, asked, "late"),
+        };
+        let rows: Vec<pending::Row> = rows.into_iter().map(row).collect();
+        let pending = Pending::new(snapshot, rows, end);
+        if pending.oversized() {
+            return self.not_given(peer, table, asked, "too large");
+        }
+        let announced = Announced {
+            pending,
+            sound,
+            asked,
+        };
+        self.with_inbox(table, |it| it.holders.told(peer, None, end, asked));
+        self.announce(table, announced);
+        self.settle(table, Source::Peer(peer));
+        self.fetch(table);
+        true
+    }
+
+    /// Keeps what a peer announced in place of what was announced before, whose values it takes over.
+    fn announce(&self, table: Table, mut announced: Announced) {
+        announced
+            .pending
+            .fill(|want| self.value_at(table, want.offset));
+        self.with_inbox(table, |it| {
+            let before = it.pending.take();
+            if let Some(before) = before {
+                if announced.pending.end() < before.pending.end() {
+                    it.pending = Some(before);
+                    return;
+                }
+                let values = before.pending.values();
+                announced
+                    .pending
+                    .fill(|want| values.get(&want.offset).cloned());
+            }
+            let fetched = it.transfer.as_mut();
+            if let Some(transfer) =
+                fetched.filter(|t| announced.pending.missing() == Some(t.want()))
+            {
+                transfer.announced();
+            }
+            it.pending = Some(announced);
+        });
+    }
+
+    /// Takes in what has all come of what was announced.
+    pub(super) fn settle(&self, table: Table, source: Source) {
+        let end = self.end(table);
+        let announced = self.with_inbox(table, |it| it.pending.take());
+        let Some(mut announced) = announced else {
+            return;
+        };
+        // The store may have been quicker.
+        if announced.pending.outdated(end) {
+            return;
+        }
+        let update = announced.pending.ready(end);
+        let ahead = announced.pending.ahead();
+        let (sound, asked) = (announced.sound, announced.asked);
+        if announced.pending.missing().is_some() {
+            self.with_inbox(table, |it| it.pending = Some(announced));
+        }
+        // A peer that reads the store steadily knows better than a process that is cut off from it.
+        self.peer_sound.set(sound);
+        if let Some(update) = update {
+            if !sound {
+                self.peer_doubt.set(self.clock.now().after_ms(BACK_MS));
+            }
+            self.take(table, update, source, asked);
+        }
+        self.take_ahead(table, ahead, source);
+        self.peer_sound.set(false);
+    }
+
+    /// Notes that a peer did not give what it was asked for.
+    pub(super) fn not_given(
+        &self,
+        peer: impl fmt::Display,
+        table: Table,
+        asked: Time,
+        reason: &'static str,
+    ) -> bool {
+        let label = Reason { reason };
+        self.metrics.records_not_given.get_or_create(&label).inc();
+        if let Some(log) = self.logs.line(Topic::Dependency) {
+            warn!(log, "records not given"; "table" => ?table, "peer" => %peer, "reason" => reason,
+                "end" => self.end(table),
+                "behind_ms" => self.behind(table).map_or(-1, |it| it.as_millis() as i64),
+                "ms" => self.clock.now().since(asked).as_millis() as u64);
+        }
+        false
+    }
+}
+
+pub(super) fn reason(fault: client::Fault) -> &'static str {
+    match fault {
+        client::Fault::Lost => "lost",
+        client::Fault::Unsent => "unsent",
+    }
+}
+
+/// A value as a peer is told it; `room` is what is left for values in the answer.
+fn told(value: Option<Bytes>, room: &mut usize) -> Value {
+    let Some(value) = value else {
+        return Value::Deleted;
+    };
+    if HERE_BYTES < value.len() || *room < value.len() {
+        return Value::Apart {
+            length: value.len() as u64,
+            digest: Digest::of(&value),
+        };
+    }
+    *room -= value.len();
+    Value::Here(value.to_vec())
+}
+
+fn row(row: Row) -> pending::Row {
+    let Row { key, value, offset } = row;
+    let value = match value {
+        Value::Apart { length, digest } => {
+            return pending::Row::Apart(Want {
+                key,
+                offset,
+                length,
+                digest,
+            });
+        }
+        Value::Deleted => None,
+        Value::Here(value) => Some(Bytes::from(value)),
+    };
+    pending::Row::Here(Record { key, value, offset })
+}
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -2,11 +2,6 @@
 
 use std::{fmt, net::Ipv4Addr, rc::Rc, time::Duration};
 
-use bytes::Bytes;
-use gradeloft_daemon::transport::{
-    client::{self, Lane},
-    server::Outgoing,
-};
 use gradeloft_platform::{Fault, fleet::Followed};
 use gradeloft_policy::{
     clock::Time,
@@ -15,24 +10,16 @@
         replicas::Trust,
     },
 };
-use gradeloft_wire::{
-    datagram::Access,
-    frame::{Call, Reply, Row, Table},
-};
+use gradeloft_wire::{datagram::Access, frame::Table};
 use rand::Rng;
 use slog::{info, warn};
 
 use super::Node;
-use crate::{logs::Topic, metrics::Reason, settings::Role};
+use crate::{logs::Topic, metrics::Reason};
 
-/// Time for a peer to answer a call for records.
-const PEER_ANSWER: Duration = Duration::from_millis(1_500);
 /// First and longest pause after a failed call to the store.
 const FIRST_PAUSE_MS: u64 = 150;
 const MAX_PAUSE_MS: u64 = 1_000;
-/// Time for which a peer of another region has to be ahead before it is asked for records, in
-/// milliseconds: two pauses between near entries' datagrams, and an answer.
-const FAR_MS: u64 = 300;
 /// Pause before a process that leaves reading to others looks again whether it is to read.
 const STANDBY: Duration = Duration::from_millis(200);
 /// Time after an interruption of reading a table within which the store may still drop records of
@@ -41,7 +28,7 @@
 /// Time after the interruption by which dropped records of replicas that live are back, in
 /// milliseconds: two seconds, and a read. Counted from there and not from the removal, so that a
 /// replica which leaves just then is left in time.
-const BACK_MS: u64 = 2_300;
+pub(super) const BACK_MS: u64 = 2_300;
 
 /// Where records came from.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -143,6 +130,11 @@
 
     fn apply(&self, table: Table, update: Update) {
         let changed = self.copies.borrow_mut()[index(table)].apply(update);
+        self.observed(table, changed);
+    }
+
+    /// Tells the observer what changed.
+    fn observed(&self, table: Table, changed: Vec<Record>) {
         if changed.is_empty() {
             return;
         }
@@ -160,7 +152,7 @@
     }
 
     /// Takes in what a source brought, and says so where a request may later depend on it.
-    fn take(&self, table: Table, update: Update, source: Source, asked: Time) {
+    pub(super) fn take(&self, table: Table, update: Update, source: Source, asked: Time) {
         let bytes = update.bytes();
         let label = Reason {
             reason: source.name(),
@@ -184,6 +176,21 @@
         self.show_behind();
     }
 
+    /// Takes in records from beyond the end of the copy, since something large before them is still on its
+    /// way. The copy goes no further by that.
+    pub(super) fn take_ahead(&self, table: Table, records: Vec<Record>, source: Source) {
+        let changed = self.copies.borrow_mut()[index(table)].ahead(records);
+        if table == Table::Operator
+            && !changed.is_empty()
+            && let Some(log) = self.logs.line(Topic::State)
+        {
+            info!(log, "records ahead"; "table" => ?table, "source" => %source,
+                "rows" => changed.len(), "end" => self.end(table));
+        }
+        self.source.set(source);
+        self.observed(table, changed);
+    }
+
     /// Shows in the metrics for how long the operator's table has lacked something.
     pub fn show_behind(&self) {
         let behind = self.behind(Table::Operator).unwrap_or_default();
@@ -315,143 +322,10 @@
         let written = self.written(table, record);
         self.trust(table).of_written(written, BACK_MS)
     }
-
-    /// Answers a peer's call for records.
-    pub async fn give_records(&self, table: Table, from: u64, outgoing: Outgoing) {
-        let update = self.copies.borrow()[index(table)].since(from);
-        let rows = update.records.into_iter().map(|it| Row {
-            key: it.key,
-            value: it.value.map(|it| it.to_vec()),
-            offset: it.offset,
-        });
-        let reply = Reply::Records {
-            snapshot: update.snapshot,
-            rows: rows.collect(),
-            end: update.end,
-            sound: self.trust(table) == Trust::Sound,
-        };
-        outgoing.finish(&reply).await;
-    }
-
-    /// A peer's copies go up to `ends`: reads from it what this process lacks; gives whether that was
-    /// anything. Peers of other regions are left alone for a moment, in which near ones most likely
-    /// have it too.
-    pub fn heard_ends(self: &Rc<Node>, peer: Ipv4Addr, zone: &str, ends: [u64; 3]) -> bool {
-        let mut asked = false;
-        let now = self.clock.now();
-        for (known, told) in self.ends.borrow_mut().iter_mut().zip(ends) {
-            known.told(told, now);
-        }
-        let settings = self.settings();
-        let near = settings.region(zone) == settings.region(&settings.zone);
-        for table in Table::ALL {
-            let mut asking = self.asking.get();
-            if asking[index(table)] || !self.follows(table) {
-                continue;
-            }
-            let behind = self.end(table) < ends[index(table)];
-            let waits = !near && self.loaded(table) && !self.long_behind(table);
-            if !behind || waits {
-                continue;
-            }
-            asked = true;
-            self.set_behind(table, None);
-            asking[index(table)] = true;
-            self.asking.set(asking);
-            let node = Rc::clone(self);
-            self.scope.spawn(async move {
-                node.ask_records(peer, table).await;
-                let mut asking = node.asking.get();
-                asking[index(table)] = false;
-                node.asking.set(asking);
-            });
-        }
-        asked
-    }
-
-    /// Whether peers of other regions have been ahead with a table for a while.
-    fn long_behind(&self, table: Table) -> bool {
-        let now = self.clock.now();
-        let since = self.behind.get()[index(table)];
-        // What near peers brought meanwhile does not count as being behind.
-        let recent = since.filter(|it| now < it.after_ms(2 * FAR_MS));
-        self.set_behind(table, recent.or(Some(now)));
-        recent.is_some_and(|it| it.after_ms(FAR_MS) <= now)
-    }
-
-    fn set_behind(&self, table: Table, since: Option<Time>) {
-        let mut behind = self.behind.get();
-        behind[index(table)] = since;
-        self.behind.set(behind);
-    }
-
-    /// Agents need replicas only while they fetch weights, and entries never.
-    fn follows(&self, table: Table) -> bool {
-        match self.settings.borrow().role {
-            Role::Agent { .. } => table == Table::Operator,
-            Role::Entry { .. } => true,
-        }
-    }
-
-    /// Reads what this process lacks of a table from a peer; gives whether the peer answered.
-    pub async fn ask_records(&self, peer: Ipv4Addr, table: Table) -> bool {
-        let address = self.peer_address(peer);
-        let from = self.end(table);
-        let asked = self.clock.now();
-        let call = Call::Records { table, from };
-        let asking = self.peers.ask(&address, Lane::Live, &call);
-        let reply = tokio::time::timeout(PEER_ANSWER, asking).await;
-        if reply.is_err() {
-            self.peers.forget(&address, Lane::Live);
-        }
-        let (snapshot, rows, end, sound) = match reply {
-            Ok(Ok(Reply::Records {
-                snapshot,
-                rows,
-                end,
-                sound,
-            })) => (snapshot, rows, end, sound),
-            Ok(Ok(_)) => return self.not_given(peer, table, asked, "unexpected"),
-            Ok(Err(client::Fault::Lost)) => return self.not_given(peer, table, asked, "lost"),
-            Ok(Err(client::Fault::Unsent)) => return self.not_given(peer, table, asked, "unsent"),
-            Err(_) => return self.not_given(peer, table, asked, "late"),
-        };
-        let records = rows.into_iter().map(|it| Record {
-            key: it.key,
-            value: it.value.map(Bytes::from),
-            offset: it.offset,
-        });
-        let update = Update {
-            snapshot,
-            records: records.collect(),
-            end,
-        };
-        if !sound {
-            self.peer_doubt.set(self.clock.now().after_ms(BACK_MS));
-        }
-        // A peer that reads the store steadily knows better than a process that is cut off from it.
-        self.peer_sound.set(sound);
-        self.take(table, update, Source::Peer(peer), asked);
-        self.peer_sound.set(false);
-        true
-    }
-
-    /// Notes that a peer did not give what it was asked for.
-    fn not_given(&self, peer: Ipv4Addr, table: Table, asked: Time, reason: &'static str) -> bool {
-        let label = Reason { reason };
-        self.metrics.records_not_given.get_or_create(&label).inc();
-        if let Some(log) = self.logs.line(Topic::Dependency) {
-            warn!(log, "records not given"; "table" => ?table, "peer" => %peer, "reason" => reason,
-                "end" => self.end(table),
-                "behind_ms" => self.behind(table).map_or(-1, |it| it.as_millis() as i64),
-                "ms" => self.clock.now().since(asked).as_millis() as u64);
-        }
-        false
-    }
 }
 
 /// Position of a table in arrays of one value for each.
-fn index(table: Table) -> usize {
+pub(super) fn index(table: Table) -> usize {
     match table {
         Table::Entries => 0,
         Table::Operator => 1,
--- a/crates/gradeloft_gateway/tests/entry/large.rs
+++ b/crates/gradeloft_gateway/tests/entry/large.rs
@@ -12,7 +12,8 @@
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
-use gradeloft_gateway::entry::Handle;
+use gradeloft_daemon::transport::client::{Lane, Pool};
+use gradeloft_gateway::{entry::Handle, node::MAX_FRAME};
 use gradeloft_policy::process::document::Kind;
 use gradeloft_standin::{
     link::{Links, Relay},
@@ -22,9 +23,9 @@
 use gradeloft_wire::{
     codec,
     datagram::{Access, Datagram, Presence, Sender},
-    frame::Table,
+    frame::{Absence, Call, Reply, Table},
 };
-use tokio::net::UdpSocket;
+use tokio::{net::UdpSocket, task::JoinHandle};
 
 use crate::support::{Shape, World, address, ok, run, until};
 
@@ -32,8 +33,9 @@
 const LARGE: usize = 700_000;
 /// Speed of the narrow link, in bytes a second: a large configuration takes about 3 s.
 const NARROW: u64 = 233_000;
-/// Instance at which the first entry is reached over the narrow link.
+/// Instances at which the first entry is reached over a link.
 const BEHIND_LINK: u8 = 50;
+const BEHIND_OTHER: u8 = 51;
 
 /// A configuration of `bytes` bytes.
 fn configuration(version: u64, bytes: usize) -> String {
@@ -55,20 +57,26 @@
 /// The world's entry, reached only over a link of a certain speed.
 struct Link {
     links: Arc<Links>,
+    telling: JoinHandle<()>,
     _relay: Relay,
 }
 
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.telling.abort();
+    }
+}
+
 impl Link {
-    /// Tells `to` again and again how far the first entry's copy of the operator's table goes.
-    async fn start(world: &World, to: u8, bytes_per_s: u64) -> Link {
-        let links = Arc::new(Links::default());
-        links.set(address(1).into(), bytes_per_s);
-        let at = SocketAddr::from((address(BEHIND_LINK), 7700));
+    /// Tells `to` again and again, from the instance `at`, how far the first entry's copy of the
+    /// operator's table goes.
+    async fn start(world: &World, at: u8, to: u8, links: Arc<Links>) -> Link {
+        let at = SocketAddr::from((address(at), 7700));
         let target = SocketAddr::from((address(1), 7700));
         let relay = Relay::start_at(Arc::clone(&links), at, target).unwrap();
         let socket = UdpSocket::bind(at).await.unwrap();
         let node = Rc::clone(&world.entry.entry().node);
-        actix_rt::spawn(async move {
+        let telling = actix_rt::spawn(async move {
             loop {
                 let told = codec::body(&datagram(node.end(Table::Operator)));
                 socket.send_to(&told, (address(to), 7700)).await.unwrap();
@@ -77,11 +85,19 @@
         });
         Link {
             links,
+            telling,
             _relay: relay,
         }
     }
 }
 
+/// Links of which the first entry's carries so much.
+fn links(bytes_per_s: u64) -> Arc<Links> {
+    let links = Arc::new(Links::default());
+    links.set(address(1).into(), bytes_per_s);
+    links
+}
+
 fn datagram(operator: u64) -> Datagram {
     Datagram {
         incarnation: 1,
@@ -106,7 +122,7 @@
     run(async {
         let world = world().await;
         let follower = world.follower(2, BEHIND_LINK, &refusing()).await;
-        let link = Link::start(&world, 2, NARROW).await;
+        let link = Link::start(&world, BEHIND_LINK, 2, links(NARROW)).await;
         in_force(&follower, 1).await;
         let large = configuration(7, LARGE);
         world.tables.write(Table::Operator, "config", Some(&large));
@@ -130,3 +146,94 @@
         in_force(&follower, 9).await;
     });
 }
+
+#[test]
+fn what_came_from_one_peer_goes_on_from_another() {
+    run(async {
+        let world = world().await;
+        let follower = world.follower(2, BEHIND_LINK, &refusing()).await;
+        let first = Link::start(&world, BEHIND_LINK, 2, links(NARROW)).await;
+        in_force(&follower, 1).await;
+        let large = configuration(7, LARGE);
+        world.tables.write(Table::Operator, "config", Some(&large));
+        until(|| async { LARGE as u64 / 2 < first.links.crossed() }).await;
+        let links = Arc::clone(&first.links);
+        drop(first);
+        let _second = Link::start(&world, BEHIND_OTHER, 2, Arc::clone(&links)).await;
+        in_force(&follower, 7).await;
+        let crossed = links.crossed();
+        assert!(
+            crossed < LARGE as u64 * 13 / 10,
+            "{crossed} bytes crossed for a record of {LARGE}"
+        );
+    });
+}
+
+#[test]
+fn small_news_do_not_wait_for_a_large_record_before_them() {
+    run(async {
+        let world = world().await;
+        let follower = world.follower(2, BEHIND_LINK, &refusing()).await;
+        let link = Link::start(&world, BEHIND_LINK, 2, links(NARROW)).await;
+        in_force(&follower, 1).await;
+        let large = configuration(7, LARGE);
+        world.tables.write(Table::Operator, "config", Some(&large));
+        until(|| async { LARGE as u64 / 10 < link.links.crossed() }).await;
+        world.tables.write(Table::Operator, "weights/m", Some("2"));
+        let node = &follower.entry().node;
+        let named = || {
+            let records = node.records(Table::Operator);
+            records.iter().any(|it| it.key == "weights/m")
+        };
+        until(|| async { named() }).await;
+        assert_eq!(follower.entry().config_version(), 1, "still on its way");
+        assert_eq!(
+            node.end(Table::Operator),
+            1,
+            "nothing is claimed that was not taken in"
+        );
+        in_force(&follower, 7).await;
+        assert_eq!(node.end(Table::Operator), 3);
+    });
+}
+
+#[test]
+fn a_peer_gives_to_few_at_once() {
+    run(async {
+        let world = world().await;
+        let node = &world.entry.entry().node;
+        let large = configuration(7, 3_000_000);
+        world.tables.write(Table::Operator, "config", Some(&large));
+        until(|| async { node.end(Table::Operator) == 2 }).await;
+        let call = Call::Parts {
+            table: Table::Operator,
+            offset: 1,
+            start: 0,
+        };
+        let own = node.peer_address(address(1));
+        let pool = Pool::new(MAX_FRAME, Duration::from_secs(1), None);
+        let mut given = Vec::new();
+        for _ in 0..2 {
+            let mut incoming = pool.open(&own, Lane::Bulk, &call).await.unwrap();
+            let part = incoming.next().await.unwrap();
+            assert!(matches!(part, Some(Reply::Part(_))), "{part:?}");
+            given.push(incoming);
+        }
+        let further = pool.ask(&own, Lane::Bulk, &call).await;
+        assert_eq!(further, Ok(Reply::Absent(Absence::Busy)));
+        // A slot is free again once whoever had it has gone.
+        given.pop();
+        until(|| async {
+            let again = pool.ask(&own, Lane::Bulk, &call).await;
+            matches!(again, Ok(Reply::Part(_)))
+        })
+        .await;
+        let unknown = Call::Parts {
+            table: Table::Operator,
+            offset: 9,
+            start: 0,
+        };
+        let unknown = pool.ask(&own, Lane::Bulk, &unknown).await;
+        assert_eq!(unknown, Ok(Reply::Absent(Absence::NotHeld)));
+    });
+}
--- a/crates/gradeloft_policy/src/process/mirror.rs
+++ b/crates/gradeloft_policy/src/process/mirror.rs
@@ -11,6 +11,9 @@
 
 /// Records kept for peers that follow; a peer further behind gets a snapshot.
 const TAIL: usize = 512;
+/// Bytes of these records, of which the last one is kept in any case: four configurations of the largest
+/// size seen, 0.9 MB, on an instance with 128 MB of memory.
+const TAIL_BYTES: usize = 4 << 20;
 
 /// A record of a table.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -48,6 +51,8 @@
     newest: HashMap<String, Record>,
     /// The records before `end`, without gaps.
     tail: VecDeque<Record>,
+    /// Bytes of the tail.
+    tail_bytes: usize,
     end: u64,
     loaded: bool,
 }
@@ -73,6 +78,32 @@
         self.newest.values()
     }
 
+    /// The record at an offset, if it is the newest of its key or one of the last.
+    pub fn at(&self, offset: u64) -> Option<&Record> {
+        let recent = self.tail.iter().find(|it| it.offset == offset);
+        recent.or_else(|| self.newest.values().find(|it| it.offset == offset))
+    }
+
+    /// Whether a record at an offset would bring something newer than what is known of its key.
+    pub fn lacks(&self, key: &str, offset: u64) -> bool {
+        let known = self.newest.get(key);
+        self.end <= offset && known.is_none_or(|it| it.offset < offset)
+    }
+
+    /// Takes in values from beyond the end, with records missing before them; gives those that changed
+    /// something. The end stays, since the copy lacks something there, and what is taken in is taken in
+    /// again with the records before it, which then changes nothing. Deletions have to wait for that: a
+    /// deleted key leaves no trace here by which an older value of it could be told.
+    pub fn ahead(&mut self, records: Vec<Record>) -> Vec<Record> {
+        let mut changed = Vec::new();
+        for record in records {
+            if record.value.is_some() && self.lacks(&record.key, record.offset) {
+                changed.extend(self.set(record));
+            }
+        }
+        changed
+    }
+
     /// Takes an update in; gives the records that changed something, deletions included.
     pub fn apply(&mut self, update: Update) -> Vec<Record> {
         let known = !update.records.is_empty() || update.snapshot;
@@ -119,27 +150,40 @@
                 continue;
             }
             if self.end < record.offset {
-                self.tail.clear();
+                self.clear_tail();
             }
             self.end = record.offset + 1;
-            self.tail.push_back(record.clone());
-            if TAIL < self.tail.len() {
-                self.tail.pop_front();
-            }
+            self.keep(record.clone());
             changed.extend(self.set(record));
         }
         changed
     }
 
+    /// Adds a record to the tail, which lets go of the oldest ones.
+    fn keep(&mut self, record: Record) {
+        self.tail_bytes += bytes([&record].into_iter());
+        self.tail.push_back(record);
+        while TAIL < self.tail.len() || (TAIL_BYTES < self.tail_bytes && 1 < self.tail.len()) {
+            let dropped = self.tail.pop_front();
+            self.tail_bytes -= bytes(dropped.iter());
+        }
+    }
+
+    fn clear_tail(&mut self) {
+        self.tail.clear();
+        self.tail_bytes = 0;
+    }
+
     fn replace(&mut self, update: &Update) -> Vec<Record> {
         // A snapshot older than this copy tells nothing new.
         if update.end < self.end {
             return Vec::new();
         }
         let named: HashSet<&str> = update.records.iter().map(|it| it.key.as_str()).collect();
-        let gone: Vec<String> = self
-            .newest
-            .keys()
+        // What was taken in ahead may be newer than the snapshot.
+        let older = self.newest.values().filter(|it| it.offset < update.end);
+        let gone: Vec<String> = older
+            .map(|it| &it.key)
             .filter(|it| !named.contains(it.as_str()))
             .cloned()
             .collect();
@@ -156,7 +200,7 @@
             changed.extend(self.set(record.clone()));
         }
         if self.end < update.end {
-            self.tail.clear();
+            self.clear_tail();
         }
         changed
     }
--- a/crates/gradeloft_policy/src/process/mod.rs
+++ b/crates/gradeloft_policy/src/process/mod.rs
@@ -6,12 +6,14 @@
 //! - [`gossip`]: which peers a node asks for the bundle in force.
 //! - [`membership`]: which peers there are, by the list and by what connections show.
 //! - [`mirror`]: a copy of a table of the platform's store.
+//! - [`pending`]: what a peer announced of a table, while large values of it are still under way.
 //! - [`readers`]: which entries read the platform's tables from its store.
 //! - [`repeats`]: how often requests are sent again.
 //! - [`replicas`]: the replicas of all services.
 //! - [`roster`]: the entries that callers may be sent to.
 //! - [`shares`]: shares of a rate between entries.
 //! - [`split`]: how the slots of replicas are split among entries.
+//! - [`transfer`]: a large value on its way, and the peers that have it.
 
 pub mod address;
 pub mod document;
@@ -19,9 +21,11 @@
 pub mod gossip;
 pub mod membership;
 pub mod mirror;
+pub mod pending;
 pub mod readers;
 pub mod repeats;
 pub mod replicas;
 pub mod roster;
 pub mod shares;
 pub mod split;
+pub mod transfer;
--- a/crates/gradeloft_wire/src/frame.rs
+++ b/crates/gradeloft_wire/src/frame.rs
@@ -58,6 +58,16 @@
         /// Version.
         version: u64,
     },
+    /// Send a value that was announced by [`Value::Apart`]: its [`Reply::Part`]s in order up to the end,
+    /// or one [`Reply::Absent`].
+    Parts {
+        /// Table.
+        table: Table,
+        /// Position of the record in the table.
+        offset: u64,
+        /// Bytes of the value that the caller has already.
+        start: u64,
+    },
 }
 
 /// Frames of an answer.
@@ -128,6 +138,8 @@
         /// was removed from it is gone.
         sound: bool,
     },
+    /// The next bytes of a record's value.
+    Part(Vec<u8>),
 }
 
 /// A table of the platform's store that processes copy from each other.
@@ -151,12 +163,28 @@
 pub struct Row {
     /// Key.
     pub key: String,
-    /// Value; `None` deletes the key.
-    pub value: Option<Vec<u8>>,
+    /// Value.
+    pub value: Value,
     /// Position in the table.
     pub offset: u64,
 }
 
+/// Value of a record, as a peer tells it.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub enum Value {
+    /// Too large for this frame: to be asked for by [`Call::Parts`].
+    Apart {
+        /// Bytes.
+        length: u64,
+        /// Of all of it, so that parts that came from several peers are known to fit together.
+        digest: Digest,
+    },
+    /// The key is deleted.
+    Deleted,
+    /// All of it.
+    Here(Vec<u8>),
+}
+
 /// Thousandths of requests and of tokens a second.
 #[derive(Clone, Copy, Debug, Decode, Default, Encode, Eq, PartialEq)]
 pub struct Units {
