Do not wait for a large record that the store has brought meanwhile

What a peer announced was looked at again only when a value had come from a peer. What is held of it already is filled in before each part.

--- a/crates/gradeloft_gateway/src/node/parts.rs
+++ b/crates/gradeloft_gateway/src/node/parts.rs
@@ -121,19 +121,14 @@
         })
     }
 
-    /// Makes sure that the transfer is one that is of use; gives `false` if none would be.
+    /// Makes sure that the transfer is one that is of use; gives `false` if none would be, as when the store
+    /// was quicker.
     fn begin(&self, table: Table) -> bool {
+        self.settle(table);
         let now = self.clock.now();
         let copies = self.copies.borrow();
         let copy = &copies[index(table)];
         self.with_inbox(table, |it| {
-            if it
-                .pending
-                .as_ref()
-                .is_some_and(|it| it.pending.outdated(copy.end()))
-            {
-                it.pending = None;
-            }
             let missing = it.pending.as_ref().and_then(|it| it.pending.missing());
             let useful = |transfer: &Transfer| {
                 let want = transfer.want();
@@ -262,9 +257,10 @@
             if let Some(announced) = &mut it.pending {
                 let same = |missing: &Want| (missing == want).then(|| value.clone());
                 announced.pending.fill(same);
+                announced.source = source;
             }
         });
-        self.settle(table, source);
+        self.settle(table);
         // In case that it was superseded while it came.
         let record = Record {
             key: want.key.clone(),
--- a/crates/gradeloft_gateway/src/node/records.rs
+++ b/crates/gradeloft_gateway/src/node/records.rs
@@ -63,6 +63,8 @@
     /// Whether the peer vouches for its removals.
     sound: bool,
     asked: Time,
+    /// Who brought the last of it.
+    pub(super) source: Source,
 }
 
 impl Node {
@@ -201,19 +203,17 @@
             pending,
             sound,
             asked,
+            source: Source::Peer(peer),
         };
         self.with_inbox(table, |it| it.holders.told(peer, None, end, asked));
         self.announce(table, announced);
-        self.settle(table, Source::Peer(peer));
+        self.settle(table);
         self.fetch(table);
         true
     }
 
     /// Keeps what a peer announced in place of what was announced before, whose values it takes over.
     fn announce(&self, table: Table, mut announced: Announced) {
-        announced
-            .pending
-            .fill(|want| self.value_at(table, want.offset));
         self.with_inbox(table, |it| {
             let before = it.pending.take();
             if let Some(before) = before {
@@ -236,20 +236,22 @@
         });
     }
 
-    /// Takes in what has all come of what was announced.
-    pub(super) fn settle(&self, table: Table, source: Source) {
-        let end = self.end(table);
+    /// Takes in what has all come of what was announced, from peers or meanwhile from the store.
+    pub(super) fn settle(&self, table: Table) {
         let announced = self.with_inbox(table, |it| it.pending.take());
         let Some(mut announced) = announced else {
             return;
         };
-        // The store may have been quicker.
+        let end = self.end(table);
         if announced.pending.outdated(end) {
             return;
         }
+        announced
+            .pending
+            .fill(|want| self.value_at(table, want.offset));
         let update = announced.pending.ready(end);
         let ahead = announced.pending.ahead();
-        let (sound, asked) = (announced.sound, announced.asked);
+        let (sound, asked, source) = (announced.sound, announced.asked, announced.source);
         if announced.pending.missing().is_some() {
             self.with_inbox(table, |it| it.pending = Some(announced));
         }
--- a/crates/gradeloft_gateway/tests/entry/large.rs
+++ b/crates/gradeloft_gateway/tests/entry/large.rs
@@ -300,3 +300,48 @@
         assert!(0.9 < given, "the others gave it {given} times");
     });
 }
+
+#[test]
+fn records_that_take_long_together_come_in_one_answer() {
+    run(async {
+        let world = world().await;
+        let follower = world.follower(2, BEHIND_LINK, &refusing()).await;
+        let link = Link::start(&world.entry, BEHIND_LINK, &[2], links(1, NARROW)).await;
+        in_force(&follower, 1).await;
+        // Each of them is small enough to come with its key.
+        for version in 2..14 {
+            let small = configuration(version, 50_000);
+            let key = format!("config-{version}");
+            world.tables.write(Table::Operator, &key, Some(&small));
+        }
+        in_force(&follower, 13).await;
+        let crossed = link.crossed();
+        assert!(crossed < 1.3, "they crossed {crossed} times");
+    });
+}
+
+#[test]
+fn what_the_store_brings_meanwhile_is_not_waited_for() {
+    run(async {
+        let world = world().await;
+        let store = refusing();
+        let follower = world.follower(2, BEHIND_LINK, &store).await;
+        // The record alone takes longer than the test may.
+        let links = links(1, LARGE as u64 / 12);
+        let link = Link::start(&world.entry, BEHIND_LINK, &[2], links).await;
+        in_force(&follower, 1).await;
+        let large = configuration(7, LARGE);
+        store.write(Table::Operator, "config", Some("1"));
+        store.write(Table::Operator, "config", Some(&large));
+        world.tables.write(Table::Operator, "config", Some(&large));
+        world.tables.write(Table::Operator, "weights/m", Some("2"));
+        until(|| async { 0.05 < link.crossed() }).await;
+        // It brings the large record, and not the one behind it.
+        store.mood.set(Mood::Well);
+        let node = &follower.entry().node;
+        until(|| async { node.end(Table::Operator) == 3 }).await;
+        assert_eq!(follower.entry().config_version(), 7);
+        let crossed = link.crossed();
+        assert!(crossed < 0.9, "{crossed} of it came from the peer too");
+    });
+}
