Count the pause before a peer is asked again from its failure

It counted from when the peer was asked, so after 1.5 s without an answer it was over, and the silent peer was asked again although others had the record.

--- a/crates/gradeloft_gateway/src/node/parts.rs
+++ b/crates/gradeloft_gateway/src/node/parts.rs
@@ -162,10 +162,11 @@
             Ok(()) => return,
             Err(failure) => failure,
         };
+        let now = self.clock.now();
         self.with_rng(|rng| {
             self.with_inbox(table, |it| {
                 if let Some(transfer) = &mut it.transfer {
-                    transfer.refused(peer, refusal, asked, rng);
+                    transfer.refused(peer, refusal, now, rng);
                 }
             });
         });
--- a/crates/gradeloft_gateway/tests/entry/large.rs
+++ b/crates/gradeloft_gateway/tests/entry/large.rs
@@ -11,6 +11,7 @@
 //! metric `config_version` stood still. A record above the largest frame never came from a peer at all.
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -18,7 +19,10 @@
 };
 
 use gradeloft_daemon::transport::client::{Lane, Pool};
-use gradeloft_gateway::{entry::Handle, node::MAX_FRAME};
+use gradeloft_gateway::{
+    entry::Handle,
+    node::{MAX_FRAME, Node},
+};
 use gradeloft_policy::process::document::Kind;
 use gradeloft_standin::{
     link::{Links, Relay},
@@ -30,7 +34,10 @@
     datagram::{Access, Datagram, Presence, Sender},
     frame::{Absence, Call, Reply, Role, Table},
 };
-use tokio::{net::UdpSocket, task::JoinHandle};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    task::JoinHandle,
+};
 
 use crate::support::{Shape, World, address, ok, run, until};
 
@@ -41,6 +48,8 @@
 /// Instances at which the first entry is reached over a link.
 const BEHIND_LINK: u8 = 50;
 const BEHIND_OTHER: u8 = 51;
+/// Instance of a peer that answers nothing.
+const SILENT: u8 = 90;
 
 /// A configuration of `bytes` bytes.
 fn configuration(version: u64, bytes: usize) -> String {
@@ -80,17 +89,7 @@
         let node = Rc::clone(&entry.entry().node);
         let target = SocketAddr::from((node.settings().address, 7700));
         let relay = Relay::start_at(Arc::clone(&links), at, target).unwrap();
-        let socket = UdpSocket::bind(at).await.unwrap();
-        let to = to.to_vec();
-        let telling = actix_rt::spawn(async move {
-            loop {
-                let told = codec::body(&datagram(node.end(Table::Operator)));
-                for to in &to {
-                    socket.send_to(&told, (address(*to), 7700)).await.unwrap();
-                }
-                actix_rt::time::sleep(Duration::from_millis(50)).await;
-            }
-        });
+        let telling = tell(node, at, to).await;
         Link {
             links,
             telling,
@@ -104,6 +103,38 @@
     }
 }
 
+/// Tells from `at` how far an entry's copy of the operator's table goes, again and again.
+async fn tell(node: Rc<Node>, at: SocketAddr, to: &[u8]) -> JoinHandle<()> {
+    let socket = UdpSocket::bind(at).await.unwrap();
+    let to = to.to_vec();
+    actix_rt::spawn(async move {
+        loop {
+            let told = codec::body(&datagram(node.end(Table::Operator)));
+            for to in &to {
+                socket.send_to(&told, (address(*to), 7700)).await.unwrap();
+            }
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+    })
+}
+
+/// A peer that says it has what an entry has, and answers nothing; gives how many connections it got.
+async fn silent(entry: &Handle, at: u8, to: &[u8]) -> Rc<Cell<usize>> {
+    let at = SocketAddr::from((address(at), 7700));
+    let listener = TcpListener::bind(at).await.unwrap();
+    let connections = Rc::new(Cell::new(0));
+    let counted = Rc::clone(&connections);
+    actix_rt::spawn(async move {
+        let mut open = Vec::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            open.push(stream);
+            counted.set(open.len());
+        }
+    });
+    tell(Rc::clone(&entry.entry().node), at, to).await;
+    connections
+}
+
 /// Links of which the one of the entry `last` carries so much.
 fn links(last: u8, bytes_per_s: u64) -> Arc<Links> {
     let links = Arc::new(Links::default());
@@ -345,3 +376,24 @@
         assert!(crossed < 0.9, "{crossed} of it came from the peer too");
     });
 }
+
+#[test]
+fn a_peer_that_did_not_answer_is_left_alone_while_others_have_it() {
+    run(async {
+        let world = world().await;
+        let follower = world.follower(2, BEHIND_LINK, &refusing()).await;
+        let first = Link::start(&world.entry, BEHIND_LINK, &[2], links(1, NARROW)).await;
+        in_force(&follower, 1).await;
+        let large = configuration(7, LARGE);
+        world.tables.write(Table::Operator, "config", Some(&large));
+        until(|| async { 0.1 < first.crossed() }).await;
+        let connections = silent(&world.entry, SILENT, &[2]).await;
+        until(|| async { 0.3 < first.crossed() }).await;
+        drop(first);
+        until(|| async { connections.get() == 1 }).await;
+        let links = links(1, 4 * NARROW);
+        let _second = Link::start(&world.entry, BEHIND_OTHER, &[2], links).await;
+        in_force(&follower, 7).await;
+        assert_eq!(connections.get(), 1);
+    });
+}
--- a/crates/gradeloft_policy/src/process/transfer.rs
+++ b/crates/gradeloft_policy/src/process/transfer.rs
@@ -233,10 +233,12 @@
 impl Transfer {
     /// A transfer of which nothing came yet.
     pub fn new(want: Want, now: Time) -> Transfer {
+        // All at once: growing by doubling would need up to three times as much for a moment.
+        let room = want.length.min(MAX_VALUE) as usize;
         Transfer {
             want,
             begun: now,
-            came: Vec::new(),
+            came: Vec::with_capacity(room),
             bars: HashMap::new(),
         }
     }
