Merge: large records travel between processes in parts

Conflicts: abridged records go within the answer whatever their size, since parts are given of values as they are held; what peers brought an agent counts as abridged also where it lies ahead of the copy's end.

--- a/crates/gradeloft_daemon/src/transport/server.rs
+++ b/crates/gradeloft_daemon/src/transport/server.rs
@@ -14,12 +14,13 @@
     frame::{Call, Reply},
 };
 use h2::{Reason, RecvStream, SendStream, server::SendResponse};
+use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Notify,
 };
 
-use super::{CONNECTION_WINDOW, MAX_H2_FRAME, STREAM_WINDOW};
+use super::{CONNECTION_WINDOW, MAX_H2_FRAME, SEND_BUFFER, STREAM_WINDOW, UNSENT};
 use crate::scope::Scope;
 
 /// Bounds of the listener.
@@ -78,7 +79,9 @@
         if limits.connections <= open.get() {
             continue;
         }
+        // Without these it works as well, with more delay.
         let _ = stream.set_nodelay(true);
+        let _ = SockRef::from(&stream).set_tcp_notsent_lowat(UNSENT);
         let counted = Counted::new(Rc::clone(&open));
         let connection = Connection {
             limits,
@@ -123,6 +126,7 @@
             .initial_window_size(STREAM_WINDOW)
             .initial_connection_window_size(CONNECTION_WINDOW)
             .max_frame_size(MAX_H2_FRAME)
+            .max_send_buffer_size(SEND_BUFFER)
             .max_concurrent_streams(self.limits.streams);
         let Ok(mut connection) = builder.handshake::<_, Bytes>(stream).await else {
             self.handler.malformed();
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -57,7 +57,7 @@
 };
 use crate::{
     logs::Topic,
-    node::{MAX_FRAME, Node},
+    node::{MAX_FRAME, Node, parts::Asked},
     pool::Pool,
     settings::Role,
 };
@@ -404,12 +404,31 @@
 
 impl PeerHandler for Peers {
     fn call(&self, call: Call, outgoing: Outgoing) {
-        // Other calls are for agents; dropping the answer tells the caller so.
-        if let Call::Records { table, from, brief } = call {
-            let node = Rc::clone(&self.0);
-            let scope = Rc::clone(&node.scope);
-            scope.spawn(async move { node.give_records(table, from, brief, outgoing).await });
-        }
+        let node = Rc::clone(&self.0);
+        let scope = Rc::clone(&node.scope);
+        scope.spawn(async move {
+            match call {
+                Call::Parts {
+                    table,
+                    offset,
+                    start,
+                    caller,
+                } => {
+                    let asked = Asked {
+                        table,
+                        offset,
+                        start,
+                        caller,
+                    };
+                    node.give_parts(asked, outgoing).await;
+                }
+                Call::Records { table, from, brief } => {
+                    node.give_records(table, from, brief, outgoing).await;
+                }
+                // Other calls are for agents; dropping the answer tells the caller so.
+                _ => {}
+            }
+        });
     }
 
     fn malformed(&self) {
--- a/crates/gradeloft_gateway/src/node/brief.rs
+++ b/crates/gradeloft_gateway/src/node/brief.rs
@@ -80,10 +80,13 @@
         record.value = Some(value);
     }
 
-    /// What the copy of a table holds now came abridged.
-    pub(super) fn took_brief(&self, table: Table) {
-        if table == Table::Operator {
-            self.brief.borrow_mut().whole_from = self.end(table);
+    /// A peer brought what the copy of a table holds now, up to its end or, ahead of that, to `seen`: to
+    /// this process it may have given it abridged.
+    pub(super) fn took_from_peer(&self, table: Table, seen: Option<u64>) {
+        if table == Table::Operator && self.takes_brief() {
+            let end = self.end(table).max(seen.unwrap_or(0));
+            let mut brief = self.brief.borrow_mut();
+            brief.whole_from = brief.whole_from.max(end);
         }
     }
 
@@ -91,7 +94,7 @@
     /// since an entry gave it abridged records has nothing for those that need whole ones.
     pub(super) fn offered(&self, table: Table) -> u64 {
         let end = self.end(table);
-        let abridged = table == Table::Operator && end == self.brief.borrow().whole_from;
+        let abridged = table == Table::Operator && end <= self.brief.borrow().whole_from;
         if abridged { 0 } else { end }
     }
 }
--- a/crates/gradeloft_policy/src/process/mod.rs
+++ b/crates/gradeloft_policy/src/process/mod.rs
@@ -6,6 +6,7 @@
 //! - [`gossip`]: which peers a node asks for the bundle in force.
 //! - [`membership`]: which peers there are, by the list and by what connections show.
 //! - [`mirror`]: a copy of a table of the platform's store.
+//! - [`pending`]: what a peer announced of a table, while large values of it are still under way.
 //! - [`readers`]: which entries read the platform's tables from its store.
 //! - [`refresh`]: when an agent asks an entry for the operator's records.
 //! - [`repeats`]: how often requests are sent again.
@@ -13,6 +14,7 @@
 //! - [`roster`]: the entries that callers may be sent to.
 //! - [`shares`]: shares of a rate between entries.
 //! - [`split`]: how the slots of replicas are split among entries.
+//! - [`transfer`]: a large value on its way, and the peers that have it.
 
 pub mod address;
 pub mod document;
@@ -20,6 +22,7 @@
 pub mod gossip;
 pub mod membership;
 pub mod mirror;
+pub mod pending;
 pub mod readers;
 pub mod refresh;
 pub mod repeats;
@@ -27,3 +30,4 @@
 pub mod roster;
 pub mod shares;
 pub mod split;
+pub mod transfer;
