Say until when a copy is known to be whole

`Node::confirmed(table)`: a record that the copy lacked then had not been written. `Node::after_interruption(table)`: whether the last good read came after one that failed. While a read is taken in, both describe what was before it (`confirmed`) and what it came after. No logic depends on them yet.

--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -1,7 +1,9 @@
 //! What entries and agents share: copies of the platform's tables, peers, datagrams.
 //!
+//! - [`confirmed`]: until when each copy is known to have been whole.
 //! - [`tables`]: who reads the tables from the store, and what peers bring.
 
+pub mod confirmed;
 pub mod tables;
 
 use std::{
@@ -91,6 +93,10 @@
     /// How far peers said that each table goes.
     ends: RefCell<[Ends; 3]>,
     reading: RefCell<[Reading; 3]>,
+    /// Until when each copy is known to have been whole, as read from the store.
+    confirmed: Cell<[Option<Time>; 3]>,
+    /// Whether the last good read of each table came after one that failed.
+    after_interruption: Cell<[bool; 3]>,
     election: RefCell<Option<Rc<dyn Election>>>,
     /// Until when removals that peers told may be errors of the store's.
     peer_doubt: Cell<Time>,
@@ -135,6 +141,8 @@
             behind: Cell::default(),
             ends: RefCell::default(),
             reading: RefCell::default(),
+            confirmed: Cell::default(),
+            after_interruption: Cell::default(),
             election: RefCell::default(),
             peer_doubt: Cell::default(),
             peer_sound: Cell::default(),
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -257,15 +257,22 @@
         if !*fresh {
             let update = store.snapshot(table).await?;
             *fresh = true;
+            self.note_interruption(table);
             self.take(table, update, Source::Store, asked);
+            self.confirm(table, asked);
             return Ok(());
         }
         let wait_ms = wait.as_millis() as u64;
         match store.follow(table, self.end(table), wait_ms).await? {
             Followed::Dropped => *fresh = false,
             Followed::Update(update) => {
+                let passed = update.records.is_empty();
+                self.note_interruption(table);
                 // Before what was read is taken in: records of an interruption are doubtful.
                 self.take(table, update, Source::Store, asked);
+                // An answer without records was sent when the whole wait had passed.
+                let whole_at = if passed { asked.after(wait) } else { asked };
+                self.confirm(table, whole_at);
             }
         }
         Ok(())
@@ -276,7 +283,10 @@
         self.metrics.store_calls.inc();
         let asked = self.clock.now();
         match self.platform.store.snapshot(table).await {
-            Ok(update) => self.take(table, update, Source::Store, asked),
+            Ok(update) => {
+                self.take(table, update, Source::Store, asked);
+                self.confirm(table, asked);
+            }
             Err(fault) => self.store_fault(table, &fault),
         }
     }
@@ -451,7 +461,7 @@
 }
 
 /// Position of a table in arrays of one value for each.
-fn index(table: Table) -> usize {
+pub(super) fn index(table: Table) -> usize {
     match table {
         Table::Entries => 0,
         Table::Operator => 1,
--- a/crates/gradeloft_gateway/tests/entry/cut_off.rs
+++ b/crates/gradeloft_gateway/tests/entry/cut_off.rs
@@ -106,6 +106,28 @@
     });
 }
 
+#[test]
+fn a_copy_is_whole_up_to_the_last_read_before_the_store_was_away() {
+    run(async {
+        let world = World::start(Shape::of(Kind::Once), vec![well("a")]).await;
+        let node = &world.entry.entry().node;
+        let table = Table::Operator;
+        until(|| async { node.confirmed(table).is_some() }).await;
+        assert!(!node.after_interruption(table));
+        world.tables.mood.set(Mood::Refusing);
+        world.tables.cut();
+        until(|| async { node.access() == Access::Unserved }).await;
+        let before = node.confirmed(table);
+        let away = node.clock.now();
+        world.tables.write(table, "config", Some("7"));
+        assert!(before < Some(away));
+        world.tables.mood.set(Mood::Well);
+        until(|| async { node.end(table) == 2 && before < node.confirmed(table) }).await;
+        assert!(node.after_interruption(table));
+        assert!(Some(away) < node.confirmed(table));
+    });
+}
+
 #[test]
 fn a_request_that_waits_at_a_replica_whose_weights_expire_is_taken_back() {
     run(async {
