Tests that fail: a version that is learned late counts as just named

Cause: `node.written` takes the moment of a read for the moment of the write, also after reads that failed, and a record that a peer gives has no age. Ruled out: the words of peers on how far their copies go, which would give an earlier time: here nobody could read meanwhile.

--- a/crates/gradeloft_gateway/tests/entry/cut_off.rs
+++ b/crates/gradeloft_gateway/tests/entry/cut_off.rs
@@ -4,8 +4,8 @@
 use std::{cell::Cell, rc::Rc};
 
 use crate::support::{Shape, World, address, get, ok, request, run, until};
-use gradeloft_gateway::settings::Settings;
-use gradeloft_policy::process::document::Kind;
+use gradeloft_gateway::{node::Node, settings::Settings};
+use gradeloft_policy::process::{document::Kind, mirror::Record};
 use gradeloft_standin::{
     scripted::Step,
     tables::{Mood, Tables},
@@ -163,3 +163,60 @@
         );
     });
 }
+
+/// The version of the weights as an entry's copy has it.
+fn named(node: &Node) -> Option<Record> {
+    let records = node.records(Table::Operator);
+    records.into_iter().find(|it| it.key == "weights/m")
+}
+
+/// Requests began on older weights more than eight seconds after a newer version was confirmed. In order: an
+/// entry's reads of the store fail; a version is named; the store is back, and the entry reads it. Cause: the
+/// version's time counted from that read, as if what is read had just been written. Evidence: the time that it
+/// counted from lay after the interruption, though the entry's copy was last whole before it.
+#[test]
+fn a_version_that_is_read_after_an_interruption_counts_from_before_it() {
+    run(async {
+        let world = World::start(Shape::of(Kind::Once), vec![well("a")]).await;
+        let node = &world.entry.entry().node;
+        world.tables.mood.set(Mood::Refusing);
+        world.tables.cut();
+        until(|| async { node.access() == Access::Unserved }).await;
+        let away = node.clock.now();
+        world.tables.write(Table::Operator, "weights/m", Some("2"));
+        world.tables.mood.set(Mood::Well);
+        until(|| async { named(node).is_some() }).await;
+        let written = node.written(Table::Operator, &named(node).unwrap());
+        assert!(
+            written <= away,
+            "{written:?}, and the copy was whole before {away:?}"
+        );
+    });
+}
+
+/// As above, one process further: the entry that had read the version late passed it on, and the one that got
+/// it gave older weights their whole time once more. Cause: a record came without an age.
+#[test]
+fn a_version_that_a_peer_learned_late_keeps_its_age() {
+    run(async {
+        let world = World::start(Shape::of(Kind::Once), vec![well("a")]).await;
+        let refusing = Rc::new(Tables::default());
+        refusing.mood.set(Mood::Refusing);
+        let second = world.another(2, &refusing).await;
+        until(|| async { get(2, 8002, "/ready").await.starts_with("HTTP/1.1 200") }).await;
+        let node = &second.entry().node;
+        let first = &world.entry.entry().node;
+        world.tables.mood.set(Mood::Refusing);
+        world.tables.cut();
+        until(|| async { first.access() == Access::Unserved }).await;
+        let away = node.clock.now();
+        world.tables.write(Table::Operator, "weights/m", Some("2"));
+        world.tables.mood.set(Mood::Well);
+        until(|| async { named(node).is_some() }).await;
+        let written = node.written(Table::Operator, &named(node).unwrap());
+        assert!(
+            written <= away,
+            "{written:?}, and the peer's copy was whole before {away:?}"
+        );
+    });
+}
