Keep since when the records of a table count as written

Three bounds for each table, all pure: `Ends`, the latest time (now the earliest of all words, in any order), `Whole`, the earliest one, and `Ages`, which counts what is read in steady reading from the read, and what is read after an interruption (a failed or late read, a pause of 0.75 s between reads, a disturbance) from when the copy was last whole.

A read of the store is steady by how it went, and not by how long ago the copy was confirmed: a poll waits for seconds, so any threshold on that age would either pass over seconds of blindness or cost callers in steady state.

--- a/crates/gradeloft_policy/src/clock.rs
+++ b/crates/gradeloft_policy/src/clock.rs
@@ -25,6 +25,11 @@
         Time(self.0.saturating_add(duration.as_micros() as u64))
     }
 
+    /// This time less `ms` milliseconds; the start of the process if that is later.
+    pub fn before_ms(self, ms: u64) -> Time {
+        Time(self.0.saturating_sub(ms.saturating_mul(1000)))
+    }
+
     /// Time since `earlier`; zero when that is later.
     pub fn since(self, earlier: Time) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
--- /dev/null
+++ b/crates/gradeloft_policy/src/process/ages.rs
@@ -0,0 +1,107 @@
+//! Since when the records of a table count as written.
+//!
+//! Nobody says when a record was written. What is read in steady reading was written a moment ago; what is
+//! read after an interruption may have been written at any time since the copy was last whole, and counts
+//! from there; what a peer gives is as old as it is to the peer, or older if this process heard of it
+//! before.
+
+use std::time::Duration;
+
+use super::{ends::Ends, whole::Whole};
+use crate::clock::Time;
+
+/// Pause between two good reads from which on reading was interrupted, in milliseconds: the pause between
+/// reads of the operator's table is 50 ms, and the longest after a single failure 150 ms.
+const STEADY_PAUSE_MS: u64 = 750;
+/// Time after the end of its wait by which a read's answer is here if nothing holds it up, in milliseconds:
+/// entries require new weights early enough for what was learned so late.
+const LATE_MS: u64 = 300;
+
+/// How a read of the store went.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Read {
+    /// When it was asked for.
+    pub asked: Time,
+    /// Longest wait at the store for something new.
+    pub wait: Duration,
+    /// When the answer came.
+    pub answered: Time,
+    /// Whether the read before it failed, or this process stood still or was cut off meanwhile.
+    pub disturbed: bool,
+}
+
+/// What is known of the times at which one table's records were written.
+#[derive(Clone, Debug, Default)]
+pub struct Ages {
+    /// The latest times.
+    known: Ends,
+    /// The times that count: between the earliest and the latest.
+    counted: Ends,
+    /// The earliest times.
+    whole: Whole,
+    /// Until when the copy was whole by this process's own reads.
+    confirmed: Option<Time>,
+    /// When the last good read ended.
+    read_at: Option<Time>,
+}
+
+impl Ages {
+    /// A peer's copy goes up to `end` now.
+    pub fn heard_end(&mut self, end: u64, now: Time) {
+        self.known.told(end, now);
+    }
+
+    /// A peer's copy, which goes up to `end`, was whole `age_ms` before `now`.
+    pub fn heard_whole(&mut self, end: u64, age_ms: u64, now: Time) {
+        self.whole.told(end, now.before_ms(age_ms));
+    }
+
+    /// A peer gave a record on a call that was made at `asked`, and knew it for `age_ms`.
+    pub fn given(&mut self, offset: u64, age_ms: u64, asked: Time) {
+        self.counted.told(offset + 1, asked.before_ms(age_ms));
+    }
+
+    /// A read brought the records at `offsets`.
+    pub fn read(&mut self, offsets: impl Iterator<Item = u64>, read: Read) {
+        let paused = |it: Time| it.after_ms(STEADY_PAUSE_MS) < read.asked;
+        let paused = self.read_at.is_none_or(paused);
+        let late = read.asked.after(read.wait).after_ms(LATE_MS) < read.answered;
+        let steady = !(paused || late || read.disturbed);
+        for offset in offsets {
+            let earliest = self.whole.until(offset).filter(|_| !steady);
+            let counts = earliest.unwrap_or(read.answered).min(read.answered);
+            self.counted.told(offset + 1, counts);
+        }
+        self.read_at = Some(read.answered);
+    }
+
+    /// This process's copy, which goes up to `end`, was whole at `at` by its own reading.
+    pub fn confirm(&mut self, end: u64, at: Time) {
+        self.whole.told(end, at);
+        self.confirmed = self.confirmed.max(Some(at));
+    }
+
+    /// For how long the copy has not been known to be whole by own reads, in milliseconds, if it ever was.
+    pub fn unconfirmed_ms(&self, now: Time) -> Option<u64> {
+        self.confirmed.map(|it| now.since(it).as_millis() as u64)
+    }
+
+    /// Until when a copy that goes up to `end` is known to have been whole, by own reads and by peers'.
+    pub fn whole_until(&self, end: u64) -> Option<Time> {
+        self.whole.until(end)
+    }
+
+    /// Since when a record is known to be there: it was written then or before.
+    pub fn known_since(&self, offset: u64) -> Option<Time> {
+        self.known.known_since(offset)
+    }
+
+    /// Since when a record counts as written, where its writer bounds something by time.
+    pub fn counts_since(&self, offset: u64) -> Option<Time> {
+        let (known, counted) = (
+            self.known.known_since(offset),
+            self.counted.known_since(offset),
+        );
+        known.into_iter().chain(counted).min()
+    }
+}
--- a/crates/gradeloft_policy/src/process/ends.rs
+++ b/crates/gradeloft_policy/src/process/ends.rs
@@ -1,8 +1,9 @@
-//! When peers first said that a table goes beyond a record.
+//! Since when a table is known to go beyond a record: the latest time at which it can have been written.
 //!
 //! A record may come late to a process: behind large ones, over a link that carries little. What its
 //! writer bounds by time counts from when it was written, and peers that have it say how far their copies
-//! go well before the record itself is here.
+//! go well before the record itself is here. Words may come in any order, so an earlier time counts also
+//! if it is heard later.
 
 use std::collections::VecDeque;
 
@@ -11,7 +12,7 @@
 /// Ends that are remembered: a few seconds of changes that follow each other closely.
 const REMEMBERED: usize = 64;
 
-/// Ends of a table that peers told, each higher than the one before it.
+/// Ends of a table, and by when it went that far.
 ///
 /// ```
 /// use gradeloft_policy::{clock::Time, process::ends::Ends};
@@ -20,19 +21,29 @@
 /// ends.told(9, Time::ZERO.after_ms(20));
 /// assert_eq!(ends.known_since(7), Some(Time::ZERO.after_ms(20)));
 /// assert_eq!(ends.known_since(9), None);
+/// ends.told(8, Time::ZERO.after_ms(5));
+/// assert_eq!(ends.known_since(6), Some(Time::ZERO.after_ms(5)));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Ends {
+    /// Each higher and later than the one before it: others say nothing more.
     told: VecDeque<(u64, Time)>,
 }
 
 impl Ends {
-    /// A peer's copy goes up to `end`.
-    pub fn told(&mut self, end: u64, now: Time) {
-        if self.told.back().is_some_and(|it| end <= it.0) {
+    /// The table went up to `end` by the time `at`.
+    pub fn told(&mut self, end: u64, at: Time) {
+        let place = self.told.partition_point(|it| it.0 < end);
+        if self.told.get(place).is_some_and(|it| it.1 <= at) {
             return;
         }
-        self.told.push_back((end, now));
+        if self.told.get(place).is_some_and(|it| it.0 == end) {
+            self.told.remove(place);
+        }
+        let earlier = self.told.partition_point(|it| it.1 < at);
+        let first = earlier.min(place);
+        self.told.drain(first..place);
+        self.told.insert(first, (end, at));
         if REMEMBERED < self.told.len() {
             self.told.pop_front();
         }
--- a/crates/gradeloft_policy/src/process/mod.rs
+++ b/crates/gradeloft_policy/src/process/mod.rs
@@ -1,8 +1,10 @@
 //! What lives for a process.
 //!
 //! - [`address`]: which entries a caller is told to use.
+//! - [`ages`]: since when the records of a table count as written.
 //! - [`document`]: the operator's configuration.
-//! - [`ends`]: when peers first said that a table goes beyond a record.
+//! - [`ends`]: since when a table is known to go beyond a record.
+//! - [`gaps`]: gaps between events that come again and again.
 //! - [`gossip`]: which peers a node asks for the bundle in force.
 //! - [`membership`]: which peers there are, by the list and by what connections show.
 //! - [`mirror`]: a copy of a table of the platform's store.
@@ -12,10 +14,13 @@
 //! - [`roster`]: the entries that callers may be sent to.
 //! - [`shares`]: shares of a rate between entries.
 //! - [`split`]: how the slots of replicas are split among entries.
+//! - [`whole`]: until when a table is known to have had no more.
 
 pub mod address;
+pub mod ages;
 pub mod document;
 pub mod ends;
+pub mod gaps;
 pub mod gossip;
 pub mod membership;
 pub mod mirror;
@@ -25,3 +30,4 @@
 pub mod roster;
 pub mod shares;
 pub mod split;
+pub mod whole;
