Count a version's time from before the interruption in which it came

Cause: `node.written` took the moment of a read, or of a peer's first word, for the moment of the write. Whoever was cut off, blind or frozen gave older weights their whole time once more, and passed the record on as new; an agent counted from when it began to fetch.

Change: reads note what they came after (`node::ages`), rows carry `age_ms`, datagrams `unconfirmed_ms` (3 to 9 bytes), and what is heard within 0.25 s after the process stood still confirms nothing. Doubt in removals goes on counting from the latest time, as an earlier one would end it too soon. `Node::confirmed` takes peers' words in.

--- a/crates/gradeloft_gateway/src/agent/change.rs
+++ b/crates/gradeloft_gateway/src/agent/change.rs
@@ -47,6 +47,47 @@
 }
 
 impl Agent {
+    /// The version that the replica is to hold, once the configuration is known.
+    pub fn target(&self) -> Option<Version> {
+        let config = self.config.borrow();
+        let services = &config.as_ref()?.services;
+        let service = services.iter().find(|it| *it.name == *self.service)?;
+        let named = self.named.borrow();
+        let model = service
+            .models
+            .iter()
+            .find(|it| named.contains_key(*it))
+            .or(service.models.first())?;
+        // A model for which nothing was named yet is at its first version.
+        let number = named.get(model).map_or(1, |it| it.0);
+        Some(Version {
+            model: model.clone(),
+            number,
+        })
+    }
+
+    /// A version is named that counts as written since `written`.
+    pub(super) fn name(&self, model: String, version: u64, written: Time) {
+        let mut named = self.named.borrow_mut();
+        if named.get(&model).is_some_and(|it| version <= it.0) {
+            return;
+        }
+        if let Some(log) = self.node.logs.line(Topic::Weights) {
+            info!(log, "weights named"; "model" => &model, "version" => version,
+                "source" => %self.node.source(),
+                "learned_ms" => self.node.clock.now().since(written).as_millis() as u64);
+        }
+        named.insert(model, (version, written));
+    }
+
+    /// Since when a version counts as named; now if it is not the newest, or was never named.
+    pub fn named_at(&self, version: &Version) -> Time {
+        let named = self.named.borrow();
+        let newest = named.get(&version.model);
+        let at = newest.filter(|it| it.0 == version.number).map(|it| it.1);
+        at.unwrap_or(self.node.clock.now())
+    }
+
     /// Brings the replica to the version that it is to hold, again and again.
     pub(super) async fn update(self: Rc<Agent>) {
         loop {
@@ -93,7 +134,7 @@
     }
 
     async fn bring(self: &Rc<Agent>, version: &Version) -> Result<(), Stop> {
-        let named = self.node.clock.now();
+        let named = self.named_at(version);
         let others = fill::fill(self, version).await?;
         let wave = self.turn(version, named, &others).await;
         self.mend(version).await?;
--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -146,7 +146,8 @@
     /// Whether the staged pieces are being looked through.
     adopting: Cell<bool>,
     config: RefCell<Option<Document>>,
-    named: RefCell<HashMap<String, u64>>,
+    /// Newest version of each model, and since when it counts as named.
+    named: RefCell<HashMap<String, (u64, Time)>>,
     /// Entries that spoke a moment ago.
     entries: RefCell<HashMap<Ipv4Addr, Heard>>,
     told_at: Cell<Time>,
@@ -215,6 +216,7 @@
         let scope = &agent.node.scope;
         let orders = Rc::clone(&agent.node).follow(Table::Operator, WAIT_ORDERS, PAUSE_ORDERS);
         scope.spawn(orders);
+        scope.spawn(Rc::clone(&agent.node).tick());
         scope.spawn(Rc::clone(&agent).watch());
         scope.spawn(Rc::clone(&agent).listen());
         scope.spawn(Rc::clone(&agent).update());
@@ -225,25 +227,6 @@
         })
     }
 
-    /// The version that the replica is to hold, once the configuration is known.
-    pub fn target(&self) -> Option<Version> {
-        let config = self.config.borrow();
-        let services = &config.as_ref()?.services;
-        let service = services.iter().find(|it| *it.name == *self.service)?;
-        let named = self.named.borrow();
-        let model = service
-            .models
-            .iter()
-            .find(|it| named.contains_key(*it))
-            .or(service.models.first())?;
-        // A model for which nothing was named yet is at its first version.
-        let number = named.get(model).copied().unwrap_or(1);
-        Some(Version {
-            model: model.clone(),
-            number,
-        })
-    }
-
     /// Whether it is not known which pieces of a version lie staged.
     pub fn unadopted(&self, version: &Version) -> bool {
         self.holding.borrow().version.as_ref() != Some(version)
@@ -322,9 +305,8 @@
             match self.node.platform.decoder.order(record) {
                 Ok(Order::Config(document)) => self.configure(*document),
                 Ok(Order::Weights { model, version }) => {
-                    let mut named = self.named.borrow_mut();
-                    let newest = named.entry(model).or_default();
-                    *newest = version.max(*newest);
+                    let written = self.node.written(table, record);
+                    self.name(model, version, written);
                 }
                 Ok(Order::Other) => {}
                 Err(error) => {
@@ -443,6 +425,7 @@
             } = datagram.sender
             {
                 let at = self.node.clock.now();
+                self.node.heard_ages(datagram.ends, datagram.unconfirmed_ms);
                 self.switched.set(newest(self.switched.get(), &switched));
                 let heard = Heard { at, store };
                 let new = self.entries.borrow_mut().insert(from, heard).is_none();
--- a/crates/gradeloft_gateway/src/entry/gossip.rs
+++ b/crates/gradeloft_gateway/src/entry/gossip.rs
@@ -248,6 +248,7 @@
                 self.elsewhere.borrow_mut().insert(from, told);
             }
         }
+        self.node.heard_ages(datagram.ends, datagram.unconfirmed_ms);
         self.node.heard_ends(from, &datagram.zone, datagram.ends);
     }
 
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -174,6 +174,7 @@
 
     fn spawn_tasks(self: &Rc<Entry>, listener: TcpListener) {
         let node = &self.node;
+        node.scope.spawn(Rc::clone(node).tick());
         let follow = |table, wait, pause| Rc::clone(node).follow(table, wait, pause);
         node.scope
             .spawn(follow(Table::Operator, WAIT_ORDERS, PAUSE_ORDERS));
--- a/crates/gradeloft_gateway/src/node/confirmed.rs
+++ b/crates/gradeloft_gateway/src/node/confirmed.rs
@@ -4,16 +4,14 @@
 use gradeloft_policy::clock::Time;
 use gradeloft_wire::frame::Table;
 
-use super::{
-    Node,
-    tables::{Reading, index},
-};
+use super::{Node, tables::index};
 
 impl Node {
-    /// Until when the copy of a table is known to have been whole, as read from the store: a record that
-    /// it lacked then had not been written. While a read is being taken in, the time before that read.
+    /// Until when the copy of a table is known to have been whole, by own reads and by peers' words on
+    /// theirs: a record that it lacked then had not been written. While a read is being taken in, the time
+    /// before that read. In steady reading this is up to the wait of one read ago, and a round trip.
     pub fn confirmed(&self, table: Table) -> Option<Time> {
-        self.confirmed.get()[index(table)]
+        self.ages.borrow()[index(table)].whole_until(self.end(table))
     }
 
     /// Whether the last read of a table that went well came after one that failed: what it brought may
@@ -22,17 +20,18 @@
         self.after_interruption.get()[index(table)]
     }
 
-    /// Notes that the copy was whole at `at`.
+    /// Notes that the copy was whole at `at`, by a read of the store.
     pub(super) fn confirm(&self, table: Table, at: Time) {
-        let mut confirmed = self.confirmed.get();
-        confirmed[index(table)] = confirmed[index(table)].max(Some(at));
-        self.confirmed.set(confirmed);
+        let end = self.end(table);
+        // An answer that comes before the end of its wait confirms no time to come.
+        let at = at.min(self.clock.now());
+        self.ages.borrow_mut()[index(table)].confirm(end, at);
     }
 
-    /// Notes what the read that is about to be taken in came after.
-    pub(super) fn note_interruption(&self, table: Table) {
+    /// Notes whether the read that is about to be taken in came after one that failed.
+    pub(super) fn set_after_interruption(&self, table: Table, interrupted: bool) {
         let mut after = self.after_interruption.get();
-        after[index(table)] = self.reading.borrow()[index(table)] == Reading::Interrupted;
+        after[index(table)] = interrupted;
         self.after_interruption.set(after);
     }
 }
--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -1,8 +1,10 @@
 //! What entries and agents share: copies of the platform's tables, peers, datagrams.
 //!
+//! - [`ages`]: since when records count as written.
 //! - [`confirmed`]: until when each copy is known to have been whole.
 //! - [`tables`]: who reads the tables from the store, and what peers bring.
 
+pub mod ages;
 pub mod confirmed;
 pub mod tables;
 
@@ -19,7 +21,7 @@
 use gradeloft_policy::{
     clock::Time,
     process::{
-        ends::Ends,
+        ages::Ages,
         mirror::{Mirror, Record},
     },
 };
@@ -32,6 +34,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::{net::UdpSocket, sync::Notify};
 
+use ages::Disturbances;
 use tables::{Reading, Source};
 
 use crate::{logs::Logs, metrics::Metrics, settings::Settings};
@@ -90,11 +93,10 @@
     asking: Cell<[bool; 3]>,
     /// Since when a peer of another region has been ahead with a table.
     behind: Cell<[Option<Time>; 3]>,
-    /// How far peers said that each table goes.
-    ends: RefCell<[Ends; 3]>,
+    /// Since when each table's records are known to be written.
+    ages: RefCell<[Ages; 3]>,
+    disturbances: RefCell<Disturbances>,
     reading: RefCell<[Reading; 3]>,
-    /// Until when each copy is known to have been whole, as read from the store.
-    confirmed: Cell<[Option<Time>; 3]>,
     /// Whether the last good read of each table came after one that failed.
     after_interruption: Cell<[bool; 3]>,
     election: RefCell<Option<Rc<dyn Election>>>,
@@ -139,9 +141,9 @@
             copies: RefCell::default(),
             asking: Cell::default(),
             behind: Cell::default(),
-            ends: RefCell::default(),
+            ages: RefCell::default(),
+            disturbances: RefCell::default(),
             reading: RefCell::default(),
-            confirmed: Cell::default(),
             after_interruption: Cell::default(),
             election: RefCell::default(),
             peer_doubt: Cell::default(),
@@ -188,6 +190,7 @@
             incarnation: self.incarnation,
             zone: settings.zone.clone(),
             ends: Table::ALL.map(|it| self.end(it)),
+            unconfirmed_ms: self.unconfirmed_ms(),
             sender,
         };
         let bytes = codec::body(&datagram);
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -155,7 +155,7 @@
 
     /// How long the copy of a table has lacked what peers are known to have; `None` if it lacks nothing.
     pub fn behind(&self, table: Table) -> Option<Duration> {
-        let lacks_since = self.ends.borrow()[index(table)].known_since(self.end(table));
+        let lacks_since = self.ages.borrow()[index(table)].known_since(self.end(table));
         lacks_since.map(|it| self.clock.now().since(it))
     }
 
@@ -257,7 +257,7 @@
         if !*fresh {
             let update = store.snapshot(table).await?;
             *fresh = true;
-            self.note_interruption(table);
+            self.note_read(table, &update, asked, Duration::ZERO);
             self.take(table, update, Source::Store, asked);
             self.confirm(table, asked);
             return Ok(());
@@ -267,7 +267,7 @@
             Followed::Dropped => *fresh = false,
             Followed::Update(update) => {
                 let passed = update.records.is_empty();
-                self.note_interruption(table);
+                self.note_read(table, &update, asked, wait);
                 // Before what was read is taken in: records of an interruption are doubtful.
                 self.take(table, update, Source::Store, asked);
                 // An answer without records was sent when the whole wait had passed.
@@ -284,6 +284,7 @@
         let asked = self.clock.now();
         match self.platform.store.snapshot(table).await {
             Ok(update) => {
+                self.note_read(table, &update, asked, Duration::ZERO);
                 self.take(table, update, Source::Store, asked);
                 self.confirm(table, asked);
             }
@@ -313,16 +314,12 @@
         }
     }
 
-    /// Since when a record of a table is known to have been written, at the latest.
-    pub fn written(&self, table: Table, record: &Record) -> Time {
-        let now = self.clock.now();
-        let told = self.ends.borrow()[index(table)].known_since(record.offset);
-        told.map_or(now, |it| it.min(now))
-    }
-
-    /// Whether a record that removes something from a table may be an error of the store's.
+    /// Whether a record that removes something from a table may be an error of the store's. Counts from when
+    /// the record is known to be there, and not from before an interruption: doubt would end too soon.
     pub fn trust_in(&self, table: Table, record: &Record) -> Trust {
-        let written = self.written(table, record);
+        let now = self.clock.now();
+        let known = self.ages.borrow()[index(table)].known_since(record.offset);
+        let written = known.map_or(now, |it| it.min(now));
         self.trust(table).of_written(written, BACK_MS)
     }
 
@@ -330,6 +327,7 @@
     pub async fn give_records(&self, table: Table, from: u64, outgoing: Outgoing) {
         let update = self.copies.borrow()[index(table)].since(from);
         let rows = update.records.into_iter().map(|it| Row {
+            age_ms: self.age_ms(table, &it),
             key: it.key,
             value: it.value.map(|it| it.to_vec()),
             offset: it.offset,
@@ -349,8 +347,8 @@
     pub fn heard_ends(self: &Rc<Node>, peer: Ipv4Addr, zone: &str, ends: [u64; 3]) -> bool {
         let mut asked = false;
         let now = self.clock.now();
-        for (known, told) in self.ends.borrow_mut().iter_mut().zip(ends) {
-            known.told(told, now);
+        for (known, told) in self.ages.borrow_mut().iter_mut().zip(ends) {
+            known.heard_end(told, now);
         }
         let settings = self.settings();
         let near = settings.region(zone) == settings.region(&settings.zone);
@@ -426,6 +424,7 @@
             Ok(Err(client::Fault::Unsent)) => return self.not_given(peer, table, asked, "unsent"),
             Err(_) => return self.not_given(peer, table, asked, "late"),
         };
+        self.note_given(table, &rows, asked);
         let records = rows.into_iter().map(|it| Record {
             key: it.key,
             value: it.value.map(Bytes::from),
--- a/crates/gradeloft_gateway/tests/agents.rs
+++ b/crates/gradeloft_gateway/tests/agents.rs
@@ -26,7 +26,7 @@
     repeats,
     replicas::Listing,
 };
-use gradeloft_standin::tables::Tables;
+use gradeloft_standin::tables::{Mood, Tables};
 use gradeloft_wire::{
     codec,
     datagram::{Access, Datagram, MAX_BYTES, Presence, Sender},
@@ -482,6 +482,7 @@
             incarnation: 1,
             zone: "elsewhere".to_owned(),
             ends: [9; 3],
+            unconfirmed_ms: [u16::MAX; 3],
             sender: Sender::Entry {
                 presence: Presence::Ready,
                 store,
@@ -567,3 +568,23 @@
         world.all_at(1).await;
     });
 }
+
+#[test]
+fn the_time_of_a_version_that_an_agent_reads_late_counts_from_before_the_interruption() {
+    run(async {
+        let world = World::start(1, |_, _| {}).await;
+        world.all_at(1).await;
+        let agent = world.agents[0].agent();
+        world.tables.mood.set(Mood::Refusing);
+        world.tables.cut();
+        while agent.node.access() == Access::Served {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        let away = agent.node.clock.now();
+        world.name(2);
+        world.tables.mood.set(Mood::Well);
+        world.all_at(2).await;
+        let named = agent.named_at(&agent.target().unwrap());
+        assert!(named <= away, "{named:?}, away at {away:?}");
+    });
+}
--- a/crates/gradeloft_gateway/tests/entry/cut_off.rs
+++ b/crates/gradeloft_gateway/tests/entry/cut_off.rs
@@ -1,7 +1,7 @@
 //! Entries that the store or a peer does not answer, and versions that become due in the middle of a
 //! request.
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use crate::support::{Shape, World, address, get, ok, request, run, until};
 use gradeloft_gateway::{node::Node, settings::Settings};
@@ -220,3 +220,23 @@
         );
     });
 }
+
+#[test]
+fn a_version_that_came_while_the_process_stood_still_counts_from_before() {
+    run(async {
+        let world = World::start(Shape::of(Kind::Once), vec![well("a")]).await;
+        let node = &world.entry.entry().node;
+        world.tables.write(Table::Operator, "config", Some("2"));
+        until(|| async { node.end(Table::Operator) == 2 }).await;
+        // The next read waits at the store.
+        let calls = world.tables.calls.get();
+        until(|| async { calls < world.tables.calls.get() }).await;
+        let before = node.clock.now();
+        world.tables.write(Table::Operator, "weights/m", Some("2"));
+        // Everything stands still, the read that waits for the version as well.
+        std::thread::sleep(Duration::from_millis(1_500));
+        until(|| async { named(node).is_some() }).await;
+        let written = node.written(Table::Operator, &named(node).unwrap());
+        assert!(written <= before, "{written:?}, stood still at {before:?}");
+    });
+}
--- a/crates/gradeloft_gateway/tests/entry/gossip.rs
+++ b/crates/gradeloft_gateway/tests/entry/gossip.rs
@@ -3,7 +3,7 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use gradeloft_policy::{process::document::Kind, rendezvous};
-use gradeloft_standin::scripted::Step;
+use gradeloft_standin::{scripted::Step, tables::Mood};
 use gradeloft_wire::{
     codec,
     datagram::{Access, Datagram, MAX_BYTES, Presence, Sender},
@@ -19,6 +19,7 @@
         incarnation: 1,
         zone: zone.to_owned(),
         ends: [0; 3],
+        unconfirmed_ms: [u16::MAX; 3],
         sender: Sender::Entry {
             presence: Presence::Ready,
             store,
@@ -122,3 +123,34 @@
         assert_eq!(entry.replicas.borrow().len(), 1);
     });
 }
+
+#[test]
+fn a_word_that_lay_in_the_socket_while_the_process_stood_still_confirms_nothing() {
+    run(async {
+        let world = World::unready(Shape::of(Kind::Once), Vec::new()).await;
+        // Nobody else has a copy that is whole now.
+        world.tables.mood.set(Mood::Refusing);
+        world.tables.cut();
+        let another = world.another(2, &world.tables).await;
+        let node = &another.entry().node;
+        // Looks whether it stands still, from here on.
+        until(|| async { node.access() == Access::Unserved }).await;
+        let mut told = datagram("z", Access::Served);
+        // Its copy of the operator's table is whole; of another it has more.
+        told.unconfirmed_ms = [0; 3];
+        told.ends = [0, 0, 9];
+        let told = codec::body(&told);
+        let socket = UdpSocket::bind((address(3), 7700)).await.unwrap();
+        let tell = || socket.send_to(&told, (address(2), 7700));
+        tell().await.unwrap();
+        let still = Some(node.clock.now());
+        std::thread::sleep(Duration::from_millis(1_500));
+        until(|| async { node.behind(Table::Replicas).is_some() }).await;
+        assert!(node.confirmed(Table::Operator) < still);
+        until(|| async {
+            tell().await.unwrap();
+            still < node.confirmed(Table::Operator)
+        })
+        .await;
+    });
+}
--- a/crates/gradeloft_wire/src/datagram.rs
+++ b/crates/gradeloft_wire/src/datagram.rs
@@ -19,6 +19,9 @@
     /// Offset up to which the sender's copy of each table goes, in the order of
     /// [`Table::ALL`](crate::frame::Table::ALL).
     pub ends: [u64; 3],
+    /// For how long the sender has not known each copy to be whole by its own reads of the store, in
+    /// milliseconds; the largest number for longer, and for never.
+    pub unconfirmed_ms: [u16; 3],
     /// What depends on the sender's role.
     pub sender: Sender,
 }
--- a/crates/gradeloft_wire/src/frame.rs
+++ b/crates/gradeloft_wire/src/frame.rs
@@ -155,6 +155,8 @@
     pub value: Option<Vec<u8>>,
     /// Position in the table.
     pub offset: u64,
+    /// For how long it has counted as written to the sender, in milliseconds; the largest number for longer.
+    pub age_ms: u16,
 }
 
 /// Thousandths of requests and of tokens a second.
--- a/crates/gradeloft_wire/tests/wire.rs
+++ b/crates/gradeloft_wire/tests/wire.rs
@@ -5,6 +5,7 @@
 use gradeloft_wire::{
     border::{bundle::Bundle, settings::Settings},
     codec::{self, Decoder, Malformed},
+    datagram::{Access, Datagram, Presence, Sender},
     error::{Kind, Ran, Retry},
     frame::{Call, Job, Pin, Repeat, Reply, Work},
     id::{Digest, RequestId},
@@ -186,3 +187,27 @@
     assert_eq!(id.to_string().parse(), Ok(id));
     assert!("1".parse::<RequestId>().is_err());
 }
+
+#[test]
+fn what_a_datagram_says_of_the_age_of_copies_takes_nine_bytes_at_most() {
+    let told = |unconfirmed_ms| {
+        let datagram = Datagram {
+            incarnation: u64::MAX,
+            zone: "z".to_owned(),
+            ends: [u64::MAX; 3],
+            unconfirmed_ms,
+            sender: Sender::Entry {
+                presence: Presence::Ready,
+                store: Access::Served,
+                loads: Vec::new(),
+                entries: Vec::new(),
+                switched: Vec::new(),
+            },
+        };
+        codec::body(&datagram).len()
+    };
+    // A byte for each copy that is known to be whole a moment ago.
+    let least = told([0; 3]);
+    assert!(least < 64, "{least}");
+    assert!(told([u16::MAX; 3]) <= least + 6);
+}
