--- a/crates/gradeloft_policy/src/process/ages.rs
+++ b/crates/gradeloft_policy/src/process/ages.rs
@@ -36,6 +36,14 @@
     pub disturbed: bool,
 }
 
+impl Read {
+    /// Whether the answer may have begun long before it was here.
+    fn long_on_its_way(self) -> bool {
+        let late = self.asked.after(self.wait).after_ms(LATE_MS) < self.answered;
+        late || LARGE_BYTES <= self.bytes
+    }
+}
+
 /// What is known of the times at which one table's records were written.
 #[derive(Clone, Debug, Default)]
 pub struct Ages {
@@ -49,8 +57,8 @@
     confirmed: Option<Time>,
     /// When the last good read ended.
     read_at: Option<Time>,
-    /// Whether it was large: nobody looked at the store while its answer came.
-    read_large: bool,
+    /// Whether its answer was long on its way: nobody looked at the store meanwhile.
+    read_blind: bool,
 }
 
 impl Ages {
@@ -78,17 +86,16 @@
             self.counted.told(offset + 1, counts);
         }
         self.read_at = Some(read.answered);
-        self.read_large = LARGE_BYTES <= read.bytes;
+        self.read_blind = read.long_on_its_way();
     }
 
     /// Before which time nothing was written that a read brought, as the read itself shows.
     fn bound(&self, read: Read) -> Time {
-        let late = read.asked.after(read.wait).after_ms(LATE_MS) < read.answered;
-        if late || read.disturbed || LARGE_BYTES <= read.bytes {
+        if read.disturbed || read.long_on_its_way() {
             return Time::ZERO;
         }
         let paused = |it: Time| it.after_ms(STEADY_PAUSE_MS) < read.asked;
-        let looked = !self.read_at.is_none_or(paused) && !self.read_large;
+        let looked = !self.read_at.is_none_or(paused) && !self.read_blind;
         let waited = read.asked.after_ms(LATE_MS) < read.answered;
         match (looked, waited) {
             (true, _) => read.answered,
--- a/crates/gradeloft_policy/tests/ages.rs
+++ b/crates/gradeloft_policy/tests/ages.rs
@@ -55,16 +55,16 @@
     assert_eq!(ages.known_since(5), None, "only what peers say is known");
 }
 
-/// While a large answer comes nobody looks at the store: a version that is named meanwhile comes on the next
-/// read, at once, and was written any time since the large answer was asked for.
-#[test]
-fn what_is_read_right_after_a_large_answer_counts_from_before_it() {
-    let large = Read {
-        bytes: 900_000,
-        ..read(1_050, 2_400)
-    };
+/// While an answer is long on its way nobody looks at the store: a version that is named meanwhile comes on the next
+/// read, at once, and was written any time since that answer was asked for.
+#[rstest]
+#[case::large(Read { bytes: 900_000, ..read(1_050, 2_400) })]
+#[case::late(Read { wait: Duration::ZERO, ..read(1_050, 2_400) })]
+fn what_is_read_right_after_an_answer_that_was_long_on_its_way_counts_from_before_it(
+    #[case] long: Read,
+) {
     let mut ages = steady();
-    ages.read(5..6, large);
+    ages.read(5..6, long);
     ages.confirm(6, at(1_050));
     assert_eq!(ages.counts_since(5), Some(at(900)));
     ages.read(6..7, read(2_450, 2_500));
