--- a/crates/gradeloft_gateway/src/agent/hear.rs
+++ b/crates/gradeloft_gateway/src/agent/hear.rs
@@ -70,6 +70,7 @@
             } = datagram.sender
             {
                 let at = self.node.clock.now();
+                self.node.heard_ages(datagram.ends, datagram.unconfirmed_ms);
                 self.heard_progress(&switched);
                 let heard = Heard { at, store };
                 let new = self.entries.borrow_mut().insert(from, heard).is_none();
--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -1,11 +1,13 @@
 //! What entries and agents share: copies of the platform's tables, peers, datagrams.
 //!
+//! - [`ages`]: since when records count as written.
 //! - [`brief`]: the operator's records without what only entries need.
 //! - [`confirmed`]: until when each copy is known to have been whole.
 //! - [`parts`]: large values, which processes give each other in parts.
 //! - [`records`]: what peers bring of the tables, and what they are given.
 //! - [`tables`]: who reads the tables from the store.
 
+pub mod ages;
 pub mod brief;
 pub mod confirmed;
 pub mod parts;
@@ -25,7 +27,7 @@
 use gradeloft_policy::{
     clock::Time,
     process::{
-        ends::Ends,
+        ages::Ages,
         mirror::{Mirror, Record},
         transfer::Slots,
     },
@@ -39,6 +41,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::{net::UdpSocket, sync::Notify};
 
+use ages::Disturbances;
 use brief::Brief;
 use records::Inbox;
 use tables::{Reading, Source};
@@ -99,11 +102,10 @@
     inboxes: RefCell<[Inbox; 3]>,
     /// Large values that are being given to peers.
     giving: RefCell<Slots>,
-    /// How far peers said that each table goes.
-    ends: RefCell<[Ends; 3]>,
+    /// Since when each table's records are known to be written.
+    ages: RefCell<[Ages; 3]>,
+    disturbances: RefCell<Disturbances>,
     reading: RefCell<[Reading; 3]>,
-    /// Until when each copy is known to have been whole, as read from the store.
-    confirmed: Cell<[Option<Time>; 3]>,
     /// Whether the last good read of each table came after one that failed.
     after_interruption: Cell<[bool; 3]>,
     election: RefCell<Option<Rc<dyn Election>>>,
@@ -150,9 +152,9 @@
             copies: RefCell::default(),
             inboxes: RefCell::default(),
             giving: RefCell::default(),
-            ends: RefCell::default(),
+            ages: RefCell::default(),
+            disturbances: RefCell::default(),
             reading: RefCell::default(),
-            confirmed: Cell::default(),
             after_interruption: Cell::default(),
             election: RefCell::default(),
             peer_doubt: Cell::default(),
@@ -200,6 +202,7 @@
             incarnation: self.incarnation,
             zone: settings.zone.clone(),
             ends: Table::ALL.map(|it| self.offered(it)),
+            unconfirmed_ms: self.unconfirmed_ms(),
             sender,
         };
         let bytes = codec::body(&datagram);
--- a/crates/gradeloft_gateway/src/node/records.rs
+++ b/crates/gradeloft_gateway/src/node/records.rs
@@ -75,6 +75,7 @@
         };
         let mut room = ANSWER_BYTES;
         let rows = update.records.into_iter().map(|it| Row {
+            age_ms: self.age_ms(table, &it),
             value: self.told(table, &it, &mut room),
             key: it.key,
             offset: it.offset,
@@ -130,10 +131,6 @@
     /// have it too.
     pub fn heard_ends(self: &Rc<Node>, peer: Ipv4Addr, zone: &str, ends: [u64; 3]) -> bool {
         let mut asked = false;
-        let now = self.clock.now();
-        for (known, told) in self.ends.borrow_mut().iter_mut().zip(ends) {
-            known.told(told, now);
-        }
         let near = self.near(zone);
         for table in Table::ALL {
             let asking = self.with_inbox(table, |it| it.asking);
@@ -214,6 +211,7 @@
             Ok(Err(fault)) => return self.not_given(peer, table, asked, reason(fault)),
             Err(_) => return self.not_given(peer, table, asked, "late"),
         };
+        self.note_given(table, &rows, asked);
         let rows: Vec<pending::Row> = rows.into_iter().map(row).collect();
         let pending = Pending::new(snapshot, rows, end);
         if pending.oversized() {
@@ -317,7 +315,9 @@
 }
 
 fn row(row: Row) -> pending::Row {
-    let Row { key, value, offset } = row;
+    let Row {
+        key, value, offset, ..
+    } = row;
     let value = match value {
         Value::Apart { length, digest } => {
             return pending::Row::Apart(Want {
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -149,7 +149,7 @@
 
     /// How long the copy of a table has lacked what peers are known to have; `None` if it lacks nothing.
     pub fn behind(&self, table: Table) -> Option<Duration> {
-        let lacks_since = self.ends.borrow()[index(table)].known_since(self.end(table));
+        let lacks_since = self.ages.borrow()[index(table)].known_since(self.end(table));
         lacks_since.map(|it| self.clock.now().since(it))
     }
 
@@ -285,7 +285,7 @@
         if !*fresh {
             let update = store.snapshot(table).await?;
             *fresh = true;
-            self.note_interruption(table);
+            self.note_read(table, &update, asked, Duration::ZERO);
             self.take(table, update, Source::Store, asked);
             self.confirm(table, asked);
             return Ok(());
@@ -294,12 +294,13 @@
         match store.follow(table, self.end(table), wait_ms).await? {
             Followed::Dropped => *fresh = false,
             Followed::Part(update) => {
-                self.note_interruption(table);
+                // It broke off on its way, so nobody has looked since it was asked for.
+                self.note_read(table, &update, asked, Duration::ZERO);
                 self.take(table, update, Source::Store, asked);
             }
             Followed::Update(update) => {
                 let passed = update.records.is_empty();
-                self.note_interruption(table);
+                self.note_read(table, &update, asked, wait);
                 // Before what was read is taken in: records of an interruption are doubtful.
                 self.take(table, update, Source::Store, asked);
                 // An answer without records was sent when the whole wait had passed.
@@ -316,6 +317,7 @@
         let asked = self.clock.now();
         match self.platform.store.snapshot(table).await {
             Ok(update) => {
+                self.note_read(table, &update, asked, Duration::ZERO);
                 self.take(table, update, Source::Store, asked);
                 self.confirm(table, asked);
             }
@@ -349,16 +351,12 @@
         }
     }
 
-    /// Since when a record of a table is known to have been written, at the latest.
-    pub fn written(&self, table: Table, record: &Record) -> Time {
-        let now = self.clock.now();
-        let told = self.ends.borrow()[index(table)].known_since(record.offset);
-        told.map_or(now, |it| it.min(now))
-    }
-
-    /// Whether a record that removes something from a table may be an error of the store's.
+    /// Whether a record that removes something from a table may be an error of the store's. Counts from when
+    /// the record is known to be there, and not from before an interruption: doubt would end too soon.
     pub fn trust_in(&self, table: Table, record: &Record) -> Trust {
-        let written = self.written(table, record);
+        let now = self.clock.now();
+        let known = self.ages.borrow()[index(table)].known_since(record.offset);
+        let written = known.map_or(now, |it| it.min(now));
         self.trust(table).of_written(written, BACK_MS)
     }
 }
--- a/crates/gradeloft_gateway/tests/entry/large.rs
+++ b/crates/gradeloft_gateway/tests/entry/large.rs
@@ -147,6 +147,7 @@
         incarnation: 1,
         zone: "z".to_owned(),
         ends: [0, operator, 0],
+        unconfirmed_ms: [u16::MAX; 3],
         sender: Sender::Entry {
             presence: Presence::Ready,
             store: Access::Served,
--- a/crates/gradeloft_wire/src/frame.rs
+++ b/crates/gradeloft_wire/src/frame.rs
@@ -180,6 +180,8 @@
     pub value: Value,
     /// Position in the table.
     pub offset: u64,
+    /// For how long it has counted as written to the sender, in milliseconds; the largest number for longer.
+    pub age_ms: u16,
 }
 
 /// Value of a record, as a peer tells it.
