Show what an entry does that knows it lacks newer records

An entry hears within a datagram that peers' copies of the operator's table go further than its own. Until it has what it lacks it denies what the newer configuration may allow, and takes callers whom up-to-date entries could serve.

The tests have an entry with peers that say they go one record further. They fail here:

what_newer_records_may_allow_is_not_denied: assert_refused on HTTP/1.1 404 Not Found, {"error":"no_route","ran":"no"} an_entry_that_is_long_behind_most_others_leaves_callers_to_them: readiness stays 200: in time: Elapsed(())

The third, that an entry serves on where most others lack the record as well, passes, as nothing steps aside yet; it guards the mend.

--- a/crates/gradeloft_gateway/tests/entry/main.rs
+++ b/crates/gradeloft_gateway/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! An entry before scripted replicas.
 
+mod behind;
 mod callers_gone;
 mod cut_off;
 mod forward;
