Deny nothing while others know more, and step aside where that lasts

Cause: an entry knows within a datagram that it lacks records of the operator's (`Node::behind`), and no answer, readiness or look-up depended on it.

Ruled out: waiting with the request until the record is here (held requests cost more than a caller that asks the next entry, and a flood of unknown paths would be held with them); stepping aside at once (each change is 0.2 to 0.5 s on its way); stepping aside without looking at the others (a large record that all lack would stop the fleet).

While others know more, 401, 404, 413 and 431 become 503 `behind`: not run, with Retry-After, and the connection ends, so that the caller asks another entry. It ends the moment the entry has caught up.

After 1.2 s of lacking the same record an entry is not ready, is not named to callers and refuses requests in the same way, as long as most entries, itself included, take callers and have what it lacks (`process::standing`, and `Roster::most_beyond` from the ends in datagrams). Those that stepped aside stay in the count, so they do not drag the next one along, and more than half always serve. What it holds already is finished. It is back as soon as it has caught up; in a series of changes the time counts from the first record that is still lacked, so an entry that is always a little behind serves on.

An entry that is cut off from the store and from all peers knows of nothing newer and serves on as before.

Measured by the tests: an unknown path and key were answered 404 and 401 with peers ahead, now 503; readiness stayed 200 for ten seconds, and now turns to 503 once the bound has passed.

--- a/crates/gradeloft_cli/src/explain.rs
+++ b/crates/gradeloft_cli/src/explain.rs
@@ -166,6 +166,7 @@
         "head_too_large" => "refused: its head is larger than the configuration allows",
         "lost" => "failed: it may have run, and may not go to another replica",
         "malformed" => "refused: it is not valid HTTP",
+        "behind" => "refused: peers had newer records of the operator's, which may allow it",
         "no_config" => "refused: the entry knew no configuration yet",
         "no_replica" => "refused, not run: no replica took it",
         "no_route" => "refused: no route for its host and path in this configuration",
--- a/crates/gradeloft_gateway/src/entry/answer.rs
+++ b/crates/gradeloft_gateway/src/entry/answer.rs
@@ -3,12 +3,14 @@
 use std::time::Duration;
 
 use bytes::{BufMut, BytesMut};
-use gradeloft_policy::request::attempt::Ran;
+use gradeloft_policy::{process::standing::Standing, request::attempt::Ran};
 use serde_json::json;
 
 /// Why a request gets no replica's answer. A closed list; [`Refusal::row`] is its table.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Refusal {
+    /// Other entries know more than this one, and what it can't answer rightly they may.
+    Behind,
     /// The body is larger than allowed.
     BodyTooLarge,
     /// The head is larger than allowed.
@@ -69,6 +71,7 @@
             ..row(status, reason, name)
         };
         match self {
+            Refusal::Behind => later("behind"),
             Refusal::BodyTooLarge => row(413, "Content Too Large", "body_too_large"),
             Refusal::HeadTooLarge => row(431, "Request Header Fields Too Large", "head_too_large"),
             Refusal::Lost => unknown(502, "Bad Gateway", "lost"),
@@ -85,6 +88,24 @@
         }
     }
 
+    /// What it becomes at a process that may know less than others: newer records may allow what its
+    /// configuration denies.
+    pub fn by(self, standing: Standing) -> Refusal {
+        match self {
+            _ if standing == Standing::Current => self,
+            Refusal::BodyTooLarge
+            | Refusal::HeadTooLarge
+            | Refusal::NoRoute
+            | Refusal::UnknownKey => Refusal::Behind,
+            _ => self,
+        }
+    }
+
+    /// Whether its caller is to connect anew, to another entry.
+    pub fn sends_away(self) -> bool {
+        self == Refusal::Behind
+    }
+
     /// The whole answer, as bytes.
     pub fn encode(self, request: Option<(&str, &str)>, close: bool) -> BytesMut {
         let row = self.row();
--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -7,6 +7,7 @@
     process::{
         document::{Config, Denied, Kind, Route, Speed},
         replicas::ReplicaKey,
+        standing::Standing,
     },
     request::{
         attempt::{Failure, Progress, Ran},
@@ -103,7 +104,7 @@
         Ok(job) => job,
         Err(refused) => {
             let (refusal, received) = *refused;
-            let close = !keeps || entry.node.leaving.get();
+            let close = !keeps || entry.node.leaving.get() || refusal.sends_away();
             count(entry, "-", refusal.row().name);
             log_refusal(entry, &received, refusal);
             let sent = refuse(entry, caller, refusal, Some(&received.head), close).await;
@@ -121,10 +122,14 @@
     let Some(config) = entry.config.borrow().clone() else {
         return Err(Box::new((Refusal::NoConfig, received)));
     };
+    let standing = entry.standing();
+    if standing == Standing::Aside {
+        return Err(Box::new((Refusal::Behind, received)));
+    }
     match find(entry, &config, &received) {
         Ok((route, team)) => Ok(job(entry, route, team, received, keeps)),
-        Err(Denied::NoRoute) => Err(Box::new((Refusal::NoRoute, received))),
-        Err(Denied::UnknownKey) => Err(Box::new((Refusal::UnknownKey, received))),
+        Err(Denied::NoRoute) => Err(Box::new((Refusal::NoRoute.by(standing), received))),
+        Err(Denied::UnknownKey) => Err(Box::new((Refusal::UnknownKey.by(standing), received))),
     }
 }
 
--- a/crates/gradeloft_gateway/src/entry/front.rs
+++ b/crates/gradeloft_gateway/src/entry/front.rs
@@ -55,6 +55,7 @@
             Ok(Some(head)) => head,
             Ok(None) => return,
             Err(refusal) => {
+                let refusal = refusal.by(entry.standing());
                 refuse(&entry, &mut wire, refusal, None, true).await;
                 return;
             }
@@ -66,6 +67,7 @@
         let (body, has_body) = match body {
             Ok(Ok(body)) => body,
             Ok(Err(Some(refusal))) => {
+                let refusal = refusal.by(entry.standing());
                 refuse(&entry, &mut wire, refusal, Some(&head), true).await;
                 return;
             }
--- a/crates/gradeloft_gateway/src/entry/gossip.rs
+++ b/crates/gradeloft_gateway/src/entry/gossip.rs
@@ -151,6 +151,7 @@
     fn upkeep(&self) {
         let now = self.node.clock.now();
         self.node.show_behind();
+        self.show_standing();
         for id in self.replicas.borrow_mut().expire(now) {
             if let Some(log) = self.node.logs.line(Topic::State) {
                 info!(log, "replica gone"; "replica" => &*id);
@@ -237,6 +238,7 @@
                     zone: &datagram.zone,
                     state: state(presence),
                     served: store == Access::Served,
+                    end: datagram.ends[Table::Operator as usize],
                 };
                 self.roster.borrow_mut().heard(from, word, now);
                 self.learn(&entries);
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -40,6 +40,7 @@
         repeats::Budget,
         replicas::{ReplicaKey, Replicas},
         roster::Roster,
+        standing::Standing,
     },
     request::{age::Patience, shortage::Shortage},
     version::named::Named,
@@ -121,6 +122,8 @@
     elsewhere: RefCell<HashMap<Ipv4Addr, Told>>,
     /// What agents were told last: replicas that changed over, and how far the operator's table goes.
     told_agents: RefCell<(Vec<Switched>, u64)>,
+    /// Whether it left callers to others when it last looked.
+    told_aside: Cell<bool>,
     open: Cell<usize>,
 }
 
@@ -151,6 +154,7 @@
             shortages: RefCell::default(),
             elsewhere: RefCell::default(),
             told_agents: RefCell::default(),
+            told_aside: Cell::default(),
             open: Cell::default(),
         });
         entry.meet_seeds();
@@ -193,13 +197,37 @@
             return Presence::Leaving;
         }
         let known = self.config.borrow().is_some() && !self.replicas.borrow().is_empty();
-        if known {
+        if known && self.standing() != Standing::Aside {
             Presence::Ready
         } else {
             Presence::Starting
         }
     }
 
+    /// What it makes of the operator's records that peers have and it lacks.
+    pub fn standing(&self) -> Standing {
+        let table = Table::Operator;
+        let beyond = || {
+            let now = self.node.clock.now();
+            self.roster.borrow().most_beyond(self.node.end(table), now)
+        };
+        Standing::of(self.node.behind(table), beyond)
+    }
+
+    /// Logs when it begins to leave callers to others, and when it takes them again.
+    fn show_standing(&self) {
+        let aside = self.standing() == Standing::Aside;
+        if self.told_aside.replace(aside) == aside {
+            return;
+        }
+        if let Some(log) = self.node.logs.line(Topic::State) {
+            let behind = self.node.behind(Table::Operator);
+            info!(log, "standing"; "aside" => aside, "config" => self.config_version(),
+                "end" => self.node.end(Table::Operator),
+                "behind_ms" => behind.map_or(-1, |it| it.as_millis() as i64));
+        }
+    }
+
     /// Addresses for callers, the own one first while it takes any.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         let settings = self.node.settings();
--- a/crates/gradeloft_gateway/tests/entry/behind.rs
+++ b/crates/gradeloft_gateway/tests/entry/behind.rs
@@ -47,7 +47,8 @@
                 ends: [0, end.get(), 0],
                 sender: Sender::Entry {
                     presence: Presence::Ready,
-                    store: Access::Served,
+                    // So that reading the store is left to the entry, which catches up by it.
+                    store: Access::Unserved,
                     loads: Vec::new(),
                     entries: Vec::new(),
                     switched: Vec::new(),
@@ -102,15 +103,22 @@
 #[test]
 fn what_newer_records_may_allow_is_not_denied() {
     run(async {
-        let world = World::start(Shape::of(Kind::Once), vec![well("never")]).await;
+        let shape = Shape {
+            body_bytes: 8,
+            ..Shape::of(Kind::Once)
+        };
+        let world = World::start(shape, vec![well("never")]).await;
+        let long_body = request("POST", "longer than that");
         let unknown_path = request("GET", "").replace("/r/x", "/added/x");
         let unknown_key = request("GET", "").replace("secret", "added");
         assert!(world.ask(&unknown_path).await.starts_with("HTTP/1.1 404 "));
         assert!(world.ask(&unknown_key).await.starts_with("HTTP/1.1 401 "));
+        assert!(world.ask(&long_body).await.starts_with("HTTP/1.1 413 "));
         peers(&[FURTHER]).await;
         behind(&world, Duration::ZERO).await;
         assert_refused(&ask_keeping(&world, &unknown_path).await);
         assert_refused(&ask_keeping(&world, &unknown_key).await);
+        assert_refused(&ask_keeping(&world, &long_body).await);
         catch_up(&world).await;
         assert!(world.ask(&unknown_path).await.starts_with("HTTP/1.1 404 "));
         assert!(world.ask(&unknown_key).await.starts_with("HTTP/1.1 401 "));
@@ -121,8 +129,11 @@
 #[test]
 fn an_entry_that_is_long_behind_most_others_leaves_callers_to_them() {
     run(async {
-        let slow = vec![vec![Step::Read, Step::Wait(LONG), ok("held")]];
-        let world = World::start(Shape::of(Kind::Once), vec![slow, well("later")]).await;
+        let later = vec![Step::Read, ok("later")];
+        let mut slow = vec![Step::Read, Step::Wait(LONG), ok("held")];
+        // The second request may come on the connection of the first.
+        slow.extend(later.clone());
+        let world = World::start(Shape::of(Kind::Once), vec![vec![slow, later]]).await;
         let holding = request("POST", "form");
         let held = world.ask(&holding);
         let meanwhile = async {
--- a/crates/gradeloft_policy/src/process/mod.rs
+++ b/crates/gradeloft_policy/src/process/mod.rs
@@ -12,6 +12,7 @@
 //! - [`roster`]: the entries that callers may be sent to.
 //! - [`shares`]: shares of a rate between entries.
 //! - [`split`]: how the slots of replicas are split among entries.
+//! - [`standing`]: what an entry makes of knowing that others have newer records.
 
 pub mod address;
 pub mod document;
@@ -25,3 +26,4 @@
 pub mod roster;
 pub mod shares;
 pub mod split;
+pub mod standing;
--- a/crates/gradeloft_policy/src/process/roster.rs
+++ b/crates/gradeloft_policy/src/process/roster.rs
@@ -19,7 +19,7 @@
     Leaving,
     /// It takes callers.
     Ready,
-    /// It does not know enough yet.
+    /// It does not know enough, or others know more.
     Starting,
 }
 
@@ -30,6 +30,8 @@
     incarnation: u64,
     /// Whether the platform's store serves it, as it said last.
     served: bool,
+    /// How far its copy of the operator's table goes, as it said last.
+    end: u64,
     heard: Option<Time>,
 }
 
@@ -44,6 +46,8 @@
     pub state: State,
     /// Whether the platform's store serves it.
     pub served: bool,
+    /// How far its copy of the operator's table goes.
+    pub end: u64,
 }
 
 /// The other entries.
@@ -62,6 +66,7 @@
             state: State::Starting,
             incarnation: 0,
             served: false,
+            end: 0,
             heard: None,
         });
     }
@@ -79,6 +84,7 @@
         word.zone.clone_into(&mut entry.zone);
         entry.state = word.state;
         entry.served = word.served;
+        entry.end = word.end;
         entry.heard = Some(now);
         let known = self.entries.values().filter(|it| it.heard.is_some());
         self.most = self.most.max(known.count() + 1);
@@ -118,6 +124,17 @@
             .map(|(address, _)| *address)
     }
 
+    /// Whether most entries, the own one included, take callers and have more of the operator's table than
+    /// up to `end`. Those that are leaving count for nothing.
+    pub fn most_beyond(&self, end: u64, now: Time) -> bool {
+        let staying = |it: &&Entry| it.alive(now) && it.state != State::Leaving;
+        let others = self.entries.values().filter(staying);
+        let beyond = others
+            .clone()
+            .filter(|it| it.state == State::Ready && end < it.end);
+        others.count() + 1 < 2 * beyond.count()
+    }
+
     /// Whether an entry was heard a moment ago.
     pub fn alive(&self, address: Ipv4Addr, now: Time) -> bool {
         self.entries.get(&address).is_some_and(|it| it.alive(now))
--- /dev/null
+++ b/crates/gradeloft_policy/src/process/standing.rs
@@ -0,0 +1,56 @@
+//! What an entry makes of knowing that others have newer records of the operator's.
+//!
+//! A final "no such route" is wrong for what a newer configuration may allow, while "not run, ask again"
+//! costs little, so an entry that lacks records denies nothing. An entry that lacks them for long handles
+//! requests by what no longer holds, so it leaves callers to those that know more, as long as these can
+//! bear them. What it does not know of it does not act on: an entry that is cut off from the store and
+//! from all peers serves on. That would show only in the silence of both: no datagram from any peer, and no
+//! answer of the store, for longer than the bound on following.
+
+use std::time::Duration;
+
+/// Time for which an entry that lacks records takes callers as if it lacked none, in milliseconds. The
+/// operator's bound on following a configuration is 2 s from its confirmation. Entries tell those of other
+/// regions each 0.5 s how far their copies go, which leaves 0.3 s for reading the store and for links.
+/// Far above the 0.2 to 0.5 s that a usual change takes on its way, so entries seldom step aside.
+const ASIDE_MS: u64 = 1_200;
+
+/// How an entry takes callers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Standing {
+    /// It leaves them to others.
+    Aside,
+    /// It takes them, but denies nothing: others know more.
+    Behind,
+    /// It lacks nothing that it knows of.
+    #[default]
+    Current,
+}
+
+impl Standing {
+    /// Of an entry that has `lacked` something for a time. There is no way back but to catch up, which
+    /// ends it at once: it counts from when the first record that is still lacked was known of, so an
+    /// entry that follows changes in close order is never long behind.
+    ///
+    /// `most_beyond` says whether most entries have what it lacks. Where most lack it too, as while a
+    /// large record is on its way to all, they would refuse everybody.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use gradeloft_policy::process::standing::Standing;
+    /// let long = Some(Duration::from_secs(2));
+    /// assert_eq!(Standing::of(None, || true), Standing::Current);
+    /// assert_eq!(Standing::of(long, || false), Standing::Behind);
+    /// assert_eq!(Standing::of(long, || true), Standing::Aside);
+    /// ```
+    pub fn of(lacked: Option<Duration>, most_beyond: impl FnOnce() -> bool) -> Standing {
+        let Some(lacked) = lacked else {
+            return Standing::Current;
+        };
+        if Duration::from_millis(ASIDE_MS) <= lacked && most_beyond() {
+            Standing::Aside
+        } else {
+            Standing::Behind
+        }
+    }
+}
--- a/crates/gradeloft_policy/tests/forwarding.rs
+++ b/crates/gradeloft_policy/tests/forwarding.rs
@@ -337,6 +337,7 @@
         zone,
         state,
         served: true,
+        end: 0,
     }
 }
 
--- a/crates/gradeloft_wire/src/datagram.rs
+++ b/crates/gradeloft_wire/src/datagram.rs
@@ -75,7 +75,7 @@
     Leaving,
     /// It takes callers.
     Ready,
-    /// It does not know enough yet.
+    /// It does not know enough, or others know more.
     Starting,
 }
 
