--- a/crates/gradeloft_policy/src/process/mod.rs
+++ b/crates/gradeloft_policy/src/process/mod.rs
@@ -16,6 +16,7 @@
 //! - [`roster`]: the entries that callers may be sent to.
 //! - [`shares`]: shares of a rate between entries.
 //! - [`split`]: how the slots of replicas are split among entries.
+//! - [`standing`]: what an entry makes of knowing that others have newer records.
 //! - [`transfer`]: a large value on its way, and the peers that have it.
 //! - [`whole`]: until when a table is known to have had no more.
 
@@ -35,5 +36,6 @@
 pub mod roster;
 pub mod shares;
 pub mod split;
+pub mod standing;
 pub mod transfer;
 pub mod whole;
