Step aside after a part of the operator's own bound on a configuration

Cause: an entry stepped aside once it had lacked a record for 1.2 s, whatever the operator allows.

Ruled out: never to step aside (an entry that lacks a record handles requests by what no longer holds), and a larger constant (small deployments have 2 s).

Change: `apply_ms` of the settings, filled in by the platform; an entry steps aside after 0.8 of it.

--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -215,7 +215,8 @@
             let now = self.node.clock.now();
             self.roster.borrow().most_beyond(self.node.end(table), now)
         };
-        Standing::of(self.node.behind(table), beyond)
+        let apply = Duration::from_millis(self.node.settings().apply_ms);
+        Standing::of(self.node.behind(table), apply, beyond)
     }
 
     /// Logs when it begins to leave callers to others, and when it takes them again.
--- a/crates/gradeloft_gateway/src/settings.rs
+++ b/crates/gradeloft_gateway/src/settings.rs
@@ -27,6 +27,8 @@
     pub seeds: Vec<Ipv4Addr>,
     /// How often requests may be sent again, by all entries together.
     pub repeats: repeats::Bounds,
+    /// Time from the confirmation of a configuration until it is in force everywhere, in milliseconds.
+    pub apply_ms: u64,
     /// Time from the naming of new weights until every request begins on them, in milliseconds.
     pub version_ms: u64,
     /// Time from SIGTERM until the process is killed, in milliseconds.
--- a/crates/gradeloft_gateway/tests/agents.rs
+++ b/crates/gradeloft_gateway/tests/agents.rs
@@ -342,6 +342,7 @@
             slack: 100.0,
             window_ms: 10_000,
         },
+        apply_ms: 2_000,
         version_ms: 1_000,
         grace_ms: 1_000,
         max_ttl_s: 5,
--- a/crates/gradeloft_gateway/tests/entry/support/mod.rs
+++ b/crates/gradeloft_gateway/tests/entry/support/mod.rs
@@ -219,6 +219,7 @@
             slack: 100.0,
             window_ms: 10_000,
         },
+        apply_ms: 2_000,
         version_ms: 8_000,
         grace_ms: 2_000,
         max_ttl_s: 5,
