Doubt all connections to peers that were not heard since one gave no answer

Cause: connections between processes may go silent together, without a reset. A call that got no answer dropped the one connection that it was made on; the next peer was asked on one as silent, for its whole 1.5 s.

Ruled out: keep-alive probes on each connection (they would find it earlier, but h2's pings need a task and bytes for each of some hundred idle connections), and shorter time-outs (a part takes 0.8 s over a narrow link).

Change: `Pool::silent` drops, with the connection that gave no answer, those on which nothing came since the call was made; a connection remembers when something came on it last. Parts of records do the same from the last part.

--- a/crates/gradeloft_daemon/src/transport/client.rs
+++ b/crates/gradeloft_daemon/src/transport/client.rs
@@ -1,10 +1,11 @@
 //! A pool of connections to peers, and the answers that come over them.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     io,
     net::{IpAddr, SocketAddr},
+    rc::Rc,
     time::{Duration, Instant},
 };
 
@@ -50,6 +51,8 @@
 struct Connection {
     sender: SendRequest<Bytes>,
     used: Instant,
+    /// When something came on it last, or it was made.
+    heard: Rc<Cell<Instant>>,
 }
 
 /// Connections to peers, one for each address and lane, made when they are needed and let go when
@@ -76,16 +79,17 @@
 
     /// Sends a call and gives its answer, as it comes. Dropping the answer cancels the call.
     pub async fn open(&self, address: &str, lane: Lane, call: &Call) -> Result<Incoming, Fault> {
-        let sender = self.sender(address, lane).await?;
+        let (sender, heard) = self.sender(address, lane).await?;
         let result = send(sender, call).await;
         if result.is_err() {
-            self.forget(address, lane);
+            self.drop_one(address, lane);
         }
         let (response, sending) = result?;
         Ok(Incoming {
             head: Some(response),
             body: None,
             decoder: Decoder::new(self.max_frame),
+            heard,
             _sending: sending,
         })
     }
@@ -99,14 +103,30 @@
             .ok_or(Fault::Lost)
     }
 
-    /// As [`Pool::ask`], unless for as long as `silence` no byte comes. An answer may take longer as a
-    /// whole: how long depends on its size and on the link, and says nothing of the peer.
+    /// As [`Pool::ask`], unless for as long as `silence` no byte comes: then it is dropped as by
+    /// [`Pool::silent`]. An answer may take longer as a whole: how long depends on its size and on the
+    /// link, and says nothing of the peer.
     pub async fn ask_within(
         &self,
         address: &str,
         lane: Lane,
         call: &Call,
         silence: Duration,
+    ) -> Result<Result<Reply, Fault>, Elapsed> {
+        let asked = Instant::now();
+        let reply = self.reply_within(address, lane, call, silence).await;
+        if reply.is_err() {
+            self.silent(address, lane, asked);
+        }
+        reply
+    }
+
+    async fn reply_within(
+        &self,
+        address: &str,
+        lane: Lane,
+        call: &Call,
+        silence: Duration,
     ) -> Result<Result<Reply, Fault>, Elapsed> {
         let mut incoming = match timeout(silence, self.open(address, lane, call)).await? {
             Ok(incoming) => incoming,
@@ -116,39 +136,49 @@
         Ok(reply.and_then(|it| it.ok_or(Fault::Lost)))
     }
 
-    async fn sender(&self, address: &str, lane: Lane) -> Result<SendRequest<Bytes>, Fault> {
+    async fn sender(&self, address: &str, lane: Lane) -> Result<Sender, Fault> {
         let key = (address.to_owned(), lane);
         let kept = self.kept(&key);
-        if let Some(kept) = kept
+        if let Some((kept, heard)) = kept
             && let Ok(ready) = kept.ready().await
         {
-            return Ok(ready);
+            return Ok((ready, heard));
         }
         let connecting = timeout(self.connect_timeout, connect(address, self.source));
         let fresh = connecting
             .await
             .map_err(|_| Fault::Unsent)?
             .map_err(|_| Fault::Unsent)?;
+        let heard = Rc::new(Cell::new(Instant::now()));
         let connection = Connection {
             sender: fresh.clone(),
             used: Instant::now(),
+            heard: Rc::clone(&heard),
         };
         self.connections.borrow_mut().insert(key, connection);
-        fresh.ready().await.map_err(|_| Fault::Unsent)
+        let ready = fresh.ready().await.map_err(|_| Fault::Unsent)?;
+        Ok((ready, heard))
     }
 
-    fn kept(&self, key: &(String, Lane)) -> Option<SendRequest<Bytes>> {
+    fn kept(&self, key: &(String, Lane)) -> Option<Sender> {
         let mut connections = self.connections.borrow_mut();
         let now = Instant::now();
         connections.retain(|it, kept| it == key || now < kept.used + IDLE);
         let kept = connections.get_mut(key)?;
         kept.used = now;
-        Some(kept.sender.clone())
+        Some((kept.sender.clone(), Rc::clone(&kept.heard)))
+    }
+
+    /// Drops a connection on which a call of the time `asked` got no answer, and those to other peers on
+    /// which nothing has come since then: connections go silent together, and each that is used all the
+    /// same costs a call its whole time. A connection anew costs a round trip.
+    pub fn silent(&self, address: &str, lane: Lane, asked: Instant) {
+        self.drop_one(address, lane);
+        let mut connections = self.connections.borrow_mut();
+        connections.retain(|_, it| asked <= it.heard.get());
     }
 
-    /// Drops a connection on which a call got no answer in time, so that the next call does not wait
-    /// for it too.
-    pub fn forget(&self, address: &str, lane: Lane) {
+    fn drop_one(&self, address: &str, lane: Lane) {
         self.connections
             .borrow_mut()
             .remove(&(address.to_owned(), lane));
@@ -182,6 +212,9 @@
     Ok(sender)
 }
 
+/// A connection, and when something came on it last.
+type Sender = (SendRequest<Bytes>, Rc<Cell<Instant>>);
+
 type Sent = (h2::client::ResponseFuture, SendStream<Bytes>);
 
 async fn send(mut sender: SendRequest<Bytes>, call: &Call) -> Result<Sent, Fault> {
@@ -202,6 +235,7 @@
     head: Option<h2::client::ResponseFuture>,
     body: Option<RecvStream>,
     decoder: Decoder,
+    heard: Rc<Cell<Instant>>,
     _sending: SendStream<Bytes>,
 }
 
@@ -244,6 +278,7 @@
     async fn more(&mut self) -> Result<bool, Fault> {
         if let Some(head) = &mut self.head {
             let response = head.await.map_err(|it| fault(&it))?;
+            self.heard.set(Instant::now());
             self.head = None;
             self.body = Some(response.into_body());
         }
@@ -252,6 +287,7 @@
         };
         match body.data().await {
             Some(Ok(bytes)) => {
+                self.heard.set(Instant::now());
                 let _ = body.flow_control().release_capacity(bytes.len());
                 self.decoder.feed(&bytes);
                 Ok(true)
--- a/crates/gradeloft_gateway/src/node/parts.rs
+++ b/crates/gradeloft_gateway/src/node/parts.rs
@@ -4,7 +4,12 @@
 //! bounded in time. What came is kept, and goes on from any peer that has the record
 //! ([`transfer`](gradeloft_policy::process::transfer)).
 
-use std::{net::Ipv4Addr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    net::Ipv4Addr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use gradeloft_daemon::transport::{client::Lane, server::Outgoing};
@@ -187,8 +192,9 @@
             caller: self.role(),
         };
         let address = self.peer_address(peer);
+        let waits_since = Cell::new(Instant::now());
         let late = |_| {
-            self.peers.forget(&address, Lane::Bulk);
+            self.peers.silent(&address, Lane::Bulk, waits_since.get());
             ("late", Refusal::Faulty)
         };
         let broken = |it| (reason(it), Refusal::Faulty);
@@ -200,6 +206,7 @@
             let next = tokio::time::timeout(PART_TIME, incoming.next()).await;
             match next.map_err(late)?.map_err(broken)? {
                 Some(Reply::Part(part)) => {
+                    waits_since.set(Instant::now());
                     if !self.part_came(peer, table, offset, &part)? {
                         return Ok(());
                     }
--- a/crates/gradeloft_gateway/src/node/records.rs
+++ b/crates/gradeloft_gateway/src/node/records.rs
@@ -197,9 +197,6 @@
             .peers
             .ask_within(&address, Lane::Live, &call, PEER_SILENCE);
         let reply = asking.await;
-        if reply.is_err() {
-            self.peers.forget(&address, Lane::Live);
-        }
         let (snapshot, rows, end, sound) = match reply {
             Ok(Ok(Reply::Records {
                 snapshot,
