--- a/crates/gradeloft_gateway/src/agent/share.rs
+++ b/crates/gradeloft_gateway/src/agent/share.rs
@@ -14,7 +14,7 @@
     fetch::version_digest,
     fill::{adopt, read_back},
 };
-use crate::{logs::Topic, node::parts::Asked};
+use crate::logs::Topic;
 
 /// Time over which arrivals are gathered before followers are told.
 const GATHER: Duration = Duration::from_millis(20);
@@ -38,25 +38,7 @@
                 Call::Pieces { model, version } => {
                     list(&agent, model, version, outgoing).await;
                 }
-                Call::Parts {
-                    table,
-                    offset,
-                    start,
-                    caller,
-                } => {
-                    let asked = Asked {
-                        table,
-                        offset,
-                        start,
-                        caller,
-                    };
-                    agent.node.give_parts(asked, outgoing).await;
-                }
-                Call::Records { table, from, brief } => {
-                    agent.node.give_records(table, from, brief, outgoing).await;
-                }
-                // Other calls are for other kinds of process; dropping the answer tells the caller.
-                _ => {}
+                other => agent.node.answer(other, outgoing).await,
             }
         });
     }
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -8,6 +8,7 @@
 //! - [`learn`]: what an entry learns from the platform's tables.
 //! - [`lookup`]: addresses, readiness, metrics.
 //! - [`relay`]: a replica's answer on its way to the caller.
+//! - [`running`]: requests that run at replicas.
 //! - [`view`]: what it knows of other entries' requests, and when callers come back.
 
 pub mod answer;
@@ -18,6 +19,7 @@
 pub mod learn;
 pub mod lookup;
 pub mod relay;
+pub mod running;
 pub mod view;
 
 use std::{
@@ -58,7 +60,7 @@
 };
 use crate::{
     logs::Topic,
-    node::{MAX_FRAME, Node, parts::Asked},
+    node::{MAX_FRAME, Node},
     pool::Pool,
     settings::Role,
 };
@@ -293,25 +295,6 @@
         self.config.borrow().as_ref()?.service(service)?.speed
     }
 
-    /// Counts a request with a prompt as running at a replica until the guard is dropped.
-    pub fn running(self: &Rc<Entry>, key: ReplicaKey, prompt_tokens: f64) -> Running {
-        let now = self.node.clock.now();
-        if let Some(replica) = self.replicas.borrow_mut().get_mut(key) {
-            if replica.own == 0 {
-                replica.heard = now;
-            }
-            replica.own += 1;
-            replica.own_waiting += 1;
-            replica.own_waiting_tokens += prompt_tokens;
-        }
-        Running {
-            waiting: Cell::new(true),
-            entry: Rc::clone(self),
-            key,
-            prompt_tokens,
-        }
-    }
-
     /// A replica began an answer.
     pub fn began(&self, key: ReplicaKey, expected: Expected) {
         let took = self.node.clock.now().since(expected.sent);
@@ -390,37 +373,6 @@
     }
 }
 
-/// A request that runs at a replica.
-pub struct Running {
-    entry: Rc<Entry>,
-    key: ReplicaKey,
-    prompt_tokens: f64,
-    /// Whether its answer has not begun.
-    waiting: Cell<bool>,
-}
-
-impl Running {
-    /// Its answer has begun.
-    pub fn begun(&self) {
-        let mut replicas = self.entry.replicas.borrow_mut();
-        if let Some(replica) = replicas.get_mut(self.key)
-            && self.waiting.replace(false)
-        {
-            replica.own_waiting -= 1;
-            replica.own_waiting_tokens -= self.prompt_tokens;
-        }
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.begun();
-        if let Some(replica) = self.entry.replicas.borrow_mut().get_mut(self.key) {
-            replica.own -= 1;
-        }
-    }
-}
-
 /// Starts the listener for peers on the instance's peer port.
 pub async fn peer_listener(
     node: &Rc<Node>,
@@ -436,29 +388,8 @@
     fn call(&self, call: Call, outgoing: Outgoing) {
         let node = Rc::clone(&self.0);
         let scope = Rc::clone(&node.scope);
-        scope.spawn(async move {
-            match call {
-                Call::Parts {
-                    table,
-                    offset,
-                    start,
-                    caller,
-                } => {
-                    let asked = Asked {
-                        table,
-                        offset,
-                        start,
-                        caller,
-                    };
-                    node.give_parts(asked, outgoing).await;
-                }
-                Call::Records { table, from, brief } => {
-                    node.give_records(table, from, brief, outgoing).await;
-                }
-                // Other calls are for agents; dropping the answer tells the caller so.
-                _ => {}
-            }
-        });
+        // Calls that are for agents get no answer, which tells the caller so.
+        scope.spawn(async move { node.answer(call, outgoing).await });
     }
 
     fn malformed(&self) {
--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -7,9 +7,10 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use super::{
-    Entry, Running,
+    Entry,
     attempt::{Ended, instant},
     forward::Job,
+    running::Running,
 };
 use crate::{
     events::Splitter,
--- a/crates/gradeloft_gateway/src/node/parts.rs
+++ b/crates/gradeloft_gateway/src/node/parts.rs
@@ -42,15 +42,15 @@
 
 /// What a peer asks for by [`Call::Parts`].
 #[derive(Clone, Copy, Debug)]
-pub struct Asked {
+pub(super) struct Asked {
     /// Table.
-    pub table: Table,
+    pub(super) table: Table,
     /// Position of the record in the table.
-    pub offset: u64,
+    pub(super) offset: u64,
     /// Bytes of the value that the peer has already.
-    pub start: u64,
+    pub(super) start: u64,
     /// What the peer is.
-    pub caller: Role,
+    pub(super) caller: Role,
 }
 
 /// Why a peer gave nothing further: in words, and for the choice of the next one.
@@ -58,7 +58,7 @@
 
 impl Node {
     /// Answers a peer's call for a value, if it is held and few others get one now.
-    pub async fn give_parts(self: &Rc<Node>, asked: Asked, outgoing: Outgoing) {
+    pub(super) async fn give_parts(self: &Rc<Node>, asked: Asked, outgoing: Outgoing) {
         let Some(value) = self.value_at(asked.table, asked.offset) else {
             outgoing.finish(&Reply::Absent(Absence::NotHeld)).await;
             return;
--- a/crates/gradeloft_gateway/src/node/records.rs
+++ b/crates/gradeloft_gateway/src/node/records.rs
@@ -27,6 +27,7 @@
 
 use super::{
     MAX_FRAME, Node,
+    parts::Asked,
     tables::{BACK_MS, Source, index},
 };
 use crate::{logs::Topic, metrics::Reason, settings::Role};
@@ -68,8 +69,33 @@
 }
 
 impl Node {
+    /// Answers a peer's call, if it is for records or for parts of one. Other calls are for other kinds of
+    /// process; dropping the answer tells the caller so.
+    pub async fn answer(self: &Rc<Node>, call: Call, outgoing: Outgoing) {
+        match call {
+            Call::Parts {
+                table,
+                offset,
+                start,
+                caller,
+            } => {
+                let asked = Asked {
+                    table,
+                    offset,
+                    start,
+                    caller,
+                };
+                self.give_parts(asked, outgoing).await;
+            }
+            Call::Records { table, from, brief } => {
+                self.give_records(table, from, brief, outgoing).await;
+            }
+            _ => {}
+        }
+    }
+
     /// Answers a peer's call for records.
-    pub async fn give_records(&self, table: Table, from: u64, brief: bool, outgoing: Outgoing) {
+    async fn give_records(&self, table: Table, from: u64, brief: bool, outgoing: Outgoing) {
         let Some(update) = self.given(table, from, brief) else {
             return;
         };
