--- a/crates/gradeloft_gateway/src/node/parts.rs
+++ b/crates/gradeloft_gateway/src/node/parts.rs
@@ -4,7 +4,12 @@
 //! bounded in time. What came is kept, and goes on from any peer that has the record
 //! ([`transfer`](gradeloft_policy::process::transfer)).
 
-use std::{net::Ipv4Addr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    net::Ipv4Addr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use gradeloft_daemon::transport::{client::Lane, server::Outgoing};
@@ -37,15 +42,15 @@
 
 /// What a peer asks for by [`Call::Parts`].
 #[derive(Clone, Copy, Debug)]
-pub struct Asked {
+pub(super) struct Asked {
     /// Table.
-    pub table: Table,
+    pub(super) table: Table,
     /// Position of the record in the table.
-    pub offset: u64,
+    pub(super) offset: u64,
     /// Bytes of the value that the peer has already.
-    pub start: u64,
+    pub(super) start: u64,
     /// What the peer is.
-    pub caller: Role,
+    pub(super) caller: Role,
 }
 
 /// Why a peer gave nothing further: in words, and for the choice of the next one.
@@ -53,7 +58,7 @@
 
 impl Node {
     /// Answers a peer's call for a value, if it is held and few others get one now.
-    pub async fn give_parts(self: &Rc<Node>, asked: Asked, outgoing: Outgoing) {
+    pub(super) async fn give_parts(self: &Rc<Node>, asked: Asked, outgoing: Outgoing) {
         let Some(value) = self.value_at(asked.table, asked.offset) else {
             outgoing.finish(&Reply::Absent(Absence::NotHeld)).await;
             return;
@@ -187,8 +192,9 @@
             caller: self.role(),
         };
         let address = self.peer_address(peer);
+        let waits_since = Cell::new(Instant::now());
         let late = |_| {
-            self.peers.forget(&address, Lane::Bulk);
+            self.peers.silent(&address, Lane::Bulk, waits_since.get());
             ("late", Refusal::Faulty)
         };
         let broken = |it| (reason(it), Refusal::Faulty);
@@ -200,6 +206,7 @@
             let next = tokio::time::timeout(PART_TIME, incoming.next()).await;
             match next.map_err(late)?.map_err(broken)? {
                 Some(Reply::Part(part)) => {
+                    waits_since.set(Instant::now());
                     if !self.part_came(peer, table, offset, &part)? {
                         return Ok(());
                     }
