Tests that fail: a large record that is given or taken slowly

An entry that draws a peer behind a link that carries little stays with it for as long as each part comes within 1.5 s, which is 22 KB/s: 0.7 MB take half a minute, while a peer with a free link has all of it. And two who take so slowly keep all others from a peer whose link is free, who are sent away for as long as that takes.

Both fail on the code as it is: after 10 s the record, which takes 18 s over such a link, is not in force.

--- a/crates/gradeloft_gateway/tests/entry/large.rs
+++ b/crates/gradeloft_gateway/tests/entry/large.rs
@@ -398,3 +398,49 @@
         assert_eq!(connections.get(), 1);
     });
 }
+
+/// Users saw a configuration stay out of force for many seconds at entries whose own links were well: the
+/// peer that they took it from was behind a link that carried little, and gave so much each second that it
+/// never counted as late. A peer that had all of it and a free link was not asked meanwhile.
+#[test]
+fn a_peer_that_gives_slowly_is_left_for_one_that_gives_quickly() {
+    run(async {
+        let world = world().await;
+        let follower = world.follower(2, BEHIND_LINK, &refusing()).await;
+        // A part each 0.8 s: the record takes twice as long as the test may.
+        let slow = links(1, LARGE as u64 / 18);
+        let slow = Link::start(&world.entry, BEHIND_LINK, &[2], slow).await;
+        in_force(&follower, 1).await;
+        let large = configuration(7, LARGE);
+        world.tables.write(Table::Operator, "config", Some(&large));
+        until(|| async { 0.1 < slow.crossed() }).await;
+        let quick = links(1, 10 * NARROW);
+        let _quick = Link::start(&world.entry, BEHIND_OTHER, &[2], quick).await;
+        in_force(&follower, 7).await;
+    });
+}
+
+/// Users saw the same at entries that asked a peer whose link was free: it gave to as many as it may, all of
+/// them behind links that carried little, and sent everybody else away for as long as that took.
+#[test]
+fn those_that_take_slowly_do_not_keep_others_waiting() {
+    run(async {
+        let world = world().await;
+        let mut slow = Vec::new();
+        for last in [2, 3] {
+            let seed = BEHIND_LINK + last;
+            let follower = world.follower(last, seed, &refusing()).await;
+            let links = links(1, LARGE as u64 / 18);
+            let link = Link::start(&world.entry, seed, &[last], links).await;
+            in_force(&follower, 1).await;
+            slow.push((follower, link));
+        }
+        let large = configuration(7, LARGE);
+        world.tables.write(Table::Operator, "config", Some(&large));
+        for (_, link) in &slow {
+            until(|| async { 0.02 < link.crossed() }).await;
+        }
+        let quick = world.another(4, &refusing()).await;
+        in_force(&quick, 7).await;
+    });
+}
