Leave a peer that gives a large record slowly, and send those away who take it slowly while others wait

Cause: a peer is left only when no part of 32 KB comes within 1.5 s, so one that gives 22 KB a second is kept to the end, whoever else has the record; and whoever takes at that pace keeps one of two places for as long.

Ruled out: that the other peer was not known (its datagrams come every 50 ms in the test); that places are not freed once a transfer ends (a_peer_gives_to_few_at_once passes as before).

Change: after 0.5 s it shows how long the rest takes. If that is 3 s or more, a taker goes on from another peer if it may ask one now, and a giver ends the answer if it sent others away meanwhile. What came is kept either way.

--- a/crates/gradeloft_gateway/src/node/parts.rs
+++ b/crates/gradeloft_gateway/src/node/parts.rs
@@ -10,7 +10,7 @@
 use gradeloft_daemon::transport::{client::Lane, server::Outgoing};
 use gradeloft_policy::process::{
     mirror::Record,
-    transfer::{Caller, Choice, Progress, Refusal, Transfer, Want},
+    transfer::{Caller, Choice, Pace, Progress, Refusal, Transfer, Want},
 };
 use gradeloft_wire::frame::{Absence, Call, Reply, Role, Table};
 
@@ -63,7 +63,17 @@
             return;
         };
         let rest = value.get(asked.start as usize..).unwrap_or_default();
+        let pace = Pace::new(asked.start, self.clock.now());
+        let away = self.giving.borrow_mut().sent_away(asked.caller);
+        let mut done = asked.start;
         for part in rest.chunks(PART_BYTES) {
+            let waited_for = self.giving.borrow_mut().sent_away(asked.caller) != away;
+            if waited_for && pace.slow(done, value.len() as u64, self.clock.now()) {
+                // One who takes slowly would keep all others waiting, and comes back after them.
+                outgoing.finish(&Reply::Absent(Absence::Busy)).await;
+                return;
+            }
+            done += part.len() as u64;
             let part = Reply::Part(part.to_vec());
             // Whoever gets no part in time has given this up, and may be out of reach.
             let sent = tokio::time::timeout(PART_TIME, outgoing.send(&part)).await;
@@ -143,10 +153,7 @@
 
     fn choose(&self, table: Table) -> Choice {
         let now = self.clock.now();
-        let caller = Caller {
-            address: self.settings().address,
-            role: self.role(),
-        };
+        let caller = self.caller();
         self.with_rng(|rng| {
             self.with_inbox(table, |it| match &it.transfer {
                 Some(transfer) => transfer.choose(&it.holders, caller, now, rng),
@@ -172,6 +179,7 @@
         });
         self.not_given(peer, table, asked, reason);
     }
+
     async fn receive_parts(self: &Rc<Node>, peer: Ipv4Addr, table: Table) -> Result<(), Missed> {
         let wanted = self.with_inbox(table, |it| {
             let transfer = it.transfer.as_ref()?;
@@ -196,6 +204,8 @@
         let opening = self.peers.open(&address, Lane::Bulk, &call);
         let opened = tokio::time::timeout(PART_TIME, opening).await;
         let mut incoming = opened.map_err(late)?.map_err(broken)?;
+        let pace = Pace::new(start, self.clock.now());
+        let mut came = false;
         loop {
             let next = tokio::time::timeout(PART_TIME, incoming.next()).await;
             match next.map_err(late)?.map_err(broken)? {
@@ -203,6 +213,14 @@
                     if !self.part_came(peer, table, offset, &part)? {
                         return Ok(());
                     }
+                    came = true;
+                    if self.leaves(peer, table, pace) {
+                        return Err(("slow", Refusal::Faulty));
+                    }
+                }
+                // Others wait there for what this process took slowly, and come first.
+                Some(Reply::Absent(Absence::Busy)) if came => {
+                    return Err(("sent away", Refusal::Faulty));
                 }
                 Some(Reply::Absent(Absence::Busy)) => return Err(("busy", Refusal::Busy)),
                 Some(Reply::Absent(_)) => return Err(("not held", Refusal::NotHeld)),
@@ -212,6 +230,28 @@
         }
     }
 
+    /// Whether a peer gives slowly while another could be asked. Parts that come in time show only that it
+    /// is there: a link that carries little would hold up what another peer has.
+    fn leaves(&self, peer: Ipv4Addr, table: Table, pace: Pace) -> bool {
+        let now = self.clock.now();
+        let caller = self.caller();
+        self.with_rng(|rng| {
+            self.with_inbox(table, |it| {
+                it.transfer.as_ref().is_some_and(|transfer| {
+                    pace.slow(transfer.start(), transfer.want().length, now)
+                        && transfer.leaves(peer, &it.holders, caller, now, rng)
+                })
+            })
+        })
+    }
+
+    fn caller(&self) -> Caller {
+        Caller {
+            address: self.settings().address,
+            role: self.role(),
+        }
+    }
+
     fn role(&self) -> Role {
         match self.settings.borrow().role {
             settings::Role::Agent { .. } => Role::Agent,
--- a/crates/gradeloft_policy/src/process/transfer.rs
+++ b/crates/gradeloft_policy/src/process/transfer.rs
@@ -42,7 +42,13 @@
 /// Pause before a peer that gives to others is asked again, in milliseconds: within it, 0.2 to 1.2 MB
 /// cross a link of 40 Mbit/s.
 const BUSY_MS: std::ops::RangeInclusive<u64> = 50..=250;
-/// Pause before a peer is asked again that did not answer, in milliseconds.
+/// Time after which it shows how quickly a peer gives or takes, in milliseconds.
+const JUDGED_MS: u64 = 500;
+/// Time for the rest of a value from which on a peer is slow, in milliseconds: 0.9 MB within it are a quarter of
+/// an agent's link. Where all links carry little, turns cost more than they bring: with 1 s, the last of six
+/// had 0.7 MB over links of 0.5 MB a second after 7 s and not after 5.7 s.
+const REST_MS: u64 = 3_000;
+/// Pause before a peer is asked again that did not answer, or not in good time, in milliseconds.
 const FAULTY_MS: u64 = 1_000;
 
 /// Who fetches.
@@ -72,6 +78,8 @@
 pub struct Slots {
     to_agents: usize,
     to_entries: usize,
+    agents_sent_away: u64,
+    entries_sent_away: u64,
 }
 
 impl Slots {
@@ -81,9 +89,17 @@
         let (used, most) = self.of(caller);
         let free = *used < most;
         *used += usize::from(free);
+        if !free {
+            *self.away(caller) += 1;
+        }
         free
     }
 
+    /// How often none was free so far.
+    pub fn sent_away(&mut self, caller: Role) -> u64 {
+        *self.away(caller)
+    }
+
     /// Frees a slot that was taken.
     pub fn free(&mut self, caller: Role) {
         let (used, _) = self.of(caller);
@@ -96,8 +112,47 @@
             Role::Entry => (&mut self.to_entries, GIVEN_TO_ENTRIES),
         }
     }
+
+    fn away(&mut self, caller: Role) -> &mut u64 {
+        match caller {
+            Role::Agent => &mut self.agents_sent_away,
+            Role::Entry => &mut self.entries_sent_away,
+        }
+    }
+}
+
+/// How quickly one peer gives, or takes.
+///
+/// ```
+/// use gradeloft_policy::{clock::Time, process::transfer::Pace};
+/// let at = |ms| Time::ZERO.after_ms(ms);
+/// let pace = Pace::new(100_000, at(0));
+/// assert!(!pace.slow(150_000, 900_000, at(400)), "too early to tell");
+/// assert!(pace.slow(150_000, 900_000, at(1_000)));
+/// assert!(!pace.slow(400_000, 900_000, at(1_000)));
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    start: u64,
+    since: Time,
 }
 
+impl Pace {
+    /// Of what goes on from `start` bytes.
+    pub fn new(start: u64, since: Time) -> Pace {
+        Pace { start, since }
+    }
+
+    /// Whether the rest takes long at this pace: of `length` bytes, `done` are over.
+    pub fn slow(self, done: u64, length: u64, now: Time) -> bool {
+        let passed = now.since(self.since).as_millis() as u64;
+        let moved = done.saturating_sub(self.start);
+        let rest = length.saturating_sub(done);
+        JUDGED_MS <= passed && moved.saturating_mul(REST_MS) < rest.saturating_mul(passed)
+    }
+}
+
+#[derive(Clone, Copy)]
 struct Holder {
     peer: Ipv4Addr,
     /// Whether it is in the own region.
@@ -320,6 +375,23 @@
         }
     }
 
+    /// Whether another peer is to be asked now rather than `peer`, which gives slowly. What came goes on
+    /// from there, so that nothing is lost by it.
+    pub fn leaves(
+        &self,
+        peer: Ipv4Addr,
+        holders: &Holders,
+        caller: Caller,
+        now: Time,
+        rng: &mut impl Rng,
+    ) -> bool {
+        let others = holders.known.iter().filter(|it| it.peer != peer);
+        let others = Holders {
+            known: others.copied().collect(),
+        };
+        matches!(self.choose(&others, caller, now, rng), Choice::Ask(_))
+    }
+
     /// A peer gave nothing further.
     pub fn refused(&mut self, peer: Ipv4Addr, refusal: Refusal, now: Time, rng: &mut impl Rng) {
         let bar = match refusal {
