A test that fails: a version that was named before an entry started

The first answer of the store brings the configuration and the version behind it. While the version is taken in, the table counts as read and a configuration is there, so that it counts as named now, with all its time to come. Fails on the code as it is: no version is due.

--- a/crates/gradeloft_gateway/tests/entry/cut_off.rs
+++ b/crates/gradeloft_gateway/tests/entry/cut_off.rs
@@ -267,3 +267,22 @@
         assert!(written <= before, "{written:?}, stood still at {before:?}");
     });
 }
+
+/// An entry that had just started sent requests to replicas with weights that were replaced long before. It
+/// read the configuration and the version behind it in one answer, and the version, which may have been due
+/// before the process began, counted as named in that moment, with all its time still to come. Where the
+/// configuration was written later than the version, it counted as due.
+#[test]
+fn a_version_that_was_named_before_the_start_is_due() {
+    run(async {
+        let world = World::start(Shape::of(Kind::Once), vec![well("a")]).await;
+        world.tables.write(Table::Operator, "weights/m", Some("2"));
+        let later = world.another(2, &world.tables).await;
+        let entry = later.entry();
+        until(|| async { entry.config_version() == 1 }).await;
+        let named = || entry.oldest_versions("s").preferred.is_some();
+        let allowed = || entry.oldest_versions("s").allowed;
+        until(|| async { named() || allowed().is_some() }).await;
+        assert_eq!(allowed(), Some(2));
+    });
+}
