Count what the first answer of the store names as due at an entry

Cause: whether a version was named before the process began was taken from whether the table counted as read and a configuration was there, and both hold already while the first answer is taken in, if the configuration comes before the version. Peers' words don't help: they reach back to the start of the process at most.

Ruled out: an order of the records in which it worked (version before configuration) is as before.

Change: the node says whether what it takes in is the first of its table.

Before: no version was due.

--- a/crates/gradeloft_gateway/src/entry/learn.rs
+++ b/crates/gradeloft_gateway/src/entry/learn.rs
@@ -121,7 +121,7 @@
     fn name_weights(&self, model: String, version: u64, named_at: Time) {
         let now = self.node.clock.now();
         // What was named before this process started may be due already.
-        let started = !self.node.loaded(Table::Operator) || self.config.borrow().is_none();
+        let started = self.node.beginning() || self.config.borrow().is_none();
         let version_ms = self.node.settings().version_ms;
         let before_end = |ms: u64| match started {
             true => now,
--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -116,6 +116,8 @@
     brief: RefCell<Brief>,
     /// Where the records that are being taken in came from.
     source: Cell<Source>,
+    /// Whether they are the first of their table.
+    beginning: Cell<bool>,
     /// What was said last of a store that does not serve.
     store_trouble: Cell<Option<&'static str>>,
     observer: RefCell<Option<Observer>>,
@@ -161,6 +163,7 @@
             peer_sound: Cell::default(),
             brief: RefCell::default(),
             source: Cell::default(),
+            beginning: Cell::default(),
             store_trouble: Cell::default(),
             observer: RefCell::default(),
             socket,
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -119,6 +119,12 @@
         }
     }
 
+    /// Whether what is being taken in is the first of its table. Nothing is known of when it was written, also
+    /// not by peers: their words reach back to the start of this process.
+    pub fn beginning(&self) -> bool {
+        self.beginning.get()
+    }
+
     /// Newest records of a table.
     pub fn records(&self, table: Table) -> Vec<Record> {
         let copies = self.copies.borrow();
@@ -131,6 +137,7 @@
     }
 
     fn apply(&self, table: Table, update: Update) {
+        self.beginning.set(!self.loaded(table));
         let changed = self.copies.borrow_mut()[index(table)].apply(update);
         self.observed(table, changed);
     }
@@ -181,6 +188,7 @@
     /// Takes in records from beyond the end of the copy, since something large before them is still on its
     /// way. The copy goes no further by that.
     pub(super) fn take_ahead(&self, table: Table, records: Vec<Record>, source: Source) {
+        self.beginning.set(!self.loaded(table));
         let changed = self.copies.borrow_mut()[index(table)].ahead(records);
         if table == Table::Operator
             && !changed.is_empty()
