Take reading as interrupted from a pause of 0.3 s between reads

Cause: a pause of up to 0.75 s counted as steady, so a record written 0.72 s before it was read counted as new, while entries keep 0.8 s and 0.5 s of a version's time in reserve. The usual pauses are 0.05 s, and 0.15 s after a failure.

--- a/crates/gradeloft_policy/src/process/ages.rs
+++ b/crates/gradeloft_policy/src/process/ages.rs
@@ -12,7 +12,7 @@
 
 /// Pause between two good reads from which on reading was interrupted, in milliseconds: the pause between
 /// reads of the operator's table is 50 ms, and the longest after a single failure 150 ms.
-const STEADY_PAUSE_MS: u64 = 750;
+const STEADY_PAUSE_MS: u64 = 300;
 /// Time after the end of its wait by which a read's answer is here if nothing holds it up, in milliseconds:
 /// entries require new weights early enough for what was learned so late.
 const LATE_MS: u64 = 300;
