--- a/crates/gradeloft_policy/tests/admission.rs
+++ b/crates/gradeloft_policy/tests/admission.rs
@@ -19,7 +19,7 @@
     },
 };
 use proptest::prelude::*;
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use support::listing;
@@ -187,6 +187,27 @@
     assert_eq!(age(1_000, 20_000), 0);
 }
 
+/// Callers that wait for 5.1 to 6 seconds, and some that were refused and came back after two. By the most that any
+/// of them told, three in five first tries were up to 0.9 s old and late before they began.
+#[test]
+fn first_tries_of_callers_that_differ_in_patience_are_fresh() {
+    let route: Rc<str> = "r".into();
+    let mut patience = Patience::default();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let (mut late, mut missed) = (0, 0);
+    for number in 0..400_u64 {
+        let comes_back = number % 12 == 11;
+        let whole = rng.random_range(5_100..6_000);
+        let left = if comes_back { whole - 2_000 } else { whole };
+        let now = Time::ZERO.after_ms(number * 250);
+        let age = patience.age(&route, Duration::from_millis(left), now);
+        let fresh = age <= Duration::from_millis(200);
+        late += u32::from(!comes_back && !fresh && 20 < number);
+        missed += u32::from(comes_back && fresh && 20 < number);
+    }
+    assert_eq!((late, missed), (0, 0));
+}
+
 #[test]
 fn what_callers_of_a_route_that_is_gone_told_is_forgotten() {
     let route: Rc<str> = "r".into();
