Where callers all wait as long, the most that any told stays what first tries tell

Change: if a third of the requests tell the most but for one in a hundred, callers are alike, and the most counts.

--- a/crates/gradeloft_policy/src/request/age.rs
+++ b/crates/gradeloft_policy/src/request/age.rs
@@ -13,11 +13,16 @@
 const WINDOW_MS: u64 = 10_000;
 /// Requests of a window that are looked at: the tenth of them that tells least is known well enough then.
 const SAMPLES: usize = 64;
-/// Requests of a window below which the most that one of them told stands for first tries: of so few, a tenth
-/// is none.
-const FEW: usize = 8;
-/// Part of the requests of a window that may have less time left than first tries: those that come back. In a
-/// shortage it is more; the window before it tells then.
+/// Requests of a window below which the most that one of them told stands for first tries: it can't be seen whether
+/// callers differ.
+const FEW: usize = 16;
+/// Callers are alike if so large a part of them tell the most, but for so small a part of it. One in two of those that
+/// come back, as each does once at most in the longest shortage, leaves twice as many; of callers that differ by a
+/// seventh, it is one in fourteen.
+const ALIKE: f64 = 1.0 / 3.0;
+const NEARLY: f64 = 0.01;
+/// Part of the requests of a window that may have less time left than first tries, where callers differ: those that
+/// come back. In a shortage it is more; the window before it tells then.
 const RETURNED: f64 = 0.1;
 
 /// What callers of one route told.
@@ -54,8 +59,10 @@
 
 /// What first tries among these told at least.
 fn first_try(told: &[Duration]) -> Option<Duration> {
-    if told.len() < FEW {
-        return told.last().copied();
+    let most = *told.last()?;
+    let nearly = told.partition_point(|it| *it < most.mul_f64(1.0 - NEARLY));
+    if told.len() < FEW || told.len() as f64 * ALIKE <= (told.len() - nearly) as f64 {
+        return Some(most);
     }
     told.get((told.len() as f64 * RETURNED) as usize).copied()
 }
--- a/crates/gradeloft_policy/tests/admission.rs
+++ b/crates/gradeloft_policy/tests/admission.rs
@@ -208,6 +208,24 @@
     assert_eq!((late, missed), (0, 0));
 }
 
+/// In a shortage that outlasts what is remembered, every second request comes back after a second or two. Where callers
+/// all wait as long, each is told from a first try all the same.
+#[test]
+fn in_a_long_shortage_callers_that_are_alike_are_as_old_as_the_time_that_they_lack() {
+    let route: Rc<str> = "r".into();
+    let mut patience = Patience::default();
+    for number in 0..400_u64 {
+        let waited = if number % 2 == 1 {
+            1_000 + number * 2
+        } else {
+            0
+        };
+        let left = Duration::from_millis(6_000 - waited);
+        let age = patience.age(&route, left, Time::ZERO.after_ms(number * 250));
+        assert_eq!(age, Duration::from_millis(waited), "request {number}");
+    }
+}
+
 #[test]
 fn what_callers_of_a_route_that_is_gone_told_is_forgotten() {
     let route: Rc<str> = "r".into();
