Replicas take a version one after the other over the time that it has

Change: within the waves, which stay, each replica has its turn by its rank, spread from when it has the version to 0.75 of the version's time, 5 s at most; a superseded version is loaded over 0.3 of a version's time in place of 1.6 s (few replicas: 0.7 s each, as the one that was ordered last has to be closed until the next is). New: closed at most a quarter at once, the last load done before requests need it; a late version is loaded at once.

--- a/crates/gradeloft_gateway/src/agent/change.rs
+++ b/crates/gradeloft_gateway/src/agent/change.rs
@@ -164,7 +164,11 @@
         self.tell();
         let loaded = self.load(version, wave).await;
         if self.target().as_ref() != Some(version) {
-            let until = self.node.clock.now().after_ms(wave.closed_ms());
+            let until = self
+                .node
+                .clock
+                .now()
+                .after_ms(wave.closed_ms(self.node.settings().version_ms));
             self.closed_until.set(until);
         }
         self.loading.set(false);
@@ -191,6 +195,7 @@
         let mut wave = Wave::of(version.number, own, others);
         let version_ms = self.node.settings().version_ms;
         let mut superseded_since = None;
+        let ready = self.node.clock.now();
         loop {
             let serves = self.state.get().is_some_and(|it| it.version.is_some());
             let switched = self.switched(version);
@@ -204,8 +209,11 @@
                 let readers = self.readers(&newer, &all);
                 wave = Wave::after(version.number, own, others, &readers);
             }
-            let superseded = superseded_since.is_some_and(|it| wave.may_load_superseded(it, now));
-            if !serves || superseded || wave.may_load(switched, named, version_ms, now) {
+            let superseded =
+                superseded_since.is_some_and(|it| wave.may_load_superseded(it, version_ms, now));
+            let regular = wave.may_load(switched, named, version_ms, now)
+                && wave.has_turn(ready, named, version_ms, now);
+            if !serves || superseded || regular {
                 return wave;
             }
             actix_rt::time::sleep(ASK_LOADING).await;
--- a/crates/gradeloft_policy/src/version/waves.rs
+++ b/crates/gradeloft_policy/src/version/waves.rs
@@ -6,6 +6,8 @@
 //! streams of the last wave no replica with their version is left, so it finishes them. The waves are
 //! drawn by rendezvous hashing, so every agent knows its own without asking.
 
+use std::time::Duration;
+
 use crate::{clock::Time, rendezvous};
 
 /// Waves, where there are as many replicas. With two, half of a fleet at full load was away at once,
@@ -18,10 +20,17 @@
 const LATEST_FIRST: f64 = 0.5;
 const LATEST_LAST: f64 = 0.65;
 
-/// Time over which the replicas of a fleet load a superseded version, one after the other, in milliseconds: four
-/// loads. Each stages the newer version once it has begun to load this one. In waves of a quarter each, and closed
-/// for 0.7 s more, up to three quarters of a fleet were closed at once.
-const SUPERSEDED_MS: u64 = 1_600;
+/// Part of the time for a version by which the last replica begins to load it, where all have it in time: a load, and
+/// two seconds for the last ones to finish their streams, before requests need it.
+const LAST_TURN: f64 = 0.75;
+/// Longest time over which the replicas of a fleet begin to load a version that they all have: a load takes half a
+/// second with what leads up to it, so a tenth of them is closed at once.
+const SPREAD: Duration = Duration::from_secs(5);
+/// Part of the time for a version over which the replicas of a fleet load one that is superseded, one after the
+/// other: each stages the newer version once it has begun to load this one, and its pieces need a third of its time to
+/// come. In waves of a quarter each, and closed for 0.7 s more, up to three quarters of a fleet were closed at once; over
+/// 1.6 s of 9.7 up to two fifths.
+const SUPERSEDED_PART: f64 = 0.3;
 /// Replicas that are ordered to load after one before it is open again, while they go on.
 const FOLLOWERS: u64 = 3;
 /// Time for which the last ones get no requests after an order for a superseded version, in milliseconds. Should
@@ -66,6 +75,13 @@
     }
 }
 
+/// Time over which `all` replicas load a superseded version, in milliseconds. Few do so faster, as the one that was
+/// ordered last has to be closed until the next one is.
+fn superseded_ms(version_ms: u64, all: usize) -> u64 {
+    let over_ms = (version_ms as f64 * SUPERSEDED_PART) as u64;
+    over_ms.min(LAST_CLOSED_MS * all as u64)
+}
+
 /// The wave of one replica.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Wave {
@@ -112,19 +128,28 @@
         back || named.after_ms((version_ms as f64 * self.latest()) as u64) <= now
     }
 
+    /// Whether it is the replica's turn, of a fleet that has a version ready since `ready`: one after the other, for as
+    /// long as the version is not needed. A fleet that is nearly full has as little to spare at each moment as it can.
+    pub fn has_turn(self, ready: Time, named: Time, version_ms: u64, now: Time) -> bool {
+        let last = named.after_ms((version_ms as f64 * LAST_TURN) as u64);
+        let over = last.since(ready).min(SPREAD);
+        ready.after(over * self.rank as u32 / self.all as u32) <= now
+    }
+
     /// As [`Wave::may_load`], for a version that is known to be superseded since `since`: one replica after
     /// the other without waiting for any, as the newer version is waited for already.
-    pub fn may_load_superseded(self, since: Time, now: Time) -> bool {
-        since.after_ms(SUPERSEDED_MS * self.rank as u64 / self.all as u64) <= now
+    pub fn may_load_superseded(self, since: Time, version_ms: u64, now: Time) -> bool {
+        let over_ms = superseded_ms(version_ms, self.all);
+        since.after_ms(over_ms * self.rank as u64 / self.all as u64) <= now
     }
 
     /// Time for which the replica gets no requests after an order for a superseded version, in milliseconds:
     /// until some others have been ordered to.
-    pub fn closed_ms(self) -> u64 {
+    pub fn closed_ms(self, version_ms: u64) -> u64 {
         if self.all < self.rank + 1 + FOLLOWERS as usize {
             return LAST_CLOSED_MS;
         }
-        (SUPERSEDED_MS * FOLLOWERS / self.all as u64).min(LAST_CLOSED_MS)
+        (superseded_ms(version_ms, self.all) * FOLLOWERS / self.all as u64).min(LAST_CLOSED_MS)
     }
 
     /// What becomes of the requests that run. Cutting needs streams that can all go on elsewhere.
