--- a/crates/gradeloft_gateway/src/agent/fetch.rs
+++ b/crates/gradeloft_gateway/src/agent/fetch.rs
@@ -45,8 +45,9 @@
     traffic::{Purpose, Reach},
 };
 
-/// Pieces read from the origin at once by one agent.
-pub const ORIGIN_SLOTS: usize = 2;
+/// Pieces read from the origin at once by one agent. All readers together keep it busy with one each, and one that
+/// breaks off is asked for again behind half as many: with two, a second later.
+pub const ORIGIN_SLOTS: usize = 1;
 /// Pieces asked of one peer at once.
 const PER_SOURCE: u32 = 2;
 /// Time after which an ask counts as stalled, in milliseconds: all pieces that may wait for a slot
--- a/crates/gradeloft_gateway/src/agent/fill.rs
+++ b/crates/gradeloft_gateway/src/agent/fill.rs
@@ -22,6 +22,9 @@
 /// Time for which readers are asked for a manifest before the origin is, in milliseconds: several
 /// times what a reader needs to learn the members and to read it.
 const READERS_MS: u64 = 900;
+/// Time for the origin to send a manifest before other readers are asked for it as well: an origin that has nothing else
+/// to send does so in a few milliseconds for each reader.
+const HEAD_START: Duration = Duration::from_millis(80);
 /// Pause before another reader is asked.
 const READER_PAUSE: Duration = Duration::from_millis(50);
 /// An agent that can hold pieces.
@@ -173,7 +176,20 @@
     version: &Version,
     members: &[Member],
 ) -> Result<Vec<Digest>, String> {
-    if let Some(digests) = readers_manifest(agent, version, members).await {
+    let nodes: Vec<u64> = members.iter().map(|it| it.node).collect();
+    let readers = agent.readers(version, &nodes);
+    let reads = readers.contains(&node_hash(agent.replica));
+    let readers: Vec<SocketAddr> = members
+        .iter()
+        .filter(|it| readers.contains(&it.node) && it.address.ip() != agent.replica.ip())
+        .map(|it| it.address)
+        .collect();
+    let told = if reads {
+        manifest_for_reader(agent, version, &readers).await
+    } else {
+        readers_manifest(agent, version, &readers).await
+    };
+    if let Some(digests) = told {
         return Ok(digests);
     }
     let mut last = match origin_manifest(agent, version).await {
@@ -194,26 +210,32 @@
     Err(format!("manifest: {last}"))
 }
 
-/// The manifest as a reader of the version has it; `None` for readers themselves, and if none of them
-/// tells in time.
-async fn readers_manifest(
+/// The manifest as the origin has it, or one of the other readers, whichever tells first. A reader that learns of a
+/// version a moment late finds the origin's link full of pieces, and its answer comes a second later.
+async fn manifest_for_reader(
     agent: &Agent,
     version: &Version,
-    members: &[Member],
+    others: &[SocketAddr],
 ) -> Option<Vec<Digest>> {
-    let nodes: Vec<u64> = members.iter().map(|it| it.node).collect();
-    let readers = agent.readers(version, &nodes);
-    let own = node_hash(agent.replica);
-    if readers.contains(&own) {
-        return None;
+    let from_others = async {
+        actix_rt::time::sleep(HEAD_START).await;
+        readers_manifest(agent, version, others).await
+    };
+    tokio::select! {
+        Ok(digests) = origin_manifest(agent, version) => Some(digests).filter(|it| !it.is_empty()),
+        Some(digests) = from_others => Some(digests),
+        else => None,
     }
-    let readers: Vec<SocketAddr> = members
-        .iter()
-        .filter(|it| readers.contains(&it.node))
-        .map(|it| it.address)
-        .collect();
+}
+
+/// The manifest as a reader of the version has it; `None` if none of them tells in time.
+async fn readers_manifest(
+    agent: &Agent,
+    version: &Version,
+    readers: &[SocketAddr],
+) -> Option<Vec<Digest>> {
     let until = agent.node.clock.now().after_ms(READERS_MS);
-    let first = own as usize % readers.len().max(1);
+    let first = node_hash(agent.replica) as usize % readers.len().max(1);
     // Each agent begins with another reader, so that no reader is asked by all.
     for address in readers.iter().cycle().skip(first) {
         if until <= agent.node.clock.now() {
--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -69,8 +69,8 @@
 
 /// Part of the link that pieces of weights may use; the rest is for requests and tokens.
 const LINK_USED: f64 = 0.85;
-/// Connections of one reader to the origin: its pieces, and a manifest.
-const READER_CONNECTIONS: u32 = fetch::ORIGIN_SLOTS as u32 + 1;
+/// Connections of one reader to the origin: its pieces, a manifest, and one that is about to end.
+const READER_CONNECTIONS: u32 = fetch::ORIGIN_SLOTS as u32 + 2;
 /// Bytes of a piece where the configuration does not tell.
 const PIECE_BYTES: u64 = 49_152;
 
--- a/crates/gradeloft_policy/src/version/fetch/mod.rs
+++ b/crates/gradeloft_policy/src/version/fetch/mod.rs
@@ -85,7 +85,7 @@
             sources: SlotMap::with_key(),
             members: Vec::new(),
             outside: Outside::default(),
-            hedge: Hedge::default(),
+            hedge: Hedge::new(now),
             asked: 0,
             asked_outside: 0,
             left,
