A request that finds no room waits for its objective, and a stream that is to go on for 1.2 s

Cause: an entry refused a request at once when none of its slots was free, though a replica ends a request each eighth of a second and the entry has slots at twenty; callers ask twice at most. Tests: entry/waiting.rs, a table of cases in admission.rs.

--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -12,6 +12,7 @@
     request::{
         attempt::{Failure, Progress, Ran},
         placement::{self, Census, Claim, Wish},
+        wait,
     },
 };
 use gradeloft_wire::{frame::Table, id::Fingerprint};
@@ -71,8 +72,10 @@
     pub keeps: bool,
     /// Failures so far, for the log.
     trail: Vec<Failure>,
-    /// Why no replica was found, for the log.
+    /// Why no replica was found when one was looked for last.
     census: Option<Census>,
+    /// Since when none is found.
+    waits_since: Option<Time>,
     fingerprint: OnceCell<Fingerprint>,
     /// Held while no request like it may be under way at this entry.
     pub(super) only: Option<Try>,
@@ -195,6 +198,7 @@
         keeps,
         trail: Vec::new(),
         census: None,
+        waits_since: None,
         fingerprint: OnceCell::new(),
         only: None,
     }
@@ -227,9 +231,14 @@
             });
         }
         let Some(replica) = choose(entry, &mut job, now) else {
-            job.census = Some(census(entry, &job, now));
-            break exhausted(&job);
+            match room(entry, caller, &mut job, now).await {
+                Room::MayBe => continue,
+                Room::None => break exhausted(&job),
+                Room::NotNeeded => break Outcome::Gone,
+            }
         };
+        job.census = None;
+        job.waits_since = None;
         if 0 < job.progress.attempts && !entry.take_repeat(&job.service) {
             break exhausted(&job);
         }
@@ -260,6 +269,45 @@
     finish(entry, caller, job, stored, outcome).await
 }
 
+/// What came of a wait for a replica with room.
+enum Room {
+    /// A replica may have some by now.
+    MayBe,
+    /// None is waited for any longer.
+    None,
+    /// The caller has gone.
+    NotNeeded,
+}
+
+/// Waits until a replica may have room for a request that found none.
+async fn room(entry: &Entry, caller: &mut Wire, job: &mut Job, now: Time) -> Room {
+    // Others like it may go first.
+    job.only = None;
+    let census = census(entry, job, now);
+    job.census = Some(census);
+    let since = *job.waits_since.get_or_insert(now);
+    let objective = Duration::from_millis(job.route.goal_ms);
+    let until = wait::until(
+        job.claim,
+        census,
+        job.received.at,
+        objective,
+        job.deadline,
+        since,
+        entry.refuses(&job.service, now),
+    );
+    let Some(until) = until.filter(|it| now < *it && entry.speed(&job.service).is_some()) else {
+        return Room::None;
+    };
+    let look = until.min(now.after_ms(wait::LOOK_MS));
+    tokio::select! {
+        biased;
+        () = caller.gone() => Room::NotNeeded,
+        () = entry.room.notified() => Room::MayBe,
+        () = entry.node.timers.sleep_until(look) => Room::MayBe,
+    }
+}
+
 /// The replica that gets a request: first of all one by which it can be in time.
 fn choose(entry: &Entry, job: &mut Job, now: Time) -> Option<ReplicaKey> {
     job.claim = match job.head_sent {
@@ -271,7 +319,10 @@
         job.claim = weaker;
         chosen = choose_by_version(entry, job, now);
     }
-    entry.count_choice(&job.service, chosen);
+    // One that waits was counted when it came.
+    if job.waits_since.is_none() {
+        entry.count_choice(&job.service, chosen);
+    }
     chosen
 }
 
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -124,6 +124,8 @@
     pub pool: Pool,
     /// Told when the process begins to leave.
     pub left: Notify,
+    /// Told when a replica may have room for one more request.
+    pub room: Notify,
     roster: RefCell<Roster>,
     /// Versions of each model's weights that replicas are to serve.
     weights: RefCell<HashMap<String, Named>>,
@@ -173,6 +175,7 @@
             config: RefCell::default(),
             replicas: RefCell::default(),
             left: Notify::new(),
+            room: Notify::new(),
             roster: RefCell::default(),
             weights: RefCell::default(),
             budgets: RefCell::default(),
--- a/crates/gradeloft_gateway/src/entry/view.rs
+++ b/crates/gradeloft_gateway/src/entry/view.rs
@@ -96,6 +96,12 @@
         demand.beyond.count(now);
     }
 
+    /// Whether callers of a service have been refused for want of room a moment ago.
+    pub fn refuses(&self, service: &str, now: Time) -> bool {
+        let shortages = self.shortages.borrow();
+        shortages.get(service).is_some_and(|it| it.lasts(now))
+    }
+
     /// When the caller of a request that found no replica is to come back.
     pub fn back_in(&self, job: &Job) -> Duration {
         let now = self.node.clock.now();
--- a/crates/gradeloft_gateway/tests/entry/main.rs
+++ b/crates/gradeloft_gateway/tests/entry/main.rs
@@ -10,3 +10,4 @@
 mod restarts;
 mod support;
 mod suspended;
+mod waiting;
--- a/crates/gradeloft_gateway/tests/entry/support/mod.rs
+++ b/crates/gradeloft_gateway/tests/entry/support/mod.rs
@@ -24,7 +24,7 @@
     fleet::{Decoder, Directory, Headers, Order, Origin},
 };
 use gradeloft_policy::process::{
-    document::{CallerLimits, Document, Kind, Route, Service, Target},
+    document::{CallerLimits, Document, Kind, Route, Service, Speed, Target},
     mirror::Record,
     repeats,
     replicas::Listing,
@@ -149,6 +149,10 @@
     pub(crate) timeout_ms: u64,
     /// Largest body that callers may send, in bytes.
     pub(crate) body_bytes: usize,
+    /// Time within which an answer is in time, in milliseconds.
+    pub(crate) goal_ms: u64,
+    /// Slots of each replica, if they run a model; else they run none, and eight requests at once.
+    pub(crate) model_slots: Option<u32>,
 }
 
 impl Shape {
@@ -159,10 +163,22 @@
             max_attempts: 2,
             timeout_ms: 8_000,
             body_bytes: 1 << 20,
+            goal_ms: 100,
+            model_slots: None,
         }
     }
 }
 
+/// Engines that begin an answer a few milliseconds after its request.
+const SPEED: Speed = Speed {
+    step_ms: 1.0,
+    step_ms_per_request: 0.0,
+    steps: 1,
+    read_per_ms: 1_000.0,
+    usual_prompt: 10.0,
+    usual_answer: 1.0,
+};
+
 /// An entry before replicas.
 pub(crate) struct World {
     /// The platform's tables.
@@ -185,7 +201,7 @@
             weight: 1.0,
         }],
         timeout_ms: shape.timeout_ms,
-        goal_ms: 100,
+        goal_ms: shape.goal_ms,
         max_attempts: shape.max_attempts,
         priority: 1,
         public: false,
@@ -197,7 +213,7 @@
             name: "s".into(),
             max_connections: 100,
             layout: None,
-            speed: None,
+            speed: shape.model_slots.map(|_| SPEED),
             models: vec!["m".to_owned()],
             origin: None,
         }],
@@ -283,7 +299,12 @@
         for (idx, script) in scripts.into_iter().enumerate() {
             let bind = format!("{}:8540", address(100 + idx as u8));
             let replica = Scripted::start(&bind, script).await.unwrap();
-            let listing = listing(idx, replica.address);
+            let mut listing = listing(idx, replica.address);
+            if let Some(slots) = shape.model_slots {
+                listing.slots = slots;
+                listing.has_model = true;
+                listing.version = Some(1);
+            }
             listings.insert(listing.id.to_string(), listing);
             replicas.push(replica);
         }
--- a/crates/gradeloft_policy/src/request/mod.rs
+++ b/crates/gradeloft_policy/src/request/mod.rs
@@ -11,6 +11,7 @@
 //! - [`retry`]: whether a failed attempt is tried again.
 //! - [`route`]: which replica gets it.
 //! - [`shortage`]: when callers that are refused come back.
+//! - [`wait`]: how long a request waits for a replica with room.
 
 pub mod admission;
 pub mod age;
@@ -23,3 +24,4 @@
 pub mod retry;
 pub mod route;
 pub mod shortage;
+pub mod wait;
--- a/crates/gradeloft_policy/src/request/shortage.rs
+++ b/crates/gradeloft_policy/src/request/shortage.rs
@@ -9,6 +9,9 @@
 /// Time without a refusal after which a shortage is over, in milliseconds: several times the pause
 /// between two requests at one entry.
 const OVER_MS: u64 = 300;
+/// Time without a refusal after which want of room counts as a moment's again, in milliseconds: several times an objective
+/// of today, for which requests wait before the first of them is refused.
+const CALM_MS: u64 = 2_000;
 /// Shortest time to come back, in milliseconds: about the time in which a slot frees at a busy replica.
 /// With half a second 0.893 in place of 0.916 are in time at just what the fleet can answer (emulated).
 const SHORTEST_MS: f64 = 60.0;
@@ -30,6 +33,13 @@
 }
 
 impl Shortage {
+    /// Whether callers have been refused lately. A request waits in a moment's want of room only: in a lasting one it
+    /// would take the place of one that came later and can still be in time.
+    pub fn lasts(self, now: Time) -> bool {
+        self.span
+            .is_some_and(|(_, last)| now < last.after_ms(CALM_MS))
+    }
+
     /// A caller that still has `left` is refused; gives when it is to come back.
     pub fn refuse(&mut self, left: Duration, now: Time, rng: &mut impl Rng) -> Duration {
         let since = match self.span {
--- a/crates/gradeloft_policy/tests/admission.rs
+++ b/crates/gradeloft_policy/tests/admission.rs
@@ -14,8 +14,9 @@
     request::{
         age::Patience,
         forecast::{Queue, Slowness, first_token_ms},
-        placement::{self, Claim, Doubt, Wish},
+        placement::{self, Census, Claim, Doubt, Wish},
         shortage::Shortage,
+        wait,
     },
 };
 use proptest::prelude::*;
@@ -277,3 +278,55 @@
         prop_assert!(most - least <= 2 + slots + replicas as u32, "{least}..{most}");
     }
 }
+
+#[rstest]
+// For as long as it can be in time.
+#[case(Claim::Timely(500.0), 5, 500, 6_000, Some(1_500))]
+#[case(Claim::Late, 5, 500, 6_000, Some(1_500))]
+// A quarter of the caller's time at most.
+#[case(Claim::Timely(500.0), 5, 500, 1_000, Some(1_250))]
+// A stream that goes on, from when it broke.
+#[case(Claim::Begun, 5, 500, 6_000, Some(3_200))]
+#[case(Claim::Begun, 5, 500, 1_500, Some(2_500))]
+// No replica takes requests at all: the caller is told at once.
+#[case(Claim::Timely(500.0), 0, 500, 6_000, None)]
+#[case(Claim::Begun, 0, 500, 6_000, None)]
+fn a_request_waits_for_room_while_that_is_of_use(
+    #[case] claim: Claim,
+    #[case] full: u32,
+    #[case] objective_ms: u64,
+    #[case] time_ms: u64,
+    #[case] until_ms: Option<u64>,
+) {
+    let census = Census {
+        full,
+        ..Census::default()
+    };
+    let received = Time::ZERO.after_ms(1_000);
+    let until = |refused| {
+        let until = wait::until(
+            claim,
+            census,
+            received,
+            Duration::from_millis(objective_ms),
+            received.after_ms(time_ms),
+            Time::ZERO.after_ms(2_000),
+            refused,
+        );
+        until.map(|it| it.since(Time::ZERO).as_millis() as u64)
+    };
+    assert_eq!(until(false), until_ms);
+    // While others are refused, only streams that go on wait.
+    let waits = claim == Claim::Begun;
+    assert_eq!(until(true), until_ms.filter(|_| waits));
+}
+
+#[test]
+fn want_of_room_is_a_moments_again_after_two_seconds_without_a_refusal() {
+    let mut shortage = Shortage::default();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    assert!(!shortage.lasts(Time::ZERO));
+    shortage.refuse(Duration::from_secs(6), Time::ZERO, &mut rng);
+    assert!(shortage.lasts(Time::ZERO.after_ms(1_999)));
+    assert!(!shortage.lasts(Time::ZERO.after_ms(2_000)));
+}
