Which replica gets a request has a module of its own

Change: a move of the choice, the census and the wait to entry::choice, a name (CallerGone), two comments that a newcomer stumbled on; nothing else.

--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -5,14 +5,13 @@
 use gradeloft_policy::{
     clock::Time,
     process::{
-        document::{Config, Denied, Kind, Route, Speed},
+        document::{Config, Denied, Kind, Route},
         replicas::ReplicaKey,
         standing::Standing,
     },
     request::{
         attempt::{Failure, Progress, Ran},
-        placement::{self, Census, Claim, Wish},
-        wait,
+        placement::{Census, Claim},
     },
 };
 use gradeloft_wire::{frame::Table, id::Fingerprint};
@@ -22,6 +21,7 @@
     Entry,
     answer::Refusal,
     attempt::{self, Ended},
+    choice::{self, Room},
     front::{After, Received, refuse},
     quarantine::Try,
     relay::Stored,
@@ -73,9 +73,9 @@
     /// Failures so far, for the log.
     trail: Vec<Failure>,
     /// Why no replica was found when one was looked for last.
-    census: Option<Census>,
+    pub(super) census: Option<Census>,
     /// Since when none is found.
-    waits_since: Option<Time>,
+    pub(super) waits_since: Option<Time>,
     fingerprint: OnceCell<Fingerprint>,
     /// Held while no request like it may be under way at this entry.
     pub(super) only: Option<Try>,
@@ -230,11 +230,11 @@
                 Ran::Unknown => Refusal::Lost,
             });
         }
-        let Some(replica) = choose(entry, &mut job, now) else {
-            match room(entry, caller, &mut job, now).await {
+        let Some(replica) = choice::choose(entry, &mut job, now) else {
+            match choice::room(entry, caller, &mut job, now).await {
                 Room::MayBe => continue,
                 Room::None => break exhausted(&job),
-                Room::NotNeeded => break Outcome::Gone,
+                Room::CallerGone => break Outcome::Gone,
             }
         };
         job.census = None;
@@ -269,122 +269,6 @@
     finish(entry, caller, job, stored, outcome).await
 }
 
-/// What came of a wait for a replica with room.
-enum Room {
-    /// A replica may have some by now.
-    MayBe,
-    /// None is waited for any longer.
-    None,
-    /// The caller has gone.
-    NotNeeded,
-}
-
-/// Waits until a replica may have room for a request that found none.
-async fn room(entry: &Entry, caller: &mut Wire, job: &mut Job, now: Time) -> Room {
-    // Others like it may go first.
-    job.only = None;
-    let census = census(entry, job, now);
-    job.census = Some(census);
-    let since = *job.waits_since.get_or_insert(now);
-    let objective = Duration::from_millis(job.route.goal_ms);
-    let until = wait::until(
-        job.claim,
-        census,
-        job.received.at,
-        objective,
-        job.deadline,
-        since,
-        entry.refuses(&job.service, now),
-    );
-    let Some(until) = until.filter(|it| now < *it && entry.speed(&job.service).is_some()) else {
-        return Room::None;
-    };
-    let look = until.min(now.after_ms(wait::LOOK_MS));
-    tokio::select! {
-        biased;
-        () = caller.gone() => Room::NotNeeded,
-        () = entry.room.notified() => Room::MayBe,
-        () = entry.node.timers.sleep_until(look) => Room::MayBe,
-    }
-}
-
-/// The replica that gets a request: first of all one by which it can be in time.
-fn choose(entry: &Entry, job: &mut Job, now: Time) -> Option<ReplicaKey> {
-    job.claim = match job.head_sent {
-        true => Claim::Begun,
-        false => Claim::of(job.goal.since(now)),
-    };
-    let mut chosen = choose_by_version(entry, job, now);
-    if let Some(weaker) = job.claim.weaker().filter(|_| chosen.is_none()) {
-        job.claim = weaker;
-        chosen = choose_by_version(entry, job, now);
-    }
-    // One that waits was counted when it came.
-    if job.waits_since.is_none() {
-        entry.count_choice(&job.service, chosen);
-    }
-    chosen
-}
-
-fn choose_by_version(entry: &Entry, job: &Job, now: Time) -> Option<ReplicaKey> {
-    // Asked again for each attempt: a version may have become due meanwhile.
-    let oldest = entry.oldest_versions(&job.service);
-    let preferred = choose_from(entry, job, oldest.preferred, now);
-    if preferred.is_some() || oldest.preferred == oldest.allowed {
-        return preferred;
-    }
-    choose_from(entry, job, oldest.allowed, now)
-}
-
-/// Why none of a service's replicas can get a request now.
-fn census(entry: &Entry, job: &Job, now: Time) -> Census {
-    let settings = entry.node.settings();
-    let speed = entry.speed(&job.service);
-    let wish = Wish {
-        oldest: entry.oldest_versions(&job.service).allowed,
-        ..wish(entry, job, &settings.zone, speed.as_ref(), now)
-    };
-    placement::census(entry.replicas.borrow().of(&job.service), wish, now)
-}
-
-fn choose_from(entry: &Entry, job: &Job, oldest: Option<u64>, now: Time) -> Option<ReplicaKey> {
-    let settings = entry.node.settings();
-    let speed = entry.speed(&job.service);
-    let wish = Wish {
-        oldest,
-        ..wish(entry, job, &settings.zone, speed.as_ref(), now)
-    };
-    let replicas = entry.replicas.borrow();
-    let most = entry.connections_each(&job.service);
-    let open = replicas
-        .of(&job.service)
-        .filter(|(key, _)| entry.pool.used(*key) < most);
-    entry
-        .node
-        .with_rng(|rng| placement::choose(open, wish, now, rng))
-}
-
-fn wish<'a>(
-    entry: &Entry,
-    job: &'a Job,
-    zone: &'a str,
-    speed: Option<&'a Speed>,
-    now: Time,
-) -> Wish<'a> {
-    let view = entry.view(&job.service, now);
-    Wish {
-        zone,
-        oldest: None,
-        same: job.version,
-        tried: &job.tried,
-        claim: job.claim,
-        prompt_tokens: job.prompt_tokens,
-        speed,
-        near: view.near,
-        far: view.far,
-    }
-}
-
 fn failed(entry: &Entry, job: &mut Job, replica: ReplicaKey, failure: Failure) {
     job.progress.ended(failure);
     job.trail.push(failure);
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`answer`]: answers that an entry gives by itself.
 //! - [`attempt`]: one request sent to one replica.
+//! - [`choice`]: which replica gets a request, and how it waits where none has room.
 //! - [`forward`]: one request, from its route to its end.
 //! - [`front`]: connections of callers.
 //! - [`hear`]: what it hears from others.
@@ -17,6 +18,7 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod choice;
 pub mod forward;
 pub mod front;
 pub mod hear;
--- a/crates/gradeloft_policy/src/request/age.rs
+++ b/crates/gradeloft_policy/src/request/age.rs
@@ -16,9 +16,9 @@
 /// Requests of a window below which the most that one of them told stands for first tries: it can't be seen whether
 /// callers differ.
 const FEW: usize = 16;
-/// Callers are alike if so large a part of them tell the most, but for so small a part of it. One in two of those that
-/// come back, as each does once at most in the longest shortage, leaves twice as many; of callers that differ by a
-/// seventh, it is one in fourteen.
+/// Callers are alike if at least this part of them tells the most, give or take [`NEARLY`] of it. Even in a shortage
+/// in which each caller comes back once, half of the requests are first tries; of callers whose patience differs by a
+/// seventh, one in fourteen tells so much.
 const ALIKE: f64 = 1.0 / 3.0;
 const NEARLY: f64 = 0.01;
 /// Part of the requests of a window that may have less time left than first tries, where callers differ: those that
--- a/crates/gradeloft_policy/src/version/fetch/owners.rs
+++ b/crates/gradeloft_policy/src/version/fetch/owners.rs
@@ -1,8 +1,9 @@
 //! Which agent reads each chunk first.
 //!
 //! The origin's link is idle once an agent that owns many chunks is the last to read there, as it asks for a few at
-//! a time. So none owns many more than others: a chunk goes to the first in its rendezvous draw that has not got its part yet. Of
-//! 48 chunks at 13 agents by the draw alone one owned seven and the last ten came in 0.8 s in place of 0.45.
+//! a time. So none owns many more than others: a chunk goes to the first in its rendezvous draw that has not got its
+//! part yet. Of 48 chunks at 13 agents by the draw alone one owned seven and the last ten came in 0.8 s in place of
+//! 0.45.
 
 use crate::rendezvous;
 
