Logs and metrics tell what ended a request without a whole answer

Now one closed list of ends (`entry::ending`), the age of the replica's last bytes, the leave's age and the configuration's version at the start stand in the request's line, with a counter for each end, and one for closes over unread bytes. No change of logic. gradeloft_gateway and gradeloft_policy: 408 tests passed.

--- a/crates/gradeloft_gateway/src/entry/attempt.rs
+++ b/crates/gradeloft_gateway/src/entry/attempt.rs
@@ -11,6 +11,7 @@
 
 use super::{
     Entry,
+    ending::Ending,
     forward::{Expected, Job},
     relay::{self, Stored},
     running::Running,
@@ -39,8 +40,8 @@
     Answered(u16),
     /// No answer that can be passed on as it is; a replica's own failure is kept.
     Failed(Failure, Option<Stored>),
-    /// The caller has gone.
-    Gone,
+    /// Nobody takes an answer any more, or nobody can go on with the one that went out in part.
+    Gone(Ending),
     /// The request's time is over.
     TimedOut,
 }
@@ -57,7 +58,7 @@
     };
     // A caller may have left while its request waited to be read, or during an earlier attempt.
     if caller.has_gone() {
-        return Ended::Gone;
+        return Ended::Gone(Ending::CallerLeft);
     }
     expect(entry, job, replica);
     let running = entry.running(replica, job.prompt_tokens);
@@ -70,7 +71,7 @@
         return Ended::Failed(Failure::Unsent, None);
     }
     if caller.has_gone() {
-        return Ended::Gone;
+        return Ended::Gone(Ending::CallerLeft);
     }
     let bytes = encode(entry, job, &id);
     entry.count_to_replica(Purpose::Requests, replica, bytes.len());
@@ -106,7 +107,7 @@
     entry.node.metrics.connections.inc();
     tokio::select! {
         biased;
-        () = caller.gone() => Err(Ended::Gone),
+        () = caller.gone() => Err(Ended::Gone(Ending::CallerLeft)),
         () = entry.node.timers.sleep_until(job.deadline) => Err(Ended::Failed(Failure::Unsent, None)),
         link = entry.pool.connect(replica, address) => {
             link.map_err(|_| Ended::Failed(Failure::Unsent, None))
@@ -181,7 +182,7 @@
         }
         tokio::select! {
             biased;
-            () = caller.gone() => return Err(Ended::Gone),
+            () = caller.gone() => return Err(Ended::Gone(Ending::CallerLeft)),
             moved = link.wire.exchange(&bytes[sent..]) => match moved {
                 Ok(Moved::Sent(count)) => sent += count,
                 Ok(Moved::Read(0)) | Err(_) => return Err(ended(link, sent)),
@@ -194,7 +195,7 @@
                     return Err(Ended::TimedOut);
                 }
                 if patience <= now {
-                    return Err(Ended::Failed(Failure::Lost, None));
+                    return Err(Ended::Failed(Failure::Silent, None));
                 }
                 let begin_by = begin_by(entry, job, replica);
                 if begin_by.is_some_and(|it| it <= now) {
--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -22,6 +22,7 @@
     answer::Refusal,
     attempt::{self, Ended},
     choice::{self, Room},
+    ending::{Ending, Watched},
     front::{After, Received, refuse},
     quarantine::Try,
     relay::Stored,
@@ -30,7 +31,7 @@
     events::Cursor,
     h1::wire::Wire,
     logs::Topic,
-    metrics::{Ending, Metrics, Reason},
+    metrics::{self, Metrics, Reason},
 };
 
 /// A request on its way, and what happened to it so far.
@@ -68,8 +69,12 @@
     pub version: Option<u64>,
     /// When the answer began.
     pub first_byte: Option<Time>,
+    /// When the present replica sent the last of its answer so far.
+    pub heard: Option<Time>,
     /// Whether the caller's connection may carry another request.
     pub keeps: bool,
+    /// Version of the configuration in force when it came.
+    config: u64,
     /// Failures so far, for the log.
     trail: Vec<Failure>,
     /// Why no replica was found when one was looked for last.
@@ -107,8 +112,8 @@
 enum Outcome {
     Answered(u16),
     /// A stream that broke after its head went out.
-    Cut,
-    Gone,
+    Cut(Ending),
+    Gone(Ending),
     Refused(Refusal),
 }
 
@@ -195,7 +200,9 @@
         cursor: Cursor::default(),
         version: None,
         first_byte: None,
+        heard: None,
         keeps,
+        config: entry.config_version(),
         trail: Vec::new(),
         census: None,
         waits_since: None,
@@ -215,6 +222,7 @@
 
 async fn run(entry: &Rc<Entry>, caller: &mut Wire, mut job: Job) -> After {
     entry.count_request(&job.service);
+    let watched = Watched::begin(entry, id(entry, &job.received), job.received.at);
     let mut stored = None;
     let outcome = loop {
         let now = entry.node.clock.now();
@@ -234,7 +242,7 @@
             match choice::room(entry, caller, &mut job, now).await {
                 Room::MayBe => continue,
                 Room::None => break exhausted(&job),
-                Room::CallerGone => break Outcome::Gone,
+                Room::CallerGone => break Outcome::Gone(Ending::CallerLeft),
             }
         };
         job.census = None;
@@ -249,7 +257,7 @@
                 entry.clear(&job);
                 break Outcome::Answered(status);
             }
-            Ended::Gone => break Outcome::Gone,
+            Ended::Gone(ending) => break Outcome::Gone(ending),
             Ended::TimedOut => {
                 job.progress.ran = Ran::Unknown;
                 break Outcome::Refused(Refusal::TimedOut);
@@ -266,6 +274,7 @@
             }
         }
     };
+    watched.concluded();
     finish(entry, caller, job, stored, outcome).await
 }
 
@@ -288,7 +297,11 @@
 /// What is left when no further replica gets the request.
 fn exhausted(job: &Job) -> Outcome {
     if job.head_sent {
-        return Outcome::Cut;
+        let ending = job
+            .trail
+            .last()
+            .map_or(Ending::Time, |it| Ending::Replica(*it));
+        return Outcome::Cut(ending);
     }
     Outcome::Refused(match job.progress.ran {
         Ran::No => Refusal::NoReplica(Duration::ZERO),
@@ -306,29 +319,29 @@
     let close = !job.keeps || entry.node.leaving.get();
     match outcome {
         Outcome::Answered(status) => {
-            conclude(entry, &job, status, "answered");
+            conclude(entry, &job, status, "answered", None);
             after(!close)
         }
-        Outcome::Cut => {
-            conclude(entry, &job, 0, "cut");
+        Outcome::Cut(ending) => {
+            conclude(entry, &job, 0, "cut", Some(ending));
             After::Close
         }
-        Outcome::Gone => {
-            conclude(entry, &job, 0, "caller_gone");
+        Outcome::Gone(ending) => {
+            conclude(entry, &job, 0, "caller_gone", Some(ending));
             After::Close
         }
         Outcome::Refused(_) if job.head_sent => {
-            conclude(entry, &job, 0, "cut");
+            conclude(entry, &job, 0, "cut", Some(Ending::Time));
             After::Close
         }
         Outcome::Refused(refusal) => {
             // A replica's own failure says more than ours would.
             if let Some(stored) = stored.filter(|_| job.progress.ran == Ran::Unknown) {
-                conclude(entry, &job, stored.status(), "replica_failed");
+                conclude(entry, &job, stored.status(), "replica_failed", None);
                 let sent = stored.send(&entry.node.timers, caller, close).await;
                 return after(sent && !close);
             }
-            conclude(entry, &job, refusal.row().status, refusal.row().name);
+            conclude(entry, &job, refusal.row().status, refusal.row().name, None);
             let head = Some(&job.received.head);
             let refusal = match refusal {
                 Refusal::NoReplica(_) => Refusal::NoReplica(entry.back_in(&job)),
@@ -345,7 +358,7 @@
 }
 
 fn count(entry: &Entry, service: &str, outcome: &'static str) {
-    let label = Ending {
+    let label = metrics::Ending {
         service: service.to_owned(),
         outcome,
     };
@@ -353,10 +366,13 @@
 }
 
 /// Counts and logs the end of a request.
-fn conclude(entry: &Entry, job: &Job, status: u16, outcome: &'static str) {
+fn conclude(entry: &Entry, job: &Job, status: u16, outcome: &'static str, ending: Option<Ending>) {
     let now = entry.node.clock.now();
     let metrics = &entry.node.metrics;
     count(entry, &job.service, outcome);
+    if let Some(ending) = ending {
+        entry.count_cut(ending);
+    }
     let team = job.team.as_deref();
     let since = |it: Time| it.since(job.received.at);
     if let Some(first) = job.first_byte {
@@ -379,6 +395,9 @@
         "replicas" => tried.join(","), "failures" => trail.join(","),
         "first_ms" => job.first_byte.map_or(-1, |it| since(it).as_millis() as i64),
         "ms" => since(now).as_millis() as u64, "claim" => %job.claim, "expected_ms" => job.expected_ms,
+        "ended_by" => ending.map_or("", Ending::name),
+        "quiet_ms" => job.heard.map_or(-1, |it| now.since(it).as_millis() as i64),
+        "leaving_ms" => entry.leaving_ms(), "config_before" => job.config,
         "config" => entry.config_version(), "behind_ms" => behind_ms(entry),
         "replicas_known" => entry.replicas.borrow().len(), "resumed" => resumed(job),
         "fingerprint" => suspected(job, outcome).map_or_else(String::new, |it| it.to_string()),
--- a/crates/gradeloft_gateway/src/entry/front.rs
+++ b/crates/gradeloft_gateway/src/entry/front.rs
@@ -50,27 +50,35 @@
 /// Serves a connection until it ends.
 pub async fn serve(entry: Rc<Entry>, stream: TcpStream) {
     let mut wire = Wire::new(stream);
+    requests(&entry, &mut wire).await;
+    if wire.unread() {
+        entry.node.metrics.closed_unread.inc();
+    }
+}
+
+/// Answers the requests of a connection, one after the other.
+async fn requests(entry: &Rc<Entry>, wire: &mut Wire) {
     loop {
-        let head = match read_head(&entry, &mut wire).await {
+        let head = match read_head(entry, wire).await {
             Ok(Some(head)) => head,
             Ok(None) => return,
             Err(refusal) => {
                 let refusal = refusal.by(entry.standing());
-                refuse(&entry, &mut wire, refusal, None, true).await;
+                refuse(entry, wire, refusal, None, true).await;
                 return;
             }
         };
         entry.node.look();
         let at = entry.node.clock.now();
         let keeps = head.keeps();
-        let limits = limits(&entry);
-        let reading = read_body(&mut wire, &head, limits.body_bytes);
+        let limits = limits(entry);
+        let reading = read_body(wire, &head, limits.body_bytes);
         let body = entry.node.timers.timeout(BODY, reading).await;
         let (body, has_body) = match body {
             Ok(Ok(body)) => body,
             Ok(Err(Some(refusal))) => {
                 let refusal = refusal.by(entry.standing());
-                refuse(&entry, &mut wire, refusal, Some(&head), true).await;
+                refuse(entry, wire, refusal, Some(&head), true).await;
                 return;
             }
             // The caller left, or stopped in the middle of its body.
@@ -82,7 +90,7 @@
             has_body,
             at,
         };
-        let after = forward::forward(&entry, &mut wire, received, keeps).await;
+        let after = forward::forward(entry, wire, received, keeps).await;
         if after == After::Close || !keeps {
             return;
         }
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -3,6 +3,7 @@
 //! - [`answer`]: answers that an entry gives by itself.
 //! - [`attempt`]: one request sent to one replica.
 //! - [`choice`]: which replica gets a request, and how it waits where none has room.
+//! - [`ending`]: what ended a request that got no whole answer.
 //! - [`forward`]: one request, from its route to its end.
 //! - [`front`]: connections of callers.
 //! - [`hear`]: what it hears from others.
@@ -19,6 +20,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod choice;
+pub mod ending;
 pub mod forward;
 pub mod front;
 pub mod hear;
@@ -155,7 +157,10 @@
     starts: RefCell<HashMap<ReplicaKey, CancellationToken>>,
     /// Requests under which replicas ended.
     suspicion: Suspicion,
+    /// Connections of callers.
     open: Cell<usize>,
+    /// Since when it leaves.
+    leaving_since: Cell<Option<Time>>,
 }
 
 /// A running entry.
@@ -194,6 +199,7 @@
             starts: RefCell::default(),
             suspicion: Suspicion::default(),
             open: Cell::default(),
+            leaving_since: Cell::default(),
         });
         entry.meet_seeds();
         let observing = Rc::downgrade(&entry);
@@ -469,6 +475,7 @@
         let entry = &self.entry;
         let node = &entry.node;
         node.leaving.set(true);
+        entry.leaving_since.set(Some(node.clock.now()));
         info!(node.logs.root, "leaving"; "open" => entry.open.get());
         entry.left.notify_waiters();
         let grace_ms = (node.settings().grace_ms as f64 * GRACE_USED) as u64;
--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -6,7 +6,7 @@
 use gradeloft_daemon::clock::Timers;
 use gradeloft_policy::{clock::Time, request::attempt::Failure};
 
-use super::{Entry, attempt::Ended, forward::Job, running::Running};
+use super::{Entry, attempt::Ended, ending::Ending, forward::Job, running::Running};
 use crate::{
     events::Splitter,
     h1::{
@@ -159,8 +159,11 @@
     }
 
     /// Counts bytes of the answer.
-    fn count(&self, entry: &Entry, bytes: usize) {
-        entry.count_to_replica(Purpose::Answers, self.link.replica(), bytes);
+    fn count(&self, job: &mut Job, bytes: usize) {
+        job.heard = Some(self.entry.node.clock.now());
+        let replica = self.link.replica();
+        self.entry
+            .count_to_replica(Purpose::Answers, replica, bytes);
     }
 
     /// The answer is whole: keeps the connection unless there are bytes that belong to nothing.
@@ -186,17 +189,17 @@
     loop {
         match source.next(caller, deadline, SILENCE.max(SEND)).await {
             Read::Data(data) => {
-                source.count(entry, data.len());
+                source.count(job, data.len());
                 body.extend_from_slice(&data);
                 if MAX_STORED < body.len() {
                     return pass_through(entry, caller, job, source, &head, body).await;
                 }
             }
             Read::End => break,
-            Read::Gone => return Ended::Gone,
+            Read::Gone => return Ended::Gone(Ending::CallerLeft),
             Read::TimedOut => return Ended::TimedOut,
             Read::Broken => return Ended::Failed(Failure::Broken, None),
-            Read::Silent => return Ended::Failed(Failure::Lost, None),
+            Read::Silent => return Ended::Failed(Failure::Silent, None),
         }
     }
     source.finish(entry);
@@ -213,7 +216,7 @@
     if stored.send(&entry.node.timers, caller, close).await {
         Ended::Answered(status)
     } else {
-        Ended::Gone
+        Ended::Gone(Ending::CallerStalled)
     }
 }
 
@@ -233,26 +236,27 @@
     job.head_sent = true;
     loop {
         if !send(entry, caller, &out, deadline).await {
-            return Ended::Gone;
+            return Ended::Gone(Ending::CallerStalled);
         }
         out.clear();
         match source.next(caller, deadline, SEND).await {
             Read::Data(data) => {
-                source.count(entry, data.len());
+                source.count(job, data.len());
                 put_chunk(&mut out, &data);
             }
             Read::End => break,
-            Read::Gone => return Ended::Gone,
+            Read::Gone => return Ended::Gone(Ending::CallerLeft),
             Read::TimedOut => return Ended::TimedOut,
             // The part that went out can't be taken back, so nobody else can go on.
-            Read::Broken | Read::Silent => return Ended::Gone,
+            Read::Broken => return Ended::Gone(Ending::Replica(Failure::Broken)),
+            Read::Silent => return Ended::Gone(Ending::Replica(Failure::Silent)),
         }
     }
     source.finish(entry);
     if send(entry, caller, LAST_CHUNK, deadline).await {
         Ended::Answered(head.status)
     } else {
-        Ended::Gone
+        Ended::Gone(Ending::CallerStalled)
     }
 }
 
@@ -275,7 +279,7 @@
         };
         let ended = match read {
             Read::Data(data) => {
-                source.count(entry, data.len());
+                source.count(job, data.len());
                 entry.heard_replica(source.link.replica());
                 source.running.begun();
                 if let Some(expected) = job.expected.take() {
@@ -285,10 +289,10 @@
                 false
             }
             Read::End => true,
-            Read::Gone => return Ended::Gone,
+            Read::Gone => return Ended::Gone(Ending::CallerLeft),
             Read::TimedOut => return Ended::TimedOut,
             Read::Broken => return Ended::Failed(Failure::Broken, None),
-            Read::Silent => return Ended::Failed(Failure::Lost, None),
+            Read::Silent => return Ended::Failed(Failure::Silent, None),
         };
         if job.cursor.pass(&mut splitter, &mut out).is_err() {
             return Ended::Failed(Failure::Broken, None);
@@ -314,7 +318,7 @@
             bytes.put_slice(LAST_CHUNK);
         }
         if !bytes.is_empty() && !send(entry, caller, &bytes, deadline).await {
-            return Ended::Gone;
+            return Ended::Gone(Ending::CallerStalled);
         }
         if ended {
             source.finish(entry);
--- a/crates/gradeloft_gateway/src/h1/wire.rs
+++ b/crates/gradeloft_gateway/src/h1/wire.rs
@@ -83,6 +83,13 @@
         }
     }
 
+    /// Whether the other side sent something that nobody has read: a close would reset the connection.
+    pub fn unread(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit(); 1];
+        let peeked = SockRef::from(&self.stream).peek(&mut byte);
+        !self.buffer.is_empty() || matches!(peeked, Ok(1..))
+    }
+
     /// Whether nothing came since the last answer and the connection is open, as far as can be told
     /// without waiting.
     pub fn quiet(&mut self) -> bool {
--- a/crates/gradeloft_gateway/src/metrics.rs
+++ b/crates/gradeloft_gateway/src/metrics.rs
@@ -49,6 +49,10 @@
     registry: Registry,
     /// Requests by how they ended.
     pub requests: Family<Ending, Counter>,
+    /// Requests without a whole answer, by what ended them.
+    pub cut: Family<Reason, Counter>,
+    /// Connections of callers that ended while bytes of theirs were unread.
+    pub closed_unread: Counter,
     /// Seconds until an answer begins.
     pub first_byte: Timing,
     /// Seconds until an answer is whole.
@@ -93,6 +97,8 @@
         let mut it = Metrics {
             registry: Registry::with_prefix("gradeloft"),
             requests: Family::default(),
+            cut: Family::default(),
+            closed_unread: Counter::default(),
             first_byte: Family::new_with_constructor(seconds as fn() -> Histogram),
             whole_answer: Family::new_with_constructor(seconds as fn() -> Histogram),
             attempts: Family::default(),
@@ -139,6 +145,16 @@
             "Requests by how they ended",
             self.requests.clone(),
         );
+        it.register(
+            "cut_requests",
+            "Requests without a whole answer, by what ended them",
+            self.cut.clone(),
+        );
+        it.register(
+            "connections_closed_unread",
+            "Connections of callers that ended while bytes of theirs were unread",
+            self.closed_unread.clone(),
+        );
         it.register(
             "first_byte_seconds",
             "Time until an answer begins",
--- a/crates/gradeloft_policy/src/request/attempt.rs
+++ b/crates/gradeloft_policy/src/request/attempt.rs
@@ -17,6 +17,8 @@
     Outdated,
     /// The replica answered that it ran nothing.
     Refused,
+    /// Nothing came from the replica for too long, on a connection that is open.
+    Silent,
     /// No connection could be made; nothing was sent.
     Unsent,
 }
@@ -35,7 +37,11 @@
     pub fn ran(self) -> Ran {
         match self {
             Failure::Misdirected | Failure::Refused | Failure::Unsent => Ran::No,
-            Failure::Broken | Failure::Failed | Failure::Lost | Failure::Outdated => Ran::Unknown,
+            Failure::Broken
+            | Failure::Failed
+            | Failure::Lost
+            | Failure::Outdated
+            | Failure::Silent => Ran::Unknown,
         }
     }
 
@@ -46,7 +52,7 @@
 
     /// Whether it is what the end of a replica looks like to a request that it had.
     pub fn may_be_crash(self) -> bool {
-        matches!(self, Failure::Broken | Failure::Lost)
+        matches!(self, Failure::Broken | Failure::Lost | Failure::Silent)
     }
 
     /// Name in logs and metrics.
@@ -58,6 +64,7 @@
             Failure::Misdirected => "misdirected",
             Failure::Outdated => "outdated",
             Failure::Refused => "refused",
+            Failure::Silent => "silent",
             Failure::Unsent => "unsent",
         }
     }
--- a/crates/gradeloft_policy/tests/forwarding.rs
+++ b/crates/gradeloft_policy/tests/forwarding.rs
@@ -254,7 +254,7 @@
         kind in prop::sample::select(vec![Kind::Idempotent, Kind::Once, Kind::ResumableStream, Kind::Stream]),
         failures in prop::collection::vec(prop::sample::select(vec![
             Failure::Broken, Failure::Failed, Failure::Lost, Failure::Misdirected,
-            Failure::Outdated, Failure::Refused, Failure::Unsent,
+            Failure::Outdated, Failure::Refused, Failure::Silent, Failure::Unsent,
         ]), 0..12),
         max_attempts in 0..5u32,
     ) {
@@ -359,6 +359,7 @@
 #[case(Kind::Once, Failure::Lost, false, Ran::Unknown)]
 #[case(Kind::Once, Failure::Broken, false, Ran::Unknown)]
 #[case(Kind::Once, Failure::Failed, false, Ran::Unknown)]
+#[case(Kind::Once, Failure::Silent, false, Ran::Unknown)]
 #[case(Kind::Stream, Failure::Broken, false, Ran::Unknown)]
 #[case(Kind::ResumableStream, Failure::Broken, true, Ran::Unknown)]
 #[case(Kind::Idempotent, Failure::Lost, true, Ran::Unknown)]
