--- a/crates/gradeloft_gateway/tests/entry/main.rs
+++ b/crates/gradeloft_gateway/tests/entry/main.rs
@@ -7,6 +7,8 @@
 mod forward;
 mod gossip;
 mod large;
+mod leaving;
+mod pauses;
 mod restarts;
 mod support;
 mod suspended;
