A silence alone ends no answer: a replica that pauses is listened to until another has begun to answer

Callers saw streams end in the middle, their connections closed, and plain requests fail with 502, while the replica was at work. An entry dropped the connection of a replica that had been silent for 1.2 s (1.5 s before an answer, 2 s in a plain one) and only then looked whether another could go on; where the kind, the attempts, the budget of repeats or full replicas forbade it, the answer was over. Shown by the cases of pauses.rs and by real processes with replicas that stood still: ended_by=silent, quiet_ms 1201 to 1202 in 33 of 34 cut answers.

Now an attempt is a value that pauses and goes on (entry::attempt), and entry::course follows it: after the same silence it asks another replica beside it, if there is one and a repeat is left, and keeps the first until the other has begun to answer; whichever speaks first goes on. Where nobody else may have the request, only its time ends it. A request under which replicas ended goes to no second replica meanwhile. Before a silence counts the socket itself is asked, as a process that stood still learns of the time first.

Why it holds: an answer that is under way is given up for nothing but another that has begun, its caller, or its time.

--- a/crates/gradeloft_gateway/src/entry/choice.rs
+++ b/crates/gradeloft_gateway/src/entry/choice.rs
@@ -55,6 +55,16 @@
 
 /// The replica that gets a request: first of all one by which it can be in time.
 pub(super) fn choose(entry: &Entry, job: &mut Job, now: Time) -> Option<ReplicaKey> {
+    let chosen = another(entry, job, now);
+    // One that waits was counted when it came.
+    if job.waits_since.is_none() {
+        entry.count_choice(&job.service, chosen);
+    }
+    chosen
+}
+
+/// As [`choose`], for a request that a replica has: whether one is found says nothing of a want of room.
+pub(super) fn another(entry: &Entry, job: &mut Job, now: Time) -> Option<ReplicaKey> {
     job.claim = match job.head_sent {
         true => Claim::Begun,
         false => Claim::of(job.goal.since(now)),
@@ -64,10 +74,6 @@
         job.claim = weaker;
         chosen = choose_by_version(entry, job, now);
     }
-    // One that waits was counted when it came.
-    if job.waits_since.is_none() {
-        entry.count_choice(&job.service, chosen);
-    }
     chosen
 }
 
--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -20,8 +20,9 @@
 use super::{
     Entry,
     answer::Refusal,
-    attempt::{self, Ended},
+    attempt::Attempt,
     choice::{self, Room},
+    course,
     ending::{Ending, Watched},
     front::{After, Received, refuse},
     quarantine::Try,
@@ -52,8 +53,6 @@
     pub prompt_tokens: f64,
     /// What its answer could still be when the present replica was chosen.
     pub claim: Claim,
-    /// When the present replica was sent it, and when it is to begin by the published speed.
-    pub expected: Option<Expected>,
     /// Time until the first token that was forecast when the present replica was chosen, in milliseconds;
     /// 0 where none was.
     pub expected_ms: u64,
@@ -99,15 +98,6 @@
     }
 }
 
-/// When a replica is to begin an answer.
-#[derive(Clone, Copy, Debug)]
-pub struct Expected {
-    /// When the request was sent.
-    pub sent: Time,
-    /// Time until the first token by the published speed, in milliseconds.
-    pub after_ms: f64,
-}
-
 /// How a request ended.
 enum Outcome {
     Answered(u16),
@@ -188,7 +178,6 @@
         goal: received.at.after(goal),
         prompt_tokens: prompt_tokens(entry, &received),
         claim: Claim::Late,
-        expected: None,
         expected_ms: 0,
         progress: Progress::new(route.kind, route.max_attempts),
         service,
@@ -251,22 +240,21 @@
             break exhausted(&job);
         }
         job.tried.push(replica);
-        let start = entry.start_of(replica);
-        match attempt::run(entry, caller, &mut job, replica).await {
-            Ended::Answered(status) => {
+        let ended = match Attempt::begin(entry, caller, &mut job, replica).await {
+            Ok(attempt) => course::follow(entry, caller, &mut job, attempt).await,
+            Err(ended) => course::unbegun(entry, &mut job, replica, ended),
+        };
+        match ended {
+            course::End::Answered(status) => {
                 entry.clear(&job);
                 break Outcome::Answered(status);
             }
-            Ended::Gone(ending) => break Outcome::Gone(ending),
-            Ended::TimedOut => {
+            course::End::Gone(ending) => break Outcome::Gone(ending),
+            course::End::TimedOut => {
                 job.progress.ran = Ran::Unknown;
                 break Outcome::Refused(Refusal::TimedOut);
             }
-            Ended::Failed(failure, answer) => {
-                failed(entry, &mut job, replica, failure);
-                if let Some(start) = start.filter(|_| failure.may_be_crash()) {
-                    entry.suspect(&mut job, start);
-                }
+            course::End::Failed(answer) => {
                 stored = answer.or(stored);
                 if !job.progress.may_repeat() {
                     break exhausted(&job);
@@ -278,8 +266,14 @@
     finish(entry, caller, job, stored, outcome).await
 }
 
-fn failed(entry: &Entry, job: &mut Job, replica: ReplicaKey, failure: Failure) {
+/// Notes a failure of a replica with a request.
+pub(super) fn failed(entry: &Entry, job: &mut Job, replica: ReplicaKey, failure: Failure) {
     job.progress.ended(failure);
+    note(entry, job, replica, failure);
+}
+
+/// Notes a failure of a replica that counts as one already.
+pub(super) fn note(entry: &Entry, job: &mut Job, replica: ReplicaKey, failure: Failure) {
     job.trail.push(failure);
     let label = Reason {
         reason: failure.name(),
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -3,6 +3,7 @@
 //! - [`answer`]: answers that an entry gives by itself.
 //! - [`attempt`]: one request sent to one replica.
 //! - [`choice`]: which replica gets a request, and how it waits where none has room.
+//! - [`course`]: an attempt, and another beside it while its replica is silent.
 //! - [`ending`]: what ended a request that got no whole answer.
 //! - [`forward`]: one request, from its route to its end.
 //! - [`front`]: connections of callers.
@@ -20,6 +21,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod choice;
+mod course;
 pub mod ending;
 pub mod forward;
 pub mod front;
@@ -69,7 +71,7 @@
 use tokio::{net::TcpListener, sync::Notify};
 use tokio_util::sync::CancellationToken;
 
-use self::{forward::Expected, quarantine::Suspicion, view::Demands};
+use self::{attempt::Expected, quarantine::Suspicion, view::Demands};
 use crate::{
     logs::Topic,
     node::{MAX_FRAME, Node},
--- a/crates/gradeloft_gateway/src/entry/quarantine/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/quarantine/mod.rs
@@ -42,7 +42,7 @@
     traffic::{Purpose, Reach},
 };
 
-pub(super) use self::crash::Evidence;
+pub(super) use self::crash::{Evidence, Start};
 use self::{
     crash::Lost,
     keep::{KEEP_HEARD_MS, KEPT_AT},
@@ -142,6 +142,12 @@
         rendezvous::rank(request.short(), own, others) == 0
     }
 
+    /// Whether replicas ended under a request.
+    pub(super) fn suspects_request(&self, job: &Job) -> bool {
+        let known = self.suspicion.known.borrow();
+        !known.is_empty() && known.knows(job.fingerprint())
+    }
+
     /// A request was answered: it does not end replicas.
     pub(super) fn clear(&self, job: &Job) {
         let suspicion = &self.suspicion;
--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -6,7 +6,13 @@
 use gradeloft_daemon::clock::Timers;
 use gradeloft_policy::{clock::Time, request::attempt::Failure};
 
-use super::{Entry, attempt::Ended, ending::Ending, forward::Job, running::Running};
+use super::{
+    Entry,
+    attempt::{Ended, Expected},
+    ending::Ending,
+    forward::Job,
+    running::Running,
+};
 use crate::{
     events::Splitter,
     h1::{
@@ -21,8 +27,10 @@
 /// Largest plain answer that is read whole before it goes out, in bytes. A larger one goes out as it
 /// comes.
 const MAX_STORED: usize = 512 << 10;
-/// Pause in a stream after which it is resumed at another replica. Callers leave after two seconds.
+/// Pause in a stream after which another replica is looked for to go on with it. Callers leave after two seconds.
 const SILENCE: Duration = Duration::from_millis(1_200);
+/// Pause in a plain answer after which another replica is looked for.
+const PLAIN_SILENCE: Duration = Duration::from_secs(2);
 /// Longest time for a stored answer to go out.
 const SEND: Duration = Duration::from_secs(2);
 
@@ -57,39 +65,8 @@
     }
 }
 
-/// Passes an answer on; `whole` tells whether all of the request went out.
-pub async fn relay(
-    entry: &Rc<Entry>,
-    caller: &mut Wire,
-    job: &mut Job,
-    running: &Running,
-    link: Link,
-    head: Response,
-    whole: bool,
-) -> Ended {
-    let Ok(framing) = Framing::of_response(&head, &job.received.head.method) else {
-        return Ended::Failed(Failure::Broken, None);
-    };
-    let source = Source {
-        entry,
-        decoder: Decoder::new(framing),
-        keep: whole && head.keeps() && framing != Framing::Close,
-        keep_alive_ms: head.keep_alive_ms(),
-        link,
-        running,
-    };
-    if job.route.kind.streams() && head.status == 200 {
-        stream(entry, caller, job, source, &head).await
-    } else if job.head_sent {
-        // A resumed stream needs a stream.
-        Ended::Failed(Failure::Failed, None)
-    } else {
-        plain(entry, caller, job, source, head).await
-    }
-}
-
 /// Drops an answer that is not passed on, and keeps its connection if nothing more comes on it.
-pub fn discard(entry: &Entry, mut link: Link, head: &Response, method: &[u8], whole: bool) {
+pub(super) fn discard(entry: &Entry, mut link: Link, head: &Response, method: &[u8], whole: bool) {
     let Ok(framing) = Framing::of_response(head, method) else {
         return;
     };
@@ -100,17 +77,28 @@
     }
 }
 
-/// A replica's connection while its answer is read.
-struct Source<'a> {
-    entry: &'a Entry,
-    link: Link,
-    running: &'a Running,
+/// A replica's answer while it is passed on.
+pub(super) struct Passage {
+    head: Response,
     decoder: Decoder,
     /// Whether the connection can be kept once the answer is whole.
     keep: bool,
-    keep_alive_ms: Option<u64>,
+    form: Form,
 }
 
+/// How an answer is passed on.
+enum Form {
+    /// Read whole first, so that another replica may give a better one.
+    Plain(BytesMut),
+    /// As it comes, since it is large: nobody can go on with it.
+    Large,
+    /// Event by event, so that another replica can go on after the last one.
+    Stream(Splitter),
+}
+
+/// The connection that an answer comes on.
+pub(super) type Source<'a> = (&'a mut Link, &'a Running, &'a mut Option<Expected>);
+
 /// What reading on gave.
 enum Read {
     /// The connection ended or was reset before the answer was whole.
@@ -123,34 +111,127 @@
     TimedOut,
 }
 
-impl Source<'_> {
+impl Read {
+    /// How an attempt ends with it, unless it brought something.
+    fn ended(&self) -> Option<Ended> {
+        match self {
+            Read::Data(_) | Read::End => None,
+            Read::Broken => Some(Ended::Failed(Failure::Broken, None)),
+            Read::Gone => Some(Ended::Gone(Ending::CallerLeft)),
+            Read::Silent => Some(Ended::Silent),
+            Read::TimedOut => Some(Ended::TimedOut),
+        }
+    }
+}
+
+impl Passage {
+    /// An answer whose head came; `whole` tells whether all of the request went out.
+    pub(super) fn of(job: &Job, head: Response, whole: bool) -> Result<Passage, Ended> {
+        let framing = Framing::of_response(&head, &job.received.head.method)
+            .map_err(|_| Ended::Failed(Failure::Broken, None))?;
+        let streams = job.route.kind.streams() && head.status == 200;
+        if job.head_sent && !streams {
+            // A resumed stream needs a stream.
+            return Err(Ended::Failed(Failure::Failed, None));
+        }
+        Ok(Passage {
+            decoder: Decoder::new(framing),
+            keep: whole && head.keeps() && framing != Framing::Close,
+            form: match streams {
+                true => Form::Stream(Splitter::default()),
+                false => Form::Plain(BytesMut::new()),
+            },
+            head,
+        })
+    }
+
+    /// Whether the connection can be kept once the answer is whole.
+    pub(super) fn keeps(&self) -> bool {
+        self.keep && self.decoder.done()
+    }
+
+    /// How long the replica keeps the connection, as it said, in milliseconds.
+    pub(super) fn keep_alive_ms(&self) -> Option<u64> {
+        self.head.keep_alive_ms()
+    }
+
+    /// Time without a byte after which another replica is looked for; `None` where none could go on.
+    pub(super) fn silence(&self) -> Option<Duration> {
+        match self.form {
+            Form::Large => None,
+            Form::Plain(_) => Some(PLAIN_SILENCE),
+            Form::Stream(_) => Some(SILENCE),
+        }
+    }
+
+    /// Passes the answer on until it is whole, or nothing came for `silence`; goes on when it is called again.
+    pub(super) async fn pass(
+        &mut self,
+        entry: &Rc<Entry>,
+        caller: &mut Wire,
+        job: &mut Job,
+        source: Source<'_>,
+        silence: Option<Duration>,
+    ) -> Ended {
+        let (link, running, expected) = source;
+        match self.form {
+            Form::Stream(_) => {
+                self.stream(entry, caller, job, (link, running, expected), silence)
+                    .await
+            }
+            Form::Plain(_) => {
+                self.plain(entry, caller, job, (link, running, expected), silence)
+                    .await
+            }
+            Form::Large => {
+                self.large(entry, caller, job, (link, running, expected))
+                    .await
+            }
+        }
+    }
+
     /// The next piece of the answer.
-    async fn next(&mut self, caller: &mut Wire, deadline: Time, silence: Duration) -> Read {
-        let node = &self.entry.node;
+    async fn next(
+        &mut self,
+        entry: &Entry,
+        caller: &mut Wire,
+        deadline: Time,
+        source: &mut Source<'_>,
+        silence: Option<Duration>,
+    ) -> Read {
+        let node = &entry.node;
+        let (link, running, _) = source;
         loop {
-            if let Some(read) = self.next_here() {
+            if let Some(read) = self.next_here(link) {
                 return read;
             }
-            let until = deadline.min(node.clock.now().after(silence));
+            let now = node.clock.now();
+            let until = silence.map_or(deadline, |it| deadline.min(now.after(it)));
             tokio::select! {
                 biased;
-                read = self.link.wire.fill() => match read {
+                read = link.wire.fill() => match read {
                     Ok(0) if self.decoder.closed() => return Read::End,
                     Ok(0) | Err(_) => return Read::Broken,
                     Ok(_) => {}
                 },
                 () = caller.gone() => return Read::Gone,
-                () = self.running.ended() => return Read::Broken,
+                () = running.ended() => return Read::Broken,
                 () = node.timers.sleep_until(until) => {
-                    return if deadline <= node.clock.now() { Read::TimedOut } else { Read::Silent };
+                    if deadline <= node.clock.now() {
+                        return Read::TimedOut;
+                    }
+                    // After a pause of this process the runtime may know the time before what came meanwhile.
+                    if !link.wire.pending() {
+                        return Read::Silent;
+                    }
                 }
             }
         }
     }
 
     /// The next piece, if it is here already.
-    fn next_here(&mut self) -> Option<Read> {
-        match self.decoder.take(&mut self.link.wire.buffer) {
+    fn next_here(&mut self, link: &mut Link) -> Option<Read> {
+        match self.decoder.take(&mut link.wire.buffer) {
             Ok(Piece::Data(data)) => Some(Read::Data(data)),
             Ok(Piece::End) => Some(Read::End),
             Err(_) => Some(Read::Broken),
@@ -158,172 +239,186 @@
         }
     }
 
-    /// Counts bytes of the answer.
-    fn count(&self, job: &mut Job, bytes: usize) {
-        job.heard = Some(self.entry.node.clock.now());
-        let replica = self.link.replica();
-        self.entry
-            .count_to_replica(Purpose::Answers, replica, bytes);
+    async fn plain(
+        &mut self,
+        entry: &Rc<Entry>,
+        caller: &mut Wire,
+        job: &mut Job,
+        mut source: Source<'_>,
+        silence: Option<Duration>,
+    ) -> Ended {
+        loop {
+            let read = self
+                .next(entry, caller, job.deadline, &mut source, silence)
+                .await;
+            if let Some(ended) = read.ended() {
+                return ended;
+            }
+            let Form::Plain(body) = &mut self.form else {
+                return Ended::Failed(Failure::Broken, None);
+            };
+            let Read::Data(data) = read else { break };
+            count(entry, job, source.0, data.len());
+            body.extend_from_slice(&data);
+            if MAX_STORED < body.len() {
+                return self.begin_large(entry, caller, job, source).await;
+            }
+        }
+        let Form::Plain(body) = &mut self.form else {
+            return Ended::Failed(Failure::Broken, None);
+        };
+        let stored = Stored {
+            head: self.head.clone(),
+            body: body.split().freeze(),
+        };
+        if 500 <= stored.status() && job.route.kind.repeatable() {
+            return Ended::Failed(Failure::Failed, Some(stored));
+        }
+        job.first_byte = Some(entry.node.clock.now());
+        let close = !job.keeps || entry.node.leaving.get();
+        let status = stored.status();
+        if stored.send(&entry.node.timers, caller, close).await {
+            Ended::Answered(status)
+        } else {
+            Ended::Gone(Ending::CallerStalled)
+        }
     }
 
-    /// The answer is whole: keeps the connection unless there are bytes that belong to nothing.
-    fn finish(self, entry: &Entry) {
-        let replica = self.link.replica();
-        let now = entry.node.clock.now();
-        entry.replicas.borrow_mut().succeeded(replica, now);
-        if self.keep && self.link.wire.buffer.is_empty() {
-            entry.pool.keep(self.link, self.keep_alive_ms);
+    /// Sends what is here of an answer that turns out large.
+    async fn begin_large(
+        &mut self,
+        entry: &Rc<Entry>,
+        caller: &mut Wire,
+        job: &mut Job,
+        source: Source<'_>,
+    ) -> Ended {
+        let mut out = chunked_head(entry, job, &self.head);
+        if let Form::Plain(body) = &self.form {
+            put_chunk(&mut out, body);
         }
+        self.form = Form::Large;
+        job.first_byte = Some(entry.node.clock.now());
+        job.head_sent = true;
+        if !send(entry, caller, &out, job.deadline).await {
+            return Ended::Gone(Ending::CallerStalled);
+        }
+        self.large(entry, caller, job, source).await
     }
-}
 
-async fn plain(
-    entry: &Rc<Entry>,
-    caller: &mut Wire,
-    job: &mut Job,
-    mut source: Source<'_>,
-    head: Response,
-) -> Ended {
-    let deadline = job.deadline;
-    let mut body = BytesMut::new();
-    loop {
-        match source.next(caller, deadline, SILENCE.max(SEND)).await {
-            Read::Data(data) => {
-                source.count(job, data.len());
-                body.extend_from_slice(&data);
-                if MAX_STORED < body.len() {
-                    return pass_through(entry, caller, job, source, &head, body).await;
+    async fn large(
+        &mut self,
+        entry: &Rc<Entry>,
+        caller: &mut Wire,
+        job: &mut Job,
+        mut source: Source<'_>,
+    ) -> Ended {
+        let mut out = BytesMut::new();
+        loop {
+            let read = self
+                .next(entry, caller, job.deadline, &mut source, None)
+                .await;
+            match read {
+                Read::Data(data) => {
+                    count(entry, job, source.0, data.len());
+                    put_chunk(&mut out, &data);
                 }
+                Read::End => break,
+                Read::Gone => return Ended::Gone(Ending::CallerLeft),
+                Read::TimedOut => return Ended::TimedOut,
+                // The part that went out can't be taken back, so nobody else can go on.
+                Read::Broken | Read::Silent => {
+                    return Ended::Gone(Ending::Replica(Failure::Broken));
+                }
+            }
+            if !send(entry, caller, &out, job.deadline).await {
+                return Ended::Gone(Ending::CallerStalled);
             }
-            Read::End => break,
-            Read::Gone => return Ended::Gone(Ending::CallerLeft),
-            Read::TimedOut => return Ended::TimedOut,
-            Read::Broken => return Ended::Failed(Failure::Broken, None),
-            Read::Silent => return Ended::Failed(Failure::Silent, None),
+            out.clear();
+        }
+        if send(entry, caller, LAST_CHUNK, job.deadline).await {
+            Ended::Answered(self.head.status)
+        } else {
+            Ended::Gone(Ending::CallerStalled)
         }
     }
-    source.finish(entry);
-    let stored = Stored {
-        head,
-        body: body.freeze(),
-    };
-    if 500 <= stored.status() && job.route.kind.repeatable() {
-        return Ended::Failed(Failure::Failed, Some(stored));
-    }
-    job.first_byte = Some(entry.node.clock.now());
-    let close = !job.keeps || entry.node.leaving.get();
-    let status = stored.status();
-    if stored.send(&entry.node.timers, caller, close).await {
-        Ended::Answered(status)
-    } else {
-        Ended::Gone(Ending::CallerStalled)
-    }
-}
 
-/// Passes a large answer on as it comes.
-async fn pass_through(
-    entry: &Rc<Entry>,
-    caller: &mut Wire,
-    job: &mut Job,
-    mut source: Source<'_>,
-    head: &Response,
-    first: BytesMut,
-) -> Ended {
-    let deadline = job.deadline;
-    let mut out = chunked_head(entry, job, head);
-    put_chunk(&mut out, &first);
-    job.first_byte = Some(entry.node.clock.now());
-    job.head_sent = true;
-    loop {
-        if !send(entry, caller, &out, deadline).await {
-            return Ended::Gone(Ending::CallerStalled);
-        }
-        out.clear();
-        match source.next(caller, deadline, SEND).await {
-            Read::Data(data) => {
-                source.count(job, data.len());
-                put_chunk(&mut out, &data);
+    async fn stream(
+        &mut self,
+        entry: &Rc<Entry>,
+        caller: &mut Wire,
+        job: &mut Job,
+        mut source: Source<'_>,
+        silence: Option<Duration>,
+    ) -> Ended {
+        let mut out = BytesMut::new();
+        let mut here = None;
+        loop {
+            let read = match here.take() {
+                Some(read) => read,
+                None => {
+                    self.next(entry, caller, job.deadline, &mut source, silence)
+                        .await
+                }
+            };
+            if let Some(ended) = read.ended() {
+                return ended;
+            }
+            let Form::Stream(splitter) = &mut self.form else {
+                return Ended::Failed(Failure::Broken, None);
+            };
+            if let Read::Data(data) = &read {
+                heard(entry, job, &mut source, data.len());
+                splitter.feed(data);
+            }
+            let whole = matches!(read, Read::End);
+            if job.cursor.pass(splitter, &mut out).is_err() || (whole && splitter.partial()) {
+                return Ended::Failed(Failure::Broken, None);
+            }
+            // Events that are here already go out together.
+            here = if whole {
+                None
+            } else {
+                self.next_here(source.0)
+            };
+            if here.is_some() {
+                continue;
+            }
+            let mut bytes = BytesMut::new();
+            if !job.head_sent && (whole || !out.is_empty()) {
+                bytes = chunked_head(entry, job, &self.head);
+                job.head_sent = true;
+                job.first_byte = Some(entry.node.clock.now());
+                job.version = entry.version_of(source.0.replica());
+            }
+            put_chunk(&mut bytes, &out);
+            out.clear();
+            if whole {
+                bytes.put_slice(LAST_CHUNK);
+            }
+            if !bytes.is_empty() && !send(entry, caller, &bytes, job.deadline).await {
+                return Ended::Gone(Ending::CallerStalled);
+            }
+            if whole {
+                return Ended::Answered(self.head.status);
             }
-            Read::End => break,
-            Read::Gone => return Ended::Gone(Ending::CallerLeft),
-            Read::TimedOut => return Ended::TimedOut,
-            // The part that went out can't be taken back, so nobody else can go on.
-            Read::Broken => return Ended::Gone(Ending::Replica(Failure::Broken)),
-            Read::Silent => return Ended::Gone(Ending::Replica(Failure::Silent)),
         }
     }
-    source.finish(entry);
-    if send(entry, caller, LAST_CHUNK, deadline).await {
-        Ended::Answered(head.status)
-    } else {
-        Ended::Gone(Ending::CallerStalled)
-    }
 }
 
-/// Passes a stream on event by event, so that another replica can go on after the last one.
-async fn stream(
-    entry: &Rc<Entry>,
-    caller: &mut Wire,
-    job: &mut Job,
-    mut source: Source<'_>,
-    head: &Response,
-) -> Ended {
-    let deadline = job.deadline;
-    let mut splitter = Splitter::default();
-    let mut out = BytesMut::new();
-    let mut here = None;
-    loop {
-        let read = match here.take() {
-            Some(read) => read,
-            None => source.next(caller, deadline, SILENCE).await,
-        };
-        let ended = match read {
-            Read::Data(data) => {
-                source.count(job, data.len());
-                entry.heard_replica(source.link.replica());
-                source.running.begun();
-                if let Some(expected) = job.expected.take() {
-                    entry.began(source.link.replica(), expected);
-                }
-                splitter.feed(&data);
-                false
-            }
-            Read::End => true,
-            Read::Gone => return Ended::Gone(Ending::CallerLeft),
-            Read::TimedOut => return Ended::TimedOut,
-            Read::Broken => return Ended::Failed(Failure::Broken, None),
-            Read::Silent => return Ended::Failed(Failure::Silent, None),
-        };
-        if job.cursor.pass(&mut splitter, &mut out).is_err() {
-            return Ended::Failed(Failure::Broken, None);
-        }
-        if ended && splitter.partial() {
-            return Ended::Failed(Failure::Broken, None);
-        }
-        // Events that are here already go out together.
-        here = if ended { None } else { source.next_here() };
-        if here.is_some() {
-            continue;
-        }
-        let mut bytes = BytesMut::new();
-        if !job.head_sent && (ended || !out.is_empty()) {
-            bytes = chunked_head(entry, job, head);
-            job.head_sent = true;
-            job.first_byte = Some(entry.node.clock.now());
-            job.version = entry.version_of(source.link.replica());
-        }
-        put_chunk(&mut bytes, &out);
-        out.clear();
-        if ended {
-            bytes.put_slice(LAST_CHUNK);
-        }
-        if !bytes.is_empty() && !send(entry, caller, &bytes, deadline).await {
-            return Ended::Gone(Ending::CallerStalled);
-        }
-        if ended {
-            source.finish(entry);
-            return Ended::Answered(head.status);
-        }
+/// Counts bytes of an answer.
+fn count(entry: &Entry, job: &mut Job, link: &Link, bytes: usize) {
+    job.heard = Some(entry.node.clock.now());
+    entry.count_to_replica(Purpose::Answers, link.replica(), bytes);
+}
+
+/// A stream's bytes came: its replica is at work.
+fn heard(entry: &Entry, job: &mut Job, source: &mut Source<'_>, bytes: usize) {
+    let (link, running, expected) = source;
+    count(entry, job, link, bytes);
+    entry.heard_replica(link.replica());
+    running.begun();
+    if let Some(expected) = expected.take() {
+        entry.began(link.replica(), expected);
     }
 }
 
--- a/crates/gradeloft_gateway/src/h1/wire.rs
+++ b/crates/gradeloft_gateway/src/h1/wire.rs
@@ -83,6 +83,14 @@
         }
     }
 
+    /// Whether something waits to be read, or the connection has ended, as far as can be told without waiting. The socket
+    /// itself is asked, as the runtime learns of it only when it next looks for events.
+    pub fn pending(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit(); 1];
+        let peeked = SockRef::from(&self.stream).peek(&mut byte);
+        peeked.map_or_else(|error| error.kind() != io::ErrorKind::WouldBlock, |_| true)
+    }
+
     /// Whether the other side sent something that nobody has read: a close would reset the connection.
     pub fn unread(&self) -> bool {
         let mut byte = [MaybeUninit::uninit(); 1];
--- a/crates/gradeloft_gateway/tests/entry/pauses.rs
+++ b/crates/gradeloft_gateway/tests/entry/pauses.rs
@@ -1,8 +1,11 @@
 //! Replicas that pause in the middle of an answer.
 //!
-//! Callers saw streams end early, their connections closed, while the replica was at work and finished. The replica
-//! paused for longer than an entry waited; the entry dropped its connection first and only then found that no other
-//! replica could go on: the request's kind, its attempts, the budget of repeats or full replicas forbade it.
+//! Callers saw streams end early, their connections closed, while the replica was at work and finished. Order of events: a
+//! replica paused, for 1.2 s in a stream, 1.5 s before an answer and 2 s in a plain one; the entry dropped its connection,
+//! and only then found that no other replica could go on: the request's kind, its attempts, the budget of repeats or full
+//! replicas forbade it. Cause: a silence was taken for an end. Evidence: with real processes and replicas that stood still,
+//! 33 of 34 cut answers of a run were of `ended_by=silent`, `quiet_ms=1201` to `1202`, and each of the cases below was cut
+//! although its replica ran on.
 
 use std::{rc::Rc, time::Duration};
 
@@ -183,6 +186,30 @@
     });
 }
 
+/// The replica that paused goes on before the other has begun: the caller gets its answer, and the other stops.
+#[test]
+fn a_replica_that_goes_on_first_is_listened_to() {
+    run(async {
+        let pausing = once(vec![
+            Step::Read,
+            stream("s1", "id: 1\ndata: a\n\n"),
+            Step::Wait(Duration::from_millis(1_700)),
+            chunk("id: 2\ndata: b\n\n"),
+            last_chunk(),
+        ]);
+        let slow = once(vec![Step::Read, Step::UntilGone]);
+        let shape = Shape::of(Kind::ResumableStream);
+        let world = World::start(shape, vec![pausing, slow]).await;
+        let answer = world.ask(&request("POST", "form")).await;
+        assert!(
+            answer.contains("data: b\n\n") && answer.ends_with("0\r\n\r\n"),
+            "{answer}"
+        );
+        until(|| async { world.replicas[1].seen.borrow().gone == 1 }).await;
+        assert_eq!(world.arrivals(), 2);
+    });
+}
+
 /// A replica that never goes on: the answer ends when the request's time is over, and does not look whole.
 #[test]
 fn a_stream_whose_replica_stays_silent_ends_with_its_time() {
--- a/crates/gradeloft_policy/src/request/attempt.rs
+++ b/crates/gradeloft_policy/src/request/attempt.rs
@@ -21,6 +21,8 @@
     Silent,
     /// No connection could be made; nothing was sent.
     Unsent,
+    /// It was taken back, since another replica that had it answers.
+    Withdrawn,
 }
 
 /// Whether a request has run.
@@ -41,13 +43,17 @@
             | Failure::Failed
             | Failure::Lost
             | Failure::Outdated
-            | Failure::Silent => Ran::Unknown,
+            | Failure::Silent
+            | Failure::Withdrawn => Ran::Unknown,
         }
     }
 
     /// Whether it speaks against the replica, so that others are better for a while.
     pub fn blames_replica(self) -> bool {
-        !matches!(self, Failure::Failed | Failure::Outdated | Failure::Refused)
+        !matches!(
+            self,
+            Failure::Failed | Failure::Outdated | Failure::Refused | Failure::Withdrawn
+        )
     }
 
     /// Whether it is what the end of a replica looks like to a request that it had.
@@ -66,6 +72,7 @@
             Failure::Refused => "refused",
             Failure::Silent => "silent",
             Failure::Unsent => "unsent",
+            Failure::Withdrawn => "withdrawn",
         }
     }
 }
--- a/crates/gradeloft_policy/tests/forwarding.rs
+++ b/crates/gradeloft_policy/tests/forwarding.rs
@@ -255,6 +255,7 @@
         failures in prop::collection::vec(prop::sample::select(vec![
             Failure::Broken, Failure::Failed, Failure::Lost, Failure::Misdirected,
             Failure::Outdated, Failure::Refused, Failure::Silent, Failure::Unsent,
+            Failure::Withdrawn,
         ]), 0..12),
         max_attempts in 0..5u32,
     ) {
