--- a/crates/gradeloft_gateway/src/entry/course.rs
+++ b/crates/gradeloft_gateway/src/entry/course.rs
@@ -36,7 +36,7 @@
     /// The caller has gone, or its time is over.
     Ended(End),
     /// The other answers.
-    Over(Attempt),
+    Over(Box<Attempt>),
 }
 
 /// Follows an attempt to its end.
@@ -79,7 +79,7 @@
                 return end;
             }
             Takeover::Over(next) => {
-                let silent = std::mem::replace(&mut attempt, next);
+                let silent = std::mem::replace(&mut attempt, *next);
                 if let Some(start) = silent.start {
                     entry.suspect(job, start);
                 }
@@ -156,7 +156,7 @@
         }
     };
     match asked {
-        Some(Ok(())) => Takeover::Over(next),
+        Some(Ok(())) => Takeover::Over(Box::new(next)),
         Some(Err(Ended::Failed(failure, _))) => {
             fail(entry, job, next, failure);
             Takeover::Back
