An entry that leaves answers whoever still comes, and takes what it is sure to finish

Callers saw connections end without an answer for seconds after an entry had got SIGTERM. An entry that left closed each connection on which nothing had been read yet, so all that it accepted (callers keep addresses for two to six seconds) and all at rest at the signal ended unread, and it closed connections right after an answer that had promised to keep them. Cases of leaving.rs and real processes show it. Ruled out: cuts at the end of the process (nothing was accepted that late).

Now (process::leave) a connection waits for its request until callers have other addresses, or for a second where it is new or was promised to be kept; a request whose caller's time ends before the process does is forwarded, any other gets 503 `leaving`, not run, back at once elsewhere, and the connection is told to close. Why it holds: a leaving entry closes nothing that a caller may count on without having said so, and begins nothing that it might have to cut. Of the tests, the replica of the first closes its connection after each answer: its script had one answer for four requests.

--- a/crates/gradeloft_gateway/src/entry/answer.rs
+++ b/crates/gradeloft_gateway/src/entry/answer.rs
@@ -15,6 +15,8 @@
     BodyTooLarge,
     /// The head is larger than allowed.
     HeadTooLarge,
+    /// This process ends before an answer is sure to be whole; other entries take it.
+    Leaving,
     /// It was sent to a replica, and no answer came that can be passed on.
     Lost,
     /// It is not valid HTTP.
@@ -76,6 +78,10 @@
             Refusal::Behind => later("behind"),
             Refusal::BodyTooLarge => row(413, "Content Too Large", "body_too_large"),
             Refusal::HeadTooLarge => row(431, "Request Header Fields Too Large", "head_too_large"),
+            Refusal::Leaving => Row {
+                retry_after_ms: Some(0),
+                ..row(503, "Service Unavailable", "leaving")
+            },
             Refusal::Lost => unknown(502, "Bad Gateway", "lost"),
             Refusal::Malformed => row(400, "Bad Request", "malformed"),
             Refusal::NoConfig => later("no_config"),
@@ -109,7 +115,7 @@
 
     /// Whether its caller is to connect anew, to another entry.
     pub fn sends_away(self) -> bool {
-        self == Refusal::Behind
+        matches!(self, Refusal::Behind | Refusal::Leaving)
     }
 
     /// The whole answer, as bytes.
--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -70,8 +70,10 @@
     pub first_byte: Option<Time>,
     /// When the present replica sent the last of its answer so far.
     pub heard: Option<Time>,
-    /// Whether the caller's connection may carry another request.
+    /// Whether the caller wants to keep its connection.
     pub keeps: bool,
+    /// Whether the head of the answer says that the connection ends after it.
+    pub closes: bool,
     /// Version of the configuration in force when it came.
     config: u64,
     /// Failures so far, for the log.
@@ -142,7 +144,15 @@
         return Err(Box::new((Refusal::Behind, received)));
     }
     match find(entry, &config, &received) {
-        Ok((route, team)) => Ok(job(entry, route, team, received, keeps)),
+        Ok((route, team)) => {
+            let job = job(entry, route, team, received, keeps);
+            match entry.leave.get() {
+                Some(leave) if !leave.takes(job.deadline) => {
+                    Err(Box::new((Refusal::Leaving, job.received)))
+                }
+                _ => Ok(job),
+            }
+        }
         Err(Denied::NoRoute) => Err(Box::new((Refusal::NoRoute.by(standing), received))),
         Err(Denied::UnknownKey) => Err(Box::new((Refusal::UnknownKey.by(standing), received))),
     }
@@ -191,6 +201,7 @@
         first_byte: None,
         heard: None,
         keeps,
+        closes: false,
         config: entry.config_version(),
         trail: Vec::new(),
         census: None,
@@ -310,11 +321,12 @@
     stored: Option<Stored>,
     outcome: Outcome,
 ) -> After {
-    let close = !job.keeps || entry.node.leaving.get();
+    let close = entry.closes(&job);
     match outcome {
         Outcome::Answered(status) => {
             conclude(entry, &job, status, "answered", None);
-            after(!close)
+            // What was promised to be kept is kept: a request may be on its way there.
+            after(!job.closes)
         }
         Outcome::Cut(ending) => {
             conclude(entry, &job, 0, "cut", Some(ending));
@@ -347,6 +359,13 @@
     }
 }
 
+impl Entry {
+    /// Whether a request's connection is to end after its answer.
+    pub(super) fn closes(&self, job: &Job) -> bool {
+        !job.keeps || self.node.leaving.get()
+    }
+}
+
 fn after(keep: bool) -> After {
     if keep { After::Keep } else { After::Close }
 }
--- a/crates/gradeloft_gateway/src/entry/front.rs
+++ b/crates/gradeloft_gateway/src/entry/front.rs
@@ -119,6 +119,13 @@
         .map_or(UNCONFIGURED, |it| it.document.limits)
 }
 
+/// Until when a connection may rest without a request.
+fn rests_until(entry: &Entry, since: Time, limits: CallerLimits) -> Time {
+    let until = since.after_ms(limits.idle_ms);
+    let leave = entry.leave.get();
+    leave.map_or(until, |it| until.min(it.rests_until(since)))
+}
+
 /// Reads the next head; `None` when the connection ends instead.
 async fn read_head(entry: &Entry, wire: &mut Wire) -> Result<Option<Request>, Refusal> {
     let idle_since = entry.node.clock.now();
@@ -137,10 +144,9 @@
         }
         let until = match begun {
             Some(at) => at.after_ms(limits.head_ms),
-            None => idle_since.after_ms(limits.idle_ms),
+            None => rests_until(entry, idle_since, limits),
         };
-        let left = entry.node.clock.until(until);
-        if left.is_zero() || (begun.is_none() && entry.node.leaving.get()) {
+        if entry.node.clock.until(until).is_zero() {
             return Ok(None);
         }
         tokio::select! {
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -54,6 +54,7 @@
     process::{
         document::{Config, Speed},
         elsewhere::Elsewhere,
+        leave::Leave,
         repeats::Budget,
         replicas::{ReplicaKey, Replicas},
         roster::{Acquaintance, Roster},
@@ -97,11 +98,8 @@
 const DEMAND_S: f64 = 3.0;
 /// Part of a replica's connections that all entries together use.
 const CONNECTIONS_USED: f64 = 0.85;
-/// Time for which a leaving entry takes further connections: callers keep addresses for two seconds,
-/// and some three times as long.
-const LINGER: Duration = Duration::from_millis(3_500);
-/// Part of the grace within which a leaving entry finishes.
-const GRACE_USED: f64 = 0.9;
+/// Pause between two looks whether an entry that leaves may end.
+const LOOK: Duration = Duration::from_millis(50);
 /// Bounds of the listener for peers.
 const PEERS: peer_server::Limits = peer_server::Limits {
     frame_bytes: MAX_FRAME,
@@ -161,8 +159,8 @@
     suspicion: Suspicion,
     /// Connections of callers.
     open: Cell<usize>,
-    /// Since when it leaves.
-    leaving_since: Cell<Option<Time>>,
+    /// Set once it leaves.
+    leave: Cell<Option<Leave>>,
 }
 
 /// A running entry.
@@ -201,7 +199,7 @@
             starts: RefCell::default(),
             suspicion: Suspicion::default(),
             open: Cell::default(),
-            leaving_since: Cell::default(),
+            leave: Cell::default(),
         });
         entry.meet_seeds();
         let observing = Rc::downgrade(&entry);
@@ -472,25 +470,18 @@
 }
 
 impl Handle {
-    /// Takes no callers any more, finishes what runs; gives how many connections were cut off.
+    /// Is named to callers no more, answers those that still come, and finishes what runs; gives how many
+    /// connections were cut off.
     pub async fn leave(self) -> usize {
         let entry = &self.entry;
         let node = &entry.node;
         node.leaving.set(true);
-        entry.leaving_since.set(Some(node.clock.now()));
+        let leave = Leave::begin(node.clock.now(), node.settings().grace_ms);
+        entry.leave.set(Some(leave));
         info!(node.logs.root, "leaving"; "open" => entry.open.get());
         entry.left.notify_waiters();
-        let grace_ms = (node.settings().grace_ms as f64 * GRACE_USED) as u64;
-        let started = node.clock.now();
-        let linger = started.after(LINGER);
-        let end = started.after_ms(grace_ms);
-        loop {
-            let now = node.clock.now();
-            if end <= now || (linger <= now && entry.open.get() == 0) {
-                break;
-            }
-            actix_rt::time::sleep(Duration::from_millis(50)).await;
-            entry.left.notify_waiters();
+        while !leave.over(entry.open.get(), node.clock.now()) {
+            actix_rt::time::sleep(LOOK).await;
         }
         let cut = entry.open.get();
         info!(node.logs.root, "left"; "cut_off" => cut);
--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -275,9 +275,9 @@
             return Ended::Failed(Failure::Failed, Some(stored));
         }
         job.first_byte = Some(entry.node.clock.now());
-        let close = !job.keeps || entry.node.leaving.get();
+        job.closes = entry.closes(job);
         let status = stored.status();
-        if stored.send(&entry.node.timers, caller, close).await {
+        if stored.send(&entry.node.timers, caller, job.closes).await {
             Ended::Answered(status)
         } else {
             Ended::Gone(Ending::CallerStalled)
@@ -428,9 +428,10 @@
     matches!(sent, Ok(Ok(())))
 }
 
-fn chunked_head(entry: &Entry, job: &Job, head: &Response) -> BytesMut {
+fn chunked_head(entry: &Entry, job: &mut Job, head: &Response) -> BytesMut {
+    job.closes = entry.closes(job);
     let mut out = BytesMut::with_capacity(512);
-    put_head(&mut out, head, !job.keeps || entry.node.leaving.get());
+    put_head(&mut out, head, job.closes);
     put(&mut out, b"Transfer-Encoding", b"chunked");
     out.put_slice(b"\r\n");
     out
--- a/crates/gradeloft_gateway/tests/entry/leaving.rs
+++ b/crates/gradeloft_gateway/tests/entry/leaving.rs
@@ -1,11 +1,14 @@
 //! Callers of an entry that leaves.
 //!
-//! Callers of an entry that had got SIGTERM saw connections end without an answer: new ones, which it accepts for some
-//! seconds as they keep its address, were closed unread, and kept ones while a request was on its way on them.
+//! Callers of an entry that had got SIGTERM saw connections end without an answer, for some seconds after the signal, as
+//! they keep its address. Cause: a connection on which no byte of a request had been read when the entry began to leave,
+//! or that it accepted later, was closed at once, and one whose answer had promised to keep it right after that answer.
+//! Evidence: with real processes stopped in turn 37 to 75 requests of 740 to 780 had no answer, all at entries that left, and each of
+//! the cases below failed.
 
 use std::{rc::Rc, time::Duration};
 
-use crate::support::{Shape, World, address, last_chunk, ok, run, stream, until};
+use crate::support::{Shape, World, address, answer, last_chunk, ok, run, stream, until};
 use gradeloft_gateway::settings::Settings;
 use gradeloft_policy::process::document::Kind;
 use gradeloft_standin::scripted::Step;
@@ -84,7 +87,9 @@
 #[test]
 fn a_request_on_a_new_connection_is_answered() {
     run(async {
-        let world = start(Kind::Once, vec![well()]).await;
+        let closing = answer("200 OK", "t-seal: s1\r\nConnection: close\r\n", "first");
+        let script = vec![Step::Read, closing];
+        let world = start(Kind::Once, vec![vec![script]]).await;
         leave(world).await;
         for _ in 0..4 {
             let mut caller = connect().await;
@@ -179,7 +184,7 @@
     run(async {
         let body = "x".repeat(500 << 10);
         let script = vec![Step::Read, ok(&body)];
-        let world = start(Kind::Once, vec![vec![script]]).await;
+        let _world = start(Kind::Once, vec![vec![script]]).await;
         let socket = TcpSocket::new_v4().unwrap();
         socket.set_recv_buffer_size(4 << 10).unwrap();
         let mut caller = socket.connect((address(1), 8005).into()).await.unwrap();
@@ -218,7 +223,7 @@
     run(async {
         let body = "x".repeat(4 << 20);
         let script = vec![Step::Read, ok(&body)];
-        let world = start(Kind::Once, vec![vec![script]]).await;
+        let _world = start(Kind::Once, vec![vec![script]]).await;
         let socket = TcpSocket::new_v4().unwrap();
         socket.set_recv_buffer_size(4 << 10).unwrap();
         let mut caller = socket.connect((address(1), 8005).into()).await.unwrap();
--- a/crates/gradeloft_policy/src/process/mod.rs
+++ b/crates/gradeloft_policy/src/process/mod.rs
@@ -8,6 +8,7 @@
 //! - [`ends`]: since when a table is known to go beyond a record.
 //! - [`gaps`]: gaps between events that come again and again.
 //! - [`gossip`]: which peers a node asks for the bundle in force.
+//! - [`leave`]: how an entry that was told to end treats its callers.
 //! - [`membership`]: which peers there are, by the list and by what connections show.
 //! - [`mirror`]: a copy of a table of the platform's store.
 //! - [`news`]: what an entry tells others at once, and again.
@@ -33,6 +34,7 @@
 pub mod ends;
 pub mod gaps;
 pub mod gossip;
+pub mod leave;
 pub mod membership;
 pub mod mirror;
 pub mod news;
