A connection to a caller ends in order, and takes nothing of its answer along

Callers whose answer was the last of its connection missed its end, or got a reset in place of a refusal, when they had sent more than their request or were still sending its body: an entry closed the socket at once, over bytes it had not read, which the kernel answers with a reset, dropping what was not yet delivered.

Now an entry ends its own side, and reads and drops what still comes until the caller has ended its side, for a second at most. Why it holds: at the close there is nothing unread, or the caller had a second to take what it was sent. The same holds for connections at rest that an entry ends.

--- a/crates/gradeloft_gateway/src/entry/front.rs
+++ b/crates/gradeloft_gateway/src/entry/front.rs
@@ -22,6 +22,8 @@
 };
 /// Longest time for a body to arrive: the longest that callers wait for answers today.
 const BODY: Duration = Duration::from_secs(6);
+/// Longest time for a caller to end its side of a connection that ends.
+const CLOSING: Duration = Duration::from_secs(1);
 /// Longest time for an answer of our own to go out.
 const ANSWER: Duration = Duration::from_secs(2);
 
@@ -51,6 +53,8 @@
 pub async fn serve(entry: Rc<Entry>, stream: TcpStream) {
     let mut wire = Wire::new(stream);
     requests(&entry, &mut wire).await;
+    // Who is slower than that has what it needs, or has gone.
+    let _ = entry.node.timers.timeout(CLOSING, wire.finish()).await;
     if wire.unread() {
         entry.node.metrics.closed_unread.inc();
     }
--- a/crates/gradeloft_gateway/src/h1/wire.rs
+++ b/crates/gradeloft_gateway/src/h1/wire.rs
@@ -53,6 +53,20 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Ends the connection in order: what was sent arrives, also where the other side sends on. A close over unread bytes is
+    /// a reset, with which the kernel drops what has not been delivered. Waits until the other side has ended as well.
+    pub async fn finish(&mut self) {
+        if self.stream.shutdown().await.is_err() {
+            return;
+        }
+        loop {
+            self.buffer.clear();
+            if !matches!(self.fill().await, Ok(1..)) {
+                return;
+            }
+        }
+    }
+
     /// Gives the connection up: it ends with a reset, and what was sent and still waits before a full link goes
     /// nowhere. A close in order would deliver it first, after whoever asked has left.
     pub fn abandon(&self) {
