An answer waits for a caller that stands still as long as its request's time lasts

Callers that stood still for a few seconds and went on found their connection reset: data that a caller does not acknowledge for 4 s ended it, which also counts a closed window. Shown by an answer of 4 MB to a caller that reads nothing for 5 s.

Now data of callers may go unacknowledged for 15 s, longer than any request. Why it holds: nothing but the request's time ends an answer that its caller does not take. A caller whose machine vanished is given up at the end of its request's time, at most 6 s, in place of after 4 s.

Seen by reading, not shown: an answer that is held and sent whole had 2 s to go out, and has all of its request's time now.

--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -344,7 +344,7 @@
             // A replica's own failure says more than ours would.
             if let Some(stored) = stored.filter(|_| job.progress.ran == Ran::Unknown) {
                 conclude(entry, &job, stored.status(), "replica_failed", None);
-                let sent = stored.send(&entry.node.timers, caller, close).await;
+                let sent = stored.send(entry, caller, &job, close).await;
                 return after(sent && !close);
             }
             conclude(entry, &job, refusal.row().status, refusal.row().name, None);
--- a/crates/gradeloft_gateway/src/entry/front.rs
+++ b/crates/gradeloft_gateway/src/entry/front.rs
@@ -51,7 +51,7 @@
 
 /// Serves a connection until it ends.
 pub async fn serve(entry: Rc<Entry>, stream: TcpStream) {
-    let mut wire = Wire::new(stream);
+    let mut wire = Wire::accepted(stream);
     requests(&entry, &mut wire).await;
     // Who is slower than that has what it needs, or has gone.
     let _ = entry.node.timers.timeout(CLOSING, wire.finish()).await;
--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -3,7 +3,6 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::{BufMut, Bytes, BytesMut};
-use gradeloft_daemon::clock::Timers;
 use gradeloft_policy::{clock::Time, request::attempt::Failure};
 
 use super::{
@@ -31,7 +30,7 @@
 const SILENCE: Duration = Duration::from_millis(1_200);
 /// Pause in a plain answer after which another replica is looked for.
 const PLAIN_SILENCE: Duration = Duration::from_secs(2);
-/// Longest time for a stored answer to go out.
+/// Shortest time that a stored answer has to go out; it may also use all of its request's.
 const SEND: Duration = Duration::from_secs(2);
 
 /// A whole answer that is held, in case no other replica gives a better one.
@@ -47,9 +46,10 @@
     }
 
     /// Sends it to the caller; gives whether it went out.
-    pub async fn send(&self, timers: &Timers, caller: &mut Wire, close: bool) -> bool {
+    pub async fn send(&self, entry: &Entry, caller: &mut Wire, job: &Job, close: bool) -> bool {
         let bytes = self.encode(close);
-        matches!(timers.timeout(SEND, caller.send(&bytes)).await, Ok(Ok(())))
+        let least = entry.node.clock.now().after(SEND);
+        send(entry, caller, &bytes, job.deadline.max(least)).await
     }
 
     fn encode(&self, close: bool) -> Bytes {
@@ -277,7 +277,7 @@
         job.first_byte = Some(entry.node.clock.now());
         job.closes = entry.closes(job);
         let status = stored.status();
-        if stored.send(&entry.node.timers, caller, job.closes).await {
+        if stored.send(entry, caller, job, job.closes).await {
             Ended::Answered(status)
         } else {
             Ended::Gone(Ending::CallerStalled)
--- a/crates/gradeloft_gateway/src/h1/wire.rs
+++ b/crates/gradeloft_gateway/src/h1/wire.rs
@@ -13,8 +13,11 @@
 const READ_BYTES: usize = 8 << 10;
 /// Bytes kept from a caller that sends ahead of its answers.
 const MAX_AHEAD: usize = 64 << 10;
-/// Time after which data that the other machine does not acknowledge ends a connection.
+/// Time after which data that a replica's machine does not acknowledge ends a connection to it.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(4);
+/// The same for callers: longer than any request lasts. A caller that stands still does not acknowledge either, and
+/// takes its answer once it goes on; whether it still can is told by its request's time.
+const UNACKNOWLEDGED_BY_CALLER: Duration = Duration::from_secs(15);
 
 /// A connection and what has been read from it but not used.
 #[derive(Debug)]
@@ -25,11 +28,15 @@
 }
 
 impl Wire {
-    /// Takes a connection over.
-    pub fn new(stream: TcpStream) -> Wire {
+    /// Takes a caller's connection over.
+    pub fn accepted(stream: TcpStream) -> Wire {
+        Wire::new(stream, UNACKNOWLEDGED_BY_CALLER)
+    }
+
+    fn new(stream: TcpStream, unacknowledged: Duration) -> Wire {
         // Both only make failures show sooner; a connection without them still works.
         let _ = stream.set_nodelay(true);
-        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(unacknowledged));
         Wire {
             stream,
             buffer: BytesMut::new(),
@@ -39,7 +46,8 @@
     /// Connects.
     pub async fn connect(address: SocketAddr) -> io::Result<Wire> {
         let socket = TcpSocket::new_v4()?;
-        Ok(Wire::new(socket.connect(address).await?))
+        let stream = socket.connect(address).await?;
+        Ok(Wire::new(stream, UNACKNOWLEDGED))
     }
 
     /// Reads what comes next into the buffer; 0 at the connection's end.
--- a/crates/gradeloft_gateway/tests/entry/leaving.rs
+++ b/crates/gradeloft_gateway/tests/entry/leaving.rs
@@ -12,6 +12,7 @@
 use gradeloft_gateway::settings::Settings;
 use gradeloft_policy::process::document::Kind;
 use gradeloft_standin::scripted::Step;
+use rstest::rstest;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpSocket, TcpStream},
@@ -218,20 +219,24 @@
 }
 
 /// A caller that stands still for longer than any link needs gets its answer once it goes on.
-#[test]
-fn an_answer_waits_for_a_caller_that_stands_still() {
+#[rstest]
+#[case::in_parts(4 << 20, "x\r\n0\r\n\r\n")]
+#[case::held_first(500 << 10, "x")]
+fn an_answer_waits_for_a_caller_that_stands_still(#[case] bytes: usize, #[case] end: &str) {
     run(async {
-        let body = "x".repeat(4 << 20);
+        let body = "x".repeat(bytes);
         let script = vec![Step::Read, ok(&body)];
         let _world = start(Kind::Once, vec![vec![script]]).await;
         let socket = TcpSocket::new_v4().unwrap();
         socket.set_recv_buffer_size(4 << 10).unwrap();
         let mut caller = socket.connect((address(1), 8005).into()).await.unwrap();
-        caller.write_all(kept(LONG_MS).as_bytes()).await.unwrap();
+        let closing = kept(LONG_MS).replace("Host:", "Connection: close\r\nHost:");
+        caller.write_all(closing.as_bytes()).await.unwrap();
         // The load itself: for so long nothing is read.
         actix_rt::time::sleep(STANDSTILL).await;
-        let answer = read_until(&mut caller, "0\r\n\r\n").await;
-        assert!(answer.ends_with("x\r\n0\r\n\r\n"), "{}", answer.len());
+        let (answer, ended) = read_all(&mut caller).await;
+        assert!(ended && answer.ends_with(end), "{}", answer.len());
+        assert!(bytes < answer.len(), "{}", answer.len());
     });
 }
 
--- a/crates/gradeloft_gateway/tests/wire.rs
+++ b/crates/gradeloft_gateway/tests/wire.rs
@@ -16,7 +16,7 @@
         let mut other = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
         let (stream, _) = listener.accept().unwrap();
         stream.set_nonblocking(true).unwrap();
-        let wire = Wire::new(tokio::net::TcpStream::from_std(stream).unwrap());
+        let wire = Wire::accepted(tokio::net::TcpStream::from_std(stream).unwrap());
         assert!(!wire.pending() && !wire.has_gone());
         other.write_all(b"x").unwrap();
         assert!(wire.pending() && wire.unread() && !wire.has_gone());
