--- a/crates/gradeloft_daemon/src/main.rs
+++ b/crates/gradeloft_daemon/src/main.rs
@@ -12,7 +12,7 @@
 use gradeloft_wire::border::settings::{Role, Settings};
 use slog::{error, info};
 use tokio::{
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     sync::watch,
 };
 
@@ -92,8 +92,40 @@
     ExitCode::from(BAD_SETTINGS)
 }
 
+/// Signals that end a process in order.
+struct Signals {
+    interrupt: Signal,
+    terminate: Signal,
+}
+
+impl Signals {
+    /// Heeds signals from now on. One that comes before ends the process at once, so this goes first: nothing has been
+    /// accepted from callers by then.
+    fn listen() -> std::io::Result<Signals> {
+        Ok(Signals {
+            interrupt: signal(SignalKind::interrupt())?,
+            terminate: signal(SignalKind::terminate())?,
+        })
+    }
+
+    /// Waits for the next one.
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.interrupt.recv() => {}
+            _ = self.terminate.recv() => {}
+        }
+    }
+}
+
 async fn run(settings: Settings) -> ExitCode {
     let log = logging::to_stderr(settings.log_level, &settings.node.id);
+    let signals = match Signals::listen() {
+        Ok(signals) => signals,
+        Err(why) => {
+            error!(log, "no signals"; "why" => %why);
+            return ExitCode::from(NO_START);
+        }
+    };
     let Ok(seed) = getrandom::u64() else {
         error!(log, "no randomness from the system");
         return ExitCode::from(NO_START);
@@ -103,8 +135,8 @@
     let agent = settings.agent.clone();
     let node = Node::new(settings, platform, log.clone(), seed);
     let result = match (role, agent) {
-        (Role::Agent, Some(agent)) => run_agent(node, agent).await,
-        _ => run_entry(node).await,
+        (Role::Agent, Some(agent)) => run_agent(node, agent, signals).await,
+        _ => run_entry(node, signals).await,
     };
     match result {
         Ok(0) => ExitCode::SUCCESS,
@@ -120,39 +152,32 @@
 async fn run_agent(
     node: Node,
     settings: gradeloft_wire::border::settings::Agent,
+    signals: Signals,
 ) -> std::io::Result<usize> {
     let endpoint = Endpoint::http(&settings.endpoint);
     let handle = agent::Builder::new(node, settings, endpoint)
         .start()
         .await?;
-    let forced = stop(handle.node()).await?;
+    let forced = stop(handle.node(), signals).await;
     Ok(handle.drain(forced).await as usize)
 }
 
-async fn run_entry(node: Node) -> std::io::Result<usize> {
+async fn run_entry(node: Node, signals: Signals) -> std::io::Result<usize> {
     let handle = entry::Builder::new(node).start().await?;
-    let forced = stop(handle.node()).await?;
+    let forced = stop(handle.node(), signals).await;
     Ok(handle.drain(forced).await)
 }
 
 /// Waits for the first SIGTERM or SIGINT; what it gives turns true with the second.
-async fn stop(node: &Node) -> std::io::Result<watch::Receiver<bool>> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+async fn stop(node: &Node, mut signals: Signals) -> watch::Receiver<bool> {
+    signals.next().await;
     info!(node.log, "signal"; "action" => "drain");
     let (force, forced) = watch::channel(false);
     let log = node.log.clone();
     actix_rt::spawn(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
+        signals.next().await;
         info!(log, "signal"; "action" => "force");
         let _ = force.send(true);
     });
-    Ok(forced)
+    forced
 }
