The product's own entry begins nothing that may outlast its drain

The test fails before: the request with 60 s ran at an entry that ends after 4.5 s. Looked at and left: silence there ends an answer after `limits.idle_ms`, 30 s unless an operator sets it, and with an error that the caller sees, not a cut.

--- a/crates/gradeloft_daemon/src/entry/border.rs
+++ b/crates/gradeloft_daemon/src/entry/border.rs
@@ -115,13 +115,18 @@
             .map_err(|_| Failure::because(Kind::BadRequest, format!("{DEADLINE}: no number")))?,
         None => longest,
     };
+    let deadline = started.after_ms(wanted.min(longest));
+    // An answer that the end of the process might cut is another entry's to give.
+    if node.ends.get().is_some_and(|end| end < deadline) {
+        return Err(Kind::Leaving.into());
+    }
     Ok(Context {
         id: id.to_owned(),
         team: team.clone(),
         class_name: class_name.to_owned(),
         class: class as u8,
         started,
-        deadline: started.after_ms(wanted.min(longest)),
+        deadline,
     })
 }
 
--- a/crates/gradeloft_daemon/src/entry/mod.rs
+++ b/crates/gradeloft_daemon/src/entry/mod.rs
@@ -157,13 +157,14 @@
     }
 
     /// Shuts down: callers are told of other addresses, and what they still send here until they
-    /// ask again is answered; then the listener closes and the last requests end. Gives how many
+    /// ask again is answered if it is sure to be whole by the end; then the listener closes and the last requests end. Gives how many
     /// were cut off, because the bound passed or `forced` fired.
     pub async fn drain(&self, mut forced: watch::Receiver<bool>) -> usize {
         let node = &self.entry.node;
         node.leave();
         info!(node.log, "leaving"; "running" => self.entry.running.get());
         let bound = Duration::from_millis(node.limits.drain_ms);
+        node.ends.set(Some(node.clock.now().after(bound)));
         let ended = async {
             let ttl = Duration::from_secs(self.entry.settings.address_ttl_s);
             actix_rt::time::sleep(ttl + peers::HEARTBEAT).await;
--- a/crates/gradeloft_daemon/src/node/mod.rs
+++ b/crates/gradeloft_daemon/src/node/mod.rs
@@ -17,7 +17,7 @@
 };
 
 use gradeloft_platform::{list, log, weights};
-use gradeloft_policy::{process::membership::Membership, version::chain::Chain};
+use gradeloft_policy::{clock::Time, process::membership::Membership, version::chain::Chain};
 use gradeloft_wire::{
     border::settings::{Limits, Settings},
     frame::Notice,
@@ -125,6 +125,8 @@
     pub membership: RefCell<Membership>,
     /// Counts changes of membership; tells whoever waits for one.
     pub members: watch::Sender<u64>,
+    /// When the process ends at the latest, once it leaves.
+    pub ends: Cell<Option<Time>>,
     /// The node's own state, as it is pushed to those who watch it.
     pub notice: watch::Sender<Notice>,
     rng: RefCell<ChaCha8Rng>,
@@ -164,6 +166,7 @@
             bundle: watch::Sender::new(0),
             membership: RefCell::new(Membership::new(&settings.node.id)),
             members: watch::Sender::new(0),
+            ends: Cell::default(),
             notice: watch::Sender::new(notice),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
             settings,
--- a/crates/gradeloft_daemon/tests/serving.rs
+++ b/crates/gradeloft_daemon/tests/serving.rs
@@ -315,6 +315,34 @@
     );
 }
 
+/// Callers ask an entry for as long as they may keep its address. Whose answer might not be whole before the process ends
+/// got one that broke off; it is sent to another entry at once, unrun.
+#[actix_rt::test]
+async fn a_draining_entry_begins_nothing_that_may_outlast_it() {
+    let mut shape = shape(1, 1, 0);
+    shape.settings = "limits: {drain_ms: 4500}".to_owned();
+    let fleet = fleet(shape).await;
+    let v1 = version("v1");
+    fleet.deploy(&v1).await;
+    let (force, forced) = watch::channel(false);
+    let entry = fleet.entries[0].as_ref().unwrap();
+    let asked = async {
+        until("the entry leaves", || entry.node().leaving()).await;
+        let deadline = |ms| fleet.caller().with("x-deadline-ms", ms);
+        let (quick, patient) = (deadline("1000"), deadline("60000"));
+        let short = quick.generate(fleet.entry(0), MODEL, "p", 3).await;
+        let expected = "200 the version's own text, end of 3 tokens by bulletin/v1, no error";
+        assert_eq!(generated(&short, &v1, "p", 3), expected);
+        let before = fleet.engines[0].endpoint.state.finished.get();
+        let long = patient.generate(fleet.entry(0), MODEL, "p", 3).await;
+        let error = long.error.expect("an error");
+        assert_eq!((long.status, error.kind.as_str()), (503, "leaving"));
+        assert_eq!(fleet.engines[0].endpoint.state.finished.get(), before);
+        force.send(true).unwrap();
+    };
+    join(entry.drain(forced), asked).await;
+}
+
 #[actix_rt::test]
 async fn a_malformed_frame_costs_its_connection_and_nothing_else() {
     let fleet = fleet(shape(1, 1, 0)).await;
