Settings are read once two looks at their file give the same

Closes the test that failed once beside load: a file that is rewritten was read in the middle, refused as empty or half ("unexpected end of input"), and read again a second later, which the test took for the refusal it waited for.

--- a/crates/gradeloft_gateway/src/watch.rs
+++ b/crates/gradeloft_gateway/src/watch.rs
@@ -5,6 +5,11 @@
 /// Pause between looks at the file. Settings are a kilobyte, and nothing waits for them.
 const LOOK: Duration = Duration::from_secs(1);
 
+/// Pause between two looks at a file that has just changed: a writer that is at work adds something meanwhile.
+const SETTLING: Duration = Duration::from_millis(100);
+/// Most looks at a file that goes on changing.
+const MAX_SETTLING: u32 = 20;
+
 /// A file, and what was read from it last.
 #[derive(Debug)]
 pub struct Watch {
@@ -29,6 +34,22 @@
         changed
     }
 
+    /// Waits until two looks give the same: whoever writes the file may be in the middle of it.
+    pub async fn settle(&mut self) {
+        self.look();
+        for _ in 0..MAX_SETTLING {
+            actix_rt::time::sleep(SETTLING).await;
+            if !self.look() {
+                return;
+            }
+        }
+    }
+
+    /// What the last look found; `None` if the file could not be read.
+    pub fn content(&self) -> Option<&[u8]> {
+        self.content.as_deref()
+    }
+
     /// Waits until the file has changed.
     pub async fn changed(&mut self) {
         loop {
