An entry that leaves sends callers to those that stay

Cause of the loss: others have taken over the slots of an entry that leaves, so what it sends on comes late. Connections that have ended but for the caller's side no longer count as cut off.

--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -147,7 +147,7 @@
         Ok((route, team)) => {
             let job = job(entry, route, team, received, keeps);
             match entry.leave.get() {
-                Some(leave) if !leave.takes(job.deadline) => {
+                Some(leave) if entry.others_take() || !leave.takes(job.deadline) => {
                     Err(Box::new((Refusal::Leaving, job.received)))
                 }
                 _ => Ok(job),
@@ -360,6 +360,12 @@
 }
 
 impl Entry {
+    /// Whether other entries take callers, as far as this one knows.
+    fn others_take(&self) -> bool {
+        let now = self.node.clock.now();
+        self.roster.borrow().serving(|_| true, now).next().is_some()
+    }
+
     /// Whether a request's connection is to end after its answer.
     pub(super) fn closes(&self, job: &Job) -> bool {
         !job.keeps || self.node.leaving.get()
--- a/crates/gradeloft_gateway/src/entry/front.rs
+++ b/crates/gradeloft_gateway/src/entry/front.rs
@@ -54,7 +54,9 @@
     let mut wire = Wire::accepted(stream);
     requests(&entry, &mut wire).await;
     // Who is slower than that has what it needs, or has gone.
+    entry.closing.set(entry.closing.get() + 1);
     let _ = entry.node.timers.timeout(CLOSING, wire.finish()).await;
+    entry.closing.set(entry.closing.get() - 1);
     if wire.unread() {
         entry.node.metrics.closed_unread.inc();
     }
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -159,6 +159,8 @@
     suspicion: Suspicion,
     /// Connections of callers.
     open: Cell<usize>,
+    /// Of these, those that have ended but for the callers' side.
+    closing: Cell<usize>,
     /// Set once it leaves.
     leave: Cell<Option<Leave>>,
 }
@@ -199,6 +201,7 @@
             starts: RefCell::default(),
             suspicion: Suspicion::default(),
             open: Cell::default(),
+            closing: Cell::default(),
             leave: Cell::default(),
         });
         entry.meet_seeds();
@@ -483,7 +486,7 @@
         while !leave.over(entry.open.get(), node.clock.now()) {
             actix_rt::time::sleep(LOOK).await;
         }
-        let cut = entry.open.get();
+        let cut = entry.open.get() - entry.closing.get();
         info!(node.logs.root, "left"; "cut_off" => cut);
         node.scope.end();
         cut
--- a/crates/gradeloft_gateway/tests/entry/leaving.rs
+++ b/crates/gradeloft_gateway/tests/entry/leaving.rs
@@ -8,7 +8,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use crate::support::{Shape, World, address, answer, last_chunk, ok, run, stream, until};
+use crate::support::{Shape, World, address, answer, get, last_chunk, ok, run, stream, until};
 use gradeloft_gateway::settings::Settings;
 use gradeloft_policy::process::document::Kind;
 use gradeloft_standin::scripted::Step;
@@ -120,6 +120,28 @@
     });
 }
 
+/// Others have taken over the slots of an entry that leaves, so what it sent on would wait behind their requests.
+#[test]
+fn while_another_entry_takes_callers_they_are_sent_there() {
+    run(async {
+        let world = start(Kind::Once, vec![well()]).await;
+        let replica = Rc::clone(&world.replicas[0].seen);
+        let _other = world.another(2, &world.tables).await;
+        let ready = || async { get(2, 8002, "/ready").await.starts_with("HTTP/1.1 200") };
+        until(ready).await;
+        let entry = Rc::clone(world.entry.entry());
+        until(|| async { 1 < entry.addresses().len() }).await;
+        leave(world).await;
+        let mut caller = connect().await;
+        caller.write_all(kept(SHORT_MS).as_bytes()).await.unwrap();
+        let (answer, ended) = read_all(&mut caller).await;
+        assert!(ended && answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        assert!(answer.contains("Retry-After: 0\r\n"), "{answer}");
+        assert!(answer.contains(r#""ran":"no""#), "{answer}");
+        assert_eq!(replica.borrow().requests.len(), 0);
+    });
+}
+
 #[test]
 fn a_request_on_a_kept_connection_is_answered() {
     run(async {
--- a/crates/gradeloft_policy/src/process/leave.rs
+++ b/crates/gradeloft_policy/src/process/leave.rs
@@ -1,8 +1,9 @@
 //! How an entry that was told to end treats its callers.
 //!
-//! Callers keep an address for seconds after its entry began to leave, and connections for longer. What they send meanwhile is
-//! answered as long as the answer is sure to be whole before the process ends; otherwise it is sent to another entry at
-//! once, unrun. A refusal costs a caller milliseconds, a stream that breaks off all that it has waited for.
+//! Callers keep an address for seconds after its entry began to leave, and connections for longer. What they send meanwhile
+//! is sent to another entry at once, unrun: the others have the slots by then, and a refusal costs milliseconds. Where no
+//! other takes callers, it is answered as long as the answer is sure to be whole before the process ends: a stream that
+//! breaks off costs its caller all that it has waited for.
 
 use crate::clock::Time;
 
