--- a/crates/gradeloft_gateway/src/entry/attempt.rs
+++ b/crates/gradeloft_gateway/src/entry/attempt.rs
@@ -14,7 +14,7 @@
     ending::Ending,
     forward::Job,
     quarantine::Start,
-    relay::{self, Passage, Stored},
+    relay::{self, Passage, Source, Stored},
     running::Running,
 };
 use crate::{
@@ -151,7 +151,11 @@
         match &mut self.stage {
             Stage::Asking(_) | Stage::Unrun { .. } => Ended::Failed(Failure::Broken, None),
             Stage::Answering(passage) => {
-                let source = (&mut self.link, &self.running, &mut self.expected);
+                let source = Source {
+                    link: &mut self.link,
+                    running: &self.running,
+                    expected: &mut self.expected,
+                };
                 passage.pass(entry, caller, job, source, quiet).await
             }
         }
--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -96,8 +96,15 @@
     Stream(Splitter),
 }
 
-/// The connection that an answer comes on.
-pub(super) type Source<'a> = (&'a mut Link, &'a Running, &'a mut Option<Expected>);
+/// Where an answer comes from.
+pub(super) struct Source<'a> {
+    /// The connection.
+    pub(super) link: &'a mut Link,
+    /// The request's place at the replica.
+    pub(super) running: &'a Running,
+    /// When the answer is to begin, until it does.
+    pub(super) expected: &'a mut Option<Expected>,
+}
 
 /// What reading on gave.
 enum Read {
@@ -173,20 +180,10 @@
         source: Source<'_>,
         silence: Option<Duration>,
     ) -> Ended {
-        let (link, running, expected) = source;
         match self.form {
-            Form::Stream(_) => {
-                self.stream(entry, caller, job, (link, running, expected), silence)
-                    .await
-            }
-            Form::Plain(_) => {
-                self.plain(entry, caller, job, (link, running, expected), silence)
-                    .await
-            }
-            Form::Large => {
-                self.large(entry, caller, job, (link, running, expected))
-                    .await
-            }
+            Form::Stream(_) => self.stream(entry, caller, job, source, silence).await,
+            Form::Plain(_) => self.plain(entry, caller, job, source, silence).await,
+            Form::Large => self.large(entry, caller, job, source).await,
         }
     }
 
@@ -200,7 +197,7 @@
         silence: Option<Duration>,
     ) -> Read {
         let node = &entry.node;
-        let (link, running, _) = source;
+        let Source { link, running, .. } = source;
         loop {
             if let Some(read) = self.next_here(link) {
                 return read;
@@ -258,7 +255,7 @@
                 return Ended::Failed(Failure::Broken, None);
             };
             let Read::Data(data) = read else { break };
-            count(entry, job, source.0, data.len());
+            count(entry, job, source.link, data.len());
             body.extend_from_slice(&data);
             if MAX_STORED < body.len() {
                 return self.begin_large(entry, caller, job, source).await;
@@ -319,7 +316,7 @@
                 .await;
             match read {
                 Read::Data(data) => {
-                    count(entry, job, source.0, data.len());
+                    count(entry, job, source.link, data.len());
                     put_chunk(&mut out, &data);
                 }
                 Read::End => break,
@@ -378,7 +375,7 @@
             here = if whole {
                 None
             } else {
-                self.next_here(source.0)
+                self.next_here(source.link)
             };
             if here.is_some() {
                 continue;
@@ -388,7 +385,7 @@
                 bytes = chunked_head(entry, job, &self.head);
                 job.head_sent = true;
                 job.first_byte = Some(entry.node.clock.now());
-                job.version = entry.version_of(source.0.replica());
+                job.version = entry.version_of(source.link.replica());
             }
             put_chunk(&mut bytes, &out);
             out.clear();
@@ -413,12 +410,12 @@
 
 /// A stream's bytes came: its replica is at work.
 fn heard(entry: &Entry, job: &mut Job, source: &mut Source<'_>, bytes: usize) {
-    let (link, running, expected) = source;
-    count(entry, job, link, bytes);
-    entry.heard_replica(link.replica());
-    running.begun();
-    if let Some(expected) = expected.take() {
-        entry.began(link.replica(), expected);
+    let replica = source.link.replica();
+    count(entry, job, source.link, bytes);
+    entry.heard_replica(replica);
+    source.running.begun();
+    if let Some(expected) = source.expected.take() {
+        entry.began(replica, expected);
     }
 }
 
