--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -3,7 +3,7 @@
 //! - [`answer`]: answers that an entry gives by itself.
 //! - [`attempt`]: one request sent to one replica.
 //! - [`choice`]: which replica gets a request, and how it waits where none has room.
-//! - [`course`]: an attempt, and another beside it while its replica is silent.
+//! - `course`: an attempt, and another beside it while its replica is silent.
 //! - [`ending`]: what ended a request that got no whole answer.
 //! - [`forward`]: one request, from its route to its end.
 //! - [`front`]: connections of callers.
