--- a/crates/gradeloft_bench/src/requests.rs
+++ b/crates/gradeloft_bench/src/requests.rs
@@ -89,7 +89,7 @@
     /// Calls a second that may not be repeated.
     #[arg(long, default_value_t = 40.0)]
     calls: f64,
-    /// Seconds that are measured.
+    /// Seconds of load that count.
     #[arg(long, default_value_t = 8.0)]
     seconds: f64,
     /// Seed of the load.
--- a/crates/gradeloft_gateway/src/entry/tell.rs
+++ b/crates/gradeloft_gateway/src/entry/tell.rs
@@ -45,7 +45,7 @@
     shortest: Duration::from_millis(500),
     longest: Duration::from_millis(1_000),
 };
-/// Bytes of a word to entries, as far as budgets go: measured with ten replicas in use.
+/// Bytes of a word to entries, as far as budgets go: one that tells of ten replicas in use.
 const NEAR_BYTES: usize = 130;
 /// Bytes of a word to agents.
 const AGENT_BYTES: usize = 90;
--- a/crates/gradeloft_policy/src/process/readers.rs
+++ b/crates/gradeloft_policy/src/process/readers.rs
@@ -36,8 +36,7 @@
 }
 
 /// Whether an entry reads a table from the store that it has never had. After everything was off nobody has it, and
-/// to wait for peers all the same kept callers without service for a second (0.04 to 0.06 of a day's worth on 34
-/// entries that lost power, measured with a wait and without).
+/// to wait for peers all the same would keep callers without service for a second.
 pub fn reads_first(first: First) -> bool {
     let untold = !first.told && !first.spare;
     first.seed || UNGIVEN <= first.since_start || (untold && UNTOLD <= first.since_start)
--- a/crates/gradeloft_policy/src/process/standing.rs
+++ b/crates/gradeloft_policy/src/process/standing.rs
@@ -12,9 +12,8 @@
 /// Part of the time for a configuration to be in force for which an entry that lacks it takes callers as if
 /// it lacked nothing. That time counts from the confirmation, which comes after peers have the record: with
 /// a bound of 2 s this is 1.6 s, and entries of other regions tell each 0.5 s at the latest how far their
-/// copies go. Far above the 0.2 to 0.5 s that a usual change takes on its way, so entries seldom step aside;
-/// with a bound of 3 s, above the 1.2 s in which 34 entries passed on a record of 0.9 MB (measured on three
-/// regions, two links of 30 Mbit/s between them).
+/// copies go. Well above the time that a usual change takes on its way, and a large one over narrow links, so
+/// entries seldom step aside.
 const ASIDE: f64 = 0.8;
 
 /// How an entry takes callers.
--- a/crates/gradeloft_policy/src/request/forecast.rs
+++ b/crates/gradeloft_policy/src/request/forecast.rs
@@ -8,8 +8,8 @@
 use crate::process::document::Speed;
 
 /// Least and most by which answers may correct a forecast. A replica that is slower than four times what
-/// the operator publishes is too slow for any objective of today; one that seems twice as fast was
-/// measured while it was idle.
+/// the operator publishes is too slow for any objective of today; one that seems twice as fast had
+/// nothing else to do.
 const LEAST_SLOWNESS: f64 = 0.5;
 const MOST_SLOWNESS: f64 = 4.0;
 /// Part that one answer has in the correction: some ten answers, about a second of a replica's work.
