Serve homes, evacuated zones and cold replicas

Cause: nothing read the regions to which the operator binds routes and teams, evacuations, or how long a replica stays cold.

An evacuated zone's replicas count as closed, at every entry, also after a restart.

--- a/crates/gradeloft_cli/src/explain.rs
+++ b/crates/gradeloft_cli/src/explain.rs
@@ -128,6 +128,9 @@
         let what = failures.get(idx).map_or("answered", |it| failure(it));
         steps.push(format!("sent to {replica}: {what}"));
     }
+    if let Some(homes) = line.field("homes").filter(|it| *it != "*") {
+        steps.push(format!("may be served in these regions only: {homes}"));
+    }
     if let Some(census) = line.field("none_free").filter(|it| !it.is_empty()) {
         steps.push(format!("no further replica could get it: {census}"));
     }
--- a/crates/gradeloft_cli/tests/explain.rs
+++ b/crates/gradeloft_cli/tests/explain.rs
@@ -5,7 +5,7 @@
 const LOGS: &str = "\
 INFO | replica listed\tnode=entry-1 replica=i-1 version=\"Some(2)\" address=\"10.0.0.1:80\"
 INFO | replica listed\tnode=entry-1 replica=i-9 version=None
-INFO | request\tnode=entry-1 none_free=closed:1,full:2,old:0,tried:1 config=7 ms=12 first_ms=-1 failures=\"unsent,refused\" replicas=\"i-1,i-2\" status=503 outcome=no_replica request=abc
+INFO | request\tnode=entry-1 none_free=closed:1,full:2,old:0,tried:1 homes=north,south config=7 ms=12 first_ms=-1 failures=\"unsent,refused\" replicas=\"i-1,i-2\" status=503 outcome=no_replica request=abc
 a line of another program
 2026-12-02T18:00:00Z INFO | replica gone\tnode=entry-1 replica=i-2
 INFO | lines left out\tnode=entry-1 count=16 topic=state
@@ -21,6 +21,7 @@
         [
             "sent to i-1: no connection could be made; nothing was sent",
             "sent to i-2: it said that it ran nothing, being full, leaving or about to load",
+            "may be served in these regions only: north,south",
             "no further replica could get it: closed:1,full:2,old:0,tried:1",
             "no_replica: refused, not run: no replica took it (status 503, first byte after -1 ms, \
              end after 12 ms, configuration 7)",
--- a/crates/gradeloft_emulator/src/entry.rs
+++ b/crates/gradeloft_emulator/src/entry.rs
@@ -285,5 +285,6 @@
         draining: false,
         has_model: true,
         version: Some(1),
+        warmup_left_ms: 0,
     }
 }
--- a/crates/gradeloft_gateway/src/entry/choice.rs
+++ b/crates/gradeloft_gateway/src/entry/choice.rs
@@ -4,7 +4,10 @@
 
 use gradeloft_policy::{
     clock::Time,
-    process::{document::Speed, replicas::ReplicaKey},
+    process::{
+        document::Speed,
+        replicas::{Replica, ReplicaKey},
+    },
     request::{
         placement::{self, Census, Claim, Wish},
         wait,
@@ -12,7 +15,7 @@
 };
 
 use super::{Entry, forward::Job};
-use crate::h1::wire::Wire;
+use crate::{h1::wire::Wire, settings::Settings};
 
 /// What came of a wait for a replica with room.
 pub(super) enum Room {
@@ -95,7 +98,9 @@
         oldest: entry.oldest_versions(&job.service).allowed,
         ..wish(entry, job, &settings.zone, speed.as_ref(), now)
     };
-    placement::census(entry.replicas.borrow().of(&job.service), wish, now)
+    let replicas = entry.replicas.borrow();
+    let here = |it: &Replica| at_home(&settings, job, it);
+    placement::census(replicas.of(&job.service), here, wish, now)
 }
 
 fn choose_from(entry: &Entry, job: &Job, oldest: Option<u64>, now: Time) -> Option<ReplicaKey> {
@@ -109,12 +114,17 @@
     let most = entry.connections_each(&job.service);
     let open = replicas
         .of(&job.service)
-        .filter(|(key, _)| entry.pool.used(*key) < most);
+        .filter(|(key, it)| at_home(&settings, job, it) && entry.pool.used(*key) < most);
     entry
         .node
         .with_rng(|rng| placement::choose(open, wish, now, rng))
 }
 
+/// Whether a replica is in a region in which the request may be served.
+fn at_home(settings: &Settings, job: &Job, replica: &Replica) -> bool {
+    job.homes.everywhere() || job.homes.allow(settings.region(&replica.listing.zone))
+}
+
 fn wish<'a>(
     entry: &Entry,
     job: &'a Job,
--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -6,6 +6,7 @@
     clock::Time,
     process::{
         document::{Config, Denied, Kind, Route},
+        homes::Homes,
         replicas::ReplicaKey,
         standing::Standing,
     },
@@ -45,6 +46,8 @@
     pub service: Rc<str>,
     /// Team that sent it.
     pub team: Option<Rc<str>>,
+    /// Regions in which it may be served.
+    pub homes: Homes,
     /// When it gets its final answer at the latest.
     pub deadline: Time,
     /// When its answer is to have begun to be in time.
@@ -145,7 +148,8 @@
     }
     match find(entry, &config, &received) {
         Ok((route, team)) => {
-            let job = job(entry, route, team, received, keeps);
+            let homes = config.homes(&route, team.as_deref());
+            let job = job(entry, route, team, homes, received, keeps);
             match entry.leave.get() {
                 Some(leave) if entry.others_take() || !leave.takes(job.deadline) => {
                     Err(Box::new((Refusal::Leaving, job.received)))
@@ -171,7 +175,14 @@
     Ok((route.clone(), team))
 }
 
-fn job(entry: &Entry, route: Route, team: Option<Rc<str>>, received: Received, keeps: bool) -> Job {
+fn job(
+    entry: &Entry,
+    route: Route,
+    team: Option<Rc<str>>,
+    homes: Homes,
+    received: Received,
+    keeps: bool,
+) -> Job {
     let name = entry.node.platform.headers.deadline;
     let told = received
         .head
@@ -192,6 +203,7 @@
         progress: Progress::new(route.kind, route.max_attempts),
         service,
         team,
+        homes,
         received,
         route,
         tried: Vec::new(),
@@ -410,7 +422,7 @@
     let tried = entry.names(&job.tried);
     info!(log, "request";
         "request" => id(entry, &job.received), "outcome" => outcome, "status" => status,
-        "route" => &*job.route.name, "service" => &*job.service, "team" => team.unwrap_or("-"),
+        "route" => &*job.route.name, "service" => &*job.service, "team" => team.unwrap_or("-"), "homes" => %job.homes,
         "replicas" => tried.join(","), "failures" => trail.join(","),
         "first_ms" => job.first_byte.map_or(-1, |it| since(it).as_millis() as i64),
         "ms" => since(now).as_millis() as u64, "claim" => %job.claim, "expected_ms" => job.expected_ms,
--- a/crates/gradeloft_gateway/src/entry/learn.rs
+++ b/crates/gradeloft_gateway/src/entry/learn.rs
@@ -16,7 +16,7 @@
 use slog::{info, warn};
 
 use super::{Entry, Oldest};
-use crate::logs::Topic;
+use crate::{logs::Topic, node::tables::Source};
 
 /// Time before the end of that for new weights from which on requests go to replicas that hold them, if
 /// one has room, in milliseconds: until then the last replicas change over.
@@ -61,7 +61,17 @@
     pub(super) fn changed(&self, table: Table, records: &[Record]) {
         match table {
             Table::Entries => self.entries_changed(records),
-            Table::Operator => records.iter().for_each(|it| self.ordered(it)),
+            Table::Operator => {
+                // Whoever brings records into the region says so at once: the others' regular datagrams come once a second
+                // in a large region.
+                let brought = match self.node.source() {
+                    Source::Store => true,
+                    Source::Peer(peer) => !self.node.is_near_peer(peer),
+                    Source::Own => false,
+                };
+                self.announces.set(brought || self.announces.get());
+                records.iter().for_each(|it| self.apply_order(it));
+            }
             Table::Replicas => records.iter().for_each(|it| self.listed(it)),
         }
     }
@@ -81,10 +91,7 @@
         }
     }
 
-    fn ordered(&self, record: &Record) {
-        if record.value.is_none() {
-            return;
-        }
+    fn apply_order(&self, record: &Record) {
         match self.node.platform.decoder.order(record) {
             Ok(Order::Config(document)) => {
                 let written = self.node.written(Table::Operator, record);
@@ -94,6 +101,7 @@
                 let written = self.node.written(Table::Operator, record);
                 self.name_weights(model, version, written);
             }
+            Ok(Order::Evacuation { zone, active }) => self.evacuate(&zone, active),
             Ok(Order::Other) => {}
             Err(error) => {
                 if let Some(log) = self.node.logs.line(Topic::State) {
@@ -103,6 +111,16 @@
         }
     }
 
+    fn evacuate(&self, zone: &str, active: bool) {
+        let changed = self.replicas.borrow_mut().evacuate(zone, active);
+        if changed && let Some(log) = self.node.logs.line(Topic::State) {
+            info!(log, "evacuation"; "zone" => zone, "active" => active,
+                "source" => %self.node.source());
+        }
+        let zones = self.replicas.borrow().evacuated().count();
+        self.node.metrics.evacuated.set(zones as i64);
+    }
+
     fn configure(&self, document: Document, written: Time) {
         let version = document.version;
         if version <= self.config_version() {
@@ -177,9 +195,11 @@
                         "offset" => record.offset);
                 }
                 let near = self.node.near(&listing.zone);
+                let warmup_left_ms = listing.warmup_left_ms;
                 let key = replicas.list(listing);
                 if let Some(replica) = replicas.get_mut(key) {
                     replica.near = near;
+                    replica.warms_for(warmup_left_ms, self.node.clock.now());
                 }
                 drop(replicas);
                 if let Some(ended) = key_before.filter(|it| *it != key) {
--- a/crates/gradeloft_gateway/src/entry/lookup.rs
+++ b/crates/gradeloft_gateway/src/entry/lookup.rs
@@ -69,7 +69,7 @@
     if request.path != directory.lookup_path() {
         return text(404, "not found\n");
     }
-    let addresses = entry.addresses();
+    let addresses = entry.addresses(&directory.lookup(&request.query));
     if addresses.is_empty() {
         return text(503, "no entry is ready\n");
     }
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -49,11 +49,13 @@
     self as peer_server, Handler as PeerHandler, Outgoing, Server as PeerServer,
 };
 use gradeloft_http::server::Server;
+use gradeloft_platform::fleet::Lookup;
 use gradeloft_policy::{
     clock::Time,
     process::{
         document::{Config, Speed},
         elsewhere::Elsewhere,
+        homes::Homes,
         leave::Leave,
         repeats::Budget,
         replicas::{ReplicaKey, Replicas},
@@ -149,6 +151,8 @@
     changed_engines: RefCell<Vec<SocketAddr>>,
     /// What agents were told last: replicas that changed over, and how far the operator's table goes.
     told_agents: RefCell<(Vec<Switched>, u64)>,
+    /// Whether it brought records of the operator's into its region that the other entries there don't know of yet.
+    announces: Cell<bool>,
     /// How often other regions were told something.
     told_regions: Cell<usize>,
     /// Whether it left callers to others when it last looked.
@@ -196,6 +200,7 @@
             far_loads: RefCell::default(),
             changed_engines: RefCell::default(),
             told_agents: RefCell::default(),
+            announces: Cell::default(),
             told_regions: Cell::default(),
             told_aside: Cell::default(),
             starts: RefCell::default(),
@@ -281,18 +286,36 @@
         }
     }
 
-    /// Addresses for callers, the own one first while it takes any.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
+    /// Addresses for a caller, the own one first while it takes any. Where the host is bound to some regions, entries of
+    /// these and of the caller's region only, unless none of them is ready.
+    pub fn addresses(&self, lookup: &Lookup) -> Vec<SocketAddr> {
+        let homes = match self.config.borrow().as_ref() {
+            Some(config) => config.homes_of_host(&lookup.host),
+            None => Homes::default(),
+        };
+        let bound = self.ready_addresses(|region| {
+            homes.allow(region) || lookup.region.as_deref() == Some(region)
+        });
+        match bound.is_empty() {
+            true => self.ready_addresses(|_| true),
+            false => bound,
+        }
+    }
+
+    /// Addresses of entries that take callers, in regions that fit.
+    fn ready_addresses(&self, fits: impl Fn(&str) -> bool) -> Vec<SocketAddr> {
         let settings = self.node.settings();
         let Role::Entry { frontend, .. } = settings.role else {
             return Vec::new();
         };
         let now = self.node.clock.now();
+        let fits = |zone: &str| fits(settings.region(zone));
         let others = self
             .roster
             .borrow()
-            .ready(settings.address, &settings.zone, now);
-        let own = (self.presence() == Presence::Ready).then_some(settings.address);
+            .ready(settings.address, &settings.zone, fits, now);
+        let takes = self.presence() == Presence::Ready && fits(&settings.zone);
+        let own = takes.then_some(settings.address);
         let all = own.into_iter().chain(others);
         all.map(|it| SocketAddr::new(IpAddr::V4(it), frontend.port()))
             .collect()
--- a/crates/gradeloft_gateway/src/entry/running.rs
+++ b/crates/gradeloft_gateway/src/entry/running.rs
@@ -19,6 +19,7 @@
             }
             replica.own += 1;
             replica.own_waiting += 1;
+            replica.sends(self.node.clock.now());
             replica.own_waiting_tokens += prompt_tokens;
         }
         let mut starts = self.starts.borrow_mut();
--- a/crates/gradeloft_gateway/src/entry/upkeep.rs
+++ b/crates/gradeloft_gateway/src/entry/upkeep.rs
@@ -6,7 +6,9 @@
     clock::Time,
     process::{
         replicas::{Replica, ReplicaKey},
+        roster,
         split::{self, Area},
+        warmup,
     },
 };
 use slog::info;
@@ -49,6 +51,7 @@
             .forget(|it| seeds.contains(&it), now);
         self.sum_elsewhere(now);
         self.split_slots(now);
+        self.pace_cold(now);
     }
 
     /// Sums the requests that other entries have at each replica.
@@ -79,6 +82,32 @@
         replicas.set_others(others);
     }
 
+    /// Sets how often this entry sends to each replica that is cold. The entries of the replica's region share what it
+    /// bears, or all entries if none of that region takes callers.
+    fn pace_cold(&self, now: Time) {
+        let settings = self.node.settings();
+        let config = self.config.borrow();
+        let roster = self.roster.borrow();
+        let own = roster::hash(&settings.address);
+        let pause = |replica: &Replica| {
+            let warmup = config.as_ref()?.service(&replica.listing.service)?.warmup?;
+            let region = settings.region(&replica.listing.zone);
+            let mut senders: Vec<Ipv4Addr> = roster
+                .serving(|it| settings.region(it) == region, now)
+                .collect();
+            if !replica.near {
+                if !senders.is_empty() {
+                    return None;
+                }
+                senders.extend(roster.serving(|_| true, now));
+            }
+            let others = senders.iter().map(roster::hash);
+            warmup::pause(warmup.per_s, u64::from(replica.hash()), own, others)
+        };
+        let cold = self.replicas.borrow_mut().set_cold_pauses(pause, now);
+        self.node.metrics.cold.set(cold as i64);
+    }
+
     /// Splits the slots of each model's replicas that take requests among the entries that take callers.
     fn split_slots(&self, now: Time) {
         let own = self.node.settings().address;
--- a/crates/gradeloft_gateway/src/metrics.rs
+++ b/crates/gradeloft_gateway/src/metrics.rs
@@ -85,6 +85,10 @@
     pub behind: Gauge<f64, AtomicU64>,
     /// Version of the configuration in force.
     pub config: Gauge,
+    /// Replicas that are cold.
+    pub cold: Gauge,
+    /// Availability zones that are evacuated.
+    pub evacuated: Gauge,
     /// Version of the weights that the replica beside an agent holds.
     pub weights: Gauge,
     /// Pieces of weights fetched, by source.
@@ -115,6 +119,8 @@
             unreadable_records: Family::default(),
             behind: Gauge::default(),
             config: Gauge::default(),
+            cold: Gauge::default(),
+            evacuated: Gauge::default(),
             weights: Gauge::default(),
             pieces: Family::default(),
         };
@@ -223,6 +229,12 @@
             "Configuration in force",
             self.config.clone(),
         );
+        it.register("cold_replicas", "Replicas that are cold", self.cold.clone());
+        it.register(
+            "evacuated_zones",
+            "Availability zones whose replicas get no requests",
+            self.evacuated.clone(),
+        );
         it.register(
             "weights_version",
             "Weights held by the replica",
--- a/crates/gradeloft_gateway/tests/entry/crashing.rs
+++ b/crates/gradeloft_gateway/tests/entry/crashing.rs
@@ -11,6 +11,7 @@
 
 use futures_util::future::{join, join_all};
 use gradeloft_gateway::{entry::Handle, suspects};
+use gradeloft_platform::fleet::Lookup;
 use gradeloft_policy::process::{document::Kind, replicas::Listing};
 use gradeloft_standin::{
     fragile::{Fragile, Nature},
@@ -77,7 +78,9 @@
         }
         fleet.whole().await;
         // Entries that have not met yet can't tell each other anything.
-        let met = |handle: &Handle| handle.entry().addresses().len() == 1 + others.len();
+        let met = |handle: &Handle| {
+            handle.entry().addresses(&Lookup::default()).len() == 1 + others.len()
+        };
         until(|| async { fleet.entries().all(met) }).await;
         fleet
     }
@@ -198,6 +201,7 @@
         draining: false,
         has_model: false,
         version: None,
+        warmup_left_ms: 0,
     }
 }
 
--- a/crates/gradeloft_gateway/tests/entry/leaving.rs
+++ b/crates/gradeloft_gateway/tests/entry/leaving.rs
@@ -10,6 +10,7 @@
 
 use crate::support::{Shape, World, address, answer, get, last_chunk, ok, run, stream, until};
 use gradeloft_gateway::settings::Settings;
+use gradeloft_platform::fleet::Lookup;
 use gradeloft_policy::process::document::Kind;
 use gradeloft_standin::scripted::Step;
 use rstest::rstest;
@@ -130,7 +131,7 @@
         let ready = || async { get(2, 8002, "/ready").await.starts_with("HTTP/1.1 200") };
         until(ready).await;
         let entry = Rc::clone(world.entry.entry());
-        until(|| async { 1 < entry.addresses().len() }).await;
+        until(|| async { 1 < entry.addresses(&Lookup::default()).len() }).await;
         leave(world).await;
         let mut caller = connect().await;
         caller.write_all(kept(SHORT_MS).as_bytes()).await.unwrap();
--- a/crates/gradeloft_gateway/tests/entry/main.rs
+++ b/crates/gradeloft_gateway/tests/entry/main.rs
@@ -9,6 +9,7 @@
 mod large;
 mod leaving;
 mod pauses;
+mod places;
 mod restarts;
 mod support;
 mod suspended;
--- a/crates/gradeloft_gateway/tests/entry/support/mod.rs
+++ b/crates/gradeloft_gateway/tests/entry/support/mod.rs
@@ -21,10 +21,11 @@
 };
 use gradeloft_platform::{
     Answer, Fault,
-    fleet::{Decoder, Directory, Headers, Order, Origin},
+    fleet::{Decoder, Directory, Headers, Lookup, Order, Origin},
 };
 use gradeloft_policy::process::{
-    document::{CallerLimits, Document, Kind, Route, Service, Speed, Target},
+    document::{CallerLimits, Document, Kind, Route, Service, Speed, Target, Warmup},
+    homes::Homes,
     mirror::Record,
     repeats,
     replicas::Listing,
@@ -83,7 +84,15 @@
 
 impl Decoder for TestDecoder {
     fn order(&self, record: &Record) -> Result<Order, String> {
-        let value = record.value.as_deref().unwrap_or_default();
+        if let Some(zone) = record.key.strip_prefix("evacuate/") {
+            return Ok(Order::Evacuation {
+                zone: zone.to_owned(),
+                active: record.value.is_some(),
+            });
+        }
+        let Some(value) = record.value.as_deref() else {
+            return Ok(Order::Other);
+        };
         let version = std::str::from_utf8(value).map_err(|it| it.to_string())?;
         if let Some(model) = record.key.strip_prefix("weights/") {
             return Ok(Order::Weights {
@@ -113,6 +122,17 @@
         "/where"
     }
 
+    /// The query is a host and a region, with a comma between.
+    fn lookup(&self, query: &str) -> Lookup {
+        let Some((host, region)) = query.split_once(',') else {
+            return Lookup::default();
+        };
+        Lookup {
+            host: host.to_owned(),
+            region: Some(region.to_owned()),
+        }
+    }
+
     fn readiness_path(&self) -> &str {
         "/ready"
     }
@@ -153,6 +173,10 @@
     pub(crate) goal_ms: u64,
     /// Slots of each replica, if they run a model; else they run none, and eight requests at once.
     pub(crate) model_slots: Option<u32>,
+    /// The only region in which requests may be served, if there is such a one.
+    pub(crate) homes: Option<&'static str>,
+    /// What cold replicas bear.
+    pub(crate) warmup: Option<Warmup>,
 }
 
 impl Shape {
@@ -165,6 +189,8 @@
             body_bytes: 1 << 20,
             goal_ms: 100,
             model_slots: None,
+            homes: None,
+            warmup: None,
         }
     }
 }
@@ -205,6 +231,9 @@
         max_attempts: shape.max_attempts,
         priority: 1,
         public: false,
+        homes: shape
+            .homes
+            .map_or_else(Homes::default, |it| Homes::of([it.to_owned()])),
     };
     Document {
         version: 1,
@@ -215,9 +244,11 @@
             layout: None,
             speed: shape.model_slots.map(|_| SPEED),
             models: vec!["m".to_owned()],
+            warmup: shape.warmup,
             origin: None,
         }],
         keys: HashMap::from([("secret".to_owned(), Rc::from("rangers"))]),
+        homes: HashMap::new(),
         limits: CallerLimits {
             head_bytes: 4 << 10,
             body_bytes: shape.body_bytes,
@@ -404,6 +435,12 @@
         listing.version = Some(version);
     }
 
+    /// Makes a replica one that is cold for so many milliseconds, once it is listed again.
+    pub(crate) fn cold_for(&self, idx: usize, warmup_left_ms: u64) {
+        let mut listings = self.decoder.listings.borrow_mut();
+        listings.get_mut(&id(idx)).unwrap().warmup_left_ms = warmup_left_ms;
+    }
+
     /// Makes a replica one that started at a time, once it is listed again.
     pub(crate) fn started_at(&self, idx: usize, born: u64) {
         let mut listings = self.decoder.listings.borrow_mut();
@@ -492,6 +529,7 @@
         draining: false,
         has_model: false,
         version: None,
+        warmup_left_ms: 0,
     }
 }
 
--- a/crates/gradeloft_platform/src/fleet.rs
+++ b/crates/gradeloft_platform/src/fleet.rs
@@ -54,6 +54,13 @@
 pub enum Order {
     /// A version of the configuration.
     Config(Box<Document>),
+    /// Nothing more goes to the replicas of an availability zone, or that is taken back.
+    Evacuation {
+        /// Availability zone.
+        zone: String,
+        /// Whether it is in force.
+        active: bool,
+    },
     /// Nothing that concerns gradeloft.
     Other,
     /// The version of a model's weights that replicas are to serve.
@@ -67,7 +74,7 @@
 
 /// Reads the platform's records.
 pub trait Decoder {
-    /// A record of the operator's.
+    /// A record of the operator's, which may be the removal of one.
     fn order(&self, record: &Record) -> Result<Order, String>;
     /// Value that tells an agent as much as a record of the operator's does: a configuration without
     /// keys, and with only so many routes that [`Document::resumes`] says the same of every service.
@@ -180,10 +187,23 @@
     pub not_run: &'static str,
 }
 
+/// What a caller says when it asks for addresses.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Lookup {
+    /// Host that it is to reach; empty if it does not say.
+    pub host: String,
+    /// Its region, if it says.
+    pub region: Option<String>,
+}
+
 /// How callers and the platform ask an entry for what is no request to forward.
 pub trait Directory {
     /// Path at which callers ask for addresses.
     fn lookup_path(&self) -> &str;
+    /// What the query of a look-up says.
+    fn lookup(&self, _query: &str) -> Lookup {
+        Lookup::default()
+    }
     /// Path at which the platform asks whether an entry is ready.
     fn readiness_path(&self) -> &str;
     /// Body of an answer that names addresses, which callers keep for `ttl_s` seconds.
--- a/crates/gradeloft_policy/src/process/document.rs
+++ b/crates/gradeloft_policy/src/process/document.rs
@@ -5,6 +5,8 @@
 
 use rand::Rng;
 
+use super::homes::Homes;
+
 /// Whether a request may run more than once, and how its answer comes.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Kind {
@@ -62,6 +64,8 @@
     pub priority: u32,
     /// Whether no key is needed.
     pub public: bool,
+    /// Regions in which its requests may be served.
+    pub homes: Homes,
 }
 
 impl Route {
@@ -107,6 +111,15 @@
     pub usual_answer: f64,
 }
 
+/// What a replica of a service bears while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Warmup {
+    /// Time from a replica's start until it is warm, in milliseconds.
+    pub ms: u64,
+    /// Requests a second. Above 0.
+    pub per_s: f64,
+}
+
 /// A service and what its replicas bear.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -114,6 +127,8 @@
     pub name: Rc<str>,
     /// Connections that each of its replicas takes from all callers together.
     pub max_connections: u32,
+    /// What its replicas bear while they are cold; `None` if they are never cold.
+    pub warmup: Option<Warmup>,
     /// How its weights are cut, for services that run a model.
     pub layout: Option<Layout>,
     /// How fast its engines work, for services that run a model.
@@ -148,6 +163,8 @@
     pub services: Vec<Service>,
     /// Team of each key. Empty when requests need no key.
     pub keys: HashMap<String, Rc<str>>,
+    /// Regions in which requests of a team may be served, for teams that are bound to some.
+    pub homes: HashMap<Rc<str>, Homes>,
     /// What callers may send.
     pub limits: CallerLimits,
 }
@@ -215,6 +232,23 @@
         Ok(team)
     }
 
+    /// Regions in which a team's requests on a route may be served.
+    pub fn homes(&self, route: &Route, team: Option<&str>) -> Homes {
+        match team.and_then(|it| self.document.homes.get(it)) {
+            Some(homes) => route.homes.and(homes),
+            None => route.homes.clone(),
+        }
+    }
+
+    /// Regions in which requests for a host may be served by any of its routes.
+    pub fn homes_of_host(&self, host: &str) -> Homes {
+        let Some(routes) = self.by_host.get(&host.to_ascii_lowercase()) else {
+            return Homes::default();
+        };
+        let routes = routes.iter().map(|&idx| &self.document.routes[idx]);
+        routes.fold(Homes::default(), |homes, it| homes.and(&it.homes))
+    }
+
     /// A service by name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.document.services.iter().find(|it| &*it.name == name)
--- /dev/null
+++ b/crates/gradeloft_policy/src/process/homes.rs
@@ -0,0 +1,66 @@
+//! Regions to which the operator binds the requests of a route or team.
+
+use std::{collections::BTreeSet, fmt, rc::Rc};
+
+/// Regions in which a request may be served.
+///
+/// ```
+/// use gradeloft_policy::process::homes::Homes;
+/// let route = Homes::of(["north".to_owned(), "south".to_owned()]);
+/// let team = Homes::of(["south".to_owned(), "west".to_owned()]);
+/// assert!(route.and(&team).allow("south"));
+/// assert!(!route.and(&team).allow("north"));
+/// assert!(Homes::of([]).allow("anywhere"));
+/// assert_eq!(route.to_string(), "north,south");
+/// ```
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Homes {
+    /// `None` allows all regions; an empty set allows none.
+    regions: Option<Rc<BTreeSet<String>>>,
+}
+
+impl Homes {
+    /// The regions of a list, or all regions if the list is empty.
+    pub fn of(regions: impl IntoIterator<Item = String>) -> Homes {
+        let regions: BTreeSet<String> = regions.into_iter().collect();
+        Homes {
+            regions: (!regions.is_empty()).then(|| Rc::new(regions)),
+        }
+    }
+
+    /// Regions that both allow. Two lists without a common region allow none.
+    pub fn and(&self, other: &Homes) -> Homes {
+        let regions = match (&self.regions, &other.regions) {
+            (Some(one), Some(other)) => Some(Rc::new(one.intersection(other).cloned().collect())),
+            (Some(only), None) | (None, Some(only)) => Some(Rc::clone(only)),
+            (None, None) => None,
+        };
+        Homes { regions }
+    }
+
+    /// Whether a region is allowed.
+    pub fn allow(&self, region: &str) -> bool {
+        self.regions.as_ref().is_none_or(|it| it.contains(region))
+    }
+
+    /// Whether all regions are allowed.
+    pub fn everywhere(&self) -> bool {
+        self.regions.is_none()
+    }
+}
+
+/// The regions with commas between; `*` for all.
+impl fmt::Display for Homes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some(regions) = &self.regions else {
+            return f.write_str("*");
+        };
+        for (idx, region) in regions.iter().enumerate() {
+            if 0 < idx {
+                f.write_str(",")?;
+            }
+            f.write_str(region)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/gradeloft_policy/src/process/mod.rs
+++ b/crates/gradeloft_policy/src/process/mod.rs
@@ -8,6 +8,7 @@
 //! - [`ends`]: since when a table is known to go beyond a record.
 //! - [`gaps`]: gaps between events that come again and again.
 //! - [`gossip`]: which peers a node asks for the bundle in force.
+//! - [`homes`]: regions to which the operator binds the requests of a route or team.
 //! - [`leave`]: how an entry that was told to end treats its callers.
 //! - [`membership`]: which peers there are, by the list and by what connections show.
 //! - [`mirror`]: a copy of a table of the platform's store.
@@ -24,6 +25,7 @@
 //! - [`standing`]: what an entry makes of knowing that others have newer records.
 //! - [`starts`]: which start of a replica something was said of.
 //! - [`transfer`]: a large value on its way, and the peers that have it.
+//! - [`warmup`]: how many requests a replica gets while it is cold.
 //! - [`whole`]: until when a table is known to have had no more.
 
 pub mod address;
@@ -34,6 +36,7 @@
 pub mod ends;
 pub mod gaps;
 pub mod gossip;
+pub mod homes;
 pub mod leave;
 pub mod membership;
 pub mod mirror;
@@ -50,4 +53,5 @@
 pub mod standing;
 pub mod starts;
 pub mod transfer;
+pub mod warmup;
 pub mod whole;
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -1,7 +1,12 @@
 //! The replicas of all services: what the platform says of them, joined with what their own agents
 //! say and with what connections to them show.
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use slotmap::{SlotMap, new_key_type};
 
@@ -52,6 +57,8 @@
     pub has_model: bool,
     /// Version of the weights that it holds in full; `None` without them.
     pub version: Option<u64>,
+    /// How much longer it is cold, in milliseconds, from when it wrote this.
+    pub warmup_left_ms: u64,
 }
 
 /// What a replica's agent says of it.
@@ -117,6 +124,14 @@
     pub heard: Time,
     /// When it sent something last.
     pub spoke: Time,
+    /// Whether its availability zone is evacuated.
+    pub evacuated: bool,
+    /// Least time between two requests of this entry while it is cold; `None` if this entry sends it none.
+    pub cold_pause: Option<Duration>,
+    /// Until when it is cold.
+    cold_until: Time,
+    /// When this entry sent it a request last.
+    sent: Option<Time>,
     failures: u32,
     paused_until: Time,
     /// Set while a removal waits.
@@ -140,6 +155,10 @@
             slowness: Slowness::default(),
             heard: Time::ZERO,
             spoke: Time::ZERO,
+            evacuated: false,
+            cold_pause: None,
+            cold_until: Time::ZERO,
+            sent: None,
             failures: 0,
             paused_until: Time::ZERO,
             gone_at: None,
@@ -161,13 +180,47 @@
         reported.max(self.listing.version)
     }
 
-    /// Whether it takes new work.
+    /// Whether it gets new work.
     pub fn open(&self, now: Time) -> bool {
+        !self.evacuated && self.serves(now)
+    }
+
+    /// Whether it takes new work, be its availability zone evacuated or not.
+    pub fn serves(&self, now: Time) -> bool {
         let loading = self.fresh(now).is_some_and(|it| it.loading);
         let filled = !self.listing.has_model || self.version(now).is_some();
         !self.listing.draining && !loading && filled
     }
 
+    /// Whether it is cold.
+    pub fn cold(&self, now: Time) -> bool {
+        now < self.cold_until
+    }
+
+    /// Sets how much longer it is cold. It may have turned cold again, and an older message may say that it is warm.
+    pub fn warms_for(&mut self, left_ms: u64, now: Time) {
+        self.cold_until = match left_ms {
+            0 => Time::ZERO,
+            left_ms => now.after_ms(left_ms),
+        };
+    }
+
+    /// Whether this entry may send it a request now, as far as its being cold goes.
+    pub fn warm_enough(&self, now: Time) -> bool {
+        if !self.cold(now) {
+            return true;
+        }
+        let Some(pause) = self.cold_pause else {
+            return false;
+        };
+        self.sent.is_none_or(|it| it.after(pause) <= now)
+    }
+
+    /// Notes that this entry sends it a request.
+    pub fn sends(&mut self, now: Time) {
+        self.sent = Some(now);
+    }
+
     /// Whether it has sent nothing for long although it has requests of this entry.
     pub fn silent(&self, now: Time) -> bool {
         0 < self.own && self.heard.after_ms(SILENCE_MS) <= now
@@ -235,6 +288,8 @@
     arena: SlotMap<ReplicaKey, Replica>,
     by_id: HashMap<Rc<str>, ReplicaKey>,
     by_service: HashMap<Rc<str>, Vec<ReplicaKey>>,
+    /// Availability zones whose replicas get no requests.
+    evacuated: HashSet<String>,
 }
 
 impl Replicas {
@@ -259,6 +314,15 @@
         self.arena.iter()
     }
 
+    /// The replicas that listen at an address.
+    pub fn at(&self, address: SocketAddr) -> Vec<ReplicaKey> {
+        let at = self
+            .arena
+            .iter()
+            .filter(|(_, it)| it.listing.address == address);
+        at.map(|(key, _)| key).collect()
+    }
+
     /// How many there are.
     pub fn len(&self) -> usize {
         self.arena.len()
@@ -282,6 +346,7 @@
         let before = Rc::clone(&replica.listing.service);
         let service = Rc::clone(&listing.service);
         replica.listing = listing;
+        replica.evacuated = self.evacuated.contains(&replica.listing.zone);
         replica.gone_at = None;
         if before != service {
             self.leave_service(&before, key);
@@ -295,7 +360,8 @@
         self.by_id.get(id).copied()
     }
 
-    fn insert(&mut self, replica: Replica) -> ReplicaKey {
+    fn insert(&mut self, mut replica: Replica) -> ReplicaKey {
+        replica.evacuated = self.evacuated.contains(&replica.listing.zone);
         let id = Rc::clone(&replica.listing.id);
         let service = Rc::clone(&replica.listing.service);
         let key = self.arena.insert(replica);
@@ -342,11 +408,7 @@
     /// Takes over what the agent beside the replica at `address` says of it; gives the keys of starts that
     /// have ended by that. What is older than what is known, or said of a start that has ended, changes nothing.
     pub fn report_at(&mut self, address: SocketAddr, report: Report) -> Vec<ReplicaKey> {
-        let at = self
-            .arena
-            .iter()
-            .filter(|(_, it)| it.listing.address == address);
-        let keys: Vec<ReplicaKey> = at.map(|(key, _)| key).collect();
+        let keys = self.at(address);
         let mut ended = Vec::new();
         for key in keys {
             let replica = &mut self.arena[key];
@@ -382,6 +444,40 @@
         }
     }
 
+    /// Sends nothing more to the replicas of an availability zone, or takes that back; gives whether that changes
+    /// anything.
+    pub fn evacuate(&mut self, zone: &str, evacuated: bool) -> bool {
+        let changed = match evacuated {
+            true => self.evacuated.insert(zone.to_owned()),
+            false => self.evacuated.remove(zone),
+        };
+        for replica in self.arena.values_mut() {
+            if replica.listing.zone == zone {
+                replica.evacuated = evacuated;
+            }
+        }
+        changed
+    }
+
+    /// Availability zones whose replicas get no requests.
+    pub fn evacuated(&self) -> impl Iterator<Item = &str> {
+        self.evacuated.iter().map(String::as_str)
+    }
+
+    /// Sets the pause between this entry's requests to each replica that is cold; gives how many are.
+    pub fn set_cold_pauses(
+        &mut self,
+        pause: impl Fn(&Replica) -> Option<Duration>,
+        now: Time,
+    ) -> usize {
+        let mut cold = 0;
+        for replica in self.arena.values_mut().filter(|it| it.cold(now)) {
+            replica.cold_pause = pause(replica);
+            cold += 1;
+        }
+        cold
+    }
+
     /// Takes over which replicas are in this entry's region, by their availability zone.
     pub fn set_near(&mut self, near: impl Fn(&str) -> bool) {
         for replica in self.arena.values_mut() {
--- a/crates/gradeloft_policy/src/process/roster.rs
+++ b/crates/gradeloft_policy/src/process/roster.rs
@@ -228,12 +228,19 @@
     }
 
     /// Entries to name to callers in `zone`, the one at `own` left out: those of the zone first, and of the
-    /// others as many as are needed, drawn for `own`, so that all of them are named alike.
-    pub fn ready(&self, own: Ipv4Addr, zone: &str, now: Time) -> Vec<Ipv4Addr> {
-        let mut near: Vec<Ipv4Addr> = self.serving(|it| it == zone, now).collect();
+    /// others as many as are needed, drawn for `own`, so that all of them are named alike. Only those in availability
+    /// zones that `allow` lets through.
+    pub fn ready(
+        &self,
+        own: Ipv4Addr,
+        zone: &str,
+        allow: impl Fn(&str) -> bool,
+        now: Time,
+    ) -> Vec<Ipv4Addr> {
+        let mut near: Vec<Ipv4Addr> = self.serving(|it| it == zone && allow(it), now).collect();
         near.sort_unstable();
         near.truncate(MAX_NAMED - FALLBACKS);
-        let others: Vec<Ipv4Addr> = self.serving(|it| it != zone, now).collect();
+        let others: Vec<Ipv4Addr> = self.serving(|it| it != zone && allow(it), now).collect();
         let hashes: Vec<u64> = others.iter().map(hash).collect();
         let missing = ENOUGH_NEAR.saturating_sub(near.len()).max(FALLBACKS);
         let order = rendezvous::order(hash(&own), &hashes).into_iter();
--- a/crates/gradeloft_policy/src/request/placement.rs
+++ b/crates/gradeloft_policy/src/request/placement.rs
@@ -216,7 +216,7 @@
     let slots = |it: &Replica| if it.near { near } else { far };
     let newest = open.iter().filter_map(|(_, it)| it.version(now)).max();
     open.into_iter()
-        .filter(|(_, it)| has_room(it, wish, slots(it)))
+        .filter(|(_, it)| has_room(it, wish, slots(it), now))
         .map(|(key, it)| Candidate {
             key,
             flaws: flaws(it, wish, now),
@@ -252,12 +252,14 @@
 pub struct Census {
     /// Leaving, about to load, or without weights.
     pub closed: u32,
-    /// With as many requests as they are given.
+    /// With as many requests as they are given, or cold.
     pub full: u32,
     /// With weights that are too old.
     pub old: u32,
     /// Sent this request before.
     pub tried: u32,
+    /// In regions in which the request may not be served.
+    pub away: u32,
 }
 
 impl fmt::Display for Census {
@@ -267,26 +269,34 @@
             full,
             old,
             tried,
+            away,
         } = self;
-        write!(f, "closed:{closed},full:{full},old:{old},tried:{tried}")
+        write!(
+            f,
+            "closed:{closed},full:{full},old:{old},tried:{tried},away:{away}"
+        )
     }
 }
 
-/// Counts why replicas can't get a request; each counts once, by the first reason that holds.
+/// Counts why replicas can't get a request; each counts once, by the first reason that holds. `at_home` says whether a
+/// replica is in a region in which the request may be served.
 pub fn census<'a>(
     replicas: impl Iterator<Item = (ReplicaKey, &'a Replica)>,
+    at_home: impl Fn(&Replica) -> bool,
     wish: Wish<'_>,
     now: Time,
 ) -> Census {
     let mut census = Census::default();
     for (key, replica) in replicas {
-        if wish.tried.contains(&key) {
+        if !at_home(replica) {
+            census.away += 1;
+        } else if wish.tried.contains(&key) {
             census.tried += 1;
         } else if !replica.open(now) {
             census.closed += 1;
         } else if !allowed(replica, wish, now) {
             census.old += 1;
-        } else if !has_room(replica, wish, Slots::Any) {
+        } else if !has_room(replica, wish, Slots::Any, now) {
             census.full += 1;
         }
     }
@@ -295,7 +305,10 @@
 
 /// Whether a replica can take the request. Where all are short of time, those that can be answered in
 /// time come before those that can't, as both take the same work.
-fn has_room(replica: &Replica, wish: Wish<'_>, slots: Slots) -> bool {
+fn has_room(replica: &Replica, wish: Wish<'_>, slots: Slots, now: Time) -> bool {
+    if !replica.warm_enough(now) {
+        return false;
+    }
     let all = replica.listing.slots;
     let takes_more = replica.load() < all + WAITING && replica.waiting() < MAX_UNBEGUN;
     let Some(speed) = wish.speed else {
--- a/crates/gradeloft_policy/tests/forwarding.rs
+++ b/crates/gradeloft_policy/tests/forwarding.rs
@@ -7,6 +7,7 @@
     clock::Time,
     process::{
         document::{CallerLimits, Config, Denied, Document, Kind, Route, Target},
+        homes::Homes,
         mirror::{Mirror, Record, Update},
         readers,
         repeats::{Bounds, Budget},
@@ -34,6 +35,7 @@
         max_attempts: 1,
         priority: 0,
         public,
+        homes: Homes::default(),
     }
 }
 
@@ -43,6 +45,7 @@
         routes,
         services: Vec::new(),
         keys: HashMap::from([("k1".to_owned(), Rc::from("night-watch"))]),
+        homes: HashMap::new(),
         limits: CallerLimits {
             head_bytes: 1000,
             body_bytes: 1000,
@@ -436,14 +439,14 @@
     roster.heard(near, word(1, "z", State::Ready), now);
     roster.heard(gone, word(1, "z", State::Leaving), now);
     let own = Ipv4Addr::new(10, 0, 0, 9);
-    assert_eq!(roster.ready(own, "z", now), vec![near, far]);
+    assert_eq!(roster.ready(own, "z", |_| true, now), vec![near, far]);
     let later = now.after_ms(2_000);
     roster.heard(far, word(1, "y", State::Ready), later);
-    assert_eq!(roster.ready(own, "z", later), vec![far]);
+    assert_eq!(roster.ready(own, "z", |_| true, later), vec![far]);
     // A word from before a restart does not count while the new start speaks.
     roster.heard(gone, word(5, "z", State::Ready), later);
     roster.heard(gone, word(1, "z", State::Leaving), later);
-    assert_eq!(roster.ready(own, "z", later), vec![gone, far]);
+    assert_eq!(roster.ready(own, "z", |_| true, later), vec![gone, far]);
     assert_eq!(roster.most(), 4);
 }
 
--- a/crates/gradeloft_policy/tests/placement.rs
+++ b/crates/gradeloft_policy/tests/placement.rs
@@ -140,8 +140,8 @@
         ..WISH
     };
     assert_eq!(choose(&replicas, wish, Time::ZERO), None);
-    let census = placement::census(replicas.of("m"), wish, Time::ZERO);
-    assert_eq!(census.to_string(), "closed:1,full:2,old:1,tried:1");
+    let census = placement::census(replicas.of("m"), |_| true, wish, Time::ZERO);
+    assert_eq!(census.to_string(), "closed:1,full:2,old:1,tried:1,away:0");
 }
 
 #[test]
--- a/crates/gradeloft_policy/tests/support/mod.rs
+++ b/crates/gradeloft_policy/tests/support/mod.rs
@@ -14,5 +14,6 @@
         draining: false,
         has_model: true,
         version,
+        warmup_left_ms: 0,
     }
 }
