--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -1,18 +1,18 @@
-//! The process beside a replica: brings the weights that the operator named, and tells entries what
-//! the replica holds.
+//! The process beside a replica: brings the weights that the operator named, and reports to
+//! entries what the replica holds.
 //!
 //! - [`ask`]: one question for a piece of weights.
 //! - [`change`]: brings the replica to the version that it is to hold.
 //! - [`fetch`]: gets the pieces of a version from peers and the origin.
 //! - [`fill`]: stages and checks the pieces of a version.
-//! - [`hear`]: what entries tell it, and when it asks one for more.
+//! - [`receive`]: datagrams that it receives from entries.
 //! - [`share`]: gives pieces to other agents.
 
 pub mod ask;
 pub mod change;
 pub mod fetch;
 pub mod fill;
-pub mod hear;
+pub mod receive;
 pub mod share;
 
 use std::{
@@ -71,7 +71,7 @@
 const LINK_USED: f64 = 0.85;
 /// Connections of one reader to the origin: its pieces, a manifest, and one that is about to end.
 const READER_CONNECTIONS: u32 = fetch::ORIGIN_SLOTS as u32 + 2;
-/// Bytes of a piece where the configuration does not tell.
+/// Bytes of a piece where the configuration does not say.
 const PIECE_BYTES: u64 = 49_152;
 
 /// A version of a model's weights.
@@ -98,7 +98,7 @@
 
 /// What an entry said last.
 #[derive(Clone, Copy, Debug)]
-struct Heard {
+struct Sighting {
     at: Time,
     /// Whether the platform's store serves it.
     store: Access,
@@ -120,7 +120,7 @@
     pub holding: RefCell<Holding>,
     /// The fetch that goes on, if one does.
     pub fetching: RefCell<Option<Rc<RefCell<Fetch>>>>,
-    /// Told when a piece has been staged.
+    /// Notified when a piece has been staged.
     pub arrived: Notify,
     /// Paces the pieces that go out, beside the tokens of the replica.
     pub pace_out: RefCell<Pacer>,
@@ -144,7 +144,7 @@
     /// Newest version of each model, and since when it counts as named.
     named: RefCell<HashMap<String, (u64, Time)>>,
     /// Entries that spoke a moment ago.
-    entries: RefCell<HashMap<Ipv4Addr, Heard>>,
+    entries: RefCell<HashMap<Ipv4Addr, Sighting>>,
     reported_at: Cell<Time>,
     /// Whether the last report said that the replica is to get no requests.
     reported_closed: Cell<bool>,
@@ -341,7 +341,7 @@
         }
     }
 
-    /// Asks the replica for its state, and tells entries what matters to them.
+    /// Asks the replica for its state, and reports it to entries.
     async fn watch(self: Rc<Agent>) {
         loop {
             self.ask().await;
@@ -432,7 +432,7 @@
         });
         let sender = Sender::Agent { replica, engine };
         self.node
-            .tell(Purpose::Reports, Reach::Near, sender, entries);
+            .send_state(Purpose::Reports, Reach::Near, sender, entries);
     }
 }
 
--- a/crates/gradeloft_gateway/src/agent/hear.rs
+++ b/crates/gradeloft_gateway/src/agent/receive.rs
@@ -12,7 +12,7 @@
 };
 use rand::Rng;
 
-use super::{Agent, Heard, Version};
+use super::{Agent, Sighting, Version};
 use crate::node::Election;
 
 /// Silence of all entries that the store serves after which an agent reads what the operator writes
@@ -52,14 +52,14 @@
         due
     }
 
-    fn heard_progress(&self, words: &[Switched]) {
+    fn receive_progress(&self, models: &[Switched]) {
         let mut switched = self.switched.borrow_mut();
-        for word in words {
+        for model in models {
             let progress = Progress {
-                version: word.version,
-                replicas: usize::from(word.replicas),
+                version: model.version,
+                replicas: usize::from(model.replicas),
             };
-            switched.entry(word.model).or_default().hear(progress);
+            switched.entry(model.model).or_default().hear(progress);
         }
     }
 
@@ -75,7 +75,7 @@
     /// Whether it is time to read what the operator writes although no entry has ever given it.
     fn reads_first(&self, served: bool, now: Time) -> bool {
         let drawn = self.first_read.get();
-        let drawn = drawn.unwrap_or_else(|| self.node.with_rng(|it| it.random()));
+        let drawn = drawn.unwrap_or_else(|| self.node.with_rng(Rng::random));
         self.first_read.set(Some(drawn));
         if served {
             let spread_ms = (drawn * UNGIVEN_READS_MS) as u64;
@@ -89,26 +89,27 @@
 
     pub(super) async fn listen(self: Rc<Agent>) {
         loop {
-            let (from, datagram) = self.node.heard().await;
+            let (from, datagram) = self.node.next_datagram().await;
             self.node.look();
             if let Sender::Entry {
                 store, switched, ..
             } = datagram.sender
             {
                 let at = self.node.clock.now();
-                self.node.heard_ages(datagram.ends, datagram.unconfirmed_ms);
-                // What lay in the socket while this process stood still says how things were then.
-                let now_so = self.node.hears_now();
+                self.node
+                    .receive_ages(datagram.ends, datagram.unconfirmed_ms);
+                // What lay in the socket while this process stood still is outdated.
+                let current = self.node.receives_current();
                 let mut new = false;
-                if now_so {
-                    self.heard_progress(&switched);
+                if current {
+                    self.receive_progress(&switched);
                     let near = self.node.near(&datagram.zone);
-                    let heard = Heard { at, store, near };
-                    new = self.entries.borrow_mut().insert(from, heard).is_none();
+                    let sighting = Sighting { at, store, near };
+                    new = self.entries.borrow_mut().insert(from, sighting).is_none();
                 }
                 let end = datagram.ends[Table::Operator as usize];
                 if self.wants(&switched, end, at)
-                    && self.node.heard_ends(from, &datagram.zone, datagram.ends)
+                    && self.node.receive_ends(from, &datagram.zone, datagram.ends)
                 {
                     let mut refresh = self.refresh.get();
                     refresh.asked(at);
@@ -123,7 +124,7 @@
 }
 
 impl Election for Weak<Agent> {
-    /// An agent reads what the operator writes only while no entry tells it. After a start it gives the
+    /// An agent reads what the operator writes only while no entry sends it. After a start it gives the
     /// entries time to: when everything starts at once, the configuration would else go to each agent
     /// over the links that requests and weights need.
     fn reads(&self, table: Table) -> bool {
@@ -131,7 +132,7 @@
             return false;
         };
         let now = agent.node.clock.now();
-        let serves = |it: &Heard| it.store == Access::Served && now < it.at.after_ms(SILENCE_MS);
+        let serves = |it: &Sighting| it.store == Access::Served && now < it.at.after_ms(SILENCE_MS);
         let served = agent.entries.borrow().values().any(serves);
         if agent.node.loaded(table) {
             !served
--- a/crates/gradeloft_gateway/src/entry/tell.rs
+++ b/crates/gradeloft_gateway/src/entry/gossip.rs
@@ -1,8 +1,8 @@
-//! What an entry tells others, and how often.
+//! Datagrams that an entry sends, and how often.
 //!
-//! Entries of one region tell each other of themselves. Those of other regions are told by the region's
-//! speakers ([`speakers`]), each time one entry, which passes it on to its own region. Each kind of word has a
-//! budget, so that what an entry spends on them does not grow with the fleet.
+//! Entries of one region send each other their state. Other regions get it from the region's speakers ([`speakers`]),
+//! each time through one entry, which passes it on to its own region. Each kind of message has a budget, so that what an
+//! entry spends on them does not grow with the fleet.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -16,7 +16,7 @@
     process::{
         cadence::Budget,
         elsewhere::{self, Load},
-        roster::{self, State, Word},
+        roster::{self, State, Status},
         speakers::{self, SPEAKERS},
     },
     rendezvous,
@@ -30,26 +30,26 @@
 use super::Entry;
 use crate::traffic::{Purpose, Reach};
 
-/// Shortest pause between words of one kind.
+/// Shortest pause between messages of one kind.
 const TURN: Duration = Duration::from_millis(125);
-/// Words to the entries of the own region. Five entries hear each other each eighth of a second, and thirty
-/// each 0.6 s; the own part of the slots is filled whatever others told.
+/// State to the entries of the own region. Five entries send each eighth of a second, and thirty each 0.6 s; the own
+/// part of the slots is filled whatever others have sent.
 const NEAR: Budget = Budget {
     bytes_per_s: 6_000,
     shortest: TURN,
     longest: Duration::from_millis(1_000),
 };
-/// Words to the agents of the own region.
+/// State to the agents of the own region.
 const AGENTS: Budget = Budget {
     bytes_per_s: 4_000,
     shortest: Duration::from_millis(500),
     longest: Duration::from_millis(1_000),
 };
-/// Bytes of a word to entries, as far as budgets go: one that tells of ten replicas in use.
+/// Bytes of the state for entries, as far as budgets go, with ten replicas in use.
 const NEAR_BYTES: usize = 130;
-/// Bytes of a word to agents.
+/// Bytes of the state for agents.
 const AGENT_BYTES: usize = 90;
-/// A region's words on its loads, as far as each entry of another region gets them from all regions. At 30 busy
+/// A region's loads, as far as each entry of another region gets them from all regions. At 30 busy
 /// replicas in each of five regions they come each 0.5 s from each speaker, at 330 in each of seven each 5 s: by
 /// then a region is large enough to need little of others but what they lend.
 const FAR_LOADS: Budget = Budget {
@@ -57,14 +57,14 @@
     shortest: Duration::from_millis(500),
     longest: Duration::from_millis(5_000),
 };
-/// The same for its entries. The longest is such that both speakers tell before they count as silent.
+/// The same for its entries. The longest is such that both speakers send before they count as silent.
 const FAR_MEMBERS: Budget = Budget {
     bytes_per_s: 3_000,
     shortest: Duration::from_millis(1_000),
     longest: Duration::from_millis(2_500),
 };
-/// The same for its engines, of which all are told only as long as that is cheap: those that close or reopen are
-/// told at the next turn, and the rest is in the platform's table.
+/// The same for its engines, of which all are sent only as long as that is cheap: those that close or reopen are
+/// sent at the next turn, and the rest is in the platform's table.
 const FAR_ENGINES: Budget = Budget {
     bytes_per_s: 8_000,
     shortest: Duration::from_millis(1_000),
@@ -72,12 +72,14 @@
 };
 /// Turns between looks for entries of which only the address is known.
 const UNIDENTIFIED_TURNS: u32 = 4;
-/// Turns between words to one entry of each other region, drawn anew each time: what is known of a region
+/// Turns after a start in which such entries are asked each time: those that are known from the settings may start later.
+const FIRST_TURNS: u32 = 24;
+/// Turns between messages to one entry of each other region, drawn anew each time: what is known of a region
 /// survives the loss of all its speakers, and of the links between them.
 const RANDOM_TURNS: u32 = 16;
-/// Turns between words that say which entries there are.
+/// Turns between messages that name other entries.
 const ROSTER_TURNS: u32 = 8;
-/// Entries that are named in one word.
+/// Entries that are named in one message.
 const NAMED: usize = 60;
 /// Entries of which only the address is known that are asked in one turn who they are.
 const UNIDENTIFIED: usize = 8;
@@ -88,28 +90,28 @@
 const ENGINE_BYTES: usize = 24;
 const MEMBERS: usize = 50;
 const MEMBER_BYTES: usize = 22;
-/// Age up to which an agent's word is passed on to other regions, in milliseconds.
+/// Age up to which an agent's report is passed on to other regions, in milliseconds.
 const ENGINE_MS: u64 = 2_000;
 
 impl Entry {
-    pub(super) async fn tell(self: Rc<Entry>) {
+    pub(super) async fn gossip(self: Rc<Entry>) {
         let mut turn = 0;
         loop {
-            self.tell_entries(turn);
+            self.send_to_entries(turn);
             self.ask_unidentified(turn);
-            self.tell_regions(turn);
-            self.tell_agents(turn);
-            self.tell_suspects();
+            self.send_to_regions(turn);
+            self.send_due_to_agents(turn);
+            self.send_suspects();
             self.upkeep();
             tokio::select! {
                 () = actix_rt::time::sleep(TURN) => turn += 1,
-                // Everybody is told of a stop at once.
+                // A stop is sent at once.
                 () = self.left.notified() => turn = 0,
             }
         }
     }
 
-    fn tell_entries(&self, turn: u32) {
+    fn send_to_entries(&self, turn: u32) {
         let near: Vec<Ipv4Addr> = self
             .roster
             .borrow()
@@ -126,14 +128,14 @@
         let mut own = HashMap::new();
         self.add_own(&mut own);
         for loads in parts(own, self.demand()) {
-            let sender = self.word(loads, entries.clone(), false);
+            let sender = self.state(loads, entries.clone(), false);
             self.node
-                .tell(Purpose::Loads, Reach::Near, sender, near.iter().copied());
+                .send_state(Purpose::Loads, Reach::Near, sender, near.iter().copied());
         }
     }
 
-    /// What this entry says of itself.
-    pub(super) fn word(&self, loads: Loads, entries: Vec<Ipv4Addr>, asks: bool) -> Sender {
+    /// This entry's state.
+    pub(super) fn state(&self, loads: Loads, entries: Vec<Ipv4Addr>, asks: bool) -> Sender {
         Sender::Entry {
             presence: self.presence(),
             store: self.node.access(),
@@ -151,7 +153,7 @@
 
     /// Asks entries of which only the address is known.
     fn ask_unidentified(&self, turn: u32) {
-        if !turn.is_multiple_of(UNIDENTIFIED_TURNS) {
+        if FIRST_TURNS < turn && !turn.is_multiple_of(UNIDENTIFIED_TURNS) {
             return;
         }
         let unidentified = |rng: &mut _| {
@@ -162,8 +164,8 @@
         };
         let unidentified = self.node.with_rng(unidentified);
         if !unidentified.is_empty() {
-            let sender = self.word(Loads::default(), Vec::new(), true);
-            self.node.tell(
+            let sender = self.state(Loads::default(), Vec::new(), true);
+            self.node.send_state(
                 Purpose::Members,
                 Reach::Far,
                 sender,
@@ -181,14 +183,15 @@
             .addresses_in(|it| settings.region(it) == region)
             .collect();
         drop(roster);
-        let sender = self.word(Loads::default(), self.some_of(&named), false);
+        let sender = self.state(Loads::default(), self.some_of(&named), false);
         let to = [asker].into_iter();
-        self.node.tell(Purpose::Members, Reach::Far, sender, to);
-        self.tell_newcomer(asker);
+        self.node
+            .send_state(Purpose::Members, Reach::Far, sender, to);
+        self.send_suspects_to(asker);
     }
 
-    /// Tells other regions of this one, if this entry speaks for it.
-    fn tell_regions(&self, turn: u32) {
+    /// Sends the state of this region to other regions, if this entry speaks for it.
+    fn send_to_regions(&self, turn: u32) {
         let now = self.node.clock.now();
         let changed = self.changed_engines.take();
         let near: Vec<Ipv4Addr> = self
@@ -197,58 +200,62 @@
             .alive_in(|it| self.node.near(it), now)
             .collect();
         let own = self.node.settings().address;
-        let words = match speakers::speaks(own, near.into_iter()) {
-            true => self.region_words(turn, &changed, now),
+        let messages = match speakers::speaks(own, near.into_iter()) {
+            true => self.region_messages(turn, &changed, now),
             false => Vec::new(),
         };
-        if !words.is_empty() {
-            self.told_regions.set(self.told_regions.get() + 1);
+        if !messages.is_empty() {
+            self.sent_to_regions.set(self.sent_to_regions.get() + 1);
         }
-        for (relay, random) in self.relays(self.told_regions.get(), now) {
-            for word in &words {
-                let purpose = purpose(word);
-                let word = word.clone();
+        for (relay, random) in self.relays(self.sent_to_regions.get(), now) {
+            for message in &messages {
+                let purpose = purpose(message);
+                let word = message.clone();
                 let sender = Sender::Region {
                     relayed: false,
                     word,
                 };
                 let to = relay.into_iter();
-                self.node.tell(purpose, Reach::Far, sender, to);
+                self.node.send_state(purpose, Reach::Far, sender, to);
             }
             if turn % RANDOM_TURNS == RANDOM_TURNS - 1 {
-                let sender = self.word(Loads::default(), Vec::new(), false);
+                let sender = self.state(Loads::default(), Vec::new(), false);
                 let to = random.into_iter();
-                self.node.tell(Purpose::Members, Reach::Far, sender, to);
+                self.node
+                    .send_state(Purpose::Members, Reach::Far, sender, to);
             }
         }
     }
 
-    /// What there is to tell other regions at a turn.
-    fn region_words(&self, turn: u32, changed: &[SocketAddr], now: Time) -> Vec<Region> {
-        // An entry gets what both speakers of every other region tell.
-        let told = SPEAKERS * self.other_regions().len();
-        let mut words = Vec::new();
+    /// What there is to send to other regions at a turn.
+    fn region_messages(&self, turn: u32, changed: &[SocketAddr], now: Time) -> Vec<Region> {
+        // An entry gets what both speakers of every other region send.
+        let senders = SPEAKERS * self.other_regions().len();
+        let mut messages = Vec::new();
         let loads = self.region_loads();
         let rows: usize = loads.iter().map(|it| it.loads.len()).sum();
-        if is_due(turn, FAR_LOADS.pause(told, rows * LOAD_BYTES)) {
-            words.extend(loads.into_iter().map(Region::Loads));
+        if is_due(turn, FAR_LOADS.pause(senders, rows * LOAD_BYTES)) {
+            messages.extend(loads.into_iter().map(Region::Loads));
         }
         let members = self.members(now);
-        if is_due(turn, FAR_MEMBERS.pause(told, members.len() * MEMBER_BYTES)) {
+        if is_due(
+            turn,
+            FAR_MEMBERS.pause(senders, members.len() * MEMBER_BYTES),
+        ) {
             let parts = members.chunks(MEMBERS);
-            words.extend(parts.map(|it| Region::Members(it.to_vec())));
+            messages.extend(parts.map(|it| Region::Members(it.to_vec())));
         }
         let mut engines = self.engines(now);
-        let pause = FAR_ENGINES.pause(told, engines.len() * ENGINE_BYTES);
+        let pause = FAR_ENGINES.pause(senders, engines.len() * ENGINE_BYTES);
         if FAR_ENGINES.longest <= pause || !is_due(turn, pause) {
             engines.retain(|it| changed.contains(&SocketAddr::V4(it.replica)));
         }
         let parts = engines.chunks(ENGINES);
-        words.extend(parts.map(|it| Region::Engines(it.to_vec())));
-        words
+        messages.extend(parts.map(|it| Region::Engines(it.to_vec())));
+        messages
     }
 
-    /// For each other region, who passes words on to it at a turn, and any one of its entries.
+    /// For each other region, who passes messages on to it at a turn, and any one of its entries.
     pub(super) fn relays(
         &self,
         turn: usize,
@@ -294,8 +301,8 @@
     /// The entries of this region that are alive.
     fn members(&self, now: Time) -> Vec<Member> {
         let roster = self.roster.borrow();
-        let words = roster.words(|it| self.node.near(it), now);
-        let others = words.map(|(address, word)| member(address, word));
+        let statuses = roster.statuses(|it| self.node.near(it), now);
+        let others = statuses.map(|(address, it)| member(address, it));
         let own = Member {
             address: self.node.settings().address,
             incarnation: self.node.incarnation(),
@@ -330,11 +337,11 @@
         seen.collect()
     }
 
-    fn tell_agents(&self, turn: u32) {
+    fn send_due_to_agents(&self, turn: u32) {
         let switched = self.switched();
-        // Agents wait for each other while a version changes over, and for the operator's word.
-        let tell = (switched, self.node.end(Table::Operator));
-        let news = *self.told_agents.borrow() != tell;
+        // Agents wait for each other while a version changes over, and for the operator's records.
+        let state = (switched, self.node.end(Table::Operator));
+        let news = *self.sent_to_agents.borrow() != state;
         let mut agents = self.agents();
         if !is_due(turn, AGENTS.pause(agents.len(), AGENT_BYTES)) {
             if !news {
@@ -343,7 +350,7 @@
             // Else each change would go to each agent from each entry.
             self.keep_informed(&mut agents);
         }
-        self.told_agents.replace(tell);
+        self.sent_to_agents.replace(state);
         self.send_to_agents(agents.into_iter());
     }
 
@@ -367,7 +374,8 @@
             entries: Vec::new(),
             switched: self.switched(),
         };
-        self.node.tell(Purpose::Agents, Reach::Near, sender, agents);
+        self.node
+            .send_state(Purpose::Agents, Reach::Near, sender, agents);
     }
 
     /// Instances of the agents to which this entry sends: those beside the replicas that hold a model, in its own region,
@@ -376,7 +384,7 @@
         let settings = self.node.settings();
         let now = self.node.clock.now();
         let roster = self.roster.borrow();
-        let alive = || roster.words(|_| true, now);
+        let alive = || roster.statuses(|_| true, now);
         let served: HashSet<&str> = alive().map(|(_, it)| settings.region(it.zone)).collect();
         let others: Vec<u64> = alive().map(|(it, _)| roster::hash(&it)).collect();
         let own = roster::hash(&settings.address);
@@ -463,27 +471,27 @@
     parts
 }
 
-fn purpose(word: &Region) -> Purpose {
-    match word {
+fn purpose(message: &Region) -> Purpose {
+    match message {
         Region::Engines(_) => Purpose::Engines,
         Region::Loads(_) => Purpose::Loads,
         Region::Members(_) => Purpose::Members,
     }
 }
 
-fn member(address: Ipv4Addr, word: Word<'_>) -> Member {
+fn member(address: Ipv4Addr, status: Status<'_>) -> Member {
     Member {
         address,
-        incarnation: word.incarnation,
-        presence: match word.state {
+        incarnation: status.incarnation,
+        presence: match status.state {
             State::Leaving => Presence::Leaving,
             State::Ready => Presence::Ready,
             State::Starting => Presence::Starting,
         },
-        store: match word.served {
+        store: match status.served {
             true => Access::Served,
             false => Access::Unserved,
         },
-        end: word.end,
+        end: status.end,
     }
 }
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -7,14 +7,14 @@
 //! - [`ending`]: what ended a request that got no whole answer.
 //! - [`forward`]: one request, from its route to its end.
 //! - [`front`]: connections of callers.
-//! - [`hear`]: what it hears from others.
+//! - [`gossip`]: datagrams that it sends, and how often.
 //! - [`learn`]: what an entry learns from the platform's tables.
 //! - [`lookup`]: addresses, readiness, metrics.
 //! - [`quarantine`]: requests under which replicas ended.
+//! - [`receive`]: datagrams that it receives.
 //! - [`register`]: how it makes itself known to later ones.
 //! - [`relay`]: a replica's answer on its way to the caller.
 //! - [`running`]: requests that run at replicas.
-//! - [`tell`]: what it tells others, and how often.
 //! - [`upkeep`]: what it works out anew several times a second.
 //! - [`view`]: what it knows of other entries' requests, and when callers come back.
 
@@ -25,14 +25,14 @@
 pub mod ending;
 pub mod forward;
 pub mod front;
-pub mod hear;
+pub mod gossip;
 pub mod learn;
 pub mod lookup;
 pub mod quarantine;
+pub mod receive;
 pub mod register;
 pub mod relay;
 pub mod running;
-pub mod tell;
 pub mod upkeep;
 pub mod view;
 
@@ -128,9 +128,9 @@
     pub replicas: RefCell<Replicas>,
     /// Connections to replicas.
     pub pool: Pool,
-    /// Told when the process begins to leave.
+    /// Notified when the process begins to leave.
     pub left: Notify,
-    /// Told when a replica may have room for one more request.
+    /// Notified when a replica may have room for one more request.
     pub room: Notify,
     roster: RefCell<Roster>,
     /// Versions of each model's weights that replicas are to serve.
@@ -147,17 +147,19 @@
     near_loads: RefCell<Elsewhere<Ipv4Addr>>,
     /// Requests of other regions' entries at replicas, by region.
     far_loads: RefCell<Elsewhere<String>>,
-    /// Replicas near whose agents said something new since other regions were told.
+    /// Replicas near whose agents reported something new since the last message to other regions.
     changed_engines: RefCell<Vec<SocketAddr>>,
-    /// What agents were told last: replicas that changed over, and how far the operator's table goes.
-    told_agents: RefCell<(Vec<Switched>, u64)>,
+    /// What was sent to agents last: replicas that changed over, and how far the operator's table goes.
+    sent_to_agents: RefCell<(Vec<Switched>, u64)>,
+    /// When another entry sent it something first.
+    contact: Cell<Option<Time>>,
     /// Whether it brought records of the operator's into its region that the other entries there don't know of yet.
     announces: Cell<bool>,
-    /// How often other regions were told something.
-    told_regions: Cell<usize>,
+    /// Messages to other regions so far.
+    sent_to_regions: Cell<usize>,
     /// Whether it left callers to others when it last looked.
-    told_aside: Cell<bool>,
-    /// What tells requests that the start of their replica is over, for replicas that got any.
+    logged_aside: Cell<bool>,
+    /// What signals to requests that the start of their replica is over, for replicas that got any.
     starts: RefCell<HashMap<ReplicaKey, CancellationToken>>,
     /// Requests under which replicas ended.
     suspicion: Suspicion,
@@ -199,10 +201,11 @@
             near_loads: RefCell::default(),
             far_loads: RefCell::default(),
             changed_engines: RefCell::default(),
-            told_agents: RefCell::default(),
+            sent_to_agents: RefCell::default(),
+            contact: Cell::default(),
             announces: Cell::default(),
-            told_regions: Cell::default(),
-            told_aside: Cell::default(),
+            sent_to_regions: Cell::default(),
+            logged_aside: Cell::default(),
             starts: RefCell::default(),
             suspicion: Suspicion::default(),
             open: Cell::default(),
@@ -239,7 +242,7 @@
         node.scope
             .spawn(follow(Table::Entries, WAIT_ENTRIES, PAUSE_ENTRIES));
         node.scope.spawn(accept(Rc::clone(self), listener));
-        node.scope.spawn(Rc::clone(self).tell());
+        node.scope.spawn(Rc::clone(self).gossip());
         node.scope.spawn(Rc::clone(self).listen());
         node.scope.spawn(Rc::clone(self).register());
     }
@@ -275,7 +278,7 @@
     /// Logs when it begins to leave callers to others, and when it takes them again.
     fn show_standing(&self) {
         let aside = self.standing() == Standing::Aside;
-        if self.told_aside.replace(aside) == aside {
+        if self.logged_aside.replace(aside) == aside {
             return;
         }
         if let Some(log) = self.node.logs.line(Topic::State) {
@@ -359,7 +362,7 @@
     }
 
     /// A replica sent something.
-    pub fn heard_replica(&self, key: ReplicaKey) {
+    pub fn note_activity(&self, key: ReplicaKey) {
         let now = self.node.clock.now();
         self.replicas.borrow_mut().heard(key, now);
     }
@@ -468,7 +471,7 @@
     fn call(&self, call: Call, outgoing: Outgoing) {
         let node = Rc::clone(&self.0);
         let scope = Rc::clone(&node.scope);
-        // Calls that are for agents get no answer, which tells the caller so.
+        // Calls that are for agents get no answer, by which the caller knows.
         scope.spawn(async move { node.answer(call, outgoing).await });
     }
 
--- a/crates/gradeloft_gateway/src/entry/quarantine/crash.rs
+++ b/crates/gradeloft_gateway/src/entry/quarantine/crash.rs
@@ -185,6 +185,6 @@
             }
         }
         drop(lost);
-        self.tell_suspects();
+        self.send_suspects();
     }
 }
--- a/crates/gradeloft_gateway/src/entry/quarantine/keep.rs
+++ b/crates/gradeloft_gateway/src/entry/quarantine/keep.rs
@@ -68,7 +68,7 @@
                 .kept
                 .borrow_mut()
                 .insert(request, kept.crashes);
-            self.hear_suspects(&[suspect], Source::Store, now);
+            self.receive_suspects(&[suspect], Source::Store, now);
         }
     }
 
--- a/crates/gradeloft_gateway/src/entry/quarantine/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/quarantine/mod.rs
@@ -158,12 +158,12 @@
         let news = suspicion.known.borrow_mut().clear(request);
         if news {
             self.learned(request, Source::Own, self.node.clock.now());
-            self.tell_suspects();
+            self.send_suspects();
         }
     }
 
     /// Another entry told of requests, or the store brought them.
-    pub(super) fn hear_suspects(&self, suspects: &[Suspect], source: Source, now: Time) {
+    pub(super) fn receive_suspects(&self, suspects: &[Suspect], source: Source, now: Time) {
         for suspect in suspects {
             let merged = self.suspicion.known.borrow_mut().merge(suspect, now);
             if merged.news {
@@ -224,7 +224,7 @@
     }
 
     /// Tells others what is due.
-    pub(super) fn tell_suspects(&self) {
+    pub(super) fn send_suspects(&self) {
         let now = self.node.clock.now();
         if now < self.suspicion.quiet_until.get() {
             return;
@@ -258,9 +258,9 @@
             };
             let purpose = Purpose::Suspects;
             self.node
-                .tell(purpose, Reach::Near, sender.clone(), near.iter().copied());
+                .send_state(purpose, Reach::Near, sender.clone(), near.iter().copied());
             self.node
-                .tell(purpose, Reach::Far, sender, far.iter().copied());
+                .send_state(purpose, Reach::Far, sender, far.iter().copied());
         }
         let bytes = codec::body(&suspects).len();
         let pause = TELLING.pause(near.len() + far.len(), bytes);
@@ -269,7 +269,7 @@
 
     /// Tells an entry that has just started of the requests that have the most crashes: the store, which keeps
     /// them, may be away.
-    pub(super) fn tell_newcomer(&self, newcomer: Ipv4Addr) {
+    pub(super) fn send_suspects_to(&self, newcomer: Ipv4Addr) {
         let now = self.node.clock.now();
         let known = self.suspicion.known.borrow();
         let all = known
@@ -289,6 +289,7 @@
             suspects,
         };
         let to = [newcomer].into_iter();
-        self.node.tell(Purpose::Suspects, Reach::Far, sender, to);
+        self.node
+            .send_state(Purpose::Suspects, Reach::Far, sender, to);
     }
 }
--- a/crates/gradeloft_gateway/src/entry/hear.rs
+++ b/crates/gradeloft_gateway/src/entry/receive.rs
@@ -1,4 +1,4 @@
-//! What an entry hears from others.
+//! Datagrams that an entry receives.
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
@@ -9,10 +9,10 @@
 use gradeloft_policy::{
     clock::Time,
     process::{
-        elsewhere::{Load, Told},
+        elsewhere::{self, Load},
         readers::{self, First},
         replicas::Report,
-        roster::{self, State, Word},
+        roster::{self, State, Status},
     },
     rendezvous,
 };
@@ -30,12 +30,12 @@
 impl Entry {
     pub(super) async fn listen(self: Rc<Entry>) {
         loop {
-            let (from, datagram) = self.node.heard().await;
-            self.heard(from, datagram);
+            let (from, datagram) = self.node.next_datagram().await;
+            self.receive(from, datagram);
         }
     }
 
-    fn heard(&self, from: Ipv4Addr, mut datagram: Datagram) {
+    fn receive(&self, from: Ipv4Addr, mut datagram: Datagram) {
         self.node.look();
         let now = self.node.clock.now();
 
@@ -45,11 +45,11 @@
             }
             _ => false,
         };
-        // What lay in the socket while this process stood still says how things were then; the next word of each
-        // sender comes within a second. How far copies go, and crashes, hold whenever they are heard of.
-        let now_so = self.node.hears_now();
+        // What lay in the socket while this process stood still is outdated, and each sender sends again within a second.
+        // How far copies go, and crashes, hold whenever they are received.
+        let current = self.node.receives_current();
         match &datagram.sender {
-            Sender::Agent { .. } | Sender::Entry { .. } | Sender::Region { .. } if !now_so => {}
+            Sender::Agent { .. } | Sender::Entry { .. } | Sender::Region { .. } if !current => {}
             Sender::Agent { replica, engine } => {
                 let replica = SocketAddr::V4(*replica);
                 if let Some(engine) = engine {
@@ -60,27 +60,28 @@
                     self.send_to_agents([from].into_iter());
                 }
             }
-            Sender::Entry { .. } => self.entry_told(from, &datagram, now),
+            Sender::Entry { .. } => self.receive_entry(from, &datagram, now),
             Sender::Region { word, .. } => {
-                self.region_told(&datagram.zone, word, now);
+                self.receive_region(&datagram.zone, word, now);
                 if !passed_on {
                     self.pass_on(&datagram);
                 }
             }
             Sender::Suspects { suspects, .. } => {
-                self.hear_suspects(suspects, Source::Peer(from), now);
+                self.receive_suspects(suspects, Source::Peer(from), now);
                 if !passed_on && !self.node.near(&datagram.zone) {
                     self.pass_on(&datagram);
                 }
             }
         }
         if !passed_on {
-            self.node.heard_ages(datagram.ends, datagram.unconfirmed_ms);
-            self.node.heard_ends(from, &datagram.zone, datagram.ends);
+            self.node
+                .receive_ages(datagram.ends, datagram.unconfirmed_ms);
+            self.node.receive_ends(from, &datagram.zone, datagram.ends);
         }
     }
 
-    /// Passes a word of another region on to the entries of this one.
+    /// Passes a message of another region on to the entries of this one.
     fn pass_on(&self, datagram: &Datagram) {
         let near: Vec<Ipv4Addr> = self
             .roster
@@ -91,7 +92,7 @@
             .send(Purpose::Relayed, Reach::Near, datagram, near.into_iter());
     }
 
-    fn entry_told(&self, from: Ipv4Addr, datagram: &Datagram, now: Time) {
+    fn receive_entry(&self, from: Ipv4Addr, datagram: &Datagram, now: Time) {
         let Sender::Entry {
             presence,
             store,
@@ -103,47 +104,54 @@
         else {
             return;
         };
-        let word = Word {
+        self.contact.set(self.contact.get().or(Some(now)));
+        let status = Status {
             incarnation: datagram.incarnation,
             zone: &datagram.zone,
             state: state(*presence),
             served: *store == Access::Served,
             end: datagram.ends[Table::Operator as usize],
         };
-        self.roster.borrow_mut().heard(from, word, now);
+        self.roster.borrow_mut().receive(from, status, now);
         self.learn(entries);
         if self.node.near(&datagram.zone) {
-            self.near_loads.borrow_mut().hear(from, told(loads, now));
+            self.near_loads
+                .borrow_mut()
+                .receive(from, load_report(loads, now));
         }
         if *asks {
             self.introduce(from, &datagram.zone);
         }
     }
 
-    /// The entries of another region said something by one of them.
-    fn region_told(&self, zone: &str, word: &Region, now: Time) {
+    /// Takes in the state of another region's entries.
+    fn receive_region(&self, zone: &str, message: &Region, now: Time) {
         if self.node.near(zone) {
             return;
         }
         let region = self.node.settings().region(zone).to_owned();
-        match word {
+        match message {
             Region::Engines(engines) => engines.iter().for_each(|it| self.engine_seen(it, now)),
             Region::Loads(loads) => {
-                self.far_loads.borrow_mut().hear(region, told(loads, now));
+                self.far_loads
+                    .borrow_mut()
+                    .receive(region, load_report(loads, now));
             }
             Region::Members(members) => members.iter().for_each(|it| self.member(zone, it, now)),
         }
     }
 
     fn member(&self, zone: &str, member: &Member, now: Time) {
-        let word = Word {
+        let status = Status {
             incarnation: member.incarnation,
             zone,
             state: state(member.presence),
             served: member.store == Access::Served,
             end: member.end,
         };
-        self.roster.borrow_mut().heard_of(member.address, word, now);
+        self.roster
+            .borrow_mut()
+            .receive_relayed(member.address, status, now);
     }
 
     fn learn(&self, entries: &[Ipv4Addr]) {
@@ -227,13 +235,13 @@
     }
 }
 
-fn told(loads: &Loads, at: Time) -> Told {
+fn load_report(loads: &Loads, at: Time) -> elsewhere::Part {
     let load = |it: &gradeloft_wire::datagram::Load| Load {
         replica: it.replica,
         running: u32::from(it.running),
         waiting: u32::from(it.waiting),
     };
-    Told {
+    elsewhere::Part {
         at,
         part: loads.part,
         further: loads.further,
@@ -257,8 +265,10 @@
         };
         if !entry.node.loaded(table) {
             let settings = entry.node.settings();
+            let now = entry.node.clock.now();
             return readers::reads_first(First {
-                since_start: entry.node.clock.now().since(Time::ZERO),
+                since_start: now.since(Time::ZERO),
+                since_contact: entry.contact.get().map(|it| now.since(it)),
                 seed: settings.seeds.contains(&settings.address),
                 known: entry.node.behind(table).is_some(),
                 spare: table == Table::Entries,
--- a/crates/gradeloft_gateway/src/entry/register.rs
+++ b/crates/gradeloft_gateway/src/entry/register.rs
@@ -76,7 +76,7 @@
         let settings = self.node.settings();
         let now = self.node.clock.now();
         let roster = self.roster.borrow();
-        let others = roster.words(|it| self.node.near(it), now);
+        let others = roster.statuses(|it| self.node.near(it), now);
         let others = others.map(|(address, it)| (address, it.zone.to_owned()));
         let all = others.chain([(settings.address, settings.zone.clone())]);
         let has_row = |address: &Ipv4Addr| {
--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -412,7 +412,7 @@
 fn heard(entry: &Entry, job: &mut Job, source: &mut Source<'_>, bytes: usize) {
     let replica = source.link.replica();
     count(entry, job, source.link, bytes);
-    entry.heard_replica(replica);
+    entry.note_activity(replica);
     source.running.begun();
     if let Some(expected) = source.expected.take() {
         entry.began(replica, expected);
--- a/crates/gradeloft_gateway/src/entry/upkeep.rs
+++ b/crates/gradeloft_gateway/src/entry/upkeep.rs
@@ -16,8 +16,8 @@
 use super::Entry;
 use crate::logs::Topic;
 
-/// Age from which on what other regions told of their requests is not counted any more, in milliseconds: two of
-/// the longest pauses between two words. What is old counts for little before (`split::unseen`).
+/// Age from which on other regions' reports of their requests don't count any more, in milliseconds: two of
+/// the longest pauses between two of them. What is old counts for little before (`split::unseen`).
 const FAR_MS: u64 = 10_000;
 
 /// A region, as far as its slots go.
@@ -29,7 +29,7 @@
 }
 
 impl Entry {
-    /// Lets go of what has become old, and takes in what others told.
+    /// Drops what has become old, and takes in the reports of others.
     pub(super) fn upkeep(self: &Rc<Entry>) {
         let now = self.node.clock.now();
         self.node.show_behind();
--- a/crates/gradeloft_gateway/src/metrics.rs
+++ b/crates/gradeloft_gateway/src/metrics.rs
@@ -78,7 +78,7 @@
     /// Bytes of the platform's tables that were read, by source.
     pub records: Family<Reason, Counter>,
     /// Asks for records that a peer did not answer with them, by reason.
-    pub records_not_given: Family<Reason, Counter>,
+    pub record_fetch_failures: Family<Reason, Counter>,
     /// Records of other writers that nothing can be made of, by table.
     pub unreadable_records: Family<Reason, Counter>,
     /// Seconds for which the operator's table has lacked what peers have; 0 if it lacks nothing.
@@ -115,7 +115,7 @@
             unsent: Counter::default(),
             store_faults: Counter::default(),
             records: Family::default(),
-            records_not_given: Family::default(),
+            record_fetch_failures: Family::default(),
             unreadable_records: Family::default(),
             behind: Gauge::default(),
             config: Gauge::default(),
@@ -210,9 +210,9 @@
             self.records.clone(),
         );
         it.register(
-            "records_not_given",
+            "record_fetch_failures",
             "Asks for records that a peer did not answer with them",
-            self.records_not_given.clone(),
+            self.record_fetch_failures.clone(),
         );
         it.register(
             "unreadable_records",
--- a/crates/gradeloft_gateway/src/node/ages.rs
+++ b/crates/gradeloft_gateway/src/node/ages.rs
@@ -24,25 +24,25 @@
 /// Pause between signs of life from which on the process stood still, in milliseconds: four ticks, so that
 /// want of processor time alone does not look like it.
 const STILL_MS: u64 = 1_000;
-/// Time after it stood still for which a process that hears of nobody takes its copies for old, in milliseconds:
-/// far above the 0.4 s in which it hears of its peers, if it has any.
+/// Time after it stood still for which a process that receives nothing takes its copies for old, in milliseconds:
+/// far above the 0.4 s within which its peers send, if it has any.
 const UNAWARE_MS: u64 = 1_000;
 /// Silence of all peers from which on this process was cut off, in milliseconds: six of the pauses between
 /// near entries' datagrams, one and a half of those between an entry's datagrams to an agent.
 const SILENCE_MS: u64 = 750;
 
-/// Gaps in what this process does and hears.
+/// Gaps in what this process does and receives.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Disturbances {
     ticks: Gaps,
-    words: Gaps,
+    datagrams: Gaps,
 }
 
 impl Default for Disturbances {
     fn default() -> Disturbances {
         Disturbances {
             ticks: Gaps::new(STILL_MS),
-            words: Gaps::new(SILENCE_MS),
+            datagrams: Gaps::new(SILENCE_MS),
         }
     }
 }
@@ -68,20 +68,20 @@
         }
     }
 
-    /// Whether what is heard now was sent a moment ago, rather than while the process stood still.
-    pub fn hears_now(&self) -> bool {
+    /// Whether what is received now was sent a moment ago, rather than while the process stood still.
+    pub fn receives_current(&self) -> bool {
         self.disturbances.borrow().ticks.fresh(self.clock.now())
     }
 
-    /// Whether the process stood still and has not heard since of how far others are: what its copies lack by
+    /// Whether the process stood still and has not learned since how far others are: what its copies lack by
     /// now it doesn't know.
     pub fn unaware(&self) -> bool {
         let now = self.clock.now();
         let Some(woke) = self.disturbances.borrow().ticks.last_end(now) else {
             return false;
         };
-        let heard = self.heard_now.get().is_some_and(|it| woke < it);
-        !heard && now < woke.after_ms(UNAWARE_MS)
+        let informed = self.informed_at.get().is_some_and(|it| woke < it);
+        !informed && now < woke.after_ms(UNAWARE_MS)
     }
 
     /// Since when a record of a table counts as written: what was read after an interruption counts from
@@ -98,28 +98,28 @@
         let now = self.clock.now();
         let ages = self.ages.borrow();
         Table::ALL.map(|it| {
-            // Whoever doesn't tell how far its copy goes can't say that it was whole there.
-            let told = self.offered(it) == self.end(it);
+            // Whoever doesn't say how far its copy goes can't say that it was whole there.
+            let said = self.offered(it) == self.end(it);
             let unconfirmed = ages[index(it)].unconfirmed_ms(now);
-            unconfirmed.filter(|_| told).map_or(u16::MAX, saturate)
+            unconfirmed.filter(|_| said).map_or(u16::MAX, saturate)
         })
     }
 
     /// A peer said how far its copies go, and for how long it has not known them to be whole by reads of its
     /// own. Only such words count, so that no word comes back as news to who said it.
-    pub fn heard_ages(&self, ends: [u64; 3], unconfirmed_ms: [u16; 3]) {
+    pub fn receive_ages(&self, ends: [u64; 3], unconfirmed_ms: [u16; 3]) {
         let now = self.clock.now();
         let mut disturbances = self.disturbances.borrow_mut();
         disturbances.ticks.seen(now);
-        disturbances.words.seen(now);
+        disturbances.datagrams.seen(now);
         let fresh = disturbances.ticks.fresh(now);
         if fresh {
-            self.heard_now.set(Some(now));
+            self.informed_at.set(Some(now));
         }
         let mut ages = self.ages.borrow_mut();
         for ((table, end), age) in ages.iter_mut().zip(ends).zip(unconfirmed_ms) {
             table.heard_end(end, now);
-            // Right after the process stood still, the word may have lain in the socket.
+            // Right after the process stood still, the datagram may have lain in the socket.
             if fresh && age < u16::MAX {
                 table.heard_whole(end, u64::from(age), now);
             }
@@ -147,9 +147,9 @@
         self.set_after_interruption(table, interrupted);
         let disturbances = self.disturbances.borrow();
         let gap = |it: &Gaps| it.within(asked, answered);
-        let disturbed = interrupted || gap(&disturbances.ticks) || gap(&disturbances.words);
+        let disturbed = interrupted || gap(&disturbances.ticks) || gap(&disturbances.datagrams);
         if !disturbed {
-            self.heard_now.set(Some(answered));
+            self.informed_at.set(Some(answered));
         }
         let read = Read {
             asked,
--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -128,13 +128,13 @@
     /// Since when each table's records are known to be written.
     ages: RefCell<[Ages; 3]>,
     disturbances: RefCell<Disturbances>,
-    /// When it was heard last how far others are, by what was sent a moment before.
-    heard_now: Cell<Option<Time>>,
+    /// When a datagram that was sent a moment before last said how far others are.
+    informed_at: Cell<Option<Time>>,
     reading: RefCell<[Reading; 3]>,
     /// Whether the last good read of each table came after one that failed.
     after_interruption: Cell<[bool; 3]>,
     election: RefCell<Option<Rc<dyn Election>>>,
-    /// Until when removals that peers told may be errors of the store's.
+    /// Until when removals that peers gave may be errors of the store's.
     peer_doubt: Cell<Time>,
     /// Set while an update is taken in from a peer that vouches for its removals.
     peer_sound: Cell<bool>,
@@ -153,7 +153,7 @@
     socket: UdpSocket,
     incarnation: u64,
     rng: RefCell<ChaCha8Rng>,
-    /// Told when a table changed.
+    /// Notified when a table changed.
     pub changed: Notify,
 }
 
@@ -188,7 +188,7 @@
             giving: RefCell::default(),
             ages: RefCell::default(),
             disturbances: RefCell::default(),
-            heard_now: Cell::default(),
+            informed_at: Cell::default(),
             reading: RefCell::default(),
             after_interruption: Cell::default(),
             election: RefCell::default(),
@@ -238,8 +238,8 @@
         self.incarnation
     }
 
-    /// Sends what this process has to say to others.
-    pub fn tell(
+    /// Sends this process's state.
+    pub fn send_state(
         &self,
         purpose: Purpose,
         reach: Reach,
@@ -318,7 +318,7 @@
     }
 
     /// The next datagram, and who sent it.
-    pub async fn heard(&self) -> (Ipv4Addr, Datagram) {
+    pub async fn next_datagram(&self) -> (Ipv4Addr, Datagram) {
         let mut buffer = [0; MAX_BYTES];
         loop {
             let received = self.socket.recv_from(&mut buffer).await;
--- a/crates/gradeloft_gateway/src/node/parts.rs
+++ b/crates/gradeloft_gateway/src/node/parts.rs
@@ -115,7 +115,7 @@
                 Choice::Nobody => {
                     // Whoever speaks next is asked what there is to have; what came is kept.
                     self.with_inbox(table, |it| it.pending = None);
-                    self.not_given("none", table, self.clock.now(), "nobody");
+                    self.fetch_failed("none", table, self.clock.now(), "nobody");
                     return;
                 }
             }
@@ -177,7 +177,7 @@
                 }
             });
         });
-        self.not_given(peer, table, asked, reason);
+        self.fetch_failed(peer, table, asked, reason);
     }
 
     async fn receive_parts(self: &Rc<Node>, peer: Ipv4Addr, table: Table) -> Result<(), Missed> {
--- a/crates/gradeloft_gateway/src/node/records.rs
+++ b/crates/gradeloft_gateway/src/node/records.rs
@@ -73,7 +73,7 @@
 
 impl Node {
     /// Answers a peer's call, if it is for records or for parts of one. Other calls are for other kinds of
-    /// process; dropping the answer tells the caller so.
+    /// process; dropping the answer is how the caller knows.
     pub async fn answer(self: &Rc<Node>, call: Call, outgoing: Outgoing) {
         match call {
             Call::Parts {
@@ -123,7 +123,7 @@
         let mut room = ANSWER_BYTES;
         let rows = update.records.into_iter().map(|it| Row {
             age_ms: self.age_ms(table, &it),
-            value: self.told(table, &it, &mut room),
+            value: self.value_for_peer(table, &it, &mut room),
             key: it.key,
             offset: it.offset,
         });
@@ -136,8 +136,8 @@
         outgoing.finish(&reply).await;
     }
 
-    /// A record's value as a peer is told it; `room` is what is left for values in the answer.
-    fn told(&self, table: Table, record: &Record, room: &mut usize) -> Value {
+    /// A record's value as it is given to a peer; `room` is what is left for values in the answer.
+    fn value_for_peer(&self, table: Table, record: &Record, room: &mut usize) -> Value {
         let Some(value) = &record.value else {
             return Value::Deleted;
         };
@@ -164,7 +164,7 @@
         let near = self.near(zone);
         let now = self.clock.now();
         for (inbox, end) in self.inboxes.borrow_mut().iter_mut().zip(ends) {
-            inbox.holders.told(peer, Some(near), end, now);
+            inbox.holders.note(peer, Some(near), end, now);
         }
     }
 
@@ -177,7 +177,7 @@
     /// A peer's copies go up to `ends`: reads from it what this process lacks; gives whether that was
     /// anything. Peers of other regions are left alone for a moment, in which near ones most likely
     /// have it too, and then asked by a few processes of this region first.
-    pub fn heard_ends(self: &Rc<Node>, peer: Ipv4Addr, zone: &str, ends: [u64; 3]) -> bool {
+    pub fn receive_ends(self: &Rc<Node>, peer: Ipv4Addr, zone: &str, ends: [u64; 3]) -> bool {
         let mut asked = false;
         let near = self.near(zone);
         for table in Table::ALL {
@@ -270,17 +270,17 @@
             Ok(Ok(Reply::Absent(Absence::Busy))) => {
                 let pause = self.with_rng(|it| it.random_range(BUSY_MS));
                 actix_rt::time::sleep(Duration::from_millis(pause)).await;
-                return self.not_given(peer, table, asked, "busy");
+                return self.fetch_failed(peer, table, asked, "busy");
             }
-            Ok(Ok(_)) => return self.not_given(peer, table, asked, "unexpected"),
-            Ok(Err(fault)) => return self.not_given(peer, table, asked, reason(fault)),
-            Err(_) => return self.not_given(peer, table, asked, "late"),
+            Ok(Ok(_)) => return self.fetch_failed(peer, table, asked, "unexpected"),
+            Ok(Err(fault)) => return self.fetch_failed(peer, table, asked, reason(fault)),
+            Err(_) => return self.fetch_failed(peer, table, asked, "late"),
         };
         self.note_given(table, &rows, asked);
         let rows: Vec<pending::Row> = rows.into_iter().map(row).collect();
         let pending = Pending::new(snapshot, rows, end);
         if pending.oversized() {
-            return self.not_given(peer, table, asked, "too large");
+            return self.fetch_failed(peer, table, asked, "too large");
         }
         let announced = Announced {
             pending,
@@ -288,7 +288,7 @@
             asked,
             source: Source::Peer(peer),
         };
-        self.with_inbox(table, |it| it.holders.told(peer, None, end, asked));
+        self.with_inbox(table, |it| it.holders.note(peer, None, end, asked));
         self.announce(table, announced);
         self.settle(table);
         self.fetch(table);
@@ -353,7 +353,7 @@
     }
 
     /// Notes that a peer did not give what it was asked for.
-    pub(super) fn not_given(
+    pub(super) fn fetch_failed(
         &self,
         peer: impl fmt::Display,
         table: Table,
@@ -361,9 +361,12 @@
         reason: &'static str,
     ) -> bool {
         let label = Reason { reason };
-        self.metrics.records_not_given.get_or_create(&label).inc();
+        self.metrics
+            .record_fetch_failures
+            .get_or_create(&label)
+            .inc();
         if let Some(log) = self.logs.line(Topic::Dependency) {
-            warn!(log, "records not given"; "table" => ?table, "peer" => %peer, "reason" => reason,
+            warn!(log, "record fetch failed"; "table" => ?table, "peer" => %peer, "reason" => reason,
                 "end" => self.end(table),
                 "behind_ms" => self.behind(table).map_or(-1, |it| it.as_millis() as i64),
                 "ms" => self.clock.now().since(asked).as_millis() as u64);
--- a/crates/gradeloft_policy/src/process/ages.rs
+++ b/crates/gradeloft_policy/src/process/ages.rs
@@ -64,17 +64,17 @@
 impl Ages {
     /// A peer's copy goes up to `end` now.
     pub fn heard_end(&mut self, end: u64, now: Time) {
-        self.known.told(end, now);
+        self.known.note(end, now);
     }
 
     /// A peer's copy, which goes up to `end`, was whole `age_ms` before `now`.
     pub fn heard_whole(&mut self, end: u64, age_ms: u64, now: Time) {
-        self.whole.told(end, now.before_ms(age_ms));
+        self.whole.note(end, now.before_ms(age_ms));
     }
 
     /// A peer gave a record on a call that was made at `asked`, and knew it for `age_ms`.
     pub fn given(&mut self, offset: u64, age_ms: u64, asked: Time) {
-        self.counted.told(offset + 1, asked.before_ms(age_ms));
+        self.counted.note(offset + 1, asked.before_ms(age_ms));
     }
 
     /// A read brought the records at `offsets`.
@@ -83,7 +83,7 @@
         for offset in offsets {
             let earliest = self.whole.until(offset).unwrap_or(read.answered);
             let counts = earliest.max(bound).min(read.answered);
-            self.counted.told(offset + 1, counts);
+            self.counted.note(offset + 1, counts);
         }
         self.read_at = Some(read.answered);
         self.read_blind = read.long_on_its_way();
@@ -107,7 +107,7 @@
 
     /// This process's copy, which goes up to `end`, was whole at `at` by its own reading.
     pub fn confirm(&mut self, end: u64, at: Time) {
-        self.whole.told(end, at);
+        self.whole.note(end, at);
         self.confirmed = self.confirmed.max(Some(at));
     }
 
--- a/crates/gradeloft_policy/src/process/elsewhere.rs
+++ b/crates/gradeloft_policy/src/process/elsewhere.rs
@@ -1,7 +1,7 @@
-//! Requests of others at replicas, as they told, and how old that is.
+//! Requests of others at replicas, by their last reports, and the age of these.
 //!
-//! Entries of the own region tell of themselves, other regions by their speakers. Each says all it has; where
-//! that is too much for one datagram, each part replaces what was said of it before.
+//! Entries of the own region report for themselves, other regions through their speakers. A report that is too large
+//! for one datagram comes in parts, each of which replaces the one before it.
 
 use std::{borrow::Borrow, collections::HashMap, hash::Hash, time::Duration};
 
@@ -18,75 +18,75 @@
     pub waiting: u32,
 }
 
-/// One part of what somebody has at replicas.
+/// One part of a report.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Told {
-    /// When it was told.
+pub struct Part {
+    /// When it was received.
     pub at: Time,
     /// Number of the part, from 0.
     pub part: u16,
     /// Parts, less one.
     pub further: u16,
-    /// Requests that come to whoever told, a second.
+    /// Requests that come to the sender, a second.
     pub demand: f64,
     /// Requests by replica.
     pub loads: Vec<Load>,
 }
 
-/// What each of several others has at replicas.
+/// The last report of each of several others.
 #[derive(Clone, Debug)]
 pub struct Elsewhere<K> {
-    told: HashMap<K, HashMap<u16, Told>>,
+    reports: HashMap<K, HashMap<u16, Part>>,
 }
 
 impl<K> Default for Elsewhere<K> {
     fn default() -> Elsewhere<K> {
         Elsewhere {
-            told: HashMap::new(),
+            reports: HashMap::new(),
         }
     }
 }
 
 impl<K: Eq + Hash> Elsewhere<K> {
-    /// Takes in a part of what `who` has.
-    pub fn hear(&mut self, who: K, told: Told) {
-        let parts = self.told.entry(who).or_default();
-        parts.retain(|number, it| *number <= told.further && it.further == told.further);
-        parts.insert(told.part, told);
+    /// Takes in a part of the report of `who`.
+    pub fn receive(&mut self, who: K, part: Part) {
+        let parts = self.reports.entry(who).or_default();
+        parts.retain(|number, it| *number <= part.further && it.further == part.further);
+        parts.insert(part.part, part);
     }
 
-    /// Lets go of those for whom `keep` does not hold.
+    /// Drops the reports of those for whom `keep` does not hold.
     pub fn retain(&mut self, keep: impl Fn(&K) -> bool) {
-        self.told.retain(|who, _| keep(who));
+        self.reports.retain(|who, _| keep(who));
     }
 
-    /// Lets go of what was told before a time.
+    /// Drops what was received before a time.
     pub fn expire(&mut self, before: Time) {
-        for parts in self.told.values_mut() {
+        for parts in self.reports.values_mut() {
             parts.retain(|_, it| before <= it.at);
         }
-        self.told.retain(|_, parts| !parts.is_empty());
+        self.reports.retain(|_, parts| !parts.is_empty());
     }
 
-    /// Whether somebody told.
+    /// Whether there is a report of `who`.
     pub fn has<Q: Eq + Hash + ?Sized>(&self, who: &Q) -> bool
     where
         K: Borrow<Q>,
     {
-        self.told.contains_key(who)
+        self.reports.contains_key(who)
     }
 
-    /// How many others told.
+    /// How many others have reported.
     pub fn len(&self) -> usize {
-        self.told.len()
+        self.reports.len()
     }
 
-    /// Whether nobody told.
+    /// Whether nobody has reported.
     pub fn is_empty(&self) -> bool {
-        self.told.is_empty()
+        self.reports.is_empty()
     }
 
-    /// How long ago they told, on average.
+    /// Mean age of the reports.
     pub fn age(&self, now: Time) -> Duration {
         let ages = self.parts().map(|it| now.since(it.at));
         let sum: Duration = ages.sum();
@@ -95,13 +95,13 @@
 
     /// Requests that come to one of them, a second.
     pub fn demand_of(&self, who: &K) -> f64 {
-        let parts = self.told.get(who).into_iter().flat_map(|it| it.values());
+        let parts = self.reports.get(who).into_iter().flat_map(|it| it.values());
         parts.max_by_key(|it| it.at).map_or(0.0, |it| it.demand)
     }
 
     /// Requests that come to all of them, a second.
     pub fn demand(&self) -> f64 {
-        self.told.keys().map(|it| self.demand_of(it)).sum()
+        self.reports.keys().map(|it| self.demand_of(it)).sum()
     }
 
     /// Adds what they have at each replica to `sums`.
@@ -111,8 +111,8 @@
         }
     }
 
-    fn parts(&self) -> impl Iterator<Item = &Told> {
-        self.told.values().flat_map(|it| it.values())
+    fn parts(&self) -> impl Iterator<Item = &Part> {
+        self.reports.values().flat_map(|it| it.values())
     }
 }
 
--- a/crates/gradeloft_policy/src/process/readers.rs
+++ b/crates/gradeloft_policy/src/process/readers.rs
@@ -15,10 +15,11 @@
 /// Most of one region: with two, the loss of one delays nothing there.
 const MOST_OF_REGION: usize = 2;
 
-/// Time after a start from which on an entry that knows of no peer with a table reads it itself: those that others know
+/// Time after the first contact with a peer from which on an entry that knows of none with a table reads it itself: those that others know
 /// from their settings have read it by then, and have said so.
 const UNKNOWN: Duration = Duration::from_millis(200);
-/// Time after a start from which on entries read a table though peers have it, which would have given it by then.
+/// Time after the first contact from which on entries read a table though peers have it, which would have given it by
+/// then; and time after a start from which on an entry does without a contact.
 const UNGIVEN: Duration = Duration::from_millis(800);
 /// Entries of a region that read then, twice as many each further [`UNGIVEN`].
 const FIRST_READERS: usize = 2;
@@ -32,6 +33,8 @@
 pub struct First {
     /// How long ago the entry started.
     pub since_start: Duration,
+    /// How long ago another entry sent it something first. Only then does it know of others.
+    pub since_contact: Option<Duration>,
     /// Whether others know the entry from their settings, and so hear from it first.
     pub seed: bool,
     /// Whether a peer is known to have the table.
@@ -46,14 +49,17 @@
 /// wait for peers all the same would keep callers without service for a second. If all entries of a region read it, they
 /// would fill the link to the store, so their number is bounded, whatever the size of the region.
 pub fn reads_first(first: First) -> bool {
+    let Some(since_contact) = first.since_contact else {
+        return first.seed || UNGIVEN <= first.since_start;
+    };
     let unknown = !first.known && !first.spare;
-    let alone = unknown && UNKNOWN <= first.since_start && first.rank == 0;
-    first.seed || alone || first.rank < first_readers(first.since_start)
+    let alone = unknown && UNKNOWN <= since_contact && first.rank == 0;
+    first.seed || alone || first.rank < first_readers(since_contact)
 }
 
-/// Entries of a region that may read a table first, so long after their start.
-fn first_readers(since_start: Duration) -> usize {
-    let turns = since_start.as_millis() / UNGIVEN.as_millis();
+/// Entries of a region that may read a table first, so long after their first contact.
+fn first_readers(since_contact: Duration) -> usize {
+    let turns = since_contact.as_millis() / UNGIVEN.as_millis();
     match turns {
         0 => 0,
         turns => (FIRST_READERS << (turns - 1).min(8)).min(MOST_FIRST_READERS),
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -412,7 +412,7 @@
         let mut ended = Vec::new();
         for key in keys {
             let replica = &mut self.arena[key];
-            match replica.starts.told(report.born) {
+            match replica.starts.received(report.born) {
                 Said::Before => {}
                 Said::Later => {
                     // The platform's word is of the start that ended.
--- a/crates/gradeloft_policy/src/process/roster.rs
+++ b/crates/gradeloft_policy/src/process/roster.rs
@@ -1,4 +1,4 @@
-//! The entries that callers may be sent to, by what each of them says of itself.
+//! The entries that callers may be sent to, by the status that each of them sends.
 
 use std::{
     collections::{BTreeSet, HashMap},
@@ -7,11 +7,10 @@
 
 use crate::{clock::Time, rendezvous};
 
-/// Silence after which an entry is no longer given to callers, in milliseconds: twice the pause between the
-/// datagrams of a large region's entries, and ten of a small one's, so that the loss of a few does not count.
+/// Least silence after which an entry is no longer named to callers, in milliseconds.
 const SILENCE_MS: u64 = 1_300;
-/// The same for entries of which other entries told, in milliseconds: three of the pauses in which a region
-/// tells of its members, through one entry each time, and the silence after which another entry tells.
+/// The same for entries that are known through others, in milliseconds: three pauses between a region's lists of its
+/// members, and the silence after which another entry sends them.
 const RELAYED_SILENCE_MS: u64 = 4_000;
 /// Silence after which an entry is forgotten, in milliseconds.
 const FORGET_MS: u64 = 60_000;
@@ -51,19 +50,19 @@
     zone: String,
     state: State,
     incarnation: u64,
-    /// Whether the platform's store serves it, as it said last.
+    /// Whether the platform's store serves it, by its last status.
     served: bool,
-    /// How far its copy of the operator's table goes, as it said last.
+    /// How far its copy of the operator's table goes, by its last status.
     end: u64,
-    /// When something came of it last.
-    heard: Option<Time>,
+    /// When it was known to be alive last.
+    seen: Option<Time>,
     /// Until when it counts as alive.
     alive_until: Time,
 }
 
-/// What an entry says of itself.
+/// What an entry sends of itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Word<'a> {
+pub struct Status<'a> {
     /// Names this start of it; later starts have higher numbers.
     pub incarnation: u64,
     /// Its availability zone.
@@ -93,7 +92,7 @@
             incarnation: 0,
             served: false,
             end: 0,
-            heard: None,
+            seen: None,
             alive_until: Time::ZERO,
         });
         if let Some(zone) = zone.filter(|_| entry.zone.is_empty()) {
@@ -101,32 +100,32 @@
         }
     }
 
-    /// An entry said something of itself. Words of an earlier start of it are passed over.
-    pub fn heard(&mut self, address: Ipv4Addr, word: Word<'_>, now: Time) {
-        self.take_in(address, word, SILENCE_MS, now);
+    /// Takes in the status of an entry, unless it is of an earlier start of it.
+    pub fn receive(&mut self, address: Ipv4Addr, status: Status<'_>, now: Time) {
+        self.take_in(address, status, SILENCE_MS, now);
     }
 
-    /// Another entry told what an entry said of itself.
-    pub fn heard_of(&mut self, address: Ipv4Addr, word: Word<'_>, now: Time) {
-        self.take_in(address, word, RELAYED_SILENCE_MS, now);
+    /// The same, through another entry.
+    pub fn receive_relayed(&mut self, address: Ipv4Addr, status: Status<'_>, now: Time) {
+        self.take_in(address, status, RELAYED_SILENCE_MS, now);
     }
 
-    fn take_in(&mut self, address: Ipv4Addr, word: Word<'_>, silence_ms: u64, now: Time) {
-        self.learn(address, Some(word.zone));
+    fn take_in(&mut self, address: Ipv4Addr, status: Status<'_>, silence_ms: u64, now: Time) {
+        self.learn(address, Some(status.zone));
         let Some(entry) = self.entries.get_mut(&address) else {
             return;
         };
-        if word.incarnation < entry.incarnation {
+        if status.incarnation < entry.incarnation {
             return;
         }
-        entry.incarnation = word.incarnation;
-        word.zone.clone_into(&mut entry.zone);
-        entry.state = word.state;
-        entry.served = word.served;
-        entry.end = word.end;
-        entry.heard = Some(now);
+        entry.incarnation = status.incarnation;
+        status.zone.clone_into(&mut entry.zone);
+        entry.state = status.state;
+        entry.served = status.served;
+        entry.end = status.end;
+        entry.seen = Some(now);
         entry.alive_until = entry.alive_until.max(now.after_ms(silence_ms));
-        let known = self.entries.values().filter(|it| it.heard.is_some());
+        let known = self.entries.values().filter(|it| it.seen.is_some());
         self.most = self.most.max(known.count() + 1);
     }
 
@@ -164,15 +163,15 @@
             .map(|(address, _)| *address)
     }
 
-    /// What the entries that are alive in availability zones that fit said of themselves.
-    pub fn words(
+    /// The last status of the entries that are alive in availability zones that fit.
+    pub fn statuses(
         &self,
         fits: impl Fn(&str) -> bool,
         now: Time,
-    ) -> impl Iterator<Item = (Ipv4Addr, Word<'_>)> {
+    ) -> impl Iterator<Item = (Ipv4Addr, Status<'_>)> {
         let entries = self.entries.iter();
         let alive = entries.filter(move |(_, it)| it.alive(now) && fits(&it.zone));
-        alive.map(|(address, it)| (*address, it.word()))
+        alive.map(|(address, it)| (*address, it.status()))
     }
 
     /// Most entries that were known at once, the own one included.
@@ -222,7 +221,7 @@
         others.count() + 1 < 2 * beyond.count()
     }
 
-    /// Whether an entry was heard a moment ago.
+    /// Whether an entry is alive.
     pub fn alive(&self, address: Ipv4Addr, now: Time) -> bool {
         self.entries.get(&address).is_some_and(|it| it.alive(now))
     }
@@ -251,8 +250,8 @@
     /// Forgets entries that have been silent for long; `keep` says which are never forgotten.
     pub fn forget(&mut self, keep: impl Fn(Ipv4Addr) -> bool, now: Time) {
         self.entries.retain(|address, it| {
-            let recent = it.heard.is_some_and(|at| now < at.after_ms(FORGET_MS));
-            recent || it.heard.is_none() || keep(*address)
+            let recent = it.seen.is_some_and(|at| now < at.after_ms(FORGET_MS));
+            recent || it.seen.is_none() || keep(*address)
         });
     }
 }
@@ -267,8 +266,8 @@
         now < self.alive_until
     }
 
-    fn word(&self) -> Word<'_> {
-        Word {
+    fn status(&self) -> Status<'_> {
+        Status {
             incarnation: self.incarnation,
             zone: &self.zone,
             state: self.state,
--- a/crates/gradeloft_policy/src/process/starts.rs
+++ b/crates/gradeloft_policy/src/process/starts.rs
@@ -40,7 +40,7 @@
     /// assert_eq!(starts.listed(Some(2_000)), Said::Same);
     /// // Its clock was set back before it started again.
     /// assert_eq!(starts.listed(Some(1_000)), Said::Later);
-    /// assert_eq!(starts.told(Some(2_000)), Said::Before);
+    /// assert_eq!(starts.received(Some(2_000)), Said::Before);
     /// ```
     pub fn listed(&mut self, born: Option<u64>) -> Said {
         match (self.now, born) {
@@ -58,7 +58,7 @@
 
     /// Takes in what a message says that may be late: an earlier start, or the one that ended last, is
     /// no news.
-    pub fn told(&mut self, born: Option<u64>) -> Said {
+    pub fn received(&mut self, born: Option<u64>) -> Said {
         match (self.now, born) {
             (Some(now), Some(born)) if born < now || self.ended == Some(born) => Said::Before,
             _ => self.listed(born),
--- a/crates/gradeloft_policy/src/process/transfer.rs
+++ b/crates/gradeloft_policy/src/process/transfer.rs
@@ -172,7 +172,7 @@
 impl Holders {
     /// A peer's copy goes up to `end`. `near` says whether the peer is in the own region; `None` leaves
     /// that as it is known.
-    pub fn told(&mut self, peer: Ipv4Addr, near: Option<bool>, end: u64, now: Time) {
+    pub fn note(&mut self, peer: Ipv4Addr, near: Option<bool>, end: u64, now: Time) {
         if let Some(known) = self.known.iter_mut().find(|it| it.peer == peer) {
             known.near = near.unwrap_or(known.near);
             known.end = end;
--- a/crates/gradeloft_policy/src/process/whole.rs
+++ b/crates/gradeloft_policy/src/process/whole.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::Time;
 
-/// Words that are remembered: a few seconds of changes that follow each other closely.
+/// Ends that are remembered: a few seconds of changes that follow each other closely.
 const REMEMBERED: usize = 64;
 
 /// Ends of a table, and until when it went no further.
@@ -16,8 +16,8 @@
 /// ```
 /// use gradeloft_policy::{clock::Time, process::whole::Whole};
 /// let mut whole = Whole::default();
-/// whole.told(7, Time::ZERO.after_ms(10));
-/// whole.told(8, Time::ZERO.after_ms(20));
+/// whole.note(7, Time::ZERO.after_ms(10));
+/// whole.note(8, Time::ZERO.after_ms(20));
 /// assert_eq!(whole.until(7), Some(Time::ZERO.after_ms(10)));
 /// assert_eq!(whole.until(8), Some(Time::ZERO.after_ms(20)));
 /// assert_eq!(whole.until(6), None);
@@ -25,27 +25,27 @@
 #[derive(Clone, Debug, Default)]
 pub struct Whole {
     /// Each higher and later than the one before it: others say nothing more.
-    told: VecDeque<(u64, Time)>,
+    noted: VecDeque<(u64, Time)>,
 }
 
 impl Whole {
     /// At the time `at` the table went no further than `end`.
-    pub fn told(&mut self, end: u64, at: Time) {
+    pub fn note(&mut self, end: u64, at: Time) {
         if self.until(end).is_some_and(|it| at <= it) {
             return;
         }
-        self.told.retain(|it| it.0 < end || at < it.1);
-        let place = self.told.partition_point(|it| it.0 < end);
-        self.told.insert(place, (end, at));
-        if REMEMBERED < self.told.len() {
-            self.told.pop_front();
+        self.noted.retain(|it| it.0 < end || at < it.1);
+        let place = self.noted.partition_point(|it| it.0 < end);
+        self.noted.insert(place, (end, at));
+        if REMEMBERED < self.noted.len() {
+            self.noted.pop_front();
         }
     }
 
     /// Until when the record at `offset` is known not to have been written. A copy that ends there was whole
     /// until then.
     pub fn until(&self, offset: u64) -> Option<Time> {
-        let within = self.told.iter().take_while(|it| it.0 <= offset);
+        let within = self.noted.iter().take_while(|it| it.0 <= offset);
         within.last().map(|it| it.1)
     }
 }
