Ask whether the entry knows a replica to be cold before counting

The test waited for an answer of the other replica, which also came once the script of the cold one was at its end: it passed with cold replicas served like others. It waits until the replica counts as cold now, and fails then.

Each test of the bounded starts and of homes, evacuations and warm-up was run once against code without its mechanism: all fail, but for the copy of the replicas, which two lines see to; it fails without both.

--- a/crates/gradeloft_gateway/tests/entry/places.rs
+++ b/crates/gradeloft_gateway/tests/entry/places.rs
@@ -134,7 +134,13 @@
         let world = World::start(shape, vec![well("near"), well("far")]).await;
         world.cold_for(0, 60_000);
         world.tables.write(Table::Replicas, &id(0), Some("ready"));
-        until(|| async { world.ask(&request("POST", "form")).await.ends_with("far") }).await;
+        let entry = world.entry.entry();
+        let is_cold = || {
+            let replicas = entry.replicas.borrow();
+            let listed = replicas.key(&id(0)).and_then(|it| replicas.get(it));
+            listed.is_some_and(|it| it.cold(entry.node.clock.now()))
+        };
+        until(|| async { is_cold() }).await;
         let before = world.replicas[0].requests().len();
         let clock = Clock::start();
         for _ in 0..60 {
