--- a/crates/gradeloft_policy/src/process/split.rs
+++ b/crates/gradeloft_policy/src/process/split.rs
@@ -10,8 +10,7 @@
 use crate::clock::Time;
 
 /// Slots of one replica in one entry's part, as far as there are enough. Many small parts differ less in
-/// what is free in each than few large ones: in time, at a third more than the fleet can answer, 0.703 with
-/// two, 0.693 with four, 0.683 with six (emulated, 20 seeds).
+/// what is free in each than few large ones.
 const PART: usize = 2;
 /// Requests a second of all entries below which what comes says nothing of where more will come.
 const LEAST_DEMAND: f64 = 5.0;
@@ -221,10 +220,9 @@
     }
 }
 
-/// Requests that may have come to a replica since others told what they have there, `age` ago, where
+/// Requests that may have come to a replica since others reported what they have there, `age` ago, where
 /// `rate` come to it in a second: their mean, and a standard deviation more. As many may have ended, but
-/// of slots that are taken twice one request is late, and of one that is free none. Without it 0.699 in
-/// place of 0.709 are in time at a third more than the fleet can answer (emulated, 20 seeds).
+/// of slots that are taken twice one request is late, and of one that is free none.
 pub fn unseen(rate: f64, age: Duration) -> f64 {
     let mean = rate * age.as_secs_f64();
     mean + mean.sqrt()
--- a/crates/gradeloft_policy/src/request/placement.rs
+++ b/crates/gradeloft_policy/src/request/placement.rs
@@ -40,12 +40,10 @@
 /// token is late by today's objectives, and should the replica stop, all of them are held up.
 const MAX_UNBEGUN: u32 = 8;
 /// Part of the time within which an answer has to begin that a forecast may take. The rest is for the
-/// way back to the caller, and for what other entries send to the same replica meanwhile. Between 0.9 and
-/// 1.15 as many are in time (0.707 to 0.709, emulated at a third more than the fleet can answer).
+/// way back to the caller, and for what other entries send to the same replica meanwhile.
 const TIMELY: f64 = 0.9;
 /// Part of a replica's slots that requests which are late in any case leave free. Fresh requests come
-/// to a busy replica every tenth of a second, and need a slot at once: in time 0.709 with an eighth, 0.701
-/// with a sixteenth, 0.694 with none (emulated at a third more than the fleet can answer).
+/// to a busy replica every tenth of a second, and need a slot at once.
 const SPARE: f64 = 0.125;
 
 /// What an answer to a request can still be.
--- a/crates/gradeloft_policy/src/request/shortage.rs
+++ b/crates/gradeloft_policy/src/request/shortage.rs
@@ -13,7 +13,6 @@
 /// of today, for which requests wait before the first of them is refused.
 const CALM_MS: u64 = 2_000;
 /// Shortest time to come back, in milliseconds: about the time in which a slot frees at a busy replica.
-/// With half a second 0.893 in place of 0.916 are in time at just what the fleet can answer (emulated).
 const SHORTEST_MS: f64 = 60.0;
 /// Part of the time that a caller still has after which it comes back at the latest: callers wait no
 /// longer.
