Read the rate limit that a replica names, and log and count it

Callers saw nothing yet: requests reached a replica in need at an unchanged rate (10, 9, 7, 12 a second before and after it named 2.5 a second). The hypotheses (nobody reads the limit; each entry keeps all of it; further attempts pass it by) can't be told apart by what entries logged, as no line names a limit.

The names of the header live in platform/, the head of each response is decoded in one place (Attempt::read_head, through which first attempts, hedges, resumed streams, skipped and refused responses all pass), into LimitSignal. A restriction counts from the arrival of the response, an end from the sending of its request, so that responses out of order don't end a limit. Lines: 'replica limit', 'replica signal unreadable'; gauge limited_replicas. No decision uses it yet.

--- a/crates/gradeloft_gateway/src/entry/attempt.rs
+++ b/crates/gradeloft_gateway/src/entry/attempt.rs
@@ -283,10 +283,17 @@
             if let Some(head) = head::response(&mut connection.wire.buffer)
                 .map_err(|_| AttemptOutcome::Failed(Failure::Broken, None))?
             {
-                if (100..200).contains(&head.status) {
+                let is_final = !(100..200).contains(&head.status);
+                let belongs = belongs_to_request(entry, job, &head);
+                entry.observe_backpressure(
+                    self.replica,
+                    &head,
+                    (is_final && belongs).then_some(awaiting.started_at),
+                );
+                if !is_final {
                     continue;
                 }
-                if belongs_to_request(entry, job, &head) {
+                if belongs {
                     return Ok(head);
                 }
                 awaiting.stale_responses += 1;
--- a/crates/gradeloft_gateway/src/entry/maintenance.rs
+++ b/crates/gradeloft_gateway/src/entry/maintenance.rs
@@ -53,6 +53,7 @@
         self.sum_other_loads(now);
         self.split_slots(now);
         self.pace_cold_replicas(now);
+        self.count_limited_replicas();
     }
 
     /// Sums the requests that other entries have at each replica.
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`abort`]: reasons for which a request ends without a complete response.
 //! - [`attempt`]: one attempt of a request at one replica.
+//! - `backpressure`: backpressure that replicas signal in their responses.
 //! - [`connection`]: callers' connections.
 //! - [`forward`]: the life of one request, from route lookup to the end of its response.
 //! - [`gossip`]: datagrams that an entry sends, and their intervals.
@@ -20,6 +21,7 @@
 
 pub mod abort;
 pub mod attempt;
+mod backpressure;
 pub mod connection;
 pub mod forward;
 pub mod gossip;
--- a/crates/gradeloft_gateway/src/metrics.rs
+++ b/crates/gradeloft_gateway/src/metrics.rs
@@ -88,6 +88,8 @@
     pub config: Gauge,
     /// Replicas that are cold.
     pub cold: Gauge,
+    /// Replicas that limit the request rate.
+    pub limited: Gauge,
     /// Availability zones that are evacuated.
     pub evacuated: Gauge,
     /// Version of the weights loaded by the replica beside an agent.
@@ -121,6 +123,7 @@
             behind: Gauge::default(),
             config: Gauge::default(),
             cold: Gauge::default(),
+            limited: Gauge::default(),
             evacuated: Gauge::default(),
             weights: Gauge::default(),
             fetched_chunks: Family::default(),
@@ -231,6 +234,11 @@
             self.config.clone(),
         );
         it.register("cold_replicas", "Replicas that are cold", self.cold.clone());
+        it.register(
+            "limited_replicas",
+            "Replicas that limit the request rate",
+            self.limited.clone(),
+        );
         it.register(
             "evacuated_zones",
             "Availability zones whose replicas get no requests",
--- a/crates/gradeloft_gateway/tests/agents/support.rs
+++ b/crates/gradeloft_gateway/tests/agents/support.rs
@@ -324,6 +324,7 @@
     priority: "h",
     seal: "i",
     not_executed: "j",
+    limit: "k",
 };
 
 pub(crate) struct Harness {
--- a/crates/gradeloft_gateway/tests/entry/support/mod.rs
+++ b/crates/gradeloft_gateway/tests/entry/support/mod.rs
@@ -58,6 +58,7 @@
     priority: "t-priority",
     seal: "t-seal",
     not_executed: "t-not-run",
+    limit: "t-limit",
 };
 
 /// Longest duration of a test. A passing test stays well below it.
--- a/crates/gradeloft_platform/src/fleet.rs
+++ b/crates/gradeloft_platform/src/fleet.rs
@@ -188,6 +188,9 @@
     pub seal: &'static str,
     /// Marks a response to a request that the replica did not execute.
     pub not_executed: &'static str,
+    /// Requests a second that a replica accepts from all entries together, as a decimal number;
+    /// only in the responses of a replica that limits them.
+    pub limit: &'static str,
 }
 
 /// Parameters of a caller's address lookup.
--- /dev/null
+++ b/crates/gradeloft_policy/src/process/backpressure.rs
@@ -0,0 +1,132 @@
+//! Backpressure that replicas signal in the heads of their responses.
+//!
+//! A replica in need names the request rate that it accepts from all entries together. The limit
+//! holds until a later response names another one or none. Responses arrive out of order, and each
+//! was generated at an unknown time between the sending of its request and its arrival. A
+//! restriction therefore counts from the arrival, and the end of a restriction from the sending of
+//! the request.
+
+use crate::clock::Time;
+
+/// Limit named in the head of one response.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum LimitSignal {
+    /// Requests a second, from all entries together; finite and not negative.
+    PerSecond(f64),
+    /// The response names no limit.
+    #[default]
+    Unlimited,
+    /// The response names a limit that can't be parsed. What is known of the replica stays.
+    Unreadable,
+}
+
+impl LimitSignal {
+    /// Parses the header value with the limit, if there is one.
+    ///
+    /// ```
+    /// use gradeloft_policy::process::backpressure::LimitSignal;
+    /// assert_eq!(LimitSignal::parse(Some("2.5")), LimitSignal::PerSecond(2.5));
+    /// assert_eq!(LimitSignal::parse(Some("-1")), LimitSignal::Unreadable);
+    /// assert_eq!(LimitSignal::parse(None), LimitSignal::Unlimited);
+    /// ```
+    pub fn parse(value: Option<&str>) -> LimitSignal {
+        let Some(value) = value else {
+            return LimitSignal::Unlimited;
+        };
+        match value.trim().parse::<f64>() {
+            Ok(per_s) if per_s.is_finite() && 0.0 <= per_s => LimitSignal::PerSecond(per_s),
+            _ => LimitSignal::Unreadable,
+        }
+    }
+}
+
+/// Time span in which a response was generated.
+#[derive(Clone, Copy, Debug)]
+pub struct Exchange {
+    /// Time at which the request was sent; [`Time::ZERO`] if unknown.
+    pub sent: Time,
+    /// Time at which the head of the response arrived.
+    pub received: Time,
+}
+
+/// Change of a replica's limit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// The replica is limited now and was not before.
+    Began,
+    /// The limit has another value.
+    Changed,
+    /// The replica is no longer limited.
+    Ended,
+}
+
+impl Change {
+    /// Returns the change from one limit to another, if they differ.
+    fn between(before: Option<f64>, after: Option<f64>) -> Option<Change> {
+        match (before, after) {
+            (None, Some(_)) => Some(Change::Began),
+            (Some(_), None) => Some(Change::Ended),
+            (Some(before), Some(after)) if before != after => Some(Change::Changed),
+            _ => None,
+        }
+    }
+
+    /// Returns the name used in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Change::Began => "began",
+            Change::Changed => "changed",
+            Change::Ended => "ended",
+        }
+    }
+}
+
+/// Limit of one start of a replica.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RateLimit {
+    /// Requests a second, from all entries together; `None` without a limit.
+    per_s: Option<f64>,
+    /// Time from which this counts.
+    since: Time,
+}
+
+impl RateLimit {
+    /// Returns the requests a second that the replica accepts from all entries together; `None`
+    /// without a limit.
+    pub fn per_s(&self) -> Option<f64> {
+        self.per_s
+    }
+
+    /// Applies the head of a response; returns the change of the limit, if there is one.
+    pub fn observe(&mut self, signal: LimitSignal, exchange: Exchange) -> Option<Change> {
+        let stated = match signal {
+            LimitSignal::PerSecond(per_s) => Some(per_s),
+            LimitSignal::Unlimited => None,
+            LimitSignal::Unreadable => return None,
+        };
+        let since = match is_looser(stated, self.per_s) {
+            true => exchange.sent,
+            false => exchange.received,
+        };
+        self.apply(stated, since)
+    }
+
+    /// Applies a statement, unless a later one is known.
+    fn apply(&mut self, per_s: Option<f64>, since: Time) -> Option<Change> {
+        if since < self.since {
+            return None;
+        }
+        let before = std::mem::replace(&mut self.per_s, per_s);
+        self.since = since;
+        Change::between(before, per_s)
+    }
+}
+
+/// Returns whether a limit allows more requests than another, or whether there is none.
+fn is_looser(limit: Option<f64>, other: Option<f64>) -> bool {
+    match (limit, other) {
+        (Some(limit), Some(other)) => other < limit,
+        (Some(_), None) => false,
+        (None, _) => true,
+    }
+}
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -13,6 +13,7 @@
 use crate::{
     clock::Time,
     process::{
+        backpressure::RateLimit,
         document::Speed,
         replica_starts::{StartOrder, Starts},
     },
@@ -137,6 +138,8 @@
     /// Shortest interval between this entry's requests while the replica is cold; `None` if this
     /// entry sends no requests to the replica.
     pub cold_pause: Option<Duration>,
+    /// Limit of the request rate that the replica names in its responses.
+    pub limit: RateLimit,
     /// End of the replica's warm-up.
     cold_until: Time,
     /// Time at which this entry last sent a request to the replica.
@@ -166,6 +169,7 @@
             last_received: Time::ZERO,
             evacuated: false,
             cold_pause: None,
+            limit: RateLimit::default(),
             cold_until: Time::ZERO,
             sent: None,
             failures: 0,
