Failing test: entries send a limited replica more than it accepts

Two entries and one replica that names a limit of 5 requests a second: 60 requests reach it within 0.012 s after both entries have got such a response, 2 are allowed. Hypothesis 1: the limit changes no decision.

--- a/crates/gradeloft_gateway/tests/entry/main.rs
+++ b/crates/gradeloft_gateway/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Tests of an entry with scripted replicas, peers and stores.
 
+mod backpressure;
 mod caller_disconnects;
 mod draining;
 mod forward;
