Keep the rate limit that a replica names, over all entries together

Callers' requests reached a replica in need at an unchanged rate, several times what it accepts (37 requests in 4 s where a limit of 2.5 a second allowed 20), so its need lasted.

Cause: no decision used the limit, and none could have: an entry sees only its own requests. Cold replicas had the same shape and a mechanism of their own (warmup), which lent a rate to few entries by rendezvous. It becomes rate_share and serves both: a replica's rate (the lower of its limit and of what it tolerates while cold) is split among one entry for each two requests a second, of its own region first, each with a pause. An entry that had no share takes one only after a second, so that entries whose views differ don't send twice as much. An entry that leaves takes none. A limit of 0 still gets a request each 5 s: else nobody would notice that it has ended.

What was learned between the selection of a replica and the sending counts: a request is checked again once its connection is there (Failure::Withheld: not run, no attempt used, the replica stays a candidate).

Ruled out by the record: further attempts (all 33 logged requests were first ones); they pass the same check.

Not yet: entries that were never told (gossip), waiting and retry times by the next free request.

--- a/crates/gradeloft_gateway/src/entry/attempt.rs
+++ b/crates/gradeloft_gateway/src/entry/attempt.rs
@@ -115,6 +115,7 @@
         }
         let start = entry.replica_start(replica);
         let forecast = forecast_first_token(entry, job, replica);
+        let permit = entry.send_permit(replica);
         let in_flight = entry.track_in_flight(replica, job.prompt_tokens);
         let connection = connect(entry, caller, job, replica, address).await?;
         let now = entry.node.clock.now();
@@ -125,6 +126,10 @@
         if caller.is_closed() {
             return Err(AttemptOutcome::Aborted(AbortReason::CallerLeft));
         }
+        if !entry.still_permits(replica, permit) {
+            entry.pool.release(connection, None);
+            return Err(AttemptOutcome::Failed(Failure::Withheld, None));
+        }
         let request = encode_request(entry, job, &id);
         entry.count_to_replica(Purpose::Requests, replica, request.len());
         Ok(Attempt {
--- a/crates/gradeloft_gateway/src/entry/backpressure.rs
+++ b/crates/gradeloft_gateway/src/entry/backpressure.rs
@@ -4,7 +4,7 @@
     clock::Time,
     process::{
         backpressure::{Change, Exchange, LimitSignal},
-        replicas::ReplicaKey,
+        replicas::{ReplicaKey, SendPermit},
     },
 };
 use slog::{info, warn};
@@ -36,10 +36,25 @@
         let change = replica.limit.observe(limit, exchange);
         drop(replicas);
         if let Some(change) = change {
+            self.share_restricted_rates(exchange.received);
             self.log_limit(key, change);
         }
     }
 
+    /// Returns the permission of a request to a selected replica, before it is counted as sent.
+    pub(super) fn send_permit(&self, key: ReplicaKey) -> Option<SendPermit> {
+        let replicas = self.replicas.borrow();
+        Some(replicas.get(key)?.send_permit(self.node.clock.now()))
+    }
+
+    /// Returns whether a permitted request may still be sent, after the time that its connection
+    /// took.
+    pub(super) fn still_permits(&self, key: ReplicaKey, permit: Option<SendPermit>) -> bool {
+        let replicas = self.replicas.borrow();
+        let replica = replicas.get(key).zip(permit);
+        replica.is_none_or(|(replica, permit)| replica.still_permits(permit, self.node.clock.now()))
+    }
+
     fn parse_limit(&self, fields: &Fields) -> LimitSignal {
         let name = self.node.platform.headers.limit;
         let value = fields.all(name).next();
@@ -58,17 +73,13 @@
         let Some(replica) = replicas.get(key) else {
             return;
         };
+        let now = self.node.clock.now();
+        let next = replica.next_send(now);
         if let Some(log) = self.node.logs.line(Topic::State) {
             info!(log, "replica limit"; "replica" => &*replica.listing.id,
                 "change" => change.name(), "per_s" => replica.limit.per_s(),
-                "source" => "own", "running" => replica.own_requests);
+                "source" => "own", "running" => replica.own_requests,
+                "next_ms" => next.map_or(-1, |it| it.since(now).as_millis() as i64));
         }
     }
-
-    /// Counts the replicas that limit the request rate.
-    pub(super) fn count_limited_replicas(&self) {
-        let replicas = self.replicas.borrow();
-        let limited = replicas.iter().filter(|(_, it)| it.limit.per_s().is_some());
-        self.node.metrics.limited.set(limited.count() as i64);
-    }
 }
--- a/crates/gradeloft_gateway/src/entry/hedge.rs
+++ b/crates/gradeloft_gateway/src/entry/hedge.rs
@@ -112,6 +112,10 @@
         AttemptOutcome::Answered(status) => RunOutcome::Answered(status),
         AttemptOutcome::Failed(failure, response) => {
             forward::count_failed_attempt(entry, job, replica, failure);
+            if failure == Failure::Withheld {
+                // The replica may accept the request later.
+                job.tried.retain(|it| *it != replica);
+            }
             RunOutcome::Failed(response)
         }
         AttemptOutcome::Aborted(reason) => RunOutcome::Aborted(reason),
--- a/crates/gradeloft_gateway/src/entry/maintenance.rs
+++ b/crates/gradeloft_gateway/src/entry/maintenance.rs
@@ -1,16 +1,21 @@
 //! State that an entry recomputes several times a second, and expiry of old state.
 
-use std::{collections::HashMap, net::Ipv4Addr, rc::Rc};
+use std::{
+    collections::{HashMap, HashSet},
+    net::Ipv4Addr,
+    rc::Rc,
+};
 
 use gradeloft_policy::{
     clock::Time,
     process::{
+        rate_share,
         replicas::{Replica, ReplicaKey},
-        roster,
+        roster::{self, State},
         slot_split::{self, RegionSlots},
-        warmup,
     },
 };
+use gradeloft_wire::datagram::Presence;
 use slog::info;
 
 use super::Entry;
@@ -29,6 +34,51 @@
     replicas: Vec<(Rc<str>, ReplicaKey, u32)>,
 }
 
+/// Entries that share the request rates of replicas: those of the replica's region, or all if no
+/// entry of its region accepts callers.
+struct RateSharers {
+    own: u64,
+    /// Whether this entry takes a share beside others.
+    accepts_callers: bool,
+    /// Other entries of this region.
+    near: Vec<u64>,
+    /// Other entries of all regions.
+    all: Vec<u64>,
+    /// Regions with other entries.
+    regions: HashSet<String>,
+}
+
+impl RateSharers {
+    fn of(entry: &Entry, now: Time) -> RateSharers {
+        let settings = entry.node.settings();
+        let roster = entry.roster.borrow();
+        let hashes = |it: &mut dyn Iterator<Item = Ipv4Addr>| -> Vec<u64> {
+            it.map(|it| roster::hash(&it)).collect()
+        };
+        let ready = roster.statuses(|_| true, now);
+        let ready = ready.filter(|(_, it)| it.state == State::Ready);
+        RateSharers {
+            own: roster::hash(&settings.address),
+            accepts_callers: entry.presence() == Presence::Ready,
+            near: hashes(&mut roster.serving(|it| entry.node.near(it), now)),
+            all: hashes(&mut roster.serving(|_| true, now)),
+            regions: ready
+                .map(|(_, it)| settings.region(it.zone).to_owned())
+                .collect(),
+        }
+    }
+
+    /// Returns the other entries that share the rate of a replica; `None` if this entry has no
+    /// share.
+    fn others(&self, near: bool, region: &str) -> Option<&[u64]> {
+        if !near && self.regions.contains(region) {
+            return None;
+        }
+        let others = if near { &self.near } else { &self.all };
+        (self.accepts_callers || others.is_empty()).then_some(others)
+    }
+}
+
 impl Entry {
     /// Expires old state, and recomputes what depends on other entries' reports.
     pub(super) fn maintain(self: &Rc<Entry>) {
@@ -52,8 +102,7 @@
             .forget(|it| seeds.contains(&it), now);
         self.sum_other_loads(now);
         self.split_slots(now);
-        self.pace_cold_replicas(now);
-        self.count_limited_replicas();
+        self.share_restricted_rates(now);
     }
 
     /// Sums the requests that other entries have at each replica.
@@ -87,31 +136,29 @@
         replicas.set_others(others);
     }
 
-    /// Sets the pause between this entry's requests to each cold replica. The request rate that the
-    /// replica sustains is shared by the entries of its region, or by all entries if no entry of
-    /// its region accepts callers.
-    fn pace_cold_replicas(&self, now: Time) {
-        let settings = self.node.settings();
+    /// Sets this entry's share of the request rate of each replica that is cold or limits the rate.
+    pub(super) fn share_restricted_rates(&self, now: Time) {
+        let sharers = RateSharers::of(self, now);
         let config = self.config.borrow();
-        let roster = self.roster.borrow();
-        let own = roster::hash(&settings.address);
-        let pause = |replica: &Replica| {
-            let warmup = config.as_ref()?.service(&replica.listing.service)?.warmup?;
-            let region = settings.region(&replica.listing.zone);
-            let mut senders: Vec<Ipv4Addr> = roster
-                .serving(|it| settings.region(it) == region, now)
-                .collect();
-            if !replica.near {
-                if !senders.is_empty() {
-                    return None;
-                }
-                senders.extend(roster.serving(|_| true, now));
-            }
-            let others = senders.iter().map(roster::hash);
-            warmup::min_interval(warmup.per_s, u64::from(replica.hash()), own, others)
+        let settings = self.node.settings();
+        let interval = |replica: &Replica| {
+            let service = config
+                .as_ref()
+                .and_then(|it| it.service(&replica.listing.service));
+            let cold_per_s = service.and_then(|it| it.warmup).map(|it| it.per_s);
+            let per_s = replica.accepted_per_s(cold_per_s, now)?;
+            let others = sharers.others(replica.near, settings.region(&replica.listing.zone))?;
+            let others = others.iter().copied();
+            rate_share::min_interval(per_s, u64::from(replica.hash()), sharers.own, others)
+        };
+        let mut replicas = self.replicas.borrow_mut();
+        replicas.set_send_intervals(interval, now);
+        let count = |restricted: &dyn Fn(&Replica) -> bool| {
+            replicas.iter().filter(|(_, it)| restricted(it)).count() as i64
         };
-        let cold = self.replicas.borrow_mut().set_cold_pauses(pause, now);
-        self.node.metrics.cold.set(cold as i64);
+        let metrics = &self.node.metrics;
+        metrics.cold.set(count(&|it| it.cold(now)));
+        metrics.limited.set(count(&|it| it.limit.per_s().is_some()));
     }
 
     /// Splits the slots of each model's available replicas among the entries that accept callers.
--- a/crates/gradeloft_policy/src/process/backpressure.rs
+++ b/crates/gradeloft_policy/src/process/backpressure.rs
@@ -8,6 +8,10 @@
 
 use crate::clock::Time;
 
+/// Least rate at which requests are sent to a limited replica, in requests a second. Without any,
+/// nobody would notice that the limit has ended.
+const MIN_PER_S: f64 = 0.2;
+
 /// Limit named in the head of one response.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum LimitSignal {
@@ -97,6 +101,12 @@
         self.per_s
     }
 
+    /// Returns the rate at which all entries together send requests, in requests a second; `None`
+    /// without a limit.
+    pub fn paced_per_s(&self) -> Option<f64> {
+        self.per_s.map(|it| it.max(MIN_PER_S))
+    }
+
     /// Applies the head of a response; returns the change of the limit, if there is one.
     pub fn observe(&mut self, signal: LimitSignal, exchange: Exchange) -> Option<Change> {
         let stated = match signal {
--- a/crates/gradeloft_policy/src/process/mod.rs
+++ b/crates/gradeloft_policy/src/process/mod.rs
@@ -18,6 +18,7 @@
 //! - [`mirror`]: a copy of a table of the platform's store.
 //! - [`pending_update`]: a table update from a peer whose large values are still being fetched.
 //! - [`rate_leases`]: splits the rate limit of a team among entries by leases.
+//! - [`rate_share`]: splits the request rate that a replica accepts among entries.
 //! - [`readers`]: selects the entries that read the platform's tables from its store.
 //! - [`refresh`]: schedules the reads of the operator's records by an agent.
 //! - [`remote_loads`]: requests of other entries at replicas.
@@ -27,7 +28,6 @@
 //! - [`roster`]: the entries that callers can be sent to.
 //! - [`slot_split`]: splits the slots of replicas among entries.
 //! - [`transfer`]: fetches a large value from the peers that hold it.
-//! - [`warmup`]: limits the requests to a cold replica.
 //! - [`write_times`]: estimates the times at which records of a table were written.
 
 pub mod address;
@@ -47,6 +47,7 @@
 pub mod mirror;
 pub mod pending_update;
 pub mod rate_leases;
+pub mod rate_share;
 pub mod readers;
 pub mod refresh;
 pub mod remote_loads;
@@ -56,5 +57,4 @@
 pub mod roster;
 pub mod slot_split;
 pub mod transfer;
-pub mod warmup;
 pub mod write_times;
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -15,6 +15,7 @@
     process::{
         backpressure::RateLimit,
         document::Speed,
+        rate_share::RateShare,
         replica_starts::{StartOrder, Starts},
     },
     rendezvous,
@@ -104,6 +105,13 @@
     }
 }
 
+/// Permission to send a request, from the selection of the replica on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SendPermit {
+    /// Whether the request is part of this entry's share of a restricted rate.
+    within_rate: bool,
+}
+
 /// A replica.
 #[derive(Clone, Debug)]
 pub struct Replica {
@@ -135,15 +143,12 @@
     pub last_received: Time,
     /// Whether the replica's availability zone is evacuated.
     pub evacuated: bool,
-    /// Shortest interval between this entry's requests while the replica is cold; `None` if this
-    /// entry sends no requests to the replica.
-    pub cold_pause: Option<Duration>,
+    /// This entry's share of the request rate while the replica is cold or limits the rate.
+    share: RateShare,
     /// Limit of the request rate that the replica names in its responses.
     pub limit: RateLimit,
     /// End of the replica's warm-up.
     cold_until: Time,
-    /// Time at which this entry last sent a request to the replica.
-    sent: Option<Time>,
     failures: u32,
     paused_until: Time,
     /// Time of the replica's removal, if one is scheduled.
@@ -168,10 +173,9 @@
             silent_since: Time::ZERO,
             last_received: Time::ZERO,
             evacuated: false,
-            cold_pause: None,
+            share: RateShare::default(),
             limit: RateLimit::default(),
             cold_until: Time::ZERO,
-            sent: None,
             failures: 0,
             paused_until: Time::ZERO,
             gone_at: None,
@@ -221,20 +225,54 @@
         };
     }
 
-    /// Returns whether the replica's warm-up allows this entry to send a request now.
-    pub fn warmup_allows(&self, now: Time) -> bool {
-        if !self.cold(now) {
-            return true;
+    /// Returns the requests a second that the replica accepts from all entries together, given the
+    /// rate that it tolerates while it is cold; `None` without a restriction.
+    pub fn accepted_per_s(&self, cold_per_s: Option<f64>, now: Time) -> Option<f64> {
+        let cold_per_s = cold_per_s.filter(|_| self.cold(now));
+        let limit = self.limit.paced_per_s();
+        cold_per_s.into_iter().chain(limit).reduce(f64::min)
+    }
+
+    /// Returns whether all entries together share a request rate that the replica accepts.
+    pub fn rate_restricted(&self, now: Time) -> bool {
+        self.cold(now) || self.limit.per_s().is_some()
+    }
+
+    /// Returns whether this entry may send a request now, by the rate that the replica accepts.
+    pub fn rate_allows(&self, now: Time) -> bool {
+        !self.rate_restricted(now) || self.share.next_send().is_some_and(|it| it <= now)
+    }
+
+    /// Returns the permission of a request that is about to be sent. [`Replica::still_permits`]
+    /// checks it once the connection is established.
+    pub fn send_permit(&self, now: Time) -> SendPermit {
+        SendPermit {
+            within_rate: self.rate_restricted(now),
         }
-        let Some(pause) = self.cold_pause else {
-            return false;
-        };
-        self.sent.is_none_or(|it| it.after(pause) <= now)
+    }
+
+    /// Returns whether a request may be sent that was permitted when the replica was selected.
+    pub fn still_permits(&self, permit: SendPermit, now: Time) -> bool {
+        permit.within_rate || self.rate_allows(now)
+    }
+
+    /// Returns the time from which this entry may send its next request, by the rate that the
+    /// replica accepts; `None` without a share of the rate.
+    pub fn next_send(&self, now: Time) -> Option<Time> {
+        match self.rate_restricted(now) {
+            true => self.share.next_send().map(|it| it.max(now)),
+            false => Some(now),
+        }
+    }
+
+    /// Sets this entry's share of the rate that the replica accepts.
+    pub fn set_send_interval(&mut self, interval: Option<Duration>, now: Time) {
+        self.share.set_interval(interval, now);
     }
 
     /// Records that this entry sends a request to the replica.
     pub fn note_sent(&mut self, now: Time) {
-        self.sent = Some(now);
+        self.share.note_sent(now);
     }
 
     /// Returns whether the replica has long sent no data although it has requests of this entry.
@@ -482,19 +520,17 @@
         self.evacuated.iter().map(String::as_str)
     }
 
-    /// Sets the interval between this entry's requests to each cold replica; returns the number of
-    /// cold replicas.
-    pub fn set_cold_pauses(
+    /// Sets this entry's interval between requests to each replica that accepts a limited rate.
+    pub fn set_send_intervals(
         &mut self,
-        pause: impl Fn(&Replica) -> Option<Duration>,
+        interval: impl Fn(&Replica) -> Option<Duration>,
         now: Time,
-    ) -> usize {
-        let mut cold = 0;
-        for replica in self.arena.values_mut().filter(|it| it.cold(now)) {
-            replica.cold_pause = pause(replica);
-            cold += 1;
+    ) {
+        let restricted = |it: &&mut Replica| it.rate_restricted(now);
+        for replica in self.arena.values_mut().filter(restricted) {
+            let interval = interval(replica);
+            replica.set_send_interval(interval, now);
         }
-        cold
     }
 
     /// Sets which replicas are in this entry's region, by their availability zone.
--- a/crates/gradeloft_policy/src/request/attempt.rs
+++ b/crates/gradeloft_policy/src/request/attempt.rs
@@ -22,6 +22,8 @@
     Silent,
     /// No connection could be made, so nothing was sent.
     Unsent,
+    /// The request was not sent, as the replica accepts fewer requests than when it was selected.
+    Withheld,
     /// The entry withdrew the attempt, as another replica with the same request responds.
     Withdrawn,
 }
@@ -39,7 +41,9 @@
     /// Returns whether the request may have run.
     pub fn ran(self) -> Ran {
         match self {
-            Failure::Misdirected | Failure::Refused | Failure::Unsent => Ran::No,
+            Failure::Misdirected | Failure::Refused | Failure::Unsent | Failure::Withheld => {
+                Ran::No
+            }
             Failure::Broken
             | Failure::Failed
             | Failure::Lost
@@ -54,7 +58,11 @@
     pub fn implicates_replica(self) -> bool {
         !matches!(
             self,
-            Failure::Failed | Failure::Outdated | Failure::Refused | Failure::Withdrawn
+            Failure::Failed
+                | Failure::Outdated
+                | Failure::Refused
+                | Failure::Withdrawn
+                | Failure::Withheld
         )
     }
 
@@ -75,6 +83,7 @@
             Failure::Silent => "silent",
             Failure::Unsent => "unsent",
             Failure::Withdrawn => "withdrawn",
+            Failure::Withheld => "withheld",
         }
     }
 }
@@ -106,7 +115,7 @@
     /// Records a failed attempt. Every attempt that may have reached a replica counts against the
     /// limit.
     pub fn record_failure(&mut self, failure: Failure) {
-        if failure != Failure::Unsent {
+        if !matches!(failure, Failure::Unsent | Failure::Withheld) {
             self.attempts += 1;
         }
         if failure.ran() == Ran::Unknown {
--- a/crates/gradeloft_policy/src/request/placement.rs
+++ b/crates/gradeloft_policy/src/request/placement.rs
@@ -255,8 +255,11 @@
 pub struct ExclusionCounts {
     /// Replicas that are leaving, about to load or without weights.
     pub closed: u32,
-    /// Replicas that are full or still warming up.
+    /// Replicas that are full.
     pub full: u32,
+    /// Replicas that accept no request of this entry now, as they are cold or limit the request
+    /// rate.
+    pub limited: u32,
     /// Replicas whose weights are too old.
     pub old: u32,
     /// Replicas that this request was sent to before.
@@ -270,13 +273,14 @@
         let ExclusionCounts {
             closed,
             full,
+            limited,
             old,
             tried,
             away,
         } = self;
         write!(
             f,
-            "closed:{closed},full:{full},old:{old},tried:{tried},away:{away}"
+            "closed:{closed},full:{full},limited:{limited},old:{old},tried:{tried},away:{away}"
         )
     }
 }
@@ -299,6 +303,8 @@
             counts.closed += 1;
         } else if !allowed(replica, requirements, now) {
             counts.old += 1;
+        } else if !replica.rate_allows(now) {
+            counts.limited += 1;
         } else if !has_room(replica, requirements, SlotScope::Any, now) {
             counts.full += 1;
         }
@@ -314,7 +320,7 @@
     slots: SlotScope,
     now: Time,
 ) -> bool {
-    if !replica.warmup_allows(now) {
+    if !replica.rate_allows(now) {
         return false;
     }
     let all = replica.listing.slots;
--- /dev/null
+++ b/crates/gradeloft_policy/tests/backpressure.rs
@@ -0,0 +1,175 @@
+//! Tests of the limits that replicas name: their order in time, and the requests that all entries
+//! together send.
+
+use std::time::Duration;
+
+use gradeloft_policy::{
+    clock::Time,
+    process::{
+        backpressure::{Change, Exchange, LimitSignal, RateLimit},
+        rate_share::{self, RateShare},
+    },
+    rendezvous,
+};
+use rstest::rstest;
+
+fn exchange(sent_ms: u64, received_ms: u64) -> Exchange {
+    Exchange {
+        sent: Time::ZERO.after_ms(sent_ms),
+        received: Time::ZERO.after_ms(received_ms),
+    }
+}
+
+/// Returns a limit that was named in a response received at 1 s.
+fn limited(per_s: f64) -> RateLimit {
+    let mut limit = RateLimit::default();
+    let change = limit.observe(LimitSignal::PerSecond(per_s), exchange(900, 1_000));
+    assert_eq!(change, Some(Change::Began));
+    limit
+}
+
+#[rstest]
+#[case("", LimitSignal::Unreadable)]
+#[case("many", LimitSignal::Unreadable)]
+#[case("NaN", LimitSignal::Unreadable)]
+#[case("inf", LimitSignal::Unreadable)]
+#[case("-0.5", LimitSignal::Unreadable)]
+#[case("0", LimitSignal::PerSecond(0.0))]
+#[case(" 2.5 ", LimitSignal::PerSecond(2.5))]
+#[case("1e300", LimitSignal::PerSecond(1e300))]
+fn a_limit_is_a_finite_decimal_that_is_not_negative(
+    #[case] value: &str,
+    #[case] expected: LimitSignal,
+) {
+    assert_eq!(LimitSignal::parse(Some(value)), expected);
+}
+
+#[test]
+fn an_unreadable_limit_leaves_the_known_one_in_force() {
+    let mut limit = limited(3.0);
+    let change = limit.observe(LimitSignal::Unreadable, exchange(2_000, 2_100));
+    assert_eq!((change, limit.per_s()), (None, Some(3.0)));
+}
+
+#[test]
+fn a_response_to_a_request_from_before_the_limit_does_not_end_it() {
+    let mut limit = limited(3.0);
+    let change = limit.observe(LimitSignal::Unlimited, exchange(999, 1_500));
+    assert_eq!((change, limit.per_s()), (None, Some(3.0)));
+    let change = limit.observe(LimitSignal::Unlimited, exchange(1_000, 1_600));
+    assert_eq!((change, limit.per_s()), (Some(Change::Ended), None));
+}
+
+#[test]
+fn a_lower_limit_counts_at_once_and_a_higher_one_only_from_a_later_request() {
+    let mut limit = limited(3.0);
+    let change = limit.observe(LimitSignal::PerSecond(5.0), exchange(999, 1_500));
+    assert_eq!((change, limit.per_s()), (None, Some(3.0)));
+    let change = limit.observe(LimitSignal::PerSecond(2.0), exchange(500, 1_500));
+    assert_eq!((change, limit.per_s()), (Some(Change::Changed), Some(2.0)));
+    let change = limit.observe(LimitSignal::PerSecond(5.0), exchange(1_500, 1_700));
+    assert_eq!((change, limit.per_s()), (Some(Change::Changed), Some(5.0)));
+}
+
+#[test]
+fn a_limit_of_nothing_still_lets_a_request_through_that_notices_its_end() {
+    assert_eq!(limited(0.0).paced_per_s(), Some(0.2));
+    assert_eq!(limited(4.0).paced_per_s(), Some(4.0));
+}
+
+/// Milliseconds between two steps of the simulated entries.
+const STEP_MS: u64 = 25;
+/// Milliseconds between two computations of the entries' shares.
+const ROUND_MS: u64 = 125;
+/// Length of the span in which requests are counted, in milliseconds.
+const SPAN_MS: u64 = 4_000;
+/// Requests in one span beyond one and a half times the limit.
+const SLACK: f64 = 5.0;
+
+/// An entry with requests at all times, and its view of the others.
+struct SimulatedEntry {
+    hash: u64,
+    share: RateShare,
+    /// Delay after which the entry learns of the start or end of another one.
+    delay_ms: u64,
+    /// Time span in which the entry runs.
+    runs: std::ops::Range<u64>,
+}
+
+/// Returns the times at which all entries send requests to one replica.
+fn simulate(entries: &mut [SimulatedEntry], per_s: f64, until_ms: u64) -> Vec<u64> {
+    let spans: Vec<_> = entries
+        .iter()
+        .map(|it| (it.hash, it.runs.clone()))
+        .collect();
+    let mut sent = Vec::new();
+    for at_ms in (0..until_ms).step_by(STEP_MS as usize) {
+        let now = Time::ZERO.after_ms(at_ms);
+        for entry in entries.iter_mut().filter(|it| it.runs.contains(&at_ms)) {
+            if at_ms % ROUND_MS == 0 || at_ms == entry.runs.start {
+                let seen_ms = at_ms.saturating_sub(entry.delay_ms);
+                let others = spans
+                    .iter()
+                    .filter(|(hash, runs)| *hash != entry.hash && runs.contains(&seen_ms))
+                    .map(|(hash, _)| *hash);
+                let interval = rate_share::min_interval(per_s, 7, entry.hash, others);
+                entry.share.set_interval(interval, now);
+            }
+            if entry.share.next_send().is_some_and(|it| it <= now) {
+                entry.share.note_sent(now);
+                sent.push(at_ms);
+            }
+        }
+    }
+    sent
+}
+
+/// Returns the largest number of requests in one span.
+fn worst_span(sent: &[u64]) -> usize {
+    let within = |from: u64| {
+        sent.iter()
+            .filter(|it| (from..from + SPAN_MS).contains(*it))
+            .count()
+    };
+    sent.iter().map(|it| within(*it)).max().unwrap_or_default()
+}
+
+#[rstest]
+fn entries_that_start_and_end_keep_a_limit_together(
+    #[values(2, 6, 100, 410)] entries: u64,
+    #[values(0.0, 0.5, 2.7, 12.0, 80.0)] per_s: f64,
+    #[values(150, 1_000)] delay_ms: u64,
+) {
+    let per_s = limited(per_s).paced_per_s().unwrap();
+    let mut simulated: Vec<SimulatedEntry> = (0..entries)
+        .map(|it| SimulatedEntry {
+            hash: rendezvous::hash(&it.to_le_bytes()),
+            share: RateShare::default(),
+            delay_ms: delay_ms - it % 7 * 20,
+            // A third starts late, a third ends early, one after the other.
+            runs: match it % 3 {
+                0 => 0..20_000,
+                1 => it * 100 % 12_000..20_000,
+                _ => 0..8_000 + it * 61 % 12_000,
+            },
+        })
+        .collect();
+    let sent = simulate(&mut simulated, per_s, 20_000);
+    let allowed = per_s * 1.5 * SPAN_MS as f64 / 1_000.0 + SLACK;
+    let worst = worst_span(&sent);
+    assert!(worst as f64 <= allowed, "{worst} of {allowed}");
+    // The limit is used.
+    let used = sent.len() as f64 / 20.0;
+    assert!(per_s * 0.5 <= used, "{used} of {per_s} a second");
+}
+
+#[test]
+fn an_entry_takes_the_share_of_another_one_only_after_a_pause() {
+    let now = |ms| Time::ZERO.after_ms(ms);
+    let mut share = RateShare::default();
+    share.set_interval(None, now(0));
+    share.set_interval(Some(Duration::from_millis(100)), now(900));
+    assert_eq!(share.next_send(), None);
+    share.set_interval(Some(Duration::from_millis(100)), now(1_000));
+    assert_eq!(share.next_send(), Some(Time::ZERO));
+}
--- a/crates/gradeloft_policy/tests/placement.rs
+++ b/crates/gradeloft_policy/tests/placement.rs
@@ -141,7 +141,10 @@
     };
     assert_eq!(choose(&replicas, requirements, Time::ZERO), None);
     let counts = placement::count_exclusions(replicas.of("m"), |_| true, requirements, Time::ZERO);
-    assert_eq!(counts.to_string(), "closed:1,full:2,old:1,tried:1,away:0");
+    assert_eq!(
+        counts.to_string(),
+        "closed:1,full:2,limited:0,old:1,tried:1,away:0"
+    );
 }
 
 #[test]
--- a/crates/gradeloft_policy/tests/warmup.rs
+++ b/crates/gradeloft_policy/tests/rate_share.rs
@@ -1,8 +1,8 @@
-//! Tests of the rate at which all entries together send requests to a cold replica.
+//! Tests of the rate at which all entries together send requests to a replica.
 
 use std::time::Duration;
 
-use gradeloft_policy::{process::warmup, rendezvous};
+use gradeloft_policy::{process::rate_share, rendezvous};
 use rstest::rstest;
 
 /// Allowance for requests that are in transit at the beginning of a second.
@@ -14,7 +14,7 @@
         .collect();
     let interval = |own: &u64| {
         let others = names.iter().copied().filter(move |it| it != own);
-        warmup::min_interval(per_s, 7, *own, others)
+        rate_share::min_interval(per_s, 7, *own, others)
     };
     names.iter().filter_map(interval).collect()
 }
