Tell entries of a replica's limit that it has not told, and of its end

An entry that a limited replica has not answered went on at full rate until its first response from there; an entry without a share of the rate gets no further response, so it would never hear that the limit has ended.

Entries that a replica told report what it said (ReplicaSignal: start of the replica, limit, age) to the entries of their region and to one of each other region, which passes it on. The later statement wins; one that is older than what is known is answered by the entry that knows better.

Tests (each fails without the messages: entries 2 never learns): entries_that_a_replica_has_not_told... in the same and another region, an_entry_without_a_share_learns_that_a_limit_has_ended. A restarted replica has nothing of its previous start. New variant at the end of the datagram: processes without it skip such messages.

--- a/crates/gradeloft_gateway/src/entry/backpressure.rs
+++ b/crates/gradeloft_gateway/src/entry/backpressure.rs
@@ -1,20 +1,54 @@
-//! Backpressure that replicas signal in their responses.
+//! Backpressure that replicas signal in their responses: its effect on this entry, and gossip about
+//! it between entries.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::Ipv4Addr,
+    time::Duration,
+};
 
 use gradeloft_policy::{
     clock::Time,
     process::{
-        backpressure::{Change, Exchange, LimitSignal},
-        replicas::{ReplicaKey, SendPermit},
+        backpressure::{self, Change, Exchange, LimitSignal, Merge},
+        cadence::Budget,
+        replicas::{Replica, ReplicaKey, SendPermit},
+        signal_reports::Reports,
     },
 };
+use gradeloft_wire::{
+    codec,
+    datagram::{MAX_SIGNALS, ReplicaSignal, Sender},
+};
 use slog::{info, warn};
 
 use super::Entry;
 use crate::{
     h1::head::{Fields, Response},
     logs::Topic,
+    node::tables::Source,
+    traffic::{Purpose, Reach},
+};
+
+/// Bandwidth that reports of backpressure take at an entry and at those that relay them, beyond the
+/// first report after a pause.
+const GOSSIP_BUDGET: Budget = Budget {
+    bytes_per_s: 3_000,
+    shortest: Duration::ZERO,
+    longest: Duration::from_secs(30),
 };
 
+/// State of the reports of backpressure to other entries.
+#[derive(Default)]
+pub(super) struct SignalGossip {
+    reports: RefCell<Reports<ReplicaKey>>,
+    /// Earliest time of the next reports within the bandwidth budget.
+    next_at: Cell<Time>,
+    /// Number of rounds so far, which rotates the relays in other regions.
+    rounds: Cell<usize>,
+}
+
 impl Entry {
     /// Applies the backpressure in the head of a replica's response. `sent` is the time at which
     /// the request was sent; `None` for an interim response or one to an unknown request.
@@ -24,9 +58,10 @@
         head: &Response,
         sent: Option<Time>,
     ) {
+        let now = self.node.clock.now();
         let exchange = Exchange {
             sent: sent.unwrap_or(Time::ZERO),
-            received: self.node.clock.now(),
+            received: now,
         };
         let limit = self.parse_limit(&head.fields);
         let mut replicas = self.replicas.borrow_mut();
@@ -35,10 +70,28 @@
         };
         let change = replica.limit.observe(limit, exchange);
         drop(replicas);
-        if let Some(change) = change {
-            self.share_restricted_rates(exchange.received);
-            self.log_limit(key, change);
+        let mut reports = self.signal_gossip.reports.borrow_mut();
+        match change {
+            Some(change) => {
+                reports.told(key, now);
+                drop(reports);
+                self.backpressure_changed(key, change, Source::Own, now);
+            }
+            None => reports.confirmed(key),
+        }
+    }
+
+    fn parse_limit(&self, fields: &Fields) -> LimitSignal {
+        let name = self.node.platform.headers.limit;
+        let value = fields.all(name).next();
+        let text = value.map(|it| std::str::from_utf8(it).unwrap_or_default());
+        let limit = LimitSignal::parse(text);
+        if limit == LimitSignal::Unreadable
+            && let Some(log) = self.node.logs.line(Topic::State)
+        {
+            warn!(log, "replica signal unreadable"; "signal" => "limit", "value" => text);
         }
+        limit
     }
 
     /// Returns the permission of a request to a selected replica, before it is counted as sent.
@@ -55,31 +108,135 @@
         replica.is_none_or(|(replica, permit)| replica.still_permits(permit, self.node.clock.now()))
     }
 
-    fn parse_limit(&self, fields: &Fields) -> LimitSignal {
-        let name = self.node.platform.headers.limit;
-        let value = fields.all(name).next();
-        let text = value.map(|it| std::str::from_utf8(it).unwrap_or_default());
-        let limit = LimitSignal::parse(text);
-        if limit == LimitSignal::Unreadable
-            && let Some(log) = self.node.logs.line(Topic::State)
-        {
-            warn!(log, "replica signal unreadable"; "signal" => "limit", "value" => text);
+    /// Merges the backpressure that another entry reported.
+    pub(super) fn receive_signals(&self, signals: &[ReplicaSignal], from: Ipv4Addr, now: Time) {
+        let reported: HashMap<u32, &ReplicaSignal> =
+            signals.iter().map(|it| (it.replica, it)).collect();
+        let replicas = self.replicas.borrow();
+        let known = replicas.iter().filter_map(|(key, it)| {
+            let signal = *reported.get(&it.hash())?;
+            Some((key, *signal))
+        });
+        let known: Vec<(ReplicaKey, ReplicaSignal)> = known.collect();
+        drop(replicas);
+        for (key, signal) in known {
+            self.receive_signal(key, signal, from, now);
+        }
+    }
+
+    fn receive_signal(&self, key: ReplicaKey, signal: ReplicaSignal, from: Ipv4Addr, now: Time) {
+        let mut replicas = self.replicas.borrow_mut();
+        let Some(replica) = replicas.get_mut(key) else {
+            return;
+        };
+        let since = now.before_ms(u64::from(signal.age_ms));
+        let limit = signal.limit.map(backpressure::from_thousandths);
+        let merged = replica.limit.merge(limit, since);
+        drop(replicas);
+        let mut reports = self.signal_gossip.reports.borrow_mut();
+        match merged {
+            Merge::Applied(change) => {
+                reports.learned(key, now);
+                drop(reports);
+                self.backpressure_changed(key, change, Source::Peer(from), now);
+            }
+            Merge::Known => reports.heard(key, now),
+            Merge::Outdated => reports.outdated(key, now),
         }
-        limit
     }
 
-    fn log_limit(&self, key: ReplicaKey, change: Change) {
+    /// Applies and logs a change of a replica's backpressure.
+    fn backpressure_changed(&self, key: ReplicaKey, change: Change, source: Source, now: Time) {
+        self.share_restricted_rates(now);
         let replicas = self.replicas.borrow();
         let Some(replica) = replicas.get(key) else {
             return;
         };
-        let now = self.node.clock.now();
-        let next = replica.next_send(now);
         if let Some(log) = self.node.logs.line(Topic::State) {
+            let next = replica.next_send(now);
             info!(log, "replica limit"; "replica" => &*replica.listing.id,
                 "change" => change.name(), "per_s" => replica.limit.per_s(),
-                "source" => "own", "running" => replica.own_requests,
-                "next_ms" => next.map_or(-1, |it| it.since(now).as_millis() as i64));
+                "source" => %source, "age_ms" => now.since(replica.limit.since()).as_millis() as u64,
+                "next_ms" => next.map_or(-1, |it| it.since(now).as_millis() as i64),
+                "running" => replica.own_requests);
+        }
+        drop(replicas);
+        self.room_freed.notify_waiters();
+    }
+
+    /// Reports the backpressure that is due to other entries.
+    pub(super) fn send_signals(&self) {
+        let now = self.node.clock.now();
+        let gossip = &self.signal_gossip;
+        if now < gossip.next_at.get() {
+            return;
         }
+        let replicas = self.replicas.borrow();
+        let restricted = |key| Some(replicas.get(key)?.limit.per_s().is_some());
+        let due = gossip
+            .reports
+            .borrow_mut()
+            .take_due(now, MAX_SIGNALS, restricted);
+        let due = due.into_iter().filter_map(|it| replicas.get(it));
+        let signals: Vec<ReplicaSignal> = due.map(|it| signal(it, now)).collect();
+        drop(replicas);
+        if signals.is_empty() {
+            return;
+        }
+        let round = gossip.rounds.replace(gossip.rounds.get() + 1);
+        let roster = self.roster.borrow();
+        let near: Vec<Ipv4Addr> = roster.addresses_in(|it| self.node.near(it)).collect();
+        let receivers = roster.addresses_in(|_| true).count();
+        drop(roster);
+        let relays = self.relays(round, now).into_iter();
+        let bytes = codec::encode_body(&signals).len();
+        let sender = Sender::Signals {
+            relayed: false,
+            signals,
+        };
+        let far = relays.filter_map(|(relay, _)| relay);
+        self.node.send_state(
+            Purpose::Signals,
+            Reach::Near,
+            sender.clone(),
+            near.into_iter(),
+        );
+        self.node
+            .send_state(Purpose::Signals, Reach::Far, sender, far);
+        let pause = GOSSIP_BUDGET.pause(receivers, bytes);
+        gossip.next_at.set(now.after(pause));
+    }
+
+    /// Reports replicas with backpressure to an entry that has just started.
+    pub(super) fn send_signals_to(&self, newcomer: Ipv4Addr) {
+        let now = self.node.clock.now();
+        let replicas = self.replicas.borrow();
+        let restricted = replicas.iter().filter(|(_, it)| it.limit.per_s().is_some());
+        let signals: Vec<ReplicaSignal> = restricted
+            .take(MAX_SIGNALS)
+            .map(|(_, it)| signal(it, now))
+            .collect();
+        drop(replicas);
+        if signals.is_empty() {
+            return;
+        }
+        let sender = Sender::Signals {
+            // Keeps the receiver from relaying the message to other entries.
+            relayed: true,
+            signals,
+        };
+        let to = [newcomer].into_iter();
+        self.node
+            .send_state(Purpose::Signals, Reach::Far, sender, to);
+    }
+}
+
+/// Returns the report of a replica's backpressure.
+fn signal(replica: &Replica, now: Time) -> ReplicaSignal {
+    let age_ms = now.since(replica.limit.since()).as_millis();
+    ReplicaSignal {
+        replica: replica.hash(),
+        limit: replica.limit.per_s().map(backpressure::thousandths),
+        age_ms: age_ms.min(u128::from(u32::MAX)) as u32,
     }
 }
--- a/crates/gradeloft_gateway/src/entry/gossip.rs
+++ b/crates/gradeloft_gateway/src/entry/gossip.rs
@@ -118,6 +118,7 @@
             self.send_to_regions(round);
             self.send_due_to_agents(round);
             self.send_suspects();
+            self.send_signals();
             self.maintain();
             tokio::select! {
                 () = actix_rt::time::sleep(ROUND) => round += 1,
@@ -206,6 +207,7 @@
         self.node
             .send_state(Purpose::Members, Reach::Far, sender, to);
         self.send_suspects_to(asker);
+        self.send_signals_to(asker);
     }
 
     /// Sends the state of this region to other regions, if this entry is one of the region's
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -76,7 +76,10 @@
 use tokio::{net::TcpListener, sync::Notify};
 use tokio_util::sync::CancellationToken;
 
-use self::{attempt::FirstTokenForecast, quarantine::QuarantineState, uncertainty::ServiceRates};
+use self::{
+    attempt::FirstTokenForecast, backpressure::SignalGossip, quarantine::QuarantineState,
+    uncertainty::ServiceRates,
+};
 use crate::{
     logs::Topic,
     node::{MAX_FRAME, Node},
@@ -176,6 +179,8 @@
     logged_stale: Cell<bool>,
     /// Tokens that are cancelled when a replica restarts, for replicas that received requests.
     restart_tokens: RefCell<HashMap<ReplicaKey, CancellationToken>>,
+    /// Reports of replicas' backpressure to other entries.
+    signal_gossip: SignalGossip,
     /// Requests that were running when replicas crashed.
     quarantine: QuarantineState,
     /// Number of callers' connections.
@@ -222,6 +227,7 @@
             sent_to_regions: Cell::default(),
             logged_stale: Cell::default(),
             restart_tokens: RefCell::default(),
+            signal_gossip: SignalGossip::default(),
             quarantine: QuarantineState::default(),
             open_connections: Cell::default(),
             closing_connections: Cell::default(),
--- a/crates/gradeloft_gateway/src/entry/receive.rs
+++ b/crates/gradeloft_gateway/src/entry/receive.rs
@@ -44,9 +44,9 @@
         let now = self.node.clock.now();
 
         let relayed_before = match &mut datagram.sender {
-            Sender::Region { relayed, .. } | Sender::Suspects { relayed, .. } => {
-                std::mem::replace(relayed, true)
-            }
+            Sender::Region { relayed, .. }
+            | Sender::Signals { relayed, .. }
+            | Sender::Suspects { relayed, .. } => std::mem::replace(relayed, true),
             _ => false,
         };
         // State that waited in the socket while this process was stalled is outdated, and each
@@ -54,7 +54,11 @@
         // crashes, remain valid however late they are received.
         let current = self.node.datagrams_are_current();
         match &datagram.sender {
-            Sender::Agent { .. } | Sender::Entry { .. } | Sender::Region { .. } if !current => {}
+            Sender::Agent { .. }
+            | Sender::Entry { .. }
+            | Sender::Region { .. }
+            | Sender::Signals { .. }
+                if !current => {}
             Sender::Agent { replica, engine } => {
                 let replica = SocketAddr::V4(*replica);
                 if let Some(engine) = engine {
@@ -72,6 +76,12 @@
                     self.relay_datagram(&datagram);
                 }
             }
+            Sender::Signals { signals, .. } => {
+                self.receive_signals(signals, from, now);
+                if !relayed_before && !self.node.near(&datagram.zone) {
+                    self.relay_datagram(&datagram);
+                }
+            }
             Sender::Suspects { suspects, .. } => {
                 self.receive_suspects(suspects, Source::Peer(from), now);
                 if !relayed_before && !self.node.near(&datagram.zone) {
--- a/crates/gradeloft_gateway/src/traffic.rs
+++ b/crates/gradeloft_gateway/src/traffic.rs
@@ -39,6 +39,8 @@
     Reports,
     /// Requests to replicas.
     Requests,
+    /// Backpressure of replicas.
+    Signals,
     /// Records read from the platform's store.
     Store,
     /// Requests suspected of crashing replicas.
@@ -58,6 +60,7 @@
             Purpose::Relayed => "relayed",
             Purpose::Reports => "reports",
             Purpose::Requests => "requests",
+            Purpose::Signals => "signals",
             Purpose::Store => "store",
             Purpose::Suspects => "suspects",
         }
--- a/crates/gradeloft_gateway/tests/entry/backpressure.rs
+++ b/crates/gradeloft_gateway/tests/entry/backpressure.rs
@@ -1,10 +1,14 @@
 //! Backpressure that replicas signal in their responses.
 
 use gradeloft_daemon::clock::Clock;
+use gradeloft_gateway::entry::Handle;
 use gradeloft_policy::{clock::Time, process::document::RouteKind};
 use gradeloft_standin::scripted::Step;
+use rstest::rstest;
 
-use crate::support::{Harness, TestConfig, address, get, request, response, run, send, wait_until};
+use crate::support::{
+    Harness, TestConfig, address, get, ok, replica_id, request, response, run, send, wait_until,
+};
 
 /// Returns the script of a replica that names a limit in each response.
 fn limited_script(per_s: &str) -> Vec<Vec<Step>> {
@@ -59,3 +63,72 @@
         );
     });
 }
+
+/// Returns the limit of the first replica as an entry knows it.
+fn known_limit(entry: &Handle) -> Option<f64> {
+    let replicas = entry.entry().replicas.borrow();
+    let replica = replicas.get(replicas.key(&replica_id(0))?)?;
+    replica.limit.per_s()
+}
+
+#[rstest]
+#[case::same_region("z")]
+#[case::other_region("far")]
+fn entries_that_a_replica_has_not_told_learn_its_limit_from_others(#[case] zone: &'static str) {
+    run(async move {
+        let harness = Harness::start(
+            TestConfig::of(RouteKind::Idempotent),
+            vec![limited_script("5.0")],
+        )
+        .await;
+        let other = harness.add_entry_in_zone(2, zone, &harness.tables).await;
+        wait_until_introduced().await;
+        harness.send(&request("POST", "form")).await;
+        wait_until(|| async { known_limit(&other) == Some(5.0) }).await;
+        assert_eq!(harness.request_count(), 1);
+    });
+}
+
+#[test]
+fn an_entry_without_a_share_learns_that_a_limit_has_ended() {
+    run(async {
+        let limited = response("200 OK", "t-seal: s\r\nt-limit: 5\r\n", "limited");
+        let mut script = vec![Step::Read, limited];
+        script.extend((0..100).flat_map(|_| [Step::Read, ok("free")]));
+        let harness =
+            Harness::start(TestConfig::of(RouteKind::Idempotent), vec![vec![script]]).await;
+        let other = harness.add_entry(2, &harness.tables).await;
+        wait_until_introduced().await;
+        harness.send(&request("POST", "form")).await;
+        wait_until(|| async { known_limit(&other) == Some(5.0) }).await;
+        // One of the two entries has the share of the only sender.
+        wait_until(|| async {
+            for octet in [1, 2] {
+                send(octet, &request("POST", "form")).await;
+            }
+            known_limit(&harness.entry).is_none() && known_limit(&other).is_none()
+        })
+        .await;
+    });
+}
+
+#[test]
+fn a_restarted_replica_has_no_limit_of_its_previous_start() {
+    run(async {
+        let harness = Harness::start(
+            TestConfig::of(RouteKind::Idempotent),
+            vec![limited_script("0.5")],
+        )
+        .await;
+        harness.set_start_time(0, 1);
+        harness.list_all();
+        let replicas = || harness.entry.entry().replicas.borrow();
+        let born = || replicas().iter().find_map(|(_, it)| it.listing.born);
+        wait_until(|| async { born() == Some(1) }).await;
+        harness.send(&request("POST", "form")).await;
+        assert_eq!(known_limit(&harness.entry), Some(0.5));
+        harness.set_start_time(0, 2);
+        harness.list_all();
+        wait_until(|| async { known_limit(&harness.entry).is_none() }).await;
+    });
+}
--- a/crates/gradeloft_policy/src/process/backpressure.rs
+++ b/crates/gradeloft_policy/src/process/backpressure.rs
@@ -15,7 +15,8 @@
 /// Limit named in the head of one response.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum LimitSignal {
-    /// Requests a second, from all entries together; finite and not negative.
+    /// Requests a second, from all entries together; finite, not negative, and rounded to a
+    /// thousandth, as entries report it to each other.
     PerSecond(f64),
     /// The response names no limit.
     #[default]
@@ -38,7 +39,9 @@
             return LimitSignal::Unlimited;
         };
         match value.trim().parse::<f64>() {
-            Ok(per_s) if per_s.is_finite() && 0.0 <= per_s => LimitSignal::PerSecond(per_s),
+            Ok(per_s) if per_s.is_finite() && 0.0 <= per_s => {
+                LimitSignal::PerSecond(from_thousandths(thousandths(per_s)))
+            }
             _ => LimitSignal::Unreadable,
         }
     }
@@ -85,6 +88,17 @@
     }
 }
 
+/// Outcome of the merge of another entry's report.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Merge {
+    /// The report is newer and changed the limit.
+    Applied(Change),
+    /// The report says what is known.
+    Known,
+    /// The report says something else, and is older than what is known.
+    Outdated,
+}
+
 /// Limit of one start of a replica.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RateLimit {
@@ -121,6 +135,31 @@
         self.apply(stated, since)
     }
 
+    /// Returns the time from which the limit, or its absence, counts.
+    pub fn since(&self) -> Time {
+        self.since
+    }
+
+    /// Applies the report of another entry about the same start of the replica.
+    pub fn merge(&mut self, reported: Option<f64>, since: Time) -> Merge {
+        let is_known = self.per_s == reported;
+        // At the same time, a restriction takes precedence.
+        let is_newer =
+            self.since < since || (self.since == since && !is_looser(reported, self.per_s));
+        match (is_newer, is_known) {
+            (true, true) => {
+                self.since = since;
+                Merge::Known
+            }
+            (true, false) => match self.apply(reported, since) {
+                Some(change) => Merge::Applied(change),
+                None => Merge::Known,
+            },
+            (false, true) => Merge::Known,
+            (false, false) => Merge::Outdated,
+        }
+    }
+
     /// Applies a statement, unless a later one is known.
     fn apply(&mut self, per_s: Option<f64>, since: Time) -> Option<Change> {
         if since < self.since {
@@ -132,6 +171,17 @@
     }
 }
 
+/// Returns a rate in thousandths of a request per second.
+pub fn thousandths(per_s: f64) -> u32 {
+    // A rate beyond the range is as good as none at all.
+    (per_s * 1_000.0).round() as u32
+}
+
+/// Returns a rate in requests a second.
+pub fn from_thousandths(rate: u32) -> f64 {
+    f64::from(rate) / 1_000.0
+}
+
 /// Returns whether a limit allows more requests than another, or whether there is none.
 fn is_looser(limit: Option<f64>, other: Option<f64>) -> bool {
     match (limit, other) {
--- a/crates/gradeloft_policy/src/process/mod.rs
+++ b/crates/gradeloft_policy/src/process/mod.rs
@@ -26,6 +26,7 @@
 //! - [`replicas`]: the replicas of all services.
 //! - [`retry_budget`]: limits the number of repeated requests.
 //! - [`roster`]: the entries that callers can be sent to.
+//! - [`signal_reports`]: schedules reports of replicas' backpressure to other entries.
 //! - [`slot_split`]: splits the slots of replicas among entries.
 //! - [`transfer`]: fetches a large value from the peers that hold it.
 //! - [`write_times`]: estimates the times at which records of a table were written.
@@ -55,6 +56,7 @@
 pub mod replicas;
 pub mod retry_budget;
 pub mod roster;
+pub mod signal_reports;
 pub mod slot_split;
 pub mod transfer;
 pub mod write_times;
--- a/crates/gradeloft_wire/src/datagram.rs
+++ b/crates/gradeloft_wire/src/datagram.rs
@@ -12,6 +12,9 @@
 /// Largest datagram that is read, in bytes; below the usual MTU.
 pub const MAX_BYTES: usize = 1_400;
 
+/// Maximum number of signals in one datagram. Each takes at most 16 bytes.
+pub const MAX_SIGNALS: usize = 60;
+
 /// State of the sender.
 #[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
 pub struct Datagram {
@@ -70,6 +73,13 @@
         /// Suspect requests.
         suspects: Vec<Suspect>,
     },
+    /// Backpressure of replicas, as an entry knows it.
+    Signals {
+        /// Whether an entry of the receiver's region relayed the message.
+        relayed: bool,
+        /// Signals, at most [`MAX_SIGNALS`].
+        signals: Vec<ReplicaSignal>,
+    },
 }
 
 /// State that one region's entries send to the entries of other regions.
@@ -177,3 +187,15 @@
     /// Whether the instance's link is saturated, so that requests to the replica wait for the link.
     pub congested: bool,
 }
+
+/// Backpressure that a replica signalled, as one entry knows it.
+#[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct ReplicaSignal {
+    /// Hash that identifies one start of the replica.
+    pub replica: u32,
+    /// Requests that the replica accepts from all entries together, in thousandths of a request per
+    /// second; `None` without a limit.
+    pub limit: Option<u32>,
+    /// Time since which this counts, in milliseconds.
+    pub age_ms: u32,
+}
