Wait for a limited replica that accepts a request in time, else say when one will

Where all replicas that could serve a request limit theirs, its caller was refused with a time that follows from how long others have been refused, or waited without an end in sight. The earliest time at which a limited replica accepts a request of this entry is known: a request waits if that is within its objective, and otherwise its caller is refused at once and told to come back then (later by up to a quarter, at most a third of its time).

--- a/crates/gradeloft_emulator/src/entry.rs
+++ b/crates/gradeloft_emulator/src/entry.rs
@@ -128,7 +128,11 @@
         }
         let Some((replica, urgency)) = chosen else {
             return Decision::Refused(match load.scheme {
-                Scheme::Gradeloft => self.shortage.record_refusal(request.time_left, now, rng),
+                Scheme::Gradeloft => {
+                    let room_in = Duration::ZERO;
+                    self.shortage
+                        .record_refusal(request.time_left, room_in, now, rng)
+                }
                 _ => Duration::from_millis(BASELINE_RETRY_MS),
             });
         };
--- a/crates/gradeloft_gateway/src/entry/uncertainty.rs
+++ b/crates/gradeloft_gateway/src/entry/uncertainty.rs
@@ -114,7 +114,10 @@
         let mut shortages = self.shortages.borrow_mut();
         let shortage = shortages.entry(Rc::clone(&job.service)).or_default();
         let left = job.deadline.since(now);
+        let exclusions = job.exclusions.filter(|it| it.full == 0);
+        let room_at = exclusions.and_then(|it| it.room_at);
+        let room_in = room_at.map_or(Duration::ZERO, |it| it.since(now));
         self.node
-            .with_rng(|rng| shortage.record_refusal(left, now, rng))
+            .with_rng(|rng| shortage.record_refusal(left, room_in, now, rng))
     }
 }
--- a/crates/gradeloft_gateway/tests/entry/backpressure.rs
+++ b/crates/gradeloft_gateway/tests/entry/backpressure.rs
@@ -132,3 +132,26 @@
         wait_until(|| async { known_limit(&harness.entry).is_none() }).await;
     });
 }
+
+#[test]
+fn a_caller_without_a_replica_that_accepts_its_request_learns_when_one_will() {
+    run(async {
+        let harness = Harness::start(
+            TestConfig::of(RouteKind::Idempotent),
+            vec![limited_script("0.8")],
+        )
+        .await;
+        harness.send(&request("POST", "form")).await;
+        let clock = Clock::start();
+        let refusal = harness.send(&request("POST", "form")).await;
+        assert!(clock.now() < Time::ZERO.after_ms(500));
+        assert!(refusal.starts_with("HTTP/1.1 503 "), "{refusal}");
+        let retry_after = refusal
+            .lines()
+            .find_map(|it| it.strip_prefix("Retry-After: "));
+        let retry_after_s: f64 = retry_after.unwrap().parse().unwrap();
+        // The next request is accepted 1.25 s after the first one.
+        assert!((0.75..=1.6).contains(&retry_after_s), "{retry_after_s}");
+        assert_eq!(harness.request_count(), 1);
+    });
+}
--- a/crates/gradeloft_policy/src/request/placement.rs
+++ b/crates/gradeloft_policy/src/request/placement.rs
@@ -266,6 +266,8 @@
     pub tried: u32,
     /// Replicas in regions where the request may not be served.
     pub away: u32,
+    /// Earliest time at which a limited replica accepts a request of this entry.
+    pub room_at: Option<Time>,
 }
 
 impl fmt::Display for ExclusionCounts {
@@ -277,6 +279,7 @@
             old,
             tried,
             away,
+            room_at: _,
         } = self;
         write!(
             f,
@@ -305,6 +308,8 @@
             counts.old += 1;
         } else if !replica.rate_allows(now) {
             counts.limited += 1;
+            let room_at = counts.room_at.into_iter().chain(replica.next_send(now));
+            counts.room_at = room_at.min();
         } else if !has_room(replica, requirements, SlotScope::Any, now) {
             counts.full += 1;
         }
--- a/crates/gradeloft_policy/src/request/shortage.rs
+++ b/crates/gradeloft_policy/src/request/shortage.rs
@@ -44,8 +44,14 @@
     }
 
     /// Records the refusal of a caller whose remaining time is `left`, and returns the delay after
-    /// which the caller may retry.
-    pub fn record_refusal(&mut self, left: Duration, now: Time, rng: &mut impl Rng) -> Duration {
+    /// which the caller may retry. No replica has room for `room_in`; zero if that is unknown.
+    pub fn record_refusal(
+        &mut self,
+        left: Duration,
+        room_in: Duration,
+        now: Time,
+        rng: &mut impl Rng,
+    ) -> Duration {
         let since = match self.span {
             Some((since, last)) if now < last.after_ms(EPISODE_GAP_MS) => since,
             _ => now,
@@ -53,8 +59,10 @@
         self.span = Some((since, now));
         let lasted_ms = now.since(since).as_secs_f64() * 1000.0;
         let longest_ms = left.as_secs_f64() * 1000.0 * MAX_RETRY_SHARE;
-        let jitter = 1.0 - JITTER * rng.random::<f64>();
-        let retry_after_ms = lasted_ms.max(MIN_RETRY_AFTER_MS).min(longest_ms) * jitter;
+        let jitter = JITTER * rng.random::<f64>();
+        let likely_ms = lasted_ms.max(MIN_RETRY_AFTER_MS).min(longest_ms) * (1.0 - jitter);
+        let room_in_ms = room_in.as_secs_f64() * 1000.0 * (1.0 + jitter);
+        let retry_after_ms = likely_ms.max(room_in_ms.min(longest_ms));
         Duration::from_millis(retry_after_ms as u64)
     }
 }
--- a/crates/gradeloft_policy/src/request/wait.rs
+++ b/crates/gradeloft_policy/src/request/wait.rs
@@ -24,12 +24,12 @@
 /// Returns the time until which a request without room waits, or `None` if it does not wait.
 ///
 /// The request arrived at `received`, is in time if its response begins within `objective` of its
-/// arrival, expires at `deadline`, and first found no room at `since`. Waiting is futile if
-/// `exclusions` has no full replica, as then no replica accepts the request even when it has room.
-/// While the entry refuses callers (`refusing`), only resumed streams wait. If other requests
-/// waited too while capacity is short for a whole day, long prompts that need an idle replica would
-/// wait in vain behind short ones, and the worst-served kind of request would be worth 0.58 instead
-/// of 0.69.
+/// arrival, expires at `deadline`, and first found no room at `since`. Waiting is futile unless
+/// `exclusions` has a full replica, which accepts the request once it has room, or a limited one
+/// that accepts it soon enough. While the entry refuses callers (`refusing`), only resumed streams
+/// wait. If other requests waited too while capacity is short for a whole day, long prompts that
+/// need an idle replica would wait in vain behind short ones, and the worst-served kind of request
+/// would be worth 0.58 instead of 0.69.
 pub fn wait_deadline(
     urgency: Urgency,
     exclusions: ExclusionCounts,
@@ -39,14 +39,16 @@
     since: Time,
     refusing: bool,
 ) -> Option<Time> {
-    if exclusions.full == 0 || (refusing && urgency != Urgency::Resumed) {
+    if refusing && urgency != Urgency::Resumed {
         return None;
     }
-    Some(match urgency {
+    let until = match urgency {
         Urgency::Resumed => deadline.min(since.after_ms(MAX_STREAM_WAIT_MS)),
         Urgency::Late | Urgency::OnTime(_) => {
             let longest = deadline.since(received).mul_f64(MAX_WAIT_SHARE);
             received.after(objective.min(longest))
         }
-    })
+    };
+    let room_in_time = exclusions.room_at.is_some_and(|it| it < until);
+    (0 < exclusions.full || room_in_time).then_some(until)
 }
--- a/crates/gradeloft_policy/tests/admission.rs
+++ b/crates/gradeloft_policy/tests/admission.rs
@@ -259,7 +259,8 @@
     let mut shortage = Shortage::default();
     let left = Duration::from_millis(6_000);
     let mut delay_ms = |at_ms| {
-        let delay = shortage.record_refusal(left, Time::ZERO.after_ms(at_ms), &mut rng);
+        let delay =
+            shortage.record_refusal(left, Duration::ZERO, Time::ZERO.after_ms(at_ms), &mut rng);
         delay.as_millis()
     };
     assert!((45..=60).contains(&delay_ms(1_000)));
@@ -275,6 +276,47 @@
     assert!(delay_ms(9_000) <= 60, "a new shortage");
 }
 
+#[test]
+fn a_refused_caller_returns_when_a_replica_accepts_a_request_again() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut delay_ms = |left_ms, room_in_ms| {
+        let left = Duration::from_millis(left_ms);
+        let room_in = Duration::from_millis(room_in_ms);
+        let delay = Shortage::default().record_refusal(left, room_in, Time::ZERO, &mut rng);
+        delay.as_millis()
+    };
+    for _ in 0..20 {
+        assert!((800..=1_000).contains(&delay_ms(6_000, 800)));
+        // Callers accept no more than a third of their remaining time.
+        assert_eq!(delay_ms(1_200, 800), 400);
+    }
+}
+
+#[rstest]
+#[case(Some(1_400), Some(1_500))]
+#[case(Some(1_500), None)]
+#[case(None, None)]
+fn a_request_waits_for_a_replica_that_accepts_one_in_time(
+    #[case] room_at_ms: Option<u64>,
+    #[case] until_ms: Option<u64>,
+) {
+    let received = Time::ZERO.after_ms(1_000);
+    let until = wait::wait_deadline(
+        Urgency::OnTime(500.0),
+        ExclusionCounts {
+            limited: 1,
+            room_at: room_at_ms.map(|it| Time::ZERO.after_ms(it)),
+            ..ExclusionCounts::default()
+        },
+        received,
+        Duration::from_millis(500),
+        received.after_ms(6_000),
+        received,
+        false,
+    );
+    assert_eq!(until, until_ms.map(|it| Time::ZERO.after_ms(it)));
+}
+
 proptest! {
     #[test]
     fn every_slot_belongs_to_one_entry_and_entries_have_similar_totals(
@@ -342,7 +384,7 @@
     let mut shortage = Shortage::default();
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     assert!(!shortage.is_active(Time::ZERO));
-    shortage.record_refusal(Duration::from_secs(6), Time::ZERO, &mut rng);
+    shortage.record_refusal(Duration::from_secs(6), Duration::ZERO, Time::ZERO, &mut rng);
     assert!(shortage.is_active(Time::ZERO.after_ms(1_999)));
     assert!(!shortage.is_active(Time::ZERO.after_ms(2_000)));
 }
