Split backpressure into header values and statements in the order of time

The rule by which a later response or report replaces an earlier one is the same for each restriction, so it becomes Statement<T>, of which a rate limit is one. Header values are parsed to results: an unreadable one changes nothing.

--- a/crates/gradeloft_gateway/src/entry/backpressure.rs
+++ b/crates/gradeloft_gateway/src/entry/backpressure.rs
@@ -11,7 +11,10 @@
 use gradeloft_policy::{
     clock::Time,
     process::{
-        backpressure::{self, Change, Exchange, LimitSignal, Merge},
+        backpressure::{
+            Change, Exchange, Merge,
+            signal::{self, Unreadable},
+        },
         cadence::Budget,
         replicas::{Replica, ReplicaKey, SendPermit},
         signal_reports::Reports,
@@ -63,7 +66,9 @@
             sent: sent.unwrap_or(Time::ZERO),
             received: now,
         };
-        let limit = self.parse_limit(&head.fields);
+        let Ok(limit) = self.parse_limit(&head.fields) else {
+            return;
+        };
         let mut replicas = self.replicas.borrow_mut();
         let Some(replica) = replicas.get_mut(key) else {
             return;
@@ -81,12 +86,12 @@
         }
     }
 
-    fn parse_limit(&self, fields: &Fields) -> LimitSignal {
+    fn parse_limit(&self, fields: &Fields) -> Result<Option<f64>, Unreadable> {
         let name = self.node.platform.headers.limit;
         let value = fields.all(name).next();
         let text = value.map(|it| std::str::from_utf8(it).unwrap_or_default());
-        let limit = LimitSignal::parse(text);
-        if limit == LimitSignal::Unreadable
+        let limit = signal::limit(text);
+        if limit.is_err()
             && let Some(log) = self.node.logs.line(Topic::State)
         {
             warn!(log, "replica signal unreadable"; "signal" => "limit", "value" => text);
@@ -130,7 +135,7 @@
             return;
         };
         let since = now.before_ms(u64::from(signal.age_ms));
-        let limit = signal.limit.map(backpressure::from_thousandths);
+        let limit = signal.limit.map(signal::from_thousandths);
         let merged = replica.limit.merge(limit, since);
         drop(replicas);
         let mut reports = self.signal_gossip.reports.borrow_mut();
@@ -155,7 +160,7 @@
         if let Some(log) = self.node.logs.line(Topic::State) {
             let next = replica.next_send(now);
             info!(log, "replica limit"; "replica" => &*replica.listing.id,
-                "change" => change.name(), "per_s" => replica.limit.per_s(),
+                "change" => change.name(), "per_s" => replica.limit.value(),
                 "source" => %source, "age_ms" => now.since(replica.limit.since()).as_millis() as u64,
                 "next_ms" => next.map_or(-1, |it| it.since(now).as_millis() as i64),
                 "running" => replica.own_requests);
@@ -172,13 +177,13 @@
             return;
         }
         let replicas = self.replicas.borrow();
-        let restricted = |key| Some(replicas.get(key)?.limit.per_s().is_some());
+        let restricted = |key| Some(replicas.get(key)?.limit.is_restricted());
         let due = gossip
             .reports
             .borrow_mut()
             .take_due(now, MAX_SIGNALS, restricted);
         let due = due.into_iter().filter_map(|it| replicas.get(it));
-        let signals: Vec<ReplicaSignal> = due.map(|it| signal(it, now)).collect();
+        let signals: Vec<ReplicaSignal> = due.map(|it| report(it, now)).collect();
         drop(replicas);
         if signals.is_empty() {
             return;
@@ -211,10 +216,10 @@
     pub(super) fn send_signals_to(&self, newcomer: Ipv4Addr) {
         let now = self.node.clock.now();
         let replicas = self.replicas.borrow();
-        let restricted = replicas.iter().filter(|(_, it)| it.limit.per_s().is_some());
+        let restricted = replicas.iter().filter(|(_, it)| it.limit.is_restricted());
         let signals: Vec<ReplicaSignal> = restricted
             .take(MAX_SIGNALS)
-            .map(|(_, it)| signal(it, now))
+            .map(|(_, it)| report(it, now))
             .collect();
         drop(replicas);
         if signals.is_empty() {
@@ -232,11 +237,11 @@
 }
 
 /// Returns the report of a replica's backpressure.
-fn signal(replica: &Replica, now: Time) -> ReplicaSignal {
+fn report(replica: &Replica, now: Time) -> ReplicaSignal {
     let age_ms = now.since(replica.limit.since()).as_millis();
     ReplicaSignal {
         replica: replica.hash(),
-        limit: replica.limit.per_s().map(backpressure::thousandths),
+        limit: replica.limit.value().map(signal::thousandths),
         age_ms: age_ms.min(u128::from(u32::MAX)) as u32,
     }
 }
--- a/crates/gradeloft_gateway/src/entry/maintenance.rs
+++ b/crates/gradeloft_gateway/src/entry/maintenance.rs
@@ -158,7 +158,7 @@
         };
         let metrics = &self.node.metrics;
         metrics.cold.set(count(&|it| it.cold(now)));
-        metrics.limited.set(count(&|it| it.limit.per_s().is_some()));
+        metrics.limited.set(count(&|it| it.limit.is_restricted()));
     }
 
     /// Splits the slots of each model's available replicas among the entries that accept callers.
--- a/crates/gradeloft_gateway/tests/entry/backpressure.rs
+++ b/crates/gradeloft_gateway/tests/entry/backpressure.rs
@@ -68,7 +68,7 @@
 fn known_limit(entry: &Handle) -> Option<f64> {
     let replicas = entry.entry().replicas.borrow();
     let replica = replicas.get(replicas.key(&replica_id(0))?)?;
-    replica.limit.per_s()
+    replica.limit.value()
 }
 
 #[rstest]
@@ -155,3 +155,20 @@
         assert_eq!(harness.request_count(), 1);
     });
 }
+
+#[test]
+fn an_unreadable_limit_leaves_the_known_one_in_force() {
+    run(async {
+        let answers = ["0.5", "many"].map(|it| format!("t-seal: s\r\nt-limit: {it}\r\n"));
+        let answer = |it: &String| [Step::Read, response("200 OK", it, "limited")];
+        let script = answers.iter().flat_map(answer).collect();
+        let config = TestConfig::of(RouteKind::Idempotent);
+        let harness = Harness::start(config, vec![vec![script]]).await;
+        wait_until(|| async {
+            harness.send(&request("POST", "form")).await;
+            harness.request_count() == 2
+        })
+        .await;
+        assert_eq!(known_limit(&harness.entry), Some(0.5));
+    });
+}
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -235,7 +235,7 @@
 
     /// Returns whether all entries together share a request rate that the replica accepts.
     pub fn rate_restricted(&self, now: Time) -> bool {
-        self.cold(now) || self.limit.per_s().is_some()
+        self.cold(now) || self.limit.is_restricted()
     }
 
     /// Returns whether this entry may send a request now, by the rate that the replica accepts.
--- a/crates/gradeloft_policy/tests/backpressure.rs
+++ b/crates/gradeloft_policy/tests/backpressure.rs
@@ -6,7 +6,10 @@
 use gradeloft_policy::{
     clock::Time,
     process::{
-        backpressure::{Change, Exchange, LimitSignal, Merge, RateLimit},
+        backpressure::{
+            Change, Exchange, Merge, RateLimit,
+            signal::{self, Unreadable},
+        },
         rate_share::{self, RateShare},
         signal_reports::Reports,
     },
@@ -24,53 +27,46 @@
 /// Returns a limit that was named in a response received at 1 s.
 fn limited(per_s: f64) -> RateLimit {
     let mut limit = RateLimit::default();
-    let change = limit.observe(LimitSignal::PerSecond(per_s), exchange(900, 1_000));
+    let change = limit.observe(Some(per_s), exchange(900, 1_000));
     assert_eq!(change, Some(Change::Began));
     limit
 }
 
 #[rstest]
-#[case("", LimitSignal::Unreadable)]
-#[case("many", LimitSignal::Unreadable)]
-#[case("NaN", LimitSignal::Unreadable)]
-#[case("inf", LimitSignal::Unreadable)]
-#[case("-0.5", LimitSignal::Unreadable)]
-#[case("0", LimitSignal::PerSecond(0.0))]
-#[case(" 2.5 ", LimitSignal::PerSecond(2.5))]
-#[case("2.76549", LimitSignal::PerSecond(2.765))]
-#[case("1e300", LimitSignal::PerSecond(4_294_967.295))]
+#[case("", Err(Unreadable))]
+#[case("many", Err(Unreadable))]
+#[case("NaN", Err(Unreadable))]
+#[case("inf", Err(Unreadable))]
+#[case("-0.5", Err(Unreadable))]
+#[case("0", Ok(Some(0.0)))]
+#[case(" 2.5 ", Ok(Some(2.5)))]
+#[case("2.76549", Ok(Some(2.765)))]
+#[case("1e300", Ok(Some(4_294_967.295)))]
 fn a_limit_is_a_finite_decimal_that_is_not_negative(
     #[case] value: &str,
-    #[case] expected: LimitSignal,
+    #[case] expected: Result<Option<f64>, Unreadable>,
 ) {
-    assert_eq!(LimitSignal::parse(Some(value)), expected);
-}
-
-#[test]
-fn an_unreadable_limit_leaves_the_known_one_in_force() {
-    let mut limit = limited(3.0);
-    let change = limit.observe(LimitSignal::Unreadable, exchange(2_000, 2_100));
-    assert_eq!((change, limit.per_s()), (None, Some(3.0)));
+    assert_eq!(signal::limit(Some(value)), expected);
 }
 
 #[test]
 fn a_response_to_a_request_from_before_the_limit_does_not_end_it() {
     let mut limit = limited(3.0);
-    let change = limit.observe(LimitSignal::Unlimited, exchange(999, 1_500));
-    assert_eq!((change, limit.per_s()), (None, Some(3.0)));
-    let change = limit.observe(LimitSignal::Unlimited, exchange(1_000, 1_600));
-    assert_eq!((change, limit.per_s()), (Some(Change::Ended), None));
+    let change = limit.observe(None, exchange(999, 1_500));
+    assert_eq!((change, limit.value()), (None, Some(3.0)));
+    let change = limit.observe(None, exchange(1_000, 1_600));
+    assert_eq!((change, limit.value()), (Some(Change::Ended), None));
 }
 
 #[test]
 fn a_lower_limit_counts_at_once_and_a_higher_one_only_from_a_later_request() {
     let mut limit = limited(3.0);
-    let change = limit.observe(LimitSignal::PerSecond(5.0), exchange(999, 1_500));
-    assert_eq!((change, limit.per_s()), (None, Some(3.0)));
-    let change = limit.observe(LimitSignal::PerSecond(2.0), exchange(500, 1_500));
-    assert_eq!((change, limit.per_s()), (Some(Change::Changed), Some(2.0)));
-    let change = limit.observe(LimitSignal::PerSecond(5.0), exchange(1_500, 1_700));
-    assert_eq!((change, limit.per_s()), (Some(Change::Changed), Some(5.0)));
+    let change = limit.observe(Some(5.0), exchange(999, 1_500));
+    assert_eq!((change, limit.value()), (None, Some(3.0)));
+    let change = limit.observe(Some(2.0), exchange(500, 1_500));
+    assert_eq!((change, limit.value()), (Some(Change::Changed), Some(2.0)));
+    let change = limit.observe(Some(5.0), exchange(1_500, 1_700));
+    assert_eq!((change, limit.value()), (Some(Change::Changed), Some(5.0)));
 }
 
 #[test]
@@ -93,7 +89,7 @@
     );
     assert_eq!(limit.merge(None, at(1_001)), Merge::Applied(Change::Ended));
     assert_eq!(limit.merge(Some(2.0), at(1_000)), Merge::Outdated);
-    assert_eq!(limit.per_s(), None);
+    assert_eq!(limit.value(), None);
 }
 
 const NONE: [u32; 0] = [];
