Read that a replica leaves or asks for a pause, and log and count both

Server-Leaving is a statement like a limit: it begins with the arrival of a response and ends only by a response to a later request. Retry-After of a refusal (503, 429) is a pause of this entry alone: in decimal seconds or as a date that counts from the response's own, at most 5 minutes; zero, negative, no number and a date without a reference are parsed or logged as unreadable. Lines 'replica leaving', 'replica rests'; gauges leaving_replicas, resting_replicas.

--- a/crates/gradeloft_gateway/src/entry/backpressure.rs
+++ b/crates/gradeloft_gateway/src/entry/backpressure.rs
@@ -66,7 +66,14 @@
             sent: sent.unwrap_or(Time::ZERO),
             received: now,
         };
-        let Ok(limit) = self.parse_limit(&head.fields) else {
+        self.observe_limit(key, &head.fields, exchange);
+        self.observe_leaving(key, &head.fields, exchange);
+        self.observe_rest(key, head, now);
+    }
+
+    fn observe_limit(&self, key: ReplicaKey, fields: &Fields, exchange: Exchange) {
+        let name = self.node.platform.headers.limit;
+        let Some(limit) = self.parse_signal(name, fields, signal::limit) else {
             return;
         };
         let mut replicas = self.replicas.borrow_mut();
@@ -75,28 +82,72 @@
         };
         let change = replica.limit.observe(limit, exchange);
         drop(replicas);
+        let now = exchange.received;
         let mut reports = self.signal_gossip.reports.borrow_mut();
         match change {
             Some(change) => {
                 reports.told(key, now);
                 drop(reports);
-                self.backpressure_changed(key, change, Source::Own, now);
+                self.limit_changed(key, change, Source::Own, now);
             }
             None => reports.confirmed(key),
         }
     }
 
-    fn parse_limit(&self, fields: &Fields) -> Result<Option<f64>, Unreadable> {
-        let name = self.node.platform.headers.limit;
+    fn observe_leaving(&self, key: ReplicaKey, fields: &Fields, exchange: Exchange) {
+        let name = self.node.platform.headers.leaving;
+        let Some(leaving) = self.parse_signal(name, fields, signal::leaving) else {
+            return;
+        };
+        let mut replicas = self.replicas.borrow_mut();
+        let Some(replica) = replicas.get_mut(key) else {
+            return;
+        };
+        let change = replica.leaving.observe(leaving, exchange);
+        drop(replicas);
+        if let Some(change) = change {
+            self.leaving_changed(key, change, Source::Own, exchange.received);
+        }
+    }
+
+    /// Applies the pause that a replica asks for when it refuses a request.
+    fn observe_rest(&self, key: ReplicaKey, head: &Response, now: Time) {
+        if !matches!(head.status, 429 | 503) {
+            return;
+        }
+        let date = head.fields.get("date");
+        let parse = |it: Option<&str>| signal::rest(it, date);
+        let Some(Some(pause)) = self.parse_signal("retry-after", &head.fields, parse) else {
+            return;
+        };
+        let mut replicas = self.replicas.borrow_mut();
+        let Some(replica) = replicas.get_mut(key) else {
+            return;
+        };
+        if replica.rest.ask(pause, now)
+            && let Some(log) = self.node.logs.line(Topic::State)
+        {
+            info!(log, "replica rests"; "replica" => &*replica.listing.id,
+                "pause_ms" => pause.as_millis() as u64, "running" => replica.own_requests);
+        }
+    }
+
+    /// Parses the first header of a name; `None` if it can't be parsed.
+    fn parse_signal<T>(
+        &self,
+        name: &'static str,
+        fields: &Fields,
+        parse: impl Fn(Option<&str>) -> Result<T, Unreadable>,
+    ) -> Option<T> {
         let value = fields.all(name).next();
         let text = value.map(|it| std::str::from_utf8(it).unwrap_or_default());
-        let limit = signal::limit(text);
-        if limit.is_err()
+        let parsed = parse(text);
+        if parsed.is_err()
             && let Some(log) = self.node.logs.line(Topic::State)
         {
-            warn!(log, "replica signal unreadable"; "signal" => "limit", "value" => text);
+            warn!(log, "replica signal unreadable"; "header" => name, "value" => text);
         }
-        limit
+        parsed.ok()
     }
 
     /// Returns the permission of a request to a selected replica, before it is counted as sent.
@@ -143,15 +194,15 @@
             Merge::Applied(change) => {
                 reports.learned(key, now);
                 drop(reports);
-                self.backpressure_changed(key, change, Source::Peer(from), now);
+                self.limit_changed(key, change, Source::Peer(from), now);
             }
             Merge::Known => reports.heard(key, now),
             Merge::Outdated => reports.outdated(key, now),
         }
     }
 
-    /// Applies and logs a change of a replica's backpressure.
-    fn backpressure_changed(&self, key: ReplicaKey, change: Change, source: Source, now: Time) {
+    /// Applies and logs a change of a replica's limit.
+    fn limit_changed(&self, key: ReplicaKey, change: Change, source: Source, now: Time) {
         self.share_restricted_rates(now);
         let replicas = self.replicas.borrow();
         let Some(replica) = replicas.get(key) else {
@@ -169,6 +220,20 @@
         self.room_freed.notify_waiters();
     }
 
+    /// Logs that a replica began or ceased to say that it is leaving.
+    fn leaving_changed(&self, key: ReplicaKey, change: Change, source: Source, now: Time) {
+        let replicas = self.replicas.borrow();
+        let Some(replica) = replicas.get(key) else {
+            return;
+        };
+        if let Some(log) = self.node.logs.line(Topic::State) {
+            let age = now.since(replica.leaving.since());
+            info!(log, "replica leaving"; "replica" => &*replica.listing.id,
+                "change" => change.name(), "source" => %source,
+                "age_ms" => age.as_millis() as u64, "running" => replica.own_requests);
+        }
+    }
+
     /// Reports the backpressure that is due to other entries.
     pub(super) fn send_signals(&self) {
         let now = self.node.clock.now();
--- a/crates/gradeloft_gateway/src/entry/maintenance.rs
+++ b/crates/gradeloft_gateway/src/entry/maintenance.rs
@@ -159,6 +159,10 @@
         let metrics = &self.node.metrics;
         metrics.cold.set(count(&|it| it.cold(now)));
         metrics.limited.set(count(&|it| it.limit.is_restricted()));
+        metrics.leaving.set(count(&|it| it.leaving.value()));
+        metrics
+            .resting
+            .set(count(&|it| it.rest.ends(now).is_some()));
     }
 
     /// Splits the slots of each model's available replicas among the entries that accept callers.
--- a/crates/gradeloft_gateway/src/metrics.rs
+++ b/crates/gradeloft_gateway/src/metrics.rs
@@ -90,6 +90,10 @@
     pub cold: Gauge,
     /// Replicas that limit the request rate.
     pub limited: Gauge,
+    /// Replicas that say that they are leaving.
+    pub leaving: Gauge,
+    /// Replicas that asked this entry for a pause that is not over.
+    pub resting: Gauge,
     /// Availability zones that are evacuated.
     pub evacuated: Gauge,
     /// Version of the weights loaded by the replica beside an agent.
@@ -124,6 +128,8 @@
             config: Gauge::default(),
             cold: Gauge::default(),
             limited: Gauge::default(),
+            leaving: Gauge::default(),
+            resting: Gauge::default(),
             evacuated: Gauge::default(),
             weights: Gauge::default(),
             fetched_chunks: Family::default(),
@@ -239,6 +245,16 @@
             "Replicas that limit the request rate",
             self.limited.clone(),
         );
+        it.register(
+            "leaving_replicas",
+            "Replicas that say that they are leaving",
+            self.leaving.clone(),
+        );
+        it.register(
+            "resting_replicas",
+            "Replicas that asked this entry for a pause",
+            self.resting.clone(),
+        );
         it.register(
             "evacuated_zones",
             "Availability zones whose replicas get no requests",
--- a/crates/gradeloft_gateway/tests/agents/support.rs
+++ b/crates/gradeloft_gateway/tests/agents/support.rs
@@ -325,6 +325,7 @@
     seal: "i",
     not_executed: "j",
     limit: "k",
+    leaving: "l",
 };
 
 pub(crate) struct Harness {
--- a/crates/gradeloft_gateway/tests/entry/support/mod.rs
+++ b/crates/gradeloft_gateway/tests/entry/support/mod.rs
@@ -59,6 +59,7 @@
     seal: "t-seal",
     not_executed: "t-not-run",
     limit: "t-limit",
+    leaving: "t-leaving",
 };
 
 /// Longest duration of a test. A passing test stays well below it.
--- a/crates/gradeloft_platform/src/fleet.rs
+++ b/crates/gradeloft_platform/src/fleet.rs
@@ -191,6 +191,8 @@
     /// Requests a second that a replica accepts from all entries together, as a decimal number;
     /// only in the responses of a replica that limits them.
     pub limit: &'static str,
+    /// `1` in the responses of a replica that is leaving and accepts no new requests.
+    pub leaving: &'static str,
 }
 
 /// Parameters of a caller's address lookup.
--- a/crates/gradeloft_policy/src/process/backpressure/statement.rs
+++ b/crates/gradeloft_policy/src/process/backpressure/statement.rs
@@ -70,6 +70,13 @@
     }
 }
 
+/// Whether the replica accepts no new requests.
+impl Restriction for bool {
+    fn is_looser(self, other: bool) -> bool {
+        !self && other
+    }
+}
+
 /// The last statement of one start of a replica.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Statement<T> {
@@ -81,6 +88,9 @@
 /// Limit of the request rate that one start of a replica names.
 pub type RateLimit = Statement<Option<f64>>;
 
+/// Whether one start of a replica says that it is leaving.
+pub type Leaving = Statement<bool>;
+
 impl<T: Restriction> Statement<T> {
     /// Returns the restriction.
     pub fn value(&self) -> T {
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -13,7 +13,7 @@
 use crate::{
     clock::Time,
     process::{
-        backpressure::RateLimit,
+        backpressure::{Leaving, RateLimit, Rest},
         document::Speed,
         rate_share::RateShare,
         replica_starts::{StartOrder, Starts},
@@ -147,6 +147,10 @@
     share: RateShare,
     /// Limit of the request rate that the replica names in its responses.
     pub limit: RateLimit,
+    /// Whether the replica says in its responses that it is leaving.
+    pub leaving: Leaving,
+    /// Pause of this entry's requests that the replica asked for.
+    pub rest: Rest,
     /// End of the replica's warm-up.
     cold_until: Time,
     failures: u32,
@@ -175,6 +179,8 @@
             evacuated: false,
             share: RateShare::default(),
             limit: RateLimit::default(),
+            leaving: Leaving::default(),
+            rest: Rest::default(),
             cold_until: Time::ZERO,
             failures: 0,
             paused_until: Time::ZERO,
--- a/crates/gradeloft_policy/tests/backpressure.rs
+++ b/crates/gradeloft_policy/tests/backpressure.rs
@@ -7,7 +7,7 @@
     clock::Time,
     process::{
         backpressure::{
-            Change, Exchange, Merge, RateLimit,
+            Change, Exchange, Merge, RateLimit, Rest,
             signal::{self, Unreadable},
         },
         rate_share::{self, RateShare},
@@ -241,3 +241,61 @@
     share.set_interval(Some(Duration::from_millis(100)), now(1_000));
     assert_eq!(share.next_send(), Some(Time::ZERO));
 }
+
+#[rstest]
+#[case(None, Ok(false))]
+#[case(Some("1"), Ok(true))]
+#[case(Some("0"), Ok(false))]
+#[case(Some("soon"), Err(Unreadable))]
+#[case(Some(""), Err(Unreadable))]
+fn leaving_is_a_flag(#[case] value: Option<&str>, #[case] expected: Result<bool, Unreadable>) {
+    assert_eq!(signal::leaving(value), expected);
+}
+
+#[rstest]
+#[case("3", None, Ok(3_000))]
+#[case("0.25", None, Ok(250))]
+#[case("0", None, Ok(0))]
+// A week.
+#[case("604800", None, Ok(300_000))]
+#[case("1e300", None, Ok(300_000))]
+#[case("-1", None, Err(Unreadable))]
+#[case("soon", None, Err(Unreadable))]
+#[case("NaN", None, Err(Unreadable))]
+#[case(
+    "Wed, 21 Oct 2026 07:28:10 GMT",
+    Some("Wed, 21 Oct 2026 07:28:08 GMT"),
+    Ok(2_000)
+)]
+#[case(
+    "Wed, 21 Oct 2026 07:28:00 GMT",
+    Some("Wed, 21 Oct 2026 07:28:08 GMT"),
+    Ok(0)
+)]
+#[case("Wed, 21 Oct 2026 07:28:10 GMT", None, Err(Unreadable))]
+fn a_pause_is_in_seconds_or_a_date_and_bounded(
+    #[case] value: &str,
+    #[case] date: Option<&str>,
+    #[case] expected_ms: Result<u64, Unreadable>,
+) {
+    let expected = expected_ms.map(|it| Some(Duration::from_millis(it)));
+    assert_eq!(signal::rest(Some(value), date), expected);
+}
+
+#[test]
+fn after_a_pause_one_request_goes_first() {
+    let at = |ms| Time::ZERO.after_ms(ms);
+    let mut rest = Rest::default();
+    assert!(rest.ask(Duration::from_secs(3), at(0)));
+    // A shorter pause that another refusal asks for doesn't shorten the first one.
+    assert!(!rest.ask(Duration::from_secs(1), at(100)));
+    assert!(!rest.accepted(at(200)), "a response to an earlier request");
+    assert!(!rest.allows(at(2_999)));
+    assert!(rest.begin_request(at(3_000)));
+    assert!(!rest.allows(at(3_001)));
+    rest.probe_ended();
+    assert!(rest.begin_request(at(3_100)));
+    assert!(rest.accepted(at(3_200)));
+    assert!(!rest.begin_request(at(3_200)));
+    assert!(rest.allows(at(3_200)));
+}
