Failing tests: replicas that leave or rest get requests

A replica that says that it leaves, while the store lists it as ready, gets the second request too; one that asks for a pause of 60 s gets six of six.

--- a/crates/gradeloft_gateway/tests/entry/backpressure.rs
+++ b/crates/gradeloft_gateway/tests/entry/backpressure.rs
@@ -17,6 +17,11 @@
     vec![(0..100).flat_map(|_| answer()).collect()]
 }
 
+/// Returns the script of a replica without backpressure.
+fn ok_script(body: &str) -> Vec<Vec<Step>> {
+    vec![(0..100).flat_map(|_| [Step::Read, ok(body)]).collect()]
+}
+
 /// Waits until the entries 1 and 2 offer each other to callers.
 async fn wait_until_introduced() {
     wait_until(|| async {
@@ -172,3 +177,53 @@
         assert_eq!(known_limit(&harness.entry), Some(0.5));
     });
 }
+
+/// Returns the script of a replica that says in each response that it is leaving.
+fn leaving_script() -> Vec<Vec<Step>> {
+    let headers = "t-seal: s\r\nt-leaving: 1\r\n";
+    let answer = || [Step::Read, response("200 OK", headers, "leaving")];
+    vec![(0..100).flat_map(|_| answer()).collect()]
+}
+
+#[test]
+fn a_replica_that_says_it_leaves_gets_no_further_request_though_the_store_lists_it_as_ready() {
+    run(async {
+        let harness = Harness::start(
+            TestConfig::of(RouteKind::Idempotent),
+            vec![leaving_script(), ok_script("stays")],
+        )
+        .await;
+        let first = harness.send(&request("POST", "form")).await;
+        assert!(first.ends_with("leaving"), "{first}");
+        // The store repeats that the replica is ready.
+        harness.list_all();
+        for _ in 0..6 {
+            let response = harness.send(&request("POST", "form")).await;
+            assert!(response.ends_with("stays"), "{response}");
+        }
+        assert_eq!(harness.replicas[0].requests().len(), 1);
+    });
+}
+
+/// Returns the script of a replica that refuses each request and asks for a pause.
+fn resting_script(retry_after: &str) -> Vec<Vec<Step>> {
+    let headers = format!("t-not-run: 1\r\nRetry-After: {retry_after}\r\n");
+    let refusal = || [Step::Read, response("503 Busy", &headers, "full")];
+    vec![(0..100).flat_map(|_| refusal()).collect()]
+}
+
+#[test]
+fn a_replica_that_asks_for_a_pause_gets_no_request_before_its_end() {
+    run(async {
+        let harness = Harness::start(
+            TestConfig::of(RouteKind::Idempotent),
+            vec![resting_script("60"), ok_script("free")],
+        )
+        .await;
+        for _ in 0..6 {
+            let response = harness.send(&request("POST", "form")).await;
+            assert!(response.ends_with("free"), "{response}");
+        }
+        assert_eq!(harness.replicas[0].requests().len(), 1);
+    });
+}
