Send no request to a replica that says that it is leaving

Requests still reached replicas 2.1 and 2.6 s after an entry had passed on an answer that said so; while the store was out of reach, for as long as the replica was up. They were answered, but each could have been cut by its exit.

Cause: an entry knew of leaves from the platform's table only, and that record never got through. Ruled out: a listing or a success that overrules the notice (nothing read it).

The notice is a statement of its own beside the listing, so a listing that is applied anew leaves it. From it on the replica is not open for first attempts, hedges, retries or resumed streams, which all select by Replica::open; a request whose connection is being opened is withheld. What runs there ends whole. Other entries hear of it in the same reports as of limits. A new start has its own state.

--- a/crates/gradeloft_gateway/src/entry/backpressure.rs
+++ b/crates/gradeloft_gateway/src/entry/backpressure.rs
@@ -82,15 +82,9 @@
         };
         let change = replica.limit.observe(limit, exchange);
         drop(replicas);
-        let now = exchange.received;
-        let mut reports = self.signal_gossip.reports.borrow_mut();
-        match change {
-            Some(change) => {
-                reports.told(key, now);
-                drop(reports);
-                self.limit_changed(key, change, Source::Own, now);
-            }
-            None => reports.confirmed(key),
+        self.record_told(key, change, exchange.received);
+        if let Some(change) = change {
+            self.limit_changed(key, change, Source::Own, exchange.received);
         }
     }
 
@@ -105,11 +99,21 @@
         };
         let change = replica.leaving.observe(leaving, exchange);
         drop(replicas);
+        self.record_told(key, change, exchange.received);
         if let Some(change) = change {
             self.leaving_changed(key, change, Source::Own, exchange.received);
         }
     }
 
+    /// Schedules reports of what a replica told this entry.
+    fn record_told(&self, key: ReplicaKey, change: Option<Change>, now: Time) {
+        let mut reports = self.signal_gossip.reports.borrow_mut();
+        match change {
+            Some(_) => reports.told(key, now),
+            None => reports.confirmed(key),
+        }
+    }
+
     /// Applies the pause that a replica asks for when it refuses a request.
     fn observe_rest(&self, key: ReplicaKey, head: &Response, now: Time) {
         if !matches!(head.status, 429 | 503) {
@@ -180,24 +184,33 @@
         }
     }
 
-    fn receive_signal(&self, key: ReplicaKey, signal: ReplicaSignal, from: Ipv4Addr, now: Time) {
+    fn receive_signal(&self, key: ReplicaKey, told: ReplicaSignal, from: Ipv4Addr, now: Time) {
         let mut replicas = self.replicas.borrow_mut();
         let Some(replica) = replicas.get_mut(key) else {
             return;
         };
-        let since = now.before_ms(u64::from(signal.age_ms));
-        let limit = signal.limit.map(signal::from_thousandths);
-        let merged = replica.limit.merge(limit, since);
+        let since = |age_ms: u32| now.before_ms(u64::from(age_ms));
+        let limit = told.limit.map(signal::from_thousandths);
+        let limit = replica.limit.merge(limit, since(told.limit_age_ms));
+        let leaving = replica
+            .leaving
+            .merge(told.leaving, since(told.leaving_age_ms));
         drop(replicas);
+        let source = Source::Peer(from);
+        if let Merge::Applied(change) = limit {
+            self.limit_changed(key, change, source, now);
+        }
+        if let Merge::Applied(change) = leaving {
+            self.leaving_changed(key, change, source, now);
+        }
+        let merged = [limit, leaving];
         let mut reports = self.signal_gossip.reports.borrow_mut();
-        match merged {
-            Merge::Applied(change) => {
-                reports.learned(key, now);
-                drop(reports);
-                self.limit_changed(key, change, Source::Peer(from), now);
-            }
-            Merge::Known => reports.heard(key, now),
-            Merge::Outdated => reports.outdated(key, now),
+        if merged.contains(&Merge::Outdated) {
+            reports.outdated(key, now);
+        } else if merged.iter().any(|it| matches!(it, Merge::Applied(_))) {
+            reports.learned(key, now);
+        } else {
+            reports.heard(key, now);
         }
     }
 
@@ -220,7 +233,7 @@
         self.room_freed.notify_waiters();
     }
 
-    /// Logs that a replica began or ceased to say that it is leaving.
+    /// Applies and logs that a replica began or ceased to say that it is leaving.
     fn leaving_changed(&self, key: ReplicaKey, change: Change, source: Source, now: Time) {
         let replicas = self.replicas.borrow();
         let Some(replica) = replicas.get(key) else {
@@ -242,7 +255,7 @@
             return;
         }
         let replicas = self.replicas.borrow();
-        let restricted = |key| Some(replicas.get(key)?.limit.is_restricted());
+        let restricted = |key| Some(replicas.get(key)?.has_backpressure());
         let due = gossip
             .reports
             .borrow_mut()
@@ -303,10 +316,12 @@
 
 /// Returns the report of a replica's backpressure.
 fn report(replica: &Replica, now: Time) -> ReplicaSignal {
-    let age_ms = now.since(replica.limit.since()).as_millis();
+    let age_ms = |since| u32::try_from(now.since(since).as_millis()).unwrap_or(u32::MAX);
     ReplicaSignal {
         replica: replica.hash(),
         limit: replica.limit.value().map(signal::thousandths),
-        age_ms: age_ms.min(u128::from(u32::MAX)) as u32,
+        limit_age_ms: age_ms(replica.limit.since()),
+        leaving: replica.leaving.value(),
+        leaving_age_ms: age_ms(replica.leaving.since()),
     }
 }
--- a/crates/gradeloft_gateway/tests/entry/backpressure.rs
+++ b/crates/gradeloft_gateway/tests/entry/backpressure.rs
@@ -1,5 +1,7 @@
 //! Backpressure that replicas signal in their responses.
 
+use std::time::Duration;
+
 use gradeloft_daemon::clock::Clock;
 use gradeloft_gateway::entry::Handle;
 use gradeloft_policy::{clock::Time, process::document::RouteKind};
@@ -7,7 +9,8 @@
 use rstest::rstest;
 
 use crate::support::{
-    Harness, TestConfig, address, get, ok, replica_id, request, response, run, send, wait_until,
+    Harness, TestConfig, address, get, last_chunk, ok, replica_id, request, response, run, send,
+    wait_until,
 };
 
 /// Returns the script of a replica that names a limit in each response.
@@ -205,6 +208,77 @@
     });
 }
 
+/// Returns whether an entry knows that the first replica leaves.
+fn knows_leaving(entry: &Handle) -> bool {
+    let replicas = entry.entry().replicas.borrow();
+    let replica = replicas.key(&replica_id(0)).and_then(|it| replicas.get(it));
+    replica.is_some_and(|it| it.leaving.value())
+}
+
+#[test]
+fn an_entry_learns_from_others_that_a_replica_leaves() {
+    run(async {
+        let harness = Harness::start(
+            TestConfig::of(RouteKind::Idempotent),
+            vec![leaving_script(), ok_script("stays")],
+        )
+        .await;
+        let other = harness.add_entry(2, &harness.tables).await;
+        wait_until_introduced().await;
+        harness.send(&request("POST", "form")).await;
+        wait_until(|| async { knows_leaving(&other) }).await;
+        let response = send(2, &request("POST", "form")).await;
+        assert!(response.ends_with("stays"), "{response}");
+        assert_eq!(harness.replicas[0].requests().len(), 1);
+    });
+}
+
+#[test]
+fn a_stream_of_a_replica_that_leaves_ends_whole() {
+    run(async {
+        let head = Step::Send(
+            "HTTP/1.1 200 OK\r\nt-request: abc\r\nt-seal: s\r\nt-leaving: 1\r\n\
+             Transfer-Encoding: chunked\r\n\r\ne\r\nid: 1\ndata: \n\n\r\n"
+                .to_owned(),
+        );
+        let event = Step::Send("e\r\nid: 2\ndata: \n\n\r\n".to_owned());
+        let pause = Step::Wait(Duration::from_millis(300));
+        let script = vec![Step::Read, head, pause, event, last_chunk()];
+        let harness = Harness::start(
+            TestConfig::of(RouteKind::ResumableStream),
+            vec![vec![script], vec![vec![]]],
+        )
+        .await;
+        let response = harness.send(&request("POST", "form")).await;
+        assert!(response.contains("id: 2"), "{response}");
+        assert!(response.ends_with("0\r\n\r\n"), "{response}");
+        assert_eq!(harness.request_count(), 1);
+    });
+}
+
+#[test]
+fn a_replica_that_left_is_used_again_after_a_restart() {
+    run(async {
+        let harness = Harness::start(
+            TestConfig::of(RouteKind::Idempotent),
+            vec![leaving_script()],
+        )
+        .await;
+        harness.set_start_time(0, 1);
+        harness.list_all();
+        let replicas = || harness.entry.entry().replicas.borrow();
+        let born = || replicas().iter().find_map(|(_, it)| it.listing.born);
+        wait_until(|| async { born() == Some(1) }).await;
+        harness.send(&request("POST", "form")).await;
+        assert!(knows_leaving(&harness.entry));
+        harness.set_start_time(0, 2);
+        harness.list_all();
+        wait_until(|| async { !knows_leaving(&harness.entry) }).await;
+        let response = harness.send(&request("POST", "form")).await;
+        assert!(response.ends_with("leaving"), "{response}");
+    });
+}
+
 /// Returns the script of a replica that refuses each request and asks for a pause.
 fn resting_script(retry_after: &str) -> Vec<Vec<Step>> {
     let headers = format!("t-not-run: 1\r\nRetry-After: {retry_after}\r\n");
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -214,7 +214,7 @@
     pub fn serves(&self, now: Time) -> bool {
         let loading = self.fresh(now).is_some_and(|it| it.loading);
         let filled = !self.listing.has_model || self.version(now).is_some();
-        !self.listing.draining && !loading && filled
+        !self.listing.draining && !self.leaving.value() && !loading && filled
     }
 
     /// Returns whether the replica is still warming up.
@@ -244,6 +244,11 @@
         self.cold(now) || self.limit.is_restricted()
     }
 
+    /// Returns whether the replica's responses restrict the requests of all entries.
+    pub fn has_backpressure(&self) -> bool {
+        self.limit.is_restricted() || self.leaving.is_restricted()
+    }
+
     /// Returns whether this entry may send a request now, by the rate that the replica accepts.
     pub fn rate_allows(&self, now: Time) -> bool {
         !self.rate_restricted(now) || self.share.next_send().is_some_and(|it| it <= now)
@@ -259,7 +264,7 @@
 
     /// Returns whether a request may be sent that was permitted when the replica was selected.
     pub fn still_permits(&self, permit: SendPermit, now: Time) -> bool {
-        permit.within_rate || self.rate_allows(now)
+        !self.leaving.value() && (permit.within_rate || self.rate_allows(now))
     }
 
     /// Returns the time from which this entry may send its next request, by the rate that the
--- a/crates/gradeloft_policy/src/request/placement.rs
+++ b/crates/gradeloft_policy/src/request/placement.rs
@@ -253,8 +253,10 @@
 /// Number of replicas that can't accept a request, by reason.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ExclusionCounts {
-    /// Replicas that are leaving, about to load or without weights.
+    /// Replicas that are listed as draining, about to load, without weights or in an evacuated zone.
     pub closed: u32,
+    /// Replicas that say in their responses that they are leaving.
+    pub leaving: u32,
     /// Replicas that are full.
     pub full: u32,
     /// Replicas that accept no request of this entry now, as they are cold or limit the request
@@ -274,6 +276,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let ExclusionCounts {
             closed,
+            leaving,
             full,
             limited,
             old,
@@ -283,7 +286,7 @@
         } = self;
         write!(
             f,
-            "closed:{closed},full:{full},limited:{limited},old:{old},tried:{tried},away:{away}"
+            "closed:{closed},leaving:{leaving},full:{full},limited:{limited},old:{old},tried:{tried},away:{away}"
         )
     }
 }
@@ -302,6 +305,8 @@
             counts.away += 1;
         } else if requirements.tried.contains(&key) {
             counts.tried += 1;
+        } else if replica.leaving.value() {
+            counts.leaving += 1;
         } else if !replica.open(now) {
             counts.closed += 1;
         } else if !allowed(replica, requirements, now) {
--- a/crates/gradeloft_policy/tests/placement.rs
+++ b/crates/gradeloft_policy/tests/placement.rs
@@ -4,7 +4,10 @@
 
 use gradeloft_policy::{
     clock::Time,
-    process::replicas::{Listing, ReplicaKey, Replicas, Report, StoreTrust},
+    process::{
+        backpressure::Exchange,
+        replicas::{Listing, ReplicaKey, Replicas, Report, StoreTrust},
+    },
     request::placement::{self, Requirements, Uncertainty, Urgency},
 };
 use rand::SeedableRng;
@@ -143,10 +146,30 @@
     let counts = placement::count_exclusions(replicas.of("m"), |_| true, requirements, Time::ZERO);
     assert_eq!(
         counts.to_string(),
-        "closed:1,full:2,limited:0,old:1,tried:1,away:0"
+        "closed:1,leaving:0,full:2,limited:0,old:1,tried:1,away:0"
     );
 }
 
+#[test]
+fn a_replica_that_says_it_leaves_is_not_chosen_whatever_the_platform_lists() {
+    let mut replicas = Replicas::default();
+    let key = replicas.apply_listing(listing("a", Some(1)));
+    let replica = replicas.get_mut(key).unwrap();
+    let permit = replica.send_permit(Time::ZERO);
+    let received = Time::ZERO.after_ms(100);
+    let exchange = Exchange {
+        sent: Time::ZERO,
+        received,
+    };
+    replica.leaving.observe(true, exchange);
+    // The request for which the replica was selected before is not sent.
+    assert!(!replica.still_permits(permit, received));
+    replicas.apply_listing(listing("a", Some(1)));
+    assert_eq!(choose(&replicas, REQUIREMENTS, received), None);
+    let counts = placement::count_exclusions(replicas.of("m"), |_| true, REQUIREMENTS, received);
+    assert_eq!((counts.leaving, counts.closed), (1, 0));
+}
+
 #[test]
 fn suspicion_expires_and_never_excludes_all_replicas() {
     let mut replicas = Replicas::default();
--- a/crates/gradeloft_wire/src/datagram.rs
+++ b/crates/gradeloft_wire/src/datagram.rs
@@ -12,8 +12,8 @@
 /// Largest datagram that is read, in bytes; below the usual MTU.
 pub const MAX_BYTES: usize = 1_400;
 
-/// Maximum number of signals in one datagram. Each takes at most 16 bytes.
-pub const MAX_SIGNALS: usize = 60;
+/// Maximum number of signals in one datagram. Each takes at most 22 bytes.
+pub const MAX_SIGNALS: usize = 50;
 
 /// State of the sender.
 #[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
@@ -196,6 +196,10 @@
     /// Requests that the replica accepts from all entries together, in thousandths of a request per
     /// second; `None` without a limit.
     pub limit: Option<u32>,
+    /// Time since which the limit, or its absence, counts, in milliseconds.
+    pub limit_age_ms: u32,
+    /// Whether the replica is leaving.
+    pub leaving: bool,
     /// Time since which this counts, in milliseconds.
-    pub age_ms: u32,
+    pub leaving_age_ms: u32,
 }
--- a/crates/gradeloft_wire/tests/wire.rs
+++ b/crates/gradeloft_wire/tests/wire.rs
@@ -224,7 +224,9 @@
     let signal = ReplicaSignal {
         replica: u32::MAX,
         limit: Some(u32::MAX),
-        age_ms: u32::MAX,
+        limit_age_ms: u32::MAX,
+        leaving: true,
+        leaving_age_ms: u32::MAX,
     };
     let datagram = Datagram {
         incarnation: u64::MAX,
