--- a/crates/gradeloft_policy/tests/placement.rs
+++ b/crates/gradeloft_policy/tests/placement.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use gradeloft_policy::{
     clock::Time,
     process::{
@@ -170,6 +172,28 @@
     assert_eq!((counts.leaving, counts.closed), (1, 0));
 }
 
+#[test]
+fn a_request_selected_before_a_limit_was_named_is_sent_only_within_the_limit() {
+    let mut replicas = Replicas::default();
+    let key = replicas.apply_listing(listing("a", Some(1)));
+    let replica = replicas.get_mut(key).unwrap();
+    let now = Time::ZERO.after_ms(100);
+    let permit = replica.send_permit(Time::ZERO);
+    replica.note_sent(Time::ZERO);
+    let exchange = Exchange {
+        sent: Time::ZERO,
+        received: now,
+    };
+    replica.limit.observe(Some(2.0), exchange);
+    replica.set_send_interval(Some(Duration::from_millis(500)), now);
+    assert!(!replica.still_permits(permit, now));
+    let later = Time::ZERO.after_ms(500);
+    assert!(replica.still_permits(permit, later));
+    let within_limit = replica.send_permit(later);
+    replica.note_sent(later);
+    assert!(replica.still_permits(within_limit, later));
+}
+
 #[test]
 fn suspicion_expires_and_never_excludes_all_replicas() {
     let mut replicas = Replicas::default();
