Daemon: keep the pause that an endpoint asks for

The agent is the only process that connects to its endpoint, so it keeps the pause for all entries (the same Rest as the gateway's entry): it refuses their requests at once as not run, announces no capacity, and lets one request through after the pause. Entries leave out agents without capacity. A 503 with Retry-After counts as rate limited also for other calls of the HTTP client, e.g. to the weight store, which waits that long as it does after a 429.

The product's own interface has no limit and no leave of an endpoint: leaves come from the list of instances and the agent, rates of teams from the bundle; nothing else drops them.

--- a/crates/gradeloft_daemon/src/agent/generate.rs
+++ b/crates/gradeloft_daemon/src/agent/generate.rs
@@ -48,11 +48,13 @@
         priority: u32::from(work.class),
     };
     agent.record_live_in(prompt.len());
+    let sent = agent.node.clock.now();
     let starting = timeout(agent.node.clock.until(deadline), engine.generate(&request));
     let generation = match starting.await {
-        Ok(result) => result.map_err(|it| error_kind(&it))?,
+        Ok(result) => result.map_err(|it| agent.refused_kind(&it))?,
         Err(_) => return Err(Kind::Deadline),
     };
+    agent.endpoint_accepted(sent);
     let head = Reply::Head {
         request: work.request,
         status: 200,
@@ -163,6 +165,15 @@
 }
 
 impl Agent {
+    /// Returns the error kind for a refused or failed call to the endpoint, and keeps the pause that
+    /// the endpoint asked for.
+    fn refused_kind(self: &Rc<Agent>, fault: &Fault) -> Kind {
+        if let Fault::Limited { retry_after_ms } = fault {
+            self.pause_endpoint(Duration::from_millis(*retry_after_ms));
+        }
+        error_kind(fault)
+    }
+
     /// Records bytes of live requests that came in over the instance's link.
     pub(super) fn record_live_in(&self, bytes: usize) {
         let now = self.node.clock.now();
--- a/crates/gradeloft_daemon/src/agent/mod.rs
+++ b/crates/gradeloft_daemon/src/agent/mod.rs
@@ -6,6 +6,7 @@
 //! - [`fetch`]: fetch of a version's chunks.
 //! - [`generate`]: generate requests to the engine.
 //! - [`read`]: reads of content from peers, the weight store and the origin.
+//! - `rest`: pauses that the endpoint asks for.
 //! - [`service`]: calls to a service.
 //! - [`share`]: uploads of chunks to peers.
 //! - [`turn`]: turns to switch versions, requested in the log.
@@ -17,6 +18,7 @@
 pub mod fetch;
 pub mod generate;
 pub mod read;
+mod rest;
 pub mod service;
 pub mod share;
 pub mod turn;
@@ -34,6 +36,7 @@
 use gradeloft_platform::endpoint::{Engine, HttpEngine, HttpService, Service};
 use gradeloft_policy::{
     connection::pace::Pacer,
+    process::backpressure::Rest,
     rendezvous,
     version::{
         fetch::{Fetch, Scheme},
@@ -111,6 +114,8 @@
     running: Cell<u32>,
     /// Number of requests running at the endpoint, by the weights that they are pinned to.
     running_by_pin: RefCell<HashMap<Pin, u32>>,
+    /// Pause that the endpoint asked for.
+    rest: RefCell<Rest>,
     /// Number of running requests in the latest report to watchers.
     reported_running: Cell<u32>,
     chunks: RefCell<Chunks>,
@@ -191,6 +196,7 @@
             epoch: Cell::default(),
             running: Cell::default(),
             running_by_pin: RefCell::default(),
+            rest: RefCell::default(),
             reported_running: Cell::default(),
             chunks: RefCell::new(Chunks::new(settings.chunk_memory_bytes)),
             arrivals: watch::Sender::new(0),
--- a/crates/gradeloft_daemon/src/agent/service.rs
+++ b/crates/gradeloft_daemon/src/agent/service.rs
@@ -88,9 +88,8 @@
     let limit = Duration::from_millis(u64::from(work.deadline_ms));
     match repeat {
         Repeat::Allowed | Repeat::Never => {
-            let calling = timeout(limit, service.call(request));
-            let response = calling.await.map_err(|_| Kind::Deadline)?;
-            let response = response.map_err(|it| error_kind(&it))?;
+            let calling = timeout(limit, call(agent, &**service, request));
+            let response = calling.await.map_err(|_| Kind::Deadline)??;
             relay(agent, work.request, response, outgoing).await
         }
         Repeat::Key(key) => {
@@ -105,6 +104,22 @@
     }
 }
 
+/// Sends a request to the service, and keeps the pause that the service asks for.
+async fn call(
+    agent: &Rc<Agent>,
+    service: &dyn Service,
+    request: ServiceRequest,
+) -> Result<ServiceResponse, Kind> {
+    let sent = agent.node.clock.now();
+    let response = service.call(request).await;
+    let response = response.map_err(|it| error_kind(&it))?;
+    match response.pause {
+        Some(pause) => agent.pause_endpoint(pause),
+        None => agent.endpoint_accepted(sent),
+    }
+    Ok(response)
+}
+
 fn check_echo(response: &ServiceResponse, request: RequestId) -> Result<(), Kind> {
     // A service that echoes no id is called over a separate connection for each request, where
     // responses can't be mixed up.
@@ -238,14 +253,13 @@
 
 /// Runs a call whose claim is settled, and records its outcome.
 async fn run_claimed(
-    agent: &Agent,
+    agent: &Rc<Agent>,
     service: &dyn Service,
     key: Digest,
     request: ServiceRequest,
 ) -> Result<Outcome, Kind> {
     let id = request.id;
-    let response = service.call(request).await.map_err(|it| error_kind(&it));
-    let result = match response {
+    let result = match call(agent, service, request).await {
         Ok(response) => collect_outcome(agent, id, response).await,
         Err(kind) => Err(kind),
     };
--- a/crates/gradeloft_daemon/src/agent/work.rs
+++ b/crates/gradeloft_daemon/src/agent/work.rs
@@ -63,12 +63,17 @@
 pub struct RunningGuard {
     agent: Rc<Agent>,
     pin: Option<Pin>,
+    /// Whether the request is the first one after a pause of the endpoint.
+    probes: bool,
 }
 
 impl Drop for RunningGuard {
     fn drop(&mut self) {
         let agent = &self.agent;
         agent.running.set(agent.running.get() - 1);
+        if self.probes {
+            agent.rest.borrow_mut().probe_ended();
+        }
         if let Some(pin) = &self.pin
             && let Some(count) = agent.running_by_pin.borrow_mut().get_mut(pin)
         {
@@ -96,6 +101,11 @@
         if self.settings.running <= u64::from(self.running.get()) {
             return Err(Kind::Busy);
         }
+        if !self.endpoint_takes_requests() {
+            return Err(Kind::Busy);
+        }
+        let now = self.node.clock.now();
+        let probes = self.rest.borrow_mut().begin_request(now);
         self.running.set(self.running.get() + 1);
         if let Some(pin) = pin {
             *self
@@ -108,6 +118,7 @@
         Ok(RunningGuard {
             agent: Rc::clone(self),
             pin: pin.cloned(),
+            probes,
         })
     }
 
--- a/crates/gradeloft_daemon/src/entry/dispatch.rs
+++ b/crates/gradeloft_daemon/src/entry/dispatch.rs
@@ -261,6 +261,8 @@
         let serving: Vec<(PeerKey, &Peer)> = membership
             .of(InstanceRole::Agent)
             .filter(|(_, it)| it.accepts_work(now) && target.served_by(it))
+            // An agent whose endpoint rests announces no capacity.
+            .filter(|(_, it)| 0 < it.capacity())
             .filter(|(_, it)| context.may_use_zone(&it.instance.zone))
             .collect();
         let in_flight = serving
--- a/crates/gradeloft_daemon/tests/serving.rs
+++ b/crates/gradeloft_daemon/tests/serving.rs
@@ -434,3 +434,41 @@
     );
     assert_eq!((engine.running.get(), engine.finished.get()), (1, 0));
 }
+
+#[actix_rt::test]
+async fn an_engine_that_asks_for_a_pause_gets_no_request_before_its_end() {
+    let fleet = fleet(shape(1, 2, 0)).await;
+    let v1 = version("v1");
+    fleet.upload(&v1);
+    let bundle = fleet.bundle(1, None, &v1);
+    fleet.publish(&bundle).await.expect("it is accepted");
+    fleet
+        .wait_until("ready", || {
+            fleet.is_routable(&v1) && fleet.serving_count(&v1) == 2
+        })
+        .await;
+    let resting = &fleet.engines[0].endpoint.state;
+    resting.refuse_for.set(Some("60"));
+    for _ in 0..12 {
+        let answer = fleet.caller().generate(fleet.entry(0), MODEL, "p", 2).await;
+        assert_eq!(answer.status, 200);
+    }
+    assert!(resting.refused.get() <= 1, "{}", resting.refused.get());
+}
+
+#[actix_rt::test]
+async fn a_service_that_asks_for_a_pause_gets_no_call_before_its_end() {
+    let fleet = fleet(shape(1, 1, 1)).await;
+    let v1 = version("v1");
+    fleet.upload(&v1);
+    let bundle = fleet.bundle(1, None, &v1);
+    fleet.publish(&bundle).await.expect("it is accepted");
+    fleet.wait_until("ready", || fleet.is_routable(&v1)).await;
+    let resting = &fleet.services[0].endpoint.state;
+    assert_eq!(charge(&fleet, 0, "").await.status, 200);
+    resting.refuse_for.set(Some("60"));
+    for _ in 0..6 {
+        assert_eq!(charge(&fleet, 0, "").await.status, 503);
+    }
+    assert_eq!(resting.refused.get(), 1);
+}
--- a/crates/gradeloft_platform/src/endpoint.rs
+++ b/crates/gradeloft_platform/src/endpoint.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     CallFuture, Fault,
-    http::{BaseClient, ConnectionReuse, error_for_status, send_error},
+    http::{BaseClient, ConnectionReuse, error_for_status, requested_pause, send_error},
 };
 
 /// Header with the request id, sent to an endpoint and echoed in its response.
@@ -41,6 +41,8 @@
     pub content_type: String,
     /// Request id that the endpoint echoed, if any.
     pub echoed_id: Option<RequestId>,
+    /// Pause that the service asks for when it refuses the request.
+    pub pause: Option<Duration>,
     /// Body, streamed as it arrives.
     pub body: LocalBoxStream<'static, Result<Bytes, Fault>>,
 }
@@ -191,11 +193,13 @@
             let echoed_id = header_text(REQUEST_ID).parse().ok();
             let content_type = header_text(header::CONTENT_TYPE.as_str()).to_owned();
             let status = res.status().as_u16();
+            let pause = requested_pause(&res);
             let body = res.map(|it| it.map_err(|_| Fault::Lost)).boxed_local();
             Ok(ServiceResponse {
                 status,
                 content_type,
                 echoed_id,
+                pause,
                 body,
             })
         }
--- a/crates/gradeloft_platform/src/http.rs
+++ b/crates/gradeloft_platform/src/http.rs
@@ -9,6 +9,7 @@
 };
 use bytes::Bytes;
 use futures_util::Stream;
+use gradeloft_policy::process::backpressure::signal;
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::Fault;
@@ -128,12 +129,15 @@
     if status.is_success() {
         return Ok(res);
     }
-    match status {
-        StatusCode::NOT_FOUND => Err(Fault::Missing),
-        StatusCode::TOO_MANY_REQUESTS => Err(Fault::Limited {
-            retry_after_ms: retry_after_ms(&res),
-        }),
-        StatusCode::CONFLICT | StatusCode::SERVICE_UNAVAILABLE => {
+    let retry_after_ms = requested_pause(&res).map(|it| it.as_millis() as u64);
+    match (status, retry_after_ms) {
+        (StatusCode::NOT_FOUND, _) => Err(Fault::Missing),
+        (StatusCode::TOO_MANY_REQUESTS, _) | (StatusCode::SERVICE_UNAVAILABLE, Some(_)) => {
+            Err(Fault::Limited {
+                retry_after_ms: retry_after_ms.unwrap_or(DEFAULT_RETRY_AFTER_MS),
+            })
+        }
+        (StatusCode::CONFLICT | StatusCode::SERVICE_UNAVAILABLE, _) => {
             let body = res.body().limit(MAX_JSON_BYTES).await.unwrap_or_default();
             Err(Fault::Refused(refusal_reason(&body)))
         }
@@ -173,15 +177,22 @@
     }
 }
 
-/// Returns the delay of the `Retry-After` header, in milliseconds.
-fn retry_after_ms<S>(res: &ClientResponse<S>) -> u64 {
-    let seconds = res
-        .headers()
-        .get(header::RETRY_AFTER)
-        .and_then(|it| it.to_str().ok());
-    seconds
-        .and_then(|it| it.parse::<f64>().ok())
-        .map_or(DEFAULT_RETRY_AFTER_MS, |it| (it * 1000.0) as u64)
+/// Returns the pause that a refusal asks for; `None` for other responses, and for a value that
+/// can't be parsed.
+pub fn requested_pause<S>(res: &ClientResponse<S>) -> Option<Duration> {
+    let refuses = [
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    if !refuses.contains(&res.status()) {
+        return None;
+    }
+    let text = |name| {
+        let value = res.headers().get(name);
+        value.map(|it| it.to_str().unwrap_or_default())
+    };
+    let pause = signal::rest(text(header::RETRY_AFTER), text(header::DATE));
+    pause.unwrap_or_default()
 }
 
 /// Returns the reason in the body of a refusal.
--- a/crates/gradeloft_standin/src/engine.rs
+++ b/crates/gradeloft_standin/src/engine.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use gradeloft_http::{
-    message::{HttpResponse, Request, json, stream as stream_response, text},
+    message::{HttpResponse, Request, json, stream as stream_response, text, with_header},
     server::Server,
 };
 use gradeloft_wire::{
@@ -58,6 +58,10 @@
     fence: RefCell<Fence>,
     /// Number of versions that fit in memory.
     pub capacity: Cell<u32>,
+    /// Value of the `Retry-After` header with which all requests are refused; `None` for none.
+    pub refuse_for: Cell<Option<&'static str>>,
+    /// Number of requests refused with this header.
+    pub refused: Cell<u64>,
     /// Maximum number of concurrent requests; further ones are refused.
     pub slots: Cell<u32>,
     /// Number of requests in progress.
@@ -107,6 +111,8 @@
                 epoch: 0,
             }),
             capacity: Cell::new(2),
+            refuse_for: Cell::default(),
+            refused: Cell::default(),
             slots: Cell::new(64),
             running: Cell::default(),
             finished: Cell::default(),
@@ -368,6 +374,10 @@
     let Some(digest) = weights.and_then(|it| state.weights_digest(&it)) else {
         return refusal(409, "the engine does not serve the version");
     };
+    if let Some(seconds) = state.refuse_for.get() {
+        state.refused.set(state.refused.get() + 1);
+        return with_header(refusal(503, "the engine rests"), "retry-after", seconds);
+    }
     if state.slots.get() <= state.running.get() {
         return refusal(503, "all slots are in use");
     }
--- a/crates/gradeloft_standin/src/service.rs
+++ b/crates/gradeloft_standin/src/service.rs
@@ -20,6 +20,10 @@
 pub struct State {
     /// Number of executions by method, path and body of the call.
     pub execution_counts: RefCell<HashMap<String, u64>>,
+    /// Value of the `Retry-After` header with which all calls are refused; `None` for none.
+    pub refuse_for: Cell<Option<&'static str>>,
+    /// Number of calls refused with this header.
+    pub refused: Cell<u64>,
     /// Number of next calls that are executed but whose replies are lost.
     pub lose_replies: Cell<u32>,
     /// The reply to every n-th call is lost after its execution; 0 loses no replies.
@@ -69,6 +73,10 @@
     if request.path == "/healthz" {
         return text(200, "ok\n");
     }
+    if let Some(seconds) = state.refuse_for.get() {
+        state.refused.set(state.refused.get() + 1);
+        return with_header(text(503, "the service rests\n"), "retry-after", seconds);
+    }
     let body = request.body.clone().unwrap_or_default();
     let call = format!(
         "{} {} {}",
