Don't blame the planned exit of a leaving replica on its requests

The same cause elsewhere: the quarantine leaves out replicas that the table lists as draining, and knew nothing of what they say themselves. While the store is away, a replica that says it leaves and exits with a stream counted as a crash of that request, and after three such exits the request would be shut out.

A loss at a replica that said that it leaves counts for nothing. The test failed before: one suspect with one crash.

--- a/crates/gradeloft_gateway/src/entry/quarantine/crash.rs
+++ b/crates/gradeloft_gateway/src/entry/quarantine/crash.rs
@@ -2,7 +2,10 @@
 
 use std::{io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
 
-use gradeloft_policy::{clock::Time, process::replicas::ReplicaKey};
+use gradeloft_policy::{
+    clock::Time,
+    process::replicas::{Replica, ReplicaKey},
+};
 use gradeloft_wire::id::Fingerprint;
 use slog::warn;
 use tokio::{net::TcpStream, time::timeout};
@@ -82,14 +85,16 @@
         })
     }
 
-    /// Records a request that was lost with its connection, and probes whether the start of the
+    /// Records a request that was lost with its connection, unless the replica's end is planned, and
+    /// probes whether the start of the
     /// replica to which the request was sent has ended.
     pub(in crate::entry) fn record_lost_request(
         self: &Rc<Entry>,
         job: &mut Job,
         start: ReplicaStart,
     ) {
-        if start.draining {
+        let leaving = |it: &Replica| it.leaving.value();
+        if start.draining || self.replicas.borrow().get(start.key).is_some_and(leaving) {
             return;
         }
         let now = self.node.clock.now();
--- a/crates/gradeloft_gateway/tests/entry/backpressure.rs
+++ b/crates/gradeloft_gateway/tests/entry/backpressure.rs
@@ -6,6 +6,7 @@
 use gradeloft_gateway::entry::Handle;
 use gradeloft_policy::{clock::Time, process::document::RouteKind};
 use gradeloft_standin::scripted::Step;
+use gradeloft_wire::frame::Table;
 use rstest::rstest;
 
 use crate::support::{
@@ -376,3 +377,22 @@
         assert_eq!(harness.request_count(), 2);
     });
 }
+
+#[test]
+fn the_exit_of_a_replica_that_said_it_leaves_is_not_blamed_on_its_requests() {
+    run(async {
+        let begun = Step::Send(
+            "HTTP/1.1 200 OK\r\nt-request: abc\r\nt-seal: s\r\nt-leaving: 1\r\n\
+             Transfer-Encoding: chunked\r\n\r\n"
+                .to_owned(),
+        );
+        let script = vec![Step::Read, begun, Step::Close];
+        let config = TestConfig::of(RouteKind::Stream);
+        let harness = Harness::start(config, vec![vec![script]]).await;
+        harness.send(&request("POST", "form")).await;
+        let entry = harness.entry.entry();
+        harness.tables.write(Table::Replicas, &replica_id(0), None);
+        wait_until(|| async { entry.replicas.borrow().is_empty() && entry.unsettled() == 0 }).await;
+        assert_eq!(entry.suspects(), []);
+    });
+}
