Keep reports of backpressure within a budget at any size, near and far apart

One budget for all receivers had a longest pause of 30 s, which overrules it: with all 2,300 replicas of the design size signalling, entries would send and pass on about 12 KB a second of the 13 that a node may spend (worked out: 50 reports of 16 bytes to 409 receivers each 30 s). Entries of the own region and of others now have 1.5 KB a second each, counted at all final receivers, and pauses up to a minute, so news in a region don't wait for those far away.

--- a/crates/gradeloft_cli/src/explain.rs
+++ b/crates/gradeloft_cli/src/explain.rs
@@ -157,7 +157,12 @@
             "withdrawn before it began, since the replica's weights became too old; it may have run"
         }
         "refused" => "it said that it ran nothing, being full, leaving or about to load",
+        "silent" => {
+            "it sent nothing for so long that another replica was asked too; it may have run"
+        }
         "unsent" => "no connection could be made; nothing was sent",
+        "withdrawn" => "withdrawn, since another replica responded; it may have run",
+        "withheld" => "not sent: it came to limit, leave or rest while the connection was opened",
         other => other,
     }
 }
--- a/crates/gradeloft_gateway/src/entry/backpressure.rs
+++ b/crates/gradeloft_gateway/src/entry/backpressure.rs
@@ -34,24 +34,41 @@
     traffic::{Purpose, Reach},
 };
 
-/// Bandwidth that reports of backpressure take at an entry and at those that relay them, beyond the
-/// first report after a pause.
+/// Bandwidth that an entry's reports of backpressure take at all receivers of its region together,
+/// and again at those of other regions, beyond the first report after a pause. Entries that use a
+/// replica hear from it directly, so reports may be late while many replicas signal.
 const GOSSIP_BUDGET: Budget = Budget {
-    bytes_per_s: 3_000,
+    bytes_per_s: 1_500,
     shortest: Duration::ZERO,
-    longest: Duration::from_secs(30),
+    longest: Duration::from_secs(60),
 };
 
-/// State of the reports of backpressure to other entries.
+/// Reports of backpressure to the entries of this region, or to those of other regions.
 #[derive(Default)]
-pub(super) struct SignalGossip {
+struct Channel {
     reports: RefCell<Reports<ReplicaKey>>,
     /// Earliest time of the next reports within the bandwidth budget.
     next_at: Cell<Time>,
+}
+
+/// State of the reports of backpressure to other entries.
+#[derive(Default)]
+pub(super) struct SignalGossip {
+    near: Channel,
+    far: Channel,
     /// Number of rounds so far, which rotates the relays in other regions.
     rounds: Cell<usize>,
 }
 
+impl SignalGossip {
+    /// Records an event of a replica for both kinds of receivers.
+    fn record(&self, event: impl Fn(&mut Reports<ReplicaKey>)) {
+        for channel in [&self.near, &self.far] {
+            event(&mut channel.reports.borrow_mut());
+        }
+    }
+}
+
 impl Entry {
     /// Applies the backpressure in the head of a replica's response. `sent` is the time at which
     /// the request was sent; `None` for an interim response or one to an unknown request.
@@ -107,11 +124,10 @@
 
     /// Schedules reports of what a replica told this entry.
     fn record_told(&self, key: ReplicaKey, change: Option<Change>, now: Time) {
-        let mut reports = self.signal_gossip.reports.borrow_mut();
-        match change {
+        self.signal_gossip.record(|reports| match change {
             Some(_) => reports.told(key, now),
             None => reports.confirmed(key),
-        }
+        });
     }
 
     /// Applies the pause that a replica asks for when it refuses a request, or the end of one.
@@ -208,14 +224,15 @@
             self.leaving_changed(key, change, source, now);
         }
         let merged = [limit, leaving];
-        let mut reports = self.signal_gossip.reports.borrow_mut();
-        if merged.contains(&Merge::Outdated) {
-            reports.outdated(key, now);
-        } else if merged.iter().any(|it| matches!(it, Merge::Applied(_))) {
-            reports.learned(key, now);
-        } else {
-            reports.heard(key, now);
-        }
+        self.signal_gossip.record(|reports| {
+            if merged.contains(&Merge::Outdated) {
+                reports.outdated(key, now);
+            } else if merged.iter().any(|it| matches!(it, Merge::Applied(_))) {
+                reports.learned(key, now);
+            } else {
+                reports.heard(key, now);
+            }
+        });
     }
 
     /// Applies and logs a change of a replica's limit.
@@ -253,45 +270,58 @@
 
     /// Reports the backpressure that is due to other entries.
     pub(super) fn send_signals(&self) {
-        let now = self.node.clock.now();
+        self.send_signals_near();
+        self.send_signals_far();
+    }
+
+    fn send_signals_near(&self) {
+        let Some(sender) = self.due_signals(&self.signal_gossip.near, |it| self.node.near(it))
+        else {
+            return;
+        };
+        let roster = self.roster.borrow();
+        let near = roster.addresses_in(|it| self.node.near(it));
+        self.node
+            .send_state(Purpose::Signals, Reach::Near, sender, near);
+    }
+
+    /// Reports to one entry of each other region, which passes the report on.
+    fn send_signals_far(&self) {
         let gossip = &self.signal_gossip;
-        if now < gossip.next_at.get() {
+        let Some(sender) = self.due_signals(&gossip.far, |it| !self.node.near(it)) else {
             return;
+        };
+        let round = gossip.rounds.replace(gossip.rounds.get() + 1);
+        let relays = self.relays(round, self.node.clock.now()).into_iter();
+        let far = relays.filter_map(|(relay, _)| relay);
+        self.node
+            .send_state(Purpose::Signals, Reach::Far, sender, far);
+    }
+
+    /// Returns the reports that are due to the entries of some availability zones, within the
+    /// budget.
+    fn due_signals(&self, channel: &Channel, receives: impl Fn(&str) -> bool) -> Option<Sender> {
+        let now = self.node.clock.now();
+        if now < channel.next_at.get() {
+            return None;
         }
         let replicas = self.replicas.borrow();
         let restricted = |key| Some(replicas.get(key)?.has_backpressure());
-        let due = gossip
-            .reports
-            .borrow_mut()
-            .take_due(now, MAX_SIGNALS, restricted);
-        let due = due.into_iter().filter_map(|it| replicas.get(it));
+        let mut reports = channel.reports.borrow_mut();
+        let due = reports.take_due(now, MAX_SIGNALS, restricted).into_iter();
+        let due = due.filter_map(|it| replicas.get(it));
         let signals: Vec<ReplicaSignal> = due.map(|it| report(it, now)).collect();
-        drop(replicas);
         if signals.is_empty() {
-            return;
+            return None;
         }
-        let round = gossip.rounds.replace(gossip.rounds.get() + 1);
-        let roster = self.roster.borrow();
-        let near: Vec<Ipv4Addr> = roster.addresses_in(|it| self.node.near(it)).collect();
-        let receivers = roster.addresses_in(|_| true).count();
-        drop(roster);
-        let relays = self.relays(round, now).into_iter();
+        let receivers = self.roster.borrow().addresses_in(receives).count();
         let bytes = codec::encode_body(&signals).len();
-        let sender = Sender::Signals {
+        let pause = GOSSIP_BUDGET.pause(receivers, bytes);
+        channel.next_at.set(now.after(pause));
+        Some(Sender::Signals {
             relayed: false,
             signals,
-        };
-        let far = relays.filter_map(|(relay, _)| relay);
-        self.node.send_state(
-            Purpose::Signals,
-            Reach::Near,
-            sender.clone(),
-            near.into_iter(),
-        );
-        self.node
-            .send_state(Purpose::Signals, Reach::Far, sender, far);
-        let pause = GOSSIP_BUDGET.pause(receivers, bytes);
-        gossip.next_at.set(now.after(pause));
+        })
     }
 
     /// Reports replicas with backpressure to an entry that has just started.
