Compute shares of rates only while a replica restricts its rate

The list of entries that share was built eight times a second also when no replica is cold or limited. Its own function now counts the restricted replicas.

--- a/crates/gradeloft_gateway/src/entry/maintenance.rs
+++ b/crates/gradeloft_gateway/src/entry/maintenance.rs
@@ -103,6 +103,7 @@
         self.sum_other_loads(now);
         self.split_slots(now);
         self.share_restricted_rates(now);
+        self.count_restricted_replicas(now);
     }
 
     /// Sums the requests that other entries have at each replica.
@@ -138,6 +139,10 @@
 
     /// Sets this entry's share of the request rate of each replica that is cold or limits the rate.
     pub(super) fn share_restricted_rates(&self, now: Time) {
+        let restricted = |(_, it): (ReplicaKey, &Replica)| it.rate_restricted(now);
+        if !self.replicas.borrow().iter().any(restricted) {
+            return;
+        }
         let sharers = RateSharers::of(self, now);
         let config = self.config.borrow();
         let settings = self.node.settings();
@@ -153,6 +158,11 @@
         };
         let mut replicas = self.replicas.borrow_mut();
         replicas.set_send_intervals(interval, now);
+    }
+
+    /// Counts the replicas that accept fewer requests than usual.
+    fn count_restricted_replicas(&self, now: Time) {
+        let replicas = self.replicas.borrow();
         let count = |restricted: &dyn Fn(&Replica) -> bool| {
             replicas.iter().filter(|(_, it)| restricted(it)).count() as i64
         };
