Keep what a replica said when its record lapses and comes back

A replica that was listed again began without its limit, its leave and its pause, so requests could go to a replica that had told this very entry that it leaves.

What one start said stays for a minute after its removal and is restored if the same start is listed again; another start, by its birth time, begins anew.

--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -35,6 +35,10 @@
 /// passes of an engine at full load.
 const SILENCE_MS: u64 = 600;
 
+/// Time for which the backpressure of a replica that is no longer listed is kept, in milliseconds:
+/// several times as long as a replica may be missing because the platform's store was away.
+const UNLISTED_MS: u64 = 60_000;
+
 new_key_type! {
     /// Key of one start of a replica.
     pub struct ReplicaKey;
@@ -105,6 +109,18 @@
     }
 }
 
+/// Backpressure of a replica that is no longer listed. The platform may list the same start again.
+#[derive(Clone, Copy, Debug)]
+struct Unlisted {
+    /// Start of the replica as a Unix time in milliseconds, if it is reported.
+    born: Option<u64>,
+    limit: RateLimit,
+    leaving: Leaving,
+    rest: Rest,
+    /// Time at which this was first seen after the removal.
+    since: Option<Time>,
+}
+
 /// Permission to send a request, from the selection of the replica on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SendPermit {
@@ -366,6 +382,8 @@
     arena: SlotMap<ReplicaKey, Replica>,
     by_id: HashMap<Rc<str>, ReplicaKey>,
     by_service: HashMap<Rc<str>, Vec<ReplicaKey>>,
+    /// Replicas with backpressure that are no longer listed, by their ids.
+    unlisted: HashMap<Rc<str>, Unlisted>,
     /// Availability zones whose replicas get no requests.
     evacuated: HashSet<String>,
 }
@@ -415,7 +433,9 @@
     pub fn apply_listing(&mut self, listing: Listing) -> ReplicaKey {
         let Some(&key) = self.by_id.get(&listing.id) else {
             let starts = Starts::new(listing.born);
-            return self.insert(Replica::new(listing, starts));
+            let mut replica = Replica::new(listing, starts);
+            self.restore_backpressure(&mut replica);
+            return self.insert(replica);
         };
         let replica = &mut self.arena[key];
         if replica.starts.listed(listing.born) == StartOrder::Newer {
@@ -452,6 +472,7 @@
     fn restart(&mut self, ended: ReplicaKey, listing: Listing) -> ReplicaKey {
         let starts = self.arena[ended].starts;
         self.remove(ended);
+        self.unlisted.remove(&listing.id);
         self.insert(Replica::new(listing, starts))
     }
 
@@ -468,6 +489,8 @@
 
     /// Removes the replicas whose scheduled removal is due and returns their ids.
     pub fn expire(&mut self, now: Time) -> Vec<Rc<str>> {
+        self.unlisted
+            .retain(|_, it| now < it.since.get_or_insert(now).after_ms(UNLISTED_MS));
         let due = |it: &Replica| it.gone_at.is_some_and(|at| at <= now);
         let gone: Vec<ReplicaKey> = self
             .arena
@@ -607,6 +630,33 @@
         if let Some(replica) = self.arena.remove(key) {
             self.by_id.remove(&replica.listing.id);
             self.remove_from_service(&replica.listing.service, key);
+            self.keep_backpressure(&replica);
+        }
+    }
+
+    fn keep_backpressure(&mut self, replica: &Replica) {
+        if !replica.has_backpressure() && replica.rest == Rest::default() {
+            return;
+        }
+        let unlisted = Unlisted {
+            born: replica.starts.born(),
+            limit: replica.limit,
+            leaving: replica.leaving,
+            rest: replica.rest,
+            since: None,
+        };
+        let id = Rc::clone(&replica.listing.id);
+        self.unlisted.insert(id, unlisted);
+    }
+
+    /// Restores the backpressure of a replica that is listed again, unless it has restarted.
+    fn restore_backpressure(&mut self, replica: &mut Replica) {
+        let unlisted = self.unlisted.remove(&replica.listing.id);
+        if let Some(unlisted) = unlisted.filter(|it| it.born == replica.listing.born) {
+            replica.limit = unlisted.limit;
+            replica.leaving = unlisted.leaving;
+            replica.rest = unlisted.rest;
+            replica.rest.probe_ended();
         }
     }
 
--- a/crates/gradeloft_policy/tests/placement.rs
+++ b/crates/gradeloft_policy/tests/placement.rs
@@ -237,3 +237,55 @@
         StoreTrust::Sound
     );
 }
+
+#[test]
+fn a_replica_that_lapses_and_is_listed_again_keeps_its_backpressure() {
+    let now = Time::ZERO.after_ms(1_000);
+    let mut replicas = Replicas::default();
+    let born = |born| Listing {
+        born: Some(born),
+        ..listing("a", Some(1))
+    };
+    let key = replicas.apply_listing(born(1));
+    let exchange = Exchange {
+        sent: Time::ZERO,
+        received: now,
+    };
+    let replica = replicas.get_mut(key).unwrap();
+    replica.leaving.observe(true, exchange);
+    replica.limit.observe(Some(2.0), exchange);
+    replica.rest.ask(Duration::from_secs(60), now);
+    replicas.unlist("a", StoreTrust::Sound);
+    let key = replicas.apply_listing(born(1));
+    let replica = replicas.get(key).unwrap();
+    assert!(replica.leaving.value());
+    assert_eq!(replica.limit.value(), Some(2.0));
+    assert!(replica.rest.ends(now).is_some());
+    // Another start has its own state.
+    replicas.unlist("a", StoreTrust::Sound);
+    let key = replicas.apply_listing(born(2));
+    assert!(!replicas.get(key).unwrap().has_backpressure());
+    replicas.unlist("a", StoreTrust::Sound);
+    let key = replicas.apply_listing(born(1));
+    assert!(!replicas.get(key).unwrap().has_backpressure());
+}
+
+#[test]
+fn backpressure_of_a_replica_that_stays_away_is_forgotten() {
+    let mut replicas = Replicas::default();
+    let key = replicas.apply_listing(listing("a", Some(1)));
+    let exchange = Exchange {
+        sent: Time::ZERO,
+        received: Time::ZERO,
+    };
+    replicas
+        .get_mut(key)
+        .unwrap()
+        .leaving
+        .observe(true, exchange);
+    replicas.unlist("a", StoreTrust::Sound);
+    replicas.expire(Time::ZERO);
+    replicas.expire(Time::ZERO.after_ms(120_000));
+    let key = replicas.apply_listing(listing("a", Some(1)));
+    assert!(!replicas.get(key).unwrap().has_backpressure());
+}
