Give what a replica accepts from an entry a type of its own

Replica had grown by limit, leave, pause, share and warm-up and their rules. They become Throttle, in its own module; the backpressure of replicas that are no longer listed becomes Unlisted. No change of behaviour.

--- a/crates/gradeloft_gateway/src/entry/backpressure.rs
+++ b/crates/gradeloft_gateway/src/entry/backpressure.rs
@@ -97,7 +97,7 @@
         let Some(replica) = replicas.get_mut(key) else {
             return;
         };
-        let change = replica.limit.observe(limit, exchange);
+        let change = replica.throttle.limit.observe(limit, exchange);
         drop(replicas);
         self.record_told(key, change, exchange.received);
         if let Some(change) = change {
@@ -114,7 +114,7 @@
         let Some(replica) = replicas.get_mut(key) else {
             return;
         };
-        let change = replica.leaving.observe(leaving, exchange);
+        let change = replica.throttle.leaving.observe(leaving, exchange);
         drop(replicas);
         self.record_told(key, change, exchange.received);
         if let Some(change) = change {
@@ -138,11 +138,11 @@
         };
         let change = match self.requested_pause(head) {
             Some(pause) => {
-                let began = replica.rest.ask(pause, exchange.received);
+                let began = replica.throttle.rest.ask(pause, exchange.received);
                 began.then_some(Change::Began)
             }
             None => {
-                let ended = replica.rest.accepted(exchange.sent);
+                let ended = replica.throttle.rest.accepted(exchange.sent);
                 ended.then_some(Change::Ended)
             }
         };
@@ -150,7 +150,7 @@
             return;
         };
         if let Some(log) = self.node.logs.line(Topic::State) {
-            let ends = replica.rest.ends(exchange.received);
+            let ends = replica.throttle.rest.ends(exchange.received);
             let left = ends.map_or(Duration::ZERO, |it| it.since(exchange.received));
             info!(log, "replica rests"; "replica" => &*replica.listing.id,
                 "change" => change.name(), "pause_ms" => left.as_millis() as u64,
@@ -211,8 +211,12 @@
         };
         let since = |age_ms: u32| now.before_ms(u64::from(age_ms));
         let limit = told.limit.map(signal::from_thousandths);
-        let limit = replica.limit.merge(limit, since(told.limit_age_ms));
+        let limit = replica
+            .throttle
+            .limit
+            .merge(limit, since(told.limit_age_ms));
         let leaving = replica
+            .throttle
             .leaving
             .merge(told.leaving, since(told.leaving_age_ms));
         drop(replicas);
@@ -243,10 +247,10 @@
             return;
         };
         if let Some(log) = self.node.logs.line(Topic::State) {
-            let next = replica.next_send(now);
+            let next = replica.throttle.next_send(now);
             info!(log, "replica limit"; "replica" => &*replica.listing.id,
-                "change" => change.name(), "per_s" => replica.limit.value(),
-                "source" => %source, "age_ms" => now.since(replica.limit.since()).as_millis() as u64,
+                "change" => change.name(), "per_s" => replica.throttle.limit.value(),
+                "source" => %source, "age_ms" => now.since(replica.throttle.limit.since()).as_millis() as u64,
                 "next_ms" => next.map_or(-1, |it| it.since(now).as_millis() as i64),
                 "running" => replica.own_requests);
         }
@@ -261,7 +265,7 @@
             return;
         };
         if let Some(log) = self.node.logs.line(Topic::State) {
-            let age = now.since(replica.leaving.since());
+            let age = now.since(replica.throttle.leaving.since());
             info!(log, "replica leaving"; "replica" => &*replica.listing.id,
                 "change" => change.name(), "source" => %source,
                 "age_ms" => age.as_millis() as u64, "running" => replica.own_requests);
@@ -306,7 +310,7 @@
             return None;
         }
         let replicas = self.replicas.borrow();
-        let restricted = |key| Some(replicas.get(key)?.has_backpressure());
+        let restricted = |key| Some(replicas.get(key)?.throttle.has_backpressure());
         let mut reports = channel.reports.borrow_mut();
         let due = reports.take_due(now, MAX_SIGNALS, restricted).into_iter();
         let due = due.filter_map(|it| replicas.get(it));
@@ -328,7 +332,9 @@
     pub(super) fn send_signals_to(&self, newcomer: Ipv4Addr) {
         let now = self.node.clock.now();
         let replicas = self.replicas.borrow();
-        let restricted = replicas.iter().filter(|(_, it)| it.limit.is_restricted());
+        let restricted = replicas
+            .iter()
+            .filter(|(_, it)| it.throttle.limit.is_restricted());
         let signals: Vec<ReplicaSignal> = restricted
             .take(MAX_SIGNALS)
             .map(|(_, it)| report(it, now))
@@ -353,9 +359,9 @@
     let age_ms = |since| u32::try_from(now.since(since).as_millis()).unwrap_or(u32::MAX);
     ReplicaSignal {
         replica: replica.hash(),
-        limit: replica.limit.value().map(signal::thousandths),
-        limit_age_ms: age_ms(replica.limit.since()),
-        leaving: replica.leaving.value(),
-        leaving_age_ms: age_ms(replica.leaving.since()),
+        limit: replica.throttle.limit.value().map(signal::thousandths),
+        limit_age_ms: age_ms(replica.throttle.limit.since()),
+        leaving: replica.throttle.leaving.value(),
+        leaving_age_ms: age_ms(replica.throttle.leaving.since()),
     }
 }
--- a/crates/gradeloft_gateway/src/entry/in_flight.rs
+++ b/crates/gradeloft_gateway/src/entry/in_flight.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, rc::Rc};
 
-use gradeloft_policy::process::replicas::{ReplicaKey, SendPermit};
+use gradeloft_policy::process::{backpressure::SendPermit, replicas::ReplicaKey};
 use slog::info;
 use tokio_util::sync::CancellationToken;
 
@@ -20,7 +20,7 @@
             }
             replica.own_requests += 1;
             replica.own_waiting += 1;
-            permit = Some(replica.begin_request(now));
+            permit = Some(replica.throttle.begin_request(now));
             replica.own_waiting_tokens += prompt_tokens;
         }
         let mut restart_tokens = self.restart_tokens.borrow_mut();
@@ -80,7 +80,7 @@
         let replicas = self.entry.replicas.borrow();
         let replica = replicas.get(self.key).zip(self.permit);
         let now = self.entry.node.clock.now();
-        replica.is_none_or(|(replica, permit)| replica.still_permits(permit, now))
+        replica.is_none_or(|(replica, permit)| replica.throttle.still_permits(permit, now))
     }
 
     /// Records that the response has begun.
@@ -101,7 +101,7 @@
         if let Some(replica) = self.entry.replicas.borrow_mut().get_mut(self.key) {
             replica.own_requests -= 1;
             if let Some(permit) = self.permit {
-                replica.request_ended(permit);
+                replica.throttle.request_ended(permit);
             }
         }
         self.entry.room_freed.notify_waiters();
--- a/crates/gradeloft_gateway/src/entry/maintenance.rs
+++ b/crates/gradeloft_gateway/src/entry/maintenance.rs
@@ -139,7 +139,7 @@
 
     /// Sets this entry's share of the request rate of each replica that is cold or limits the rate.
     pub(super) fn share_restricted_rates(&self, now: Time) {
-        let restricted = |(_, it): (ReplicaKey, &Replica)| it.rate_restricted(now);
+        let restricted = |(_, it): (ReplicaKey, &Replica)| it.throttle.rate_restricted(now);
         if !self.replicas.borrow().iter().any(restricted) {
             return;
         }
@@ -151,7 +151,7 @@
                 .as_ref()
                 .and_then(|it| it.service(&replica.listing.service));
             let cold_per_s = service.and_then(|it| it.warmup).map(|it| it.per_s);
-            let per_s = replica.accepted_per_s(cold_per_s, now)?;
+            let per_s = replica.throttle.accepted_per_s(cold_per_s, now)?;
             let others = sharers.others(replica.near, settings.region(&replica.listing.zone))?;
             let others = others.iter().copied();
             rate_share::min_interval(per_s, u64::from(replica.hash()), sharers.own, others)
@@ -167,12 +167,16 @@
             replicas.iter().filter(|(_, it)| restricted(it)).count() as i64
         };
         let metrics = &self.node.metrics;
-        metrics.cold.set(count(&|it| it.cold(now)));
-        metrics.limited.set(count(&|it| it.limit.is_restricted()));
-        metrics.leaving.set(count(&|it| it.leaving.value()));
+        metrics.cold.set(count(&|it| it.throttle.cold(now)));
+        metrics
+            .limited
+            .set(count(&|it| it.throttle.limit.is_restricted()));
+        metrics
+            .leaving
+            .set(count(&|it| it.throttle.leaving.value()));
         metrics
             .resting
-            .set(count(&|it| it.rest.ends(now).is_some()));
+            .set(count(&|it| it.throttle.rest.ends(now).is_some()));
     }
 
     /// Splits the slots of each model's available replicas among the entries that accept callers.
--- a/crates/gradeloft_gateway/src/entry/quarantine/crash.rs
+++ b/crates/gradeloft_gateway/src/entry/quarantine/crash.rs
@@ -93,7 +93,7 @@
         job: &mut Job,
         start: ReplicaStart,
     ) {
-        let leaving = |it: &Replica| it.leaving.value();
+        let leaving = |it: &Replica| it.throttle.leaving.value();
         if start.draining || self.replicas.borrow().get(start.key).is_some_and(leaving) {
             return;
         }
--- a/crates/gradeloft_gateway/src/entry/receive.rs
+++ b/crates/gradeloft_gateway/src/entry/receive.rs
@@ -242,7 +242,9 @@
                 .as_ref()
                 .and_then(|it| it.service(&replica.listing.service));
             if let Some(warmup) = service.and_then(|it| it.warmup) {
-                replica.set_warmup_left(warmup.ms, self.node.clock.now());
+                replica
+                    .throttle
+                    .set_warmup_left(warmup.ms, self.node.clock.now());
             }
         }
     }
--- a/crates/gradeloft_gateway/src/entry/table_updates.rs
+++ b/crates/gradeloft_gateway/src/entry/table_updates.rs
@@ -209,7 +209,9 @@
                 let key = replicas.apply_listing(listing);
                 if let Some(replica) = replicas.get_mut(key) {
                     replica.near = near;
-                    replica.set_warmup_left(warmup_left_ms, self.node.clock.now());
+                    replica
+                        .throttle
+                        .set_warmup_left(warmup_left_ms, self.node.clock.now());
                 }
                 drop(replicas);
                 if let Some(ended) = key_before.filter(|it| *it != key) {
--- a/crates/gradeloft_gateway/tests/entry/backpressure.rs
+++ b/crates/gradeloft_gateway/tests/entry/backpressure.rs
@@ -77,7 +77,7 @@
 fn known_limit(entry: &Handle) -> Option<f64> {
     let replicas = entry.entry().replicas.borrow();
     let replica = replicas.get(replicas.key(&replica_id(0))?)?;
-    replica.limit.value()
+    replica.throttle.limit.value()
 }
 
 #[rstest]
@@ -219,7 +219,7 @@
 fn knows_leaving(entry: &Handle) -> bool {
     let replicas = entry.entry().replicas.borrow();
     let replica = replicas.key(&replica_id(0)).and_then(|it| replicas.get(it));
-    replica.is_some_and(|it| it.leaving.value())
+    replica.is_some_and(|it| it.throttle.leaving.value())
 }
 
 #[test]
@@ -314,7 +314,7 @@
     let replicas = entry.entry().replicas.borrow();
     let replica = replicas.key(&replica_id(0)).and_then(|it| replicas.get(it));
     let now = entry.entry().node.clock.now();
-    replica.is_some_and(|it| it.rest.ends(now).is_none())
+    replica.is_some_and(|it| it.throttle.rest.ends(now).is_none())
 }
 
 #[test]
--- a/crates/gradeloft_gateway/tests/entry/placement.rs
+++ b/crates/gradeloft_gateway/tests/entry/placement.rs
@@ -186,7 +186,7 @@
         let is_cold = || {
             let replicas = entry.replicas.borrow();
             let listed = replicas.key(&replica_id(0)).and_then(|it| replicas.get(it));
-            listed.is_some_and(|it| it.cold(entry.node.clock.now()))
+            listed.is_some_and(|it| it.throttle.cold(entry.node.clock.now()))
         };
         wait_until(|| async { is_cold() }).await;
         let requests_before = harness.replicas[0].requests().len();
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -13,9 +13,8 @@
 use crate::{
     clock::Time,
     process::{
-        backpressure::{Leaving, RateLimit, Rest},
+        backpressure::{Throttle, Unlisted},
         document::Speed,
-        rate_share::RateShare,
         replica_starts::{StartOrder, Starts},
     },
     rendezvous,
@@ -35,10 +34,6 @@
 /// passes of an engine at full load.
 const SILENCE_MS: u64 = 600;
 
-/// Time for which the backpressure of a replica that is no longer listed is kept, in milliseconds:
-/// several times as long as a replica may be missing because the platform's store was away.
-const UNLISTED_MS: u64 = 60_000;
-
 new_key_type! {
     /// Key of one start of a replica.
     pub struct ReplicaKey;
@@ -109,27 +104,6 @@
     }
 }
 
-/// Backpressure of a replica that is no longer listed. The platform may list the same start again.
-#[derive(Clone, Copy, Debug)]
-struct Unlisted {
-    /// Start of the replica as a Unix time in milliseconds, if it is reported.
-    born: Option<u64>,
-    limit: RateLimit,
-    leaving: Leaving,
-    rest: Rest,
-    /// Time at which this was first seen after the removal.
-    since: Option<Time>,
-}
-
-/// Permission to send a request, from the selection of the replica on.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct SendPermit {
-    /// Whether the request is part of this entry's share of a restricted rate.
-    within_rate: bool,
-    /// Whether the request is the first one after a pause.
-    probes: bool,
-}
-
 /// A replica.
 #[derive(Clone, Debug)]
 pub struct Replica {
@@ -161,16 +135,8 @@
     pub last_received: Time,
     /// Whether the replica's availability zone is evacuated.
     pub evacuated: bool,
-    /// This entry's share of the request rate while the replica is cold or limits the rate.
-    share: RateShare,
-    /// Limit of the request rate that the replica names in its responses.
-    pub limit: RateLimit,
-    /// Whether the replica says in its responses that it is leaving.
-    pub leaving: Leaving,
-    /// Pause of this entry's requests that the replica asked for.
-    pub rest: Rest,
-    /// End of the replica's warm-up.
-    cold_until: Time,
+    /// Requests that the replica accepts from this entry, by its backpressure and warm-up.
+    pub throttle: Throttle,
     failures: u32,
     paused_until: Time,
     /// Time of the replica's removal, if one is scheduled.
@@ -195,11 +161,7 @@
             silent_since: Time::ZERO,
             last_received: Time::ZERO,
             evacuated: false,
-            share: RateShare::default(),
-            limit: RateLimit::default(),
-            leaving: Leaving::default(),
-            rest: Rest::default(),
-            cold_until: Time::ZERO,
+            throttle: Throttle::default(),
             failures: 0,
             paused_until: Time::ZERO,
             gone_at: None,
@@ -232,86 +194,7 @@
     pub fn serves(&self, now: Time) -> bool {
         let loading = self.fresh(now).is_some_and(|it| it.loading);
         let filled = !self.listing.has_model || self.version(now).is_some();
-        !self.listing.draining && !self.leaving.value() && !loading && filled
-    }
-
-    /// Returns whether the replica is still warming up.
-    pub fn cold(&self, now: Time) -> bool {
-        now < self.cold_until
-    }
-
-    /// Sets the remaining time of the replica's warm-up. The time can also grow, since a warm
-    /// replica can become cold again, and an older message can report the replica as warm.
-    pub fn set_warmup_left(&mut self, left_ms: u64, now: Time) {
-        self.cold_until = match left_ms {
-            0 => Time::ZERO,
-            left_ms => now.after_ms(left_ms),
-        };
-    }
-
-    /// Returns the requests a second that the replica accepts from all entries together, given the
-    /// rate that it tolerates while it is cold; `None` without a restriction.
-    pub fn accepted_per_s(&self, cold_per_s: Option<f64>, now: Time) -> Option<f64> {
-        let cold_per_s = cold_per_s.filter(|_| self.cold(now));
-        let limit = self.limit.paced_per_s();
-        cold_per_s.into_iter().chain(limit).reduce(f64::min)
-    }
-
-    /// Returns whether all entries together share a request rate that the replica accepts.
-    pub fn rate_restricted(&self, now: Time) -> bool {
-        self.cold(now) || self.limit.is_restricted()
-    }
-
-    /// Returns whether the replica's responses restrict the requests of all entries.
-    pub fn has_backpressure(&self) -> bool {
-        self.limit.is_restricted() || self.leaving.is_restricted()
-    }
-
-    /// Returns whether this entry may send a request now, by the rate that the replica accepts.
-    pub fn rate_allows(&self, now: Time) -> bool {
-        !self.rate_restricted(now) || self.share.next_send().is_some_and(|it| it <= now)
-    }
-
-    /// Counts a request that is about to be sent, and returns its permission.
-    /// [`Replica::still_permits`] checks it once the connection is established.
-    pub fn begin_request(&mut self, now: Time) -> SendPermit {
-        let permit = SendPermit {
-            within_rate: self.rate_restricted(now),
-            probes: self.rest.begin_request(now),
-        };
-        self.share.note_sent(now);
-        permit
-    }
-
-    /// Returns whether a request may be sent that was permitted when the replica was selected.
-    pub fn still_permits(&self, permit: SendPermit, now: Time) -> bool {
-        let rate_permits = permit.within_rate || self.rate_allows(now);
-        let rest_permits = match permit.probes {
-            true => self.rest.ends(now).is_none(),
-            false => self.rest.allows(now),
-        };
-        !self.leaving.value() && rate_permits && rest_permits
-    }
-
-    /// Records that a request ended, whether or not it was sent.
-    pub fn request_ended(&mut self, permit: SendPermit) {
-        if permit.probes {
-            self.rest.probe_ended();
-        }
-    }
-
-    /// Returns the time from which this entry may send its next request, by the rate that the
-    /// replica accepts; `None` without a share of the rate.
-    pub fn next_send(&self, now: Time) -> Option<Time> {
-        match self.rate_restricted(now) {
-            true => self.share.next_send().map(|it| it.max(now)),
-            false => Some(now),
-        }
-    }
-
-    /// Sets this entry's share of the rate that the replica accepts.
-    pub fn set_send_interval(&mut self, interval: Option<Duration>, now: Time) {
-        self.share.set_interval(interval, now);
+        !self.listing.draining && !self.throttle.leaving.value() && !loading && filled
     }
 
     /// Returns whether the replica has long sent no data although it has requests of this entry.
@@ -382,8 +265,8 @@
     arena: SlotMap<ReplicaKey, Replica>,
     by_id: HashMap<Rc<str>, ReplicaKey>,
     by_service: HashMap<Rc<str>, Vec<ReplicaKey>>,
-    /// Replicas with backpressure that are no longer listed, by their ids.
-    unlisted: HashMap<Rc<str>, Unlisted>,
+    /// Backpressure of replicas that are no longer listed.
+    unlisted: Unlisted,
     /// Availability zones whose replicas get no requests.
     evacuated: HashSet<String>,
 }
@@ -434,7 +317,10 @@
         let Some(&key) = self.by_id.get(&listing.id) else {
             let starts = Starts::new(listing.born);
             let mut replica = Replica::new(listing, starts);
-            self.restore_backpressure(&mut replica);
+            let throttle = self
+                .unlisted
+                .take(&replica.listing.id, replica.starts.born());
+            replica.throttle = throttle.unwrap_or_default();
             return self.insert(replica);
         };
         let replica = &mut self.arena[key];
@@ -472,7 +358,7 @@
     fn restart(&mut self, ended: ReplicaKey, listing: Listing) -> ReplicaKey {
         let starts = self.arena[ended].starts;
         self.remove(ended);
-        self.unlisted.remove(&listing.id);
+        self.unlisted.forget(&listing.id);
         self.insert(Replica::new(listing, starts))
     }
 
@@ -489,8 +375,7 @@
 
     /// Removes the replicas whose scheduled removal is due and returns their ids.
     pub fn expire(&mut self, now: Time) -> Vec<Rc<str>> {
-        self.unlisted
-            .retain(|_, it| now < it.since.get_or_insert(now).after_ms(UNLISTED_MS));
+        self.unlisted.expire(now);
         let due = |it: &Replica| it.gone_at.is_some_and(|at| at <= now);
         let gone: Vec<ReplicaKey> = self
             .arena
@@ -572,10 +457,10 @@
         interval: impl Fn(&Replica) -> Option<Duration>,
         now: Time,
     ) {
-        let restricted = |it: &&mut Replica| it.rate_restricted(now);
+        let restricted = |it: &&mut Replica| it.throttle.rate_restricted(now);
         for replica in self.arena.values_mut().filter(restricted) {
             let interval = interval(replica);
-            replica.set_send_interval(interval, now);
+            replica.throttle.set_send_interval(interval, now);
         }
     }
 
@@ -630,33 +515,8 @@
         if let Some(replica) = self.arena.remove(key) {
             self.by_id.remove(&replica.listing.id);
             self.remove_from_service(&replica.listing.service, key);
-            self.keep_backpressure(&replica);
-        }
-    }
-
-    fn keep_backpressure(&mut self, replica: &Replica) {
-        if !replica.has_backpressure() && replica.rest == Rest::default() {
-            return;
-        }
-        let unlisted = Unlisted {
-            born: replica.starts.born(),
-            limit: replica.limit,
-            leaving: replica.leaving,
-            rest: replica.rest,
-            since: None,
-        };
-        let id = Rc::clone(&replica.listing.id);
-        self.unlisted.insert(id, unlisted);
-    }
-
-    /// Restores the backpressure of a replica that is listed again, unless it has restarted.
-    fn restore_backpressure(&mut self, replica: &mut Replica) {
-        let unlisted = self.unlisted.remove(&replica.listing.id);
-        if let Some(unlisted) = unlisted.filter(|it| it.born == replica.listing.born) {
-            replica.limit = unlisted.limit;
-            replica.leaving = unlisted.leaving;
-            replica.rest = unlisted.rest;
-            replica.rest.probe_ended();
+            let (id, born) = (&replica.listing.id, replica.starts.born());
+            self.unlisted.keep(id, born, replica.throttle);
         }
     }
 
--- a/crates/gradeloft_policy/src/request/placement.rs
+++ b/crates/gradeloft_policy/src/request/placement.rs
@@ -314,18 +314,18 @@
             counts.away += 1;
         } else if requirements.tried.contains(&key) {
             counts.tried += 1;
-        } else if replica.leaving.value() {
+        } else if replica.throttle.leaving.value() {
             counts.leaving += 1;
         } else if !replica.open(now) {
             counts.closed += 1;
         } else if !allowed(replica, requirements, now) {
             counts.old += 1;
-        } else if !replica.rest.allows(now) {
+        } else if !replica.throttle.rest.allows(now) {
             counts.resting += 1;
-            counts.note_room(replica.rest.ends(now));
-        } else if !replica.rate_allows(now) {
+            counts.note_room(replica.throttle.rest.ends(now));
+        } else if !replica.throttle.rate_allows(now) {
             counts.limited += 1;
-            counts.note_room(replica.next_send(now));
+            counts.note_room(replica.throttle.next_send(now));
         } else if !has_room(replica, requirements, SlotScope::Any, now) {
             counts.full += 1;
         }
@@ -341,7 +341,7 @@
     slots: SlotScope,
     now: Time,
 ) -> bool {
-    if !replica.rate_allows(now) || !replica.rest.allows(now) {
+    if !replica.throttle.rate_allows(now) || !replica.throttle.rest.allows(now) {
         return false;
     }
     let all = replica.listing.slots;
--- a/crates/gradeloft_policy/tests/placement.rs
+++ b/crates/gradeloft_policy/tests/placement.rs
@@ -157,15 +157,15 @@
     let mut replicas = Replicas::default();
     let key = replicas.apply_listing(listing("a", Some(1)));
     let replica = replicas.get_mut(key).unwrap();
-    let permit = replica.begin_request(Time::ZERO);
+    let permit = replica.throttle.begin_request(Time::ZERO);
     let received = Time::ZERO.after_ms(100);
     let exchange = Exchange {
         sent: Time::ZERO,
         received,
     };
-    replica.leaving.observe(true, exchange);
+    replica.throttle.leaving.observe(true, exchange);
     // The request for which the replica was selected before is not sent.
-    assert!(!replica.still_permits(permit, received));
+    assert!(!replica.throttle.still_permits(permit, received));
     replicas.apply_listing(listing("a", Some(1)));
     assert_eq!(choose(&replicas, REQUIREMENTS, received), None);
     let counts = placement::count_exclusions(replicas.of("m"), |_| true, REQUIREMENTS, received);
@@ -178,18 +178,20 @@
     let key = replicas.apply_listing(listing("a", Some(1)));
     let replica = replicas.get_mut(key).unwrap();
     let now = Time::ZERO.after_ms(100);
-    let permit = replica.begin_request(Time::ZERO);
+    let permit = replica.throttle.begin_request(Time::ZERO);
     let exchange = Exchange {
         sent: Time::ZERO,
         received: now,
     };
-    replica.limit.observe(Some(2.0), exchange);
-    replica.set_send_interval(Some(Duration::from_millis(500)), now);
-    assert!(!replica.still_permits(permit, now));
+    replica.throttle.limit.observe(Some(2.0), exchange);
+    replica
+        .throttle
+        .set_send_interval(Some(Duration::from_millis(500)), now);
+    assert!(!replica.throttle.still_permits(permit, now));
     let later = Time::ZERO.after_ms(500);
-    assert!(replica.still_permits(permit, later));
-    let within_limit = replica.begin_request(later);
-    assert!(replica.still_permits(within_limit, later));
+    assert!(replica.throttle.still_permits(permit, later));
+    let within_limit = replica.throttle.begin_request(later);
+    assert!(replica.throttle.still_permits(within_limit, later));
 }
 
 #[test]
@@ -252,22 +254,22 @@
         received: now,
     };
     let replica = replicas.get_mut(key).unwrap();
-    replica.leaving.observe(true, exchange);
-    replica.limit.observe(Some(2.0), exchange);
-    replica.rest.ask(Duration::from_secs(60), now);
+    replica.throttle.leaving.observe(true, exchange);
+    replica.throttle.limit.observe(Some(2.0), exchange);
+    replica.throttle.rest.ask(Duration::from_secs(60), now);
     replicas.unlist("a", StoreTrust::Sound);
     let key = replicas.apply_listing(born(1));
     let replica = replicas.get(key).unwrap();
-    assert!(replica.leaving.value());
-    assert_eq!(replica.limit.value(), Some(2.0));
-    assert!(replica.rest.ends(now).is_some());
+    assert!(replica.throttle.leaving.value());
+    assert_eq!(replica.throttle.limit.value(), Some(2.0));
+    assert!(replica.throttle.rest.ends(now).is_some());
     // Another start has its own state.
     replicas.unlist("a", StoreTrust::Sound);
     let key = replicas.apply_listing(born(2));
-    assert!(!replicas.get(key).unwrap().has_backpressure());
+    assert!(!replicas.get(key).unwrap().throttle.has_backpressure());
     replicas.unlist("a", StoreTrust::Sound);
     let key = replicas.apply_listing(born(1));
-    assert!(!replicas.get(key).unwrap().has_backpressure());
+    assert!(!replicas.get(key).unwrap().throttle.has_backpressure());
 }
 
 #[test]
@@ -281,11 +283,12 @@
     replicas
         .get_mut(key)
         .unwrap()
+        .throttle
         .leaving
         .observe(true, exchange);
     replicas.unlist("a", StoreTrust::Sound);
     replicas.expire(Time::ZERO);
     replicas.expire(Time::ZERO.after_ms(120_000));
     let key = replicas.apply_listing(listing("a", Some(1)));
-    assert!(!replicas.get(key).unwrap().has_backpressure());
+    assert!(!replicas.get(key).unwrap().throttle.has_backpressure());
 }
