Report leaving replicas to an entry that has just started, too

Only limited replicas were reported at once; leaves came with the next repetition, a second later at most, or after 5 s if the entry that was told had ended. Seen while reading; the test passes either way, as the repetition serves it.

--- a/crates/gradeloft_gateway/src/entry/backpressure.rs
+++ b/crates/gradeloft_gateway/src/entry/backpressure.rs
@@ -334,7 +334,7 @@
         let replicas = self.replicas.borrow();
         let restricted = replicas
             .iter()
-            .filter(|(_, it)| it.throttle.limit.is_restricted());
+            .filter(|(_, it)| it.throttle.has_backpressure());
         let signals: Vec<ReplicaSignal> = restricted
             .take(MAX_SIGNALS)
             .map(|(_, it)| report(it, now))
--- a/crates/gradeloft_gateway/tests/entry/backpressure.rs
+++ b/crates/gradeloft_gateway/tests/entry/backpressure.rs
@@ -396,3 +396,17 @@
         assert_eq!(entry.suspects(), []);
     });
 }
+
+#[test]
+fn an_entry_that_starts_learns_of_backpressure_from_others() {
+    run(async {
+        let harness = Harness::start(
+            TestConfig::of(RouteKind::Idempotent),
+            vec![leaving_script(), ok_script("stays")],
+        )
+        .await;
+        harness.send(&request("POST", "form")).await;
+        let other = harness.add_entry(2, &harness.tables).await;
+        wait_until(|| async { knows_leaving(&other) }).await;
+    });
+}
