Report nothing that a replica never stated

A report of a leaving replica also said that it has no limit, as old as the reporting process, though the replica never said so to it; at a process older than that the statement could end a limit that holds. Found by reading. What was never stated has no age now and counts from the start of the receiver, so it overrules nothing. The two statements of a response are applied by one function.

--- a/crates/gradeloft_gateway/src/entry/backpressure.rs
+++ b/crates/gradeloft_gateway/src/entry/backpressure.rs
@@ -12,7 +12,7 @@
     clock::Time,
     process::{
         backpressure::{
-            Change, Exchange, Merge,
+            Change, Exchange, Merge, Throttle,
             signal::{self, Unreadable},
         },
         cadence::Budget,
@@ -83,51 +83,35 @@
             sent: sent.unwrap_or(Time::ZERO),
             received: now,
         };
-        self.observe_limit(key, &head.fields, exchange);
-        self.observe_leaving(key, &head.fields, exchange);
-        self.observe_rest(key, head, exchange);
-    }
-
-    fn observe_limit(&self, key: ReplicaKey, fields: &Fields, exchange: Exchange) {
-        let name = self.node.platform.headers.limit;
-        let Some(limit) = self.parse_signal(name, fields, signal::limit) else {
-            return;
-        };
-        let mut replicas = self.replicas.borrow_mut();
-        let Some(replica) = replicas.get_mut(key) else {
-            return;
-        };
-        let change = replica.throttle.limit.observe(limit, exchange);
-        drop(replicas);
-        self.record_told(key, change, exchange.received);
-        if let Some(change) = change {
-            self.limit_changed(key, change, Source::Own, exchange.received);
+        let headers = &self.node.platform.headers;
+        if let Some(limit) = self.parse_signal(headers.limit, &head.fields, signal::limit)
+            && let Some(change) =
+                self.observe_statement(key, now, |it| it.limit.observe(limit, exchange))
+        {
+            self.limit_changed(key, change, Source::Own, now);
         }
-    }
-
-    fn observe_leaving(&self, key: ReplicaKey, fields: &Fields, exchange: Exchange) {
-        let name = self.node.platform.headers.leaving;
-        let Some(leaving) = self.parse_signal(name, fields, signal::leaving) else {
-            return;
-        };
-        let mut replicas = self.replicas.borrow_mut();
-        let Some(replica) = replicas.get_mut(key) else {
-            return;
-        };
-        let change = replica.throttle.leaving.observe(leaving, exchange);
-        drop(replicas);
-        self.record_told(key, change, exchange.received);
-        if let Some(change) = change {
-            self.leaving_changed(key, change, Source::Own, exchange.received);
+        if let Some(leaving) = self.parse_signal(headers.leaving, &head.fields, signal::leaving)
+            && let Some(change) =
+                self.observe_statement(key, now, |it| it.leaving.observe(leaving, exchange))
+        {
+            self.leaving_changed(key, change, Source::Own, now);
         }
+        self.observe_rest(key, head, exchange);
     }
 
-    /// Schedules reports of what a replica told this entry.
-    fn record_told(&self, key: ReplicaKey, change: Option<Change>, now: Time) {
+    /// Applies a statement of a replica, and schedules reports of it.
+    fn observe_statement(
+        &self,
+        key: ReplicaKey,
+        now: Time,
+        observe: impl FnOnce(&mut Throttle) -> Option<Change>,
+    ) -> Option<Change> {
+        let change = observe(&mut self.replicas.borrow_mut().get_mut(key)?.throttle);
         self.signal_gossip.record(|reports| match change {
             Some(_) => reports.told(key, now),
             None => reports.confirmed(key),
         });
+        change
     }
 
     /// Applies the pause that a replica asks for when it refuses a request, or the end of one.
@@ -248,9 +232,10 @@
         };
         if let Some(log) = self.node.logs.line(Topic::State) {
             let next = replica.throttle.next_send(now);
+            let age = replica.throttle.limit.age(now).unwrap_or_default();
             info!(log, "replica limit"; "replica" => &*replica.listing.id,
                 "change" => change.name(), "per_s" => replica.throttle.limit.value(),
-                "source" => %source, "age_ms" => now.since(replica.throttle.limit.since()).as_millis() as u64,
+                "source" => %source, "age_ms" => age.as_millis() as u64,
                 "next_ms" => next.map_or(-1, |it| it.since(now).as_millis() as i64),
                 "running" => replica.own_requests);
         }
@@ -265,7 +250,7 @@
             return;
         };
         if let Some(log) = self.node.logs.line(Topic::State) {
-            let age = now.since(replica.throttle.leaving.since());
+            let age = replica.throttle.leaving.age(now).unwrap_or_default();
             info!(log, "replica leaving"; "replica" => &*replica.listing.id,
                 "change" => change.name(), "source" => %source,
                 "age_ms" => age.as_millis() as u64, "running" => replica.own_requests);
@@ -356,12 +341,14 @@
 
 /// Returns the report of a replica's backpressure.
 fn report(replica: &Replica, now: Time) -> ReplicaSignal {
-    let age_ms = |since| u32::try_from(now.since(since).as_millis()).unwrap_or(u32::MAX);
+    let in_ms = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+    // What was never stated is older than any statement.
+    let age_ms = |age: Option<Duration>| age.map_or(u32::MAX, in_ms);
     ReplicaSignal {
         replica: replica.hash(),
         limit: replica.throttle.limit.value().map(signal::thousandths),
-        limit_age_ms: age_ms(replica.throttle.limit.since()),
+        limit_age_ms: age_ms(replica.throttle.limit.age(now)),
         leaving: replica.throttle.leaving.value(),
-        leaving_age_ms: age_ms(replica.throttle.leaving.since()),
+        leaving_age_ms: age_ms(replica.throttle.leaving.age(now)),
     }
 }
--- a/crates/gradeloft_policy/src/process/backpressure/statement.rs
+++ b/crates/gradeloft_policy/src/process/backpressure/statement.rs
@@ -5,6 +5,8 @@
 //! arrival. A restriction therefore counts from the arrival, and the end of a restriction from the
 //! sending of the request.
 
+use std::time::Duration;
+
 use crate::clock::Time;
 
 /// Least rate at which requests are sent to a limited replica, in requests a second. Without any,
@@ -102,9 +104,10 @@
         self.value != T::default()
     }
 
-    /// Returns the time from which the restriction, or its absence, counts.
-    pub fn since(&self) -> Time {
-        self.since
+    /// Returns the time for which the restriction, or its absence, has counted; `None` if nothing
+    /// was ever stated.
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        (Time::ZERO < self.since).then(|| now.since(self.since))
     }
 
     /// Applies the head of a response; returns the change of the restriction, if there is one.
--- a/crates/gradeloft_policy/tests/backpressure.rs
+++ b/crates/gradeloft_policy/tests/backpressure.rs
@@ -92,6 +92,16 @@
     assert_eq!(limit.value(), None);
 }
 
+#[test]
+fn what_was_never_stated_has_no_age_and_ends_nothing() {
+    let now = Time::ZERO.after_ms(5_000);
+    assert_eq!(RateLimit::default().age(now), None);
+    let mut limit = limited(3.0);
+    assert_eq!(limit.age(now), Some(Duration::from_millis(4_000)));
+    // A report without an age counts from the start of the receiver.
+    assert_eq!(limit.merge(None, Time::ZERO), Merge::Outdated);
+}
+
 const NONE: [u32; 0] = [];
 
 /// Returns the numbers of the replicas reported at a time, all of which are restricted.
