Split reports between entries from what a response changes

entry::backpressure observes responses, entry::backpressure::gossip tells other entries. No change of behaviour.

--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -77,7 +77,7 @@
 use tokio_util::sync::CancellationToken;
 
 use self::{
-    attempt::FirstTokenForecast, backpressure::SignalGossip, quarantine::QuarantineState,
+    attempt::FirstTokenForecast, backpressure::gossip::SignalGossip, quarantine::QuarantineState,
     uncertainty::ServiceRates,
 };
 use crate::{
--- a/crates/gradeloft_gateway/tests/entry/backpressure.rs
+++ b/crates/gradeloft_gateway/tests/entry/backpressure.rs
@@ -73,6 +73,15 @@
     });
 }
 
+/// Lists a start of the first replica, and waits until the entry knows of it.
+async fn list_start(harness: &Harness, born: u64) {
+    harness.set_start_time(0, born);
+    harness.list_all();
+    let replicas = || harness.entry.entry().replicas.borrow();
+    let listed = || replicas().iter().find_map(|(_, it)| it.listing.born);
+    wait_until(|| async { listed() == Some(born) }).await;
+}
+
 /// Returns the limit of the first replica as an entry knows it.
 fn known_limit(entry: &Handle) -> Option<f64> {
     let replicas = entry.entry().replicas.borrow();
@@ -129,15 +138,10 @@
             vec![limited_script("0.5")],
         )
         .await;
-        harness.set_start_time(0, 1);
-        harness.list_all();
-        let replicas = || harness.entry.entry().replicas.borrow();
-        let born = || replicas().iter().find_map(|(_, it)| it.listing.born);
-        wait_until(|| async { born() == Some(1) }).await;
+        list_start(&harness, 1).await;
         harness.send(&request("POST", "form")).await;
         assert_eq!(known_limit(&harness.entry), Some(0.5));
-        harness.set_start_time(0, 2);
-        harness.list_all();
+        list_start(&harness, 2).await;
         wait_until(|| async { known_limit(&harness.entry).is_none() }).await;
     });
 }
@@ -271,16 +275,11 @@
             vec![leaving_script()],
         )
         .await;
-        harness.set_start_time(0, 1);
-        harness.list_all();
-        let replicas = || harness.entry.entry().replicas.borrow();
-        let born = || replicas().iter().find_map(|(_, it)| it.listing.born);
-        wait_until(|| async { born() == Some(1) }).await;
+        list_start(&harness, 1).await;
         harness.send(&request("POST", "form")).await;
         assert!(knows_leaving(&harness.entry));
-        harness.set_start_time(0, 2);
-        harness.list_all();
-        wait_until(|| async { !knows_leaving(&harness.entry) }).await;
+        list_start(&harness, 2).await;
+        assert!(!knows_leaving(&harness.entry));
         let response = harness.send(&request("POST", "form")).await;
         assert!(response.ends_with("leaving"), "{response}");
     });
