Refuse changed settings only after the file has been still for a second

An operator's change was refused with 'unexpected end of input' where the writer was held up for longer than 100 ms between two steps (once in a test beside five builds): two reads 100 ms apart that agreed counted as a complete file.

Half a file is seldom valid. Valid content is applied as before; invalid content counts as complete after ten reads without a change.

--- a/crates/gradeloft_gateway/src/watch.rs
+++ b/crates/gradeloft_gateway/src/watch.rs
@@ -7,6 +7,9 @@
 
 /// Polling interval after a change; a writer that is still at work adds something in this time.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of polls without a change after which an invalid file counts as complete: a writer may be
+/// held up for longer than one poll.
+const INVALID_SETTLE_POLLS: u32 = 10;
 /// Maximum number of polls of a file that keeps changing.
 const MAX_SETTLE_POLLS: u32 = 20;
 
@@ -34,12 +37,19 @@
         changed
     }
 
-    /// Waits until two successive polls find the same content, as a write may be in progress.
-    pub async fn settle(&mut self) {
+    /// Waits until successive polls find the same content, as a write may be in progress: two polls
+    /// if the content is valid, and more if it is not.
+    pub async fn settle(&mut self, is_valid: impl Fn(Option<&[u8]>) -> bool) {
         self.poll();
+        let mut unchanged = 0;
         for _ in 0..MAX_SETTLE_POLLS {
             actix_rt::time::sleep(SETTLE_INTERVAL).await;
-            if !self.poll() {
+            unchanged = if self.poll() { 0 } else { unchanged + 1 };
+            let needed = match is_valid(self.content()) {
+                true => 1,
+                false => INVALID_SETTLE_POLLS,
+            };
+            if needed <= unchanged {
                 return;
             }
         }
