Tests that fail after the store is restored from an older copy

What callers see: a configuration that was confirmed is not in force, a replica that said that it leaves gets requests, and a version that has just been named is due at once, so that all replicas count as old.

The stand-in for the store takes a backup and comes back from it, with its offsets assigned again.

--- a/crates/gradeloft_gateway/tests/entry/main.rs
+++ b/crates/gradeloft_gateway/tests/entry/main.rs
@@ -13,5 +13,6 @@
 mod replica_restarts;
 mod stalled_replicas;
 mod store_outage;
+mod store_restored;
 mod support;
 mod suspended;
--- /dev/null
+++ b/crates/gradeloft_gateway/tests/entry/store_restored.rs
@@ -0,0 +1,108 @@
+//! Restores of the store from a backup that is a few seconds old: the records written since are lost,
+//! and their offsets are assigned again.
+
+use crate::support::{Harness, TestConfig, ok, replica_id, run, wait_until};
+use gradeloft_policy::process::document::RouteKind;
+use gradeloft_standin::{scripted::Step, tables::StoreMode};
+use gradeloft_wire::{datagram::StoreAccess, frame::Table};
+
+/// Starts an entry with two replicas.
+async fn start() -> Harness {
+    let script = |body| vec![vec![Step::Read, ok(body)]];
+    Harness::start(
+        TestConfig::of(RouteKind::Once),
+        vec![script("a"), script("b")],
+    )
+    .await
+}
+
+/// Makes the store unavailable for a moment, after which it continues from its last backup.
+async fn restore_backup(harness: &Harness) {
+    let node = &harness.entry.entry().node;
+    harness.tables.mode.set(StoreMode::Refusing);
+    harness.tables.abort_reads();
+    wait_until(|| async { node.access() == StoreAccess::Unserved }).await;
+    harness.tables.restore_backup();
+    harness.tables.mode.set(StoreMode::Healthy);
+}
+
+/// Writes a configuration, and waits until it is in force.
+async fn configure(harness: &Harness, version: u64) {
+    let value = version.to_string();
+    harness
+        .tables
+        .write(Table::Operator, "config", Some(&value));
+    wait_until(|| async { harness.entry.entry().config_version() == version }).await;
+}
+
+#[test]
+fn a_configuration_is_applied_at_an_offset_that_was_assigned_before_a_restore() {
+    run(async {
+        let harness = start().await;
+        harness.tables.back_up();
+        configure(&harness, 2).await;
+        configure(&harness, 3).await;
+        restore_backup(&harness).await;
+        configure(&harness, 4).await;
+    });
+}
+
+#[test]
+fn a_replica_that_leaves_after_a_restore_gets_no_more_requests() {
+    run(async {
+        let harness = start().await;
+        let entry = harness.entry.entry();
+        harness.tables.back_up();
+        let end = entry.node.end(Table::Replicas);
+        for state in ["ready again", "ready once more"] {
+            harness
+                .tables
+                .write(Table::Replicas, &replica_id(1), Some(state));
+        }
+        wait_until(|| async { entry.node.end(Table::Replicas) == end + 2 }).await;
+        restore_backup(&harness).await;
+        harness
+            .tables
+            .write(Table::Replicas, &replica_id(0), Some("draining"));
+        let is_draining = || {
+            let replicas = entry.replicas.borrow();
+            replicas.state(&replica_id(0)).is_some_and(|it| it.0)
+        };
+        wait_until(|| async { is_draining() }).await;
+    });
+}
+
+/// The record is written at an offset that was assigned to an older record before the restore.
+#[test]
+fn a_version_named_after_a_restore_is_not_as_old_as_a_lost_record() {
+    run(async {
+        let harness = start().await;
+        let node = &harness.entry.entry().node;
+        harness.tables.back_up();
+        configure(&harness, 2).await;
+        configure(&harness, 3).await;
+        let confirmed = node.confirmed_until(Table::Operator);
+        wait_until(|| async { confirmed < node.confirmed_until(Table::Operator) }).await;
+        let confirmed = node.confirmed_until(Table::Operator).unwrap();
+        restore_backup(&harness).await;
+        harness
+            .tables
+            .write(Table::Operator, "weights/m", Some("2"));
+        // Extends the table beyond its end before the restore.
+        for version in ["4", "5"] {
+            harness
+                .tables
+                .write(Table::Operator, "config", Some(version));
+        }
+        let named = || {
+            let records = node.records(Table::Operator);
+            records.into_iter().find(|it| it.key == "weights/m")
+        };
+        wait_until(|| async { named().is_some() }).await;
+        let written = node.written_at(Table::Operator, &named().unwrap());
+        assert!(
+            confirmed <= written,
+            "written at {written:?}, but the table had no such record at {confirmed:?}"
+        );
+    });
+}
--- a/crates/gradeloft_gateway/tests/entry/support/mod.rs
+++ b/crates/gradeloft_gateway/tests/entry/support/mod.rs
@@ -112,10 +112,10 @@
 
     fn listing(&self, record: &Record) -> Result<Listing, String> {
         let listings = self.listings.borrow();
-        listings
-            .get(&record.key)
-            .cloned()
-            .ok_or("unknown".to_owned())
+        let listing = listings.get(&record.key).cloned();
+        let mut listing = listing.ok_or("unknown".to_owned())?;
+        listing.draining |= record.value.as_deref() == Some(b"draining");
+        Ok(listing)
     }
 }
 
--- a/crates/gradeloft_standin/src/tables.rs
+++ b/crates/gradeloft_standin/src/tables.rs
@@ -30,6 +30,8 @@
     records: RefCell<HashMap<Table, Vec<Record>>>,
     /// Offsets below which a table was compacted.
     compacted: RefCell<HashMap<Table, u64>>,
+    /// Records of the last backup.
+    backup: RefCell<HashMap<Table, Vec<Record>>>,
     /// Response to calls.
     pub mode: Cell<StoreMode>,
     /// Number of calls so far.
@@ -127,6 +129,17 @@
         self.compacted.borrow_mut().insert(table, end as u64);
     }
 
+    /// Copies all tables, for [`Tables::restore_backup`].
+    pub fn back_up(&self) {
+        self.backup.replace(self.records.borrow().clone());
+    }
+
+    /// Replaces all tables by the last backup. Later writes get the offsets of the lost records.
+    pub fn restore_backup(&self) {
+        self.records.replace(self.backup.borrow().clone());
+        self.changed.notify_waiters();
+    }
+
     async fn handle_call(&self) -> Result<(), Fault> {
         self.calls.set(self.calls.get() + 1);
         match self.mode.get() {
