Order positions in the store's tables by its era first

Cause: a copy of a table took a position for a plain offset. It went on at the first record at its old end, and a configuration waited until its own offset was passed. Between peers the same comparison decided who is ahead.

Ruled out: slow reads (7 to 83 ms each) and a late election.

Change: Position is an era and an offset, compared by era first, in the copies, in messages between processes, in transfers and in the reads of the store.

--- a/crates/gradeloft_gateway/src/agent/receive.rs
+++ b/crates/gradeloft_gateway/src/agent/receive.rs
@@ -9,6 +9,7 @@
 use gradeloft_wire::{
     datagram::{Sender, StoreAccess, SwitchedReplicas},
     frame::Table,
+    position::Position,
 };
 use rand::Rng;
 
@@ -39,7 +40,7 @@
     /// Returns whether to request records now from an entry whose copy of the operator's table ends
     /// at `end`: if this agent has no copy or does not know a version that the entry reports, or if
     /// the entry's copy is newer and a refresh is due.
-    fn needs_records(&self, switched: &[SwitchedReplicas], end: u64, now: Time) -> bool {
+    fn needs_records(&self, switched: &[SwitchedReplicas], end: Position, now: Time) -> bool {
         let target = self.target();
         let newer = |it: &SwitchedReplicas| {
             target.as_ref().is_none_or(|own| {
--- a/crates/gradeloft_gateway/src/entry/gossip.rs
+++ b/crates/gradeloft_gateway/src/entry/gossip.rs
@@ -102,8 +102,8 @@
 /// Largest encoding of an engine state, in bytes.
 const ENGINE_BYTES: usize = 24;
 /// Most members in one datagram.
-const MAX_MEMBERS: usize = 50;
-/// Largest encoding of a member, in bytes.
+const MAX_MEMBERS: usize = 40;
+/// Largest encoding of a member, in bytes, with an era below 251 and an offset below 2^32.
 const MEMBER_BYTES: usize = 22;
 /// Age up to which an agent's report is forwarded to other regions, in milliseconds.
 const ENGINE_MAX_AGE_MS: u64 = 2_000;
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -71,6 +71,7 @@
 use gradeloft_wire::{
     datagram::{Presence, SwitchedReplicas},
     frame::{Call, Table},
+    position::Position,
 };
 use slog::{info, warn};
 use tokio::{net::TcpListener, sync::Notify};
@@ -167,7 +168,7 @@
     changed_engines: RefCell<Vec<SocketAddr>>,
     /// State sent to agents last: replicas that switched versions, and the end of the operator's
     /// table.
-    sent_to_agents: RefCell<(Vec<SwitchedReplicas>, u64)>,
+    sent_to_agents: RefCell<(Vec<SwitchedReplicas>, Position)>,
     /// Time of the first datagram from another entry.
     first_contact: Cell<Option<Time>>,
     /// Whether this entry got operator records from the store or another region that other entries
@@ -309,7 +310,7 @@
         if let Some(log) = self.node.logs.line(Topic::State) {
             let behind = self.node.behind(Table::Operator);
             info!(log, "freshness changed"; "aside" => stale, "config" => self.config_version(),
-                "end" => self.node.end(Table::Operator),
+                "end" => %self.node.end(Table::Operator),
                 "behind_ms" => behind.map_or(-1, |it| it.as_millis() as i64));
         }
     }
--- a/crates/gradeloft_gateway/src/entry/registration.rs
+++ b/crates/gradeloft_gateway/src/entry/registration.rs
@@ -103,7 +103,8 @@
             key: address.to_string(),
             value: Some(Bytes::from(zone.clone())),
         });
-        self.node.platform.store.write(rows.collect()).await
+        self.node.platform.store.write(rows.collect()).await?;
+        Ok(())
     }
 
     /// Returns a random time one to two pauses from now, so that entries which start together write
--- a/crates/gradeloft_gateway/src/entry/table_updates.rs
+++ b/crates/gradeloft_gateway/src/entry/table_updates.rs
@@ -187,7 +187,7 @@
             replicas.unlist(&record.key, trust);
             if let Some(log) = self.node.logs.line(Topic::State) {
                 info!(log, "replica unlisted"; "replica" => &record.key, "trust" => ?trust,
-                    "offset" => record.offset);
+                    "position" => %record.position);
             }
             return;
         }
@@ -202,7 +202,7 @@
                     info!(log, "replica listed"; "replica" => &*listing.id,
                         "service" => &*listing.service, "address" => %listing.address,
                         "draining" => listing.draining, "version" => ?listing.version,
-                        "offset" => record.offset);
+                        "position" => %record.position);
                 }
                 let near = self.node.near(&listing.zone);
                 let warmup_left_ms = listing.warmup_left_ms;
--- a/crates/gradeloft_gateway/src/node/abridged.rs
+++ b/crates/gradeloft_gateway/src/node/abridged.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use gradeloft_policy::process::mirror::{Record, Update};
-use gradeloft_wire::frame::Table;
+use gradeloft_wire::{frame::Table, position::Position};
 use slog::warn;
 
 use super::{Node, tables::index};
@@ -20,10 +20,10 @@
 /// State of abridged records that this process sends or received.
 #[derive(Debug, Default)]
 pub(super) struct AbridgedRecords {
-    /// Offset and abridged value of the newest large record of each key.
-    cache: HashMap<String, (u64, Bytes)>,
-    /// Offset before which records may have been received abridged.
-    unabridged_from: u64,
+    /// Position and abridged value of the newest large record of each key.
+    cache: HashMap<String, (Position, Bytes)>,
+    /// Position before which records may have been received abridged.
+    unabridged_from: Position,
 }
 
 impl Node {
@@ -37,7 +37,7 @@
     pub(super) fn update_for_peer(
         &self,
         table: Table,
-        from: u64,
+        from: Position,
         abridged: bool,
     ) -> Option<Update> {
         let mut update = self.copies.borrow()[index(table)].since(from);
@@ -51,7 +51,10 @@
             return Some(update);
         }
         let unabridged_from = self.abridged.borrow().unabridged_from;
-        let unabridged = update.records.iter().all(|it| unabridged_from <= it.offset);
+        let unabridged = update
+            .records
+            .iter()
+            .all(|it| unabridged_from <= it.position);
         unabridged.then_some(update)
     }
 
@@ -65,8 +68,8 @@
             return;
         }
         let mut abridged_records = self.abridged.borrow_mut();
-        if let Some((offset, value)) = abridged_records.cache.get(&record.key)
-            && *offset == record.offset
+        if let Some((position, value)) = abridged_records.cache.get(&record.key)
+            && *position == record.position
         {
             record.value = Some(value.clone());
             return;
@@ -81,27 +84,27 @@
                 value.clone()
             }
         };
-        let kept = (record.offset, value.clone());
+        let kept = (record.position, value.clone());
         abridged_records.cache.insert(record.key.clone(), kept);
         record.value = Some(value);
     }
 
     /// Notes that a peer sent the records of a table up to the end of the copy or up to `seen`,
     /// whichever is later. The records may be abridged if this process requests abridged ones.
-    pub(super) fn note_peer_update(&self, table: Table, seen: Option<u64>) {
+    pub(super) fn note_peer_update(&self, table: Table, seen: Option<Position>) {
         if table == Table::Operator && self.wants_abridged() {
-            let end = self.end(table).max(seen.unwrap_or(0));
+            let end = self.end(table).max(seen.unwrap_or_default());
             let mut abridged_records = self.abridged.borrow_mut();
             abridged_records.unabridged_from = abridged_records.unabridged_from.max(end);
         }
     }
 
-    /// Returns the end of a table's copy that is advertised to peers: 0 for an agent that has read
+    /// Returns the end of a table's copy that is advertised to peers: the start for an agent that has read
     /// nothing from the store since it received abridged records, as the agent can't serve peers
     /// that need unabridged ones.
-    pub(super) fn advertised_end(&self, table: Table) -> u64 {
+    pub(super) fn advertised_end(&self, table: Table) -> Position {
         let end = self.end(table);
         let abridged = table == Table::Operator && end <= self.abridged.borrow().unabridged_from;
-        if abridged { 0 } else { end }
+        if abridged { Position::START } else { end }
     }
 }
--- a/crates/gradeloft_gateway/src/node/parts.rs
+++ b/crates/gradeloft_gateway/src/node/parts.rs
@@ -13,7 +13,10 @@
     mirror::Record,
     transfer::{Choice, Fetcher, MissingValue, Pace, Progress, Refusal, Transfer},
 };
-use gradeloft_wire::frame::{Absence, Call, Reply, Role, Table};
+use gradeloft_wire::{
+    frame::{Absence, Call, Reply, Role, Table},
+    position::Position,
+};
 
 use super::{
     Node,
@@ -42,7 +45,7 @@
     /// Table.
     pub(super) table: Table,
     /// Position of the record in the table.
-    pub(super) offset: u64,
+    pub(super) position: Position,
     /// Bytes of the value that the peer already has.
     pub(super) start: u64,
     /// Role of the peer.
@@ -57,7 +60,7 @@
     /// Serves a peer's call for a value, if this process holds the value and has a free upload
     /// slot.
     pub(super) async fn serve_parts(self: &Rc<Node>, request: PartsRequest, outgoing: Outgoing) {
-        let Some(value) = self.value_at(request.table, request.offset) else {
+        let Some(value) = self.value_at(request.table, request.position) else {
             outgoing.finish(&Reply::Absent(Absence::NotHeld)).await;
             return;
         };
@@ -149,7 +152,7 @@
             let missing = it.pending.as_ref().and_then(|it| it.pending.missing());
             let is_needed = |transfer: &Transfer| {
                 let want = transfer.want();
-                missing == Some(want) || copy.lacks(&want.key, want.offset)
+                missing == Some(want) || copy.lacks(&want.key, want.position)
             };
             if !it.transfer.as_ref().is_some_and(is_needed) {
                 it.transfer = missing.cloned().map(|it| Transfer::new(it, now));
@@ -196,14 +199,14 @@
     ) -> Result<(), FetchFailure> {
         let wanted = self.with_inbox(table, |it| {
             let transfer = it.transfer.as_ref()?;
-            Some((transfer.want().offset, transfer.start()))
+            Some((transfer.want().position, transfer.start()))
         });
-        let Some((offset, start)) = wanted else {
+        let Some((position, start)) = wanted else {
             return Ok(());
         };
         let call = Call::Parts {
             table,
-            offset,
+            position,
             start,
             caller: self.role(),
         };
@@ -227,7 +230,7 @@
             match next.map_err(late)?.map_err(broken)? {
                 Some(Reply::Part(part)) => {
                     waiting_since.set(self.clock.now());
-                    if !self.add_part(peer, table, offset, &part)? {
+                    if !self.add_part(peer, table, position, &part)? {
                         return Ok(());
                     }
                     received = true;
@@ -280,15 +283,15 @@
         }
     }
 
-    /// Adds a part of the record at `offset`; returns whether the next part is needed.
+    /// Adds a part of the record at `position`; returns whether the next part is needed.
     fn add_part(
         &self,
         peer: Ipv4Addr,
         table: Table,
-        offset: u64,
+        position: Position,
         part: &[u8],
     ) -> Result<bool, FetchFailure> {
-        let fetched = |it: &Transfer| it.want().offset == offset;
+        let fetched = |it: &Transfer| it.want().position == position;
         let progress = self.with_inbox(table, |it| {
             let transfer = it.transfer.as_mut().filter(|it| fetched(it));
             transfer.map(|it| it.add(part))
@@ -327,7 +330,7 @@
         let record = Record {
             key: want.key.clone(),
             value: Some(value),
-            offset: want.offset,
+            position: want.position,
         };
         self.apply_ahead(table, vec![record], source);
     }
--- a/crates/gradeloft_gateway/src/node/records.rs
+++ b/crates/gradeloft_gateway/src/node/records.rs
@@ -22,6 +22,7 @@
 use gradeloft_wire::{
     frame::{Absence, Call, Reply, Role, Row, Table, Value},
     id::Digest,
+    position::Position,
 };
 use rand::Rng;
 use slog::warn;
@@ -83,13 +84,13 @@
         match call {
             Call::Parts {
                 table,
-                offset,
+                position,
                 start,
                 caller,
             } => {
                 let request = PartsRequest {
                     table,
-                    offset,
+                    position,
                     start,
                     caller,
                 };
@@ -110,7 +111,7 @@
     async fn serve_records(
         self: &Rc<Node>,
         table: Table,
-        from: u64,
+        from: Position,
         abridged: bool,
         outgoing: Outgoing,
     ) {
@@ -135,7 +136,7 @@
             age_ms: self.age_ms(table, &it),
             value: self.value_for_peer(table, &it, &mut room),
             key: it.key,
-            offset: it.offset,
+            position: it.position,
         });
         let reply = Reply::Records {
             snapshot: update.snapshot,
@@ -154,7 +155,7 @@
         };
         let large = INLINE_BYTES < value.len() || *room < value.len();
         // Only values that this process holds as they are can be sent in parts, not abridged ones.
-        if large && self.value_at(table, record.offset).as_ref() == Some(value) {
+        if large && self.value_at(table, record.position).as_ref() == Some(value) {
             return Value::Deferred {
                 length: value.len() as u64,
                 digest: Digest::of(value),
@@ -165,13 +166,13 @@
     }
 
     /// Returns the value of a record, if the copy holds it.
-    pub(super) fn value_at(&self, table: Table, offset: u64) -> Option<Bytes> {
+    pub(super) fn value_at(&self, table: Table, position: Position) -> Option<Bytes> {
         let copies = self.copies.borrow();
-        copies[index(table)].at(offset)?.value.clone()
+        copies[index(table)].at(position)?.value.clone()
     }
 
     /// Notes the ends of an entry's copies.
-    pub(super) fn note_holder(&self, peer: Ipv4Addr, zone: &str, ends: [u64; 3]) {
+    pub(super) fn note_holder(&self, peer: Ipv4Addr, zone: &str, ends: [Position; 3]) {
         let near = self.near(zone);
         let now = self.clock.now();
         for (inbox, end) in self.inboxes.borrow_mut().iter_mut().zip(ends) {
@@ -189,7 +190,7 @@
     /// returns whether this process lacks any. Requests to peers of other regions are delayed by a
     /// moment, within which near peers most likely get the records too. At first only a few
     /// processes of this region send such requests.
-    pub fn catch_up_from(self: &Rc<Node>, peer: Ipv4Addr, zone: &str, ends: [u64; 3]) -> bool {
+    pub fn catch_up_from(self: &Rc<Node>, peer: Ipv4Addr, zone: &str, ends: [Position; 3]) -> bool {
         let mut requested = false;
         let near = self.near(zone);
         for table in Table::ALL {
@@ -222,9 +223,9 @@
     }
 
     /// Returns the end of a table's copy once all announced records have arrived.
-    fn announced_end(&self, table: Table) -> u64 {
+    fn announced_end(&self, table: Table) -> Position {
         let announced = self.with_inbox(table, |it| it.pending.as_ref().map(|it| it.pending.end()));
-        self.end(table).max(announced.unwrap_or(0))
+        self.end(table).max(announced.unwrap_or_default())
     }
 
     /// Returns whether this process may request records of a table from a peer of another region
@@ -330,7 +331,7 @@
                 let values = before.pending.values();
                 announced
                     .pending
-                    .fill(|want| values.get(&want.offset).cloned());
+                    .fill(|want| values.get(&want.position).cloned());
             }
             let fetched = it.transfer.as_mut();
             if let Some(transfer) =
@@ -355,7 +356,7 @@
         }
         announced
             .pending
-            .fill(|want| self.value_at(table, want.offset));
+            .fill(|want| self.value_at(table, want.position));
         let update = announced.pending.take_ready(end);
         let ahead = announced.pending.usable_ahead();
         let (sound, requested_at, source) =
@@ -373,7 +374,7 @@
             }
             self.apply_update(table, update, source, requested_at);
         }
-        let seen = ahead.iter().map(|it| it.offset + 1).max();
+        let seen = ahead.iter().map(|it| it.position.next()).max();
         self.apply_ahead(table, ahead, source);
         self.note_peer_update(table, seen);
         self.peer_is_sound.set(false);
@@ -394,7 +395,7 @@
             .inc();
         if let Some(log) = self.logs.line(Topic::Dependency) {
             warn!(log, "record fetch failed"; "table" => ?table, "peer" => %peer, "reason" => reason,
-                "end" => self.end(table),
+                "end" => %self.end(table),
                 "behind_ms" => self.behind(table).map_or(-1, |it| it.as_millis() as i64),
                 "ms" => self.clock.now().since(requested_at).as_millis() as u64);
         }
@@ -412,13 +413,16 @@
 
 fn row(row: Row) -> pending_update::Row {
     let Row {
-        key, value, offset, ..
+        key,
+        value,
+        position,
+        ..
     } = row;
     let value = match value {
         Value::Deferred { length, digest } => {
             return pending_update::Row::Missing(MissingValue {
                 key,
-                offset,
+                position,
                 length,
                 digest,
             });
@@ -426,5 +430,9 @@
         Value::Deleted => None,
         Value::Inline(value) => Some(Bytes::from(value)),
     };
-    pending_update::Row::Present(Record { key, value, offset })
+    pending_update::Row::Present(Record {
+        key,
+        value,
+        position,
+    })
 }
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -11,7 +11,7 @@
         replicas::StoreTrust,
     },
 };
-use gradeloft_wire::{datagram::StoreAccess, frame::Table};
+use gradeloft_wire::{datagram::StoreAccess, frame::Table, position::Position};
 use rand::Rng;
 use slog::{info, warn};
 
@@ -150,8 +150,8 @@
         copies[index(table)].records().cloned().collect()
     }
 
-    /// Returns the offset up to which the copy of a table goes.
-    pub fn end(&self, table: Table) -> u64 {
+    /// Returns the position up to which the copy of a table goes.
+    pub fn end(&self, table: Table) -> Position {
         self.copies.borrow()[index(table)].end()
     }
 
@@ -177,7 +177,8 @@
     /// Returns for how long the copy of a table has lacked records that peers are known to have;
     /// `None` if it lacks none.
     pub fn behind(&self, table: Table) -> Option<Duration> {
-        let lacks_since = self.write_times.borrow()[index(table)].known_since(self.end(table));
+        let lacks_since =
+            self.write_times.borrow()[index(table)].known_since(self.end(table).offset);
         lacks_since.map(|it| self.clock.now().since(it))
     }
 
@@ -209,7 +210,7 @@
         {
             info!(log, "records"; "table" => ?table, "source" => %source,
                 "snapshot" => update.snapshot, "rows" => update.records.len(),
-                "bytes" => bytes, "end" => update.end, "before" => self.end(table),
+                "bytes" => bytes, "end" => %update.end, "before" => %self.end(table),
                 "behind_ms" => self.behind(table).map_or(-1, |it| it.as_millis() as i64),
                 "ms" => self.clock.now().since(requested_at).as_millis() as u64);
         }
@@ -241,7 +242,7 @@
             && let Some(log) = self.logs.line(Topic::State)
         {
             info!(log, "records ahead"; "table" => ?table, "source" => %source,
-                "rows" => changed.len(), "end" => self.end(table));
+                "rows" => changed.len(), "end" => %self.end(table));
         }
         self.source.set(source);
         self.notify_observer(table, changed);
@@ -423,7 +424,7 @@
     /// would then end too soon.
     pub fn trust_in_removal(&self, table: Table, record: &Record) -> StoreTrust {
         let now = self.clock.now();
-        let known = self.write_times.borrow()[index(table)].known_since(record.offset);
+        let known = self.write_times.borrow()[index(table)].known_since(record.position.offset);
         let written = known.map_or(now, |it| it.min(now));
         self.trust(table).of_written(written, RESTORED_MS)
     }
--- a/crates/gradeloft_gateway/src/node/unreadable.rs
+++ b/crates/gradeloft_gateway/src/node/unreadable.rs
@@ -74,7 +74,7 @@
         if let Some(log) = self.logs.line(Topic::State) {
             let key: String = record.key.chars().take(MAX_LOGGED_KEY).collect();
             warn!(log, "unreadable record"; "table" => ?table, "key" => key,
-                "offset" => record.offset, "source" => %source, "error" => reason);
+                "position" => %record.position, "source" => %source, "error" => reason);
         }
         Record {
             value: None,
--- a/crates/gradeloft_gateway/src/node/write_times.rs
+++ b/crates/gradeloft_gateway/src/node/write_times.rs
@@ -10,7 +10,10 @@
         write_times::Read,
     },
 };
-use gradeloft_wire::frame::{Row, Table};
+use gradeloft_wire::{
+    frame::{Row, Table},
+    position::Position,
+};
 use slog::warn;
 
 use super::{
@@ -94,7 +97,8 @@
     /// the peer.
     pub fn written_at(&self, table: Table, record: &Record) -> Time {
         let now = self.clock.now();
-        let effective = self.write_times.borrow()[index(table)].effective_since(record.offset);
+        let effective =
+            self.write_times.borrow()[index(table)].effective_since(record.position.offset);
         effective.map_or(now, |it| it.min(now))
     }
 
@@ -117,7 +121,7 @@
     /// Notes the ends of a peer's copies, and the times for which the copies have not been
     /// confirmed by the peer's own reads. As the times cover own reads only, no report comes back
     /// to its sender as new information.
-    pub fn note_peer_copies(&self, ends: [u64; 3], unconfirmed_ms: [u16; 3]) {
+    pub fn note_peer_copies(&self, ends: [Position; 3], unconfirmed_ms: [u16; 3]) {
         let now = self.clock.now();
         let mut activity_gaps = self.activity_gaps.borrow_mut();
         activity_gaps.ticks.note_event(now);
@@ -128,10 +132,10 @@
         }
         let mut ages = self.write_times.borrow_mut();
         for ((table, end), age) in ages.iter_mut().zip(ends).zip(unconfirmed_ms) {
-            table.note_peer_end(end, now);
+            table.note_peer_end(end.offset, now);
             // Right after a stall, the datagram may have been waiting in the socket.
             if fresh && age < u16::MAX {
-                table.note_peer_complete(end, u64::from(age), now);
+                table.note_peer_complete(end.offset, u64::from(age), now);
             }
         }
     }
@@ -147,7 +151,7 @@
     pub(super) fn note_received_rows(&self, table: Table, rows: &[Row], requested_at: Time) {
         let ages = &mut self.write_times.borrow_mut()[index(table)];
         for row in rows {
-            ages.note_received(row.offset, u64::from(row.age_ms), requested_at);
+            ages.note_received(row.position.offset, u64::from(row.age_ms), requested_at);
         }
     }
 
@@ -176,7 +180,7 @@
             bytes: update.bytes(),
             disturbed,
         };
-        let offsets = update.records.iter().map(|it| it.offset);
+        let offsets = update.records.iter().map(|it| it.position.offset);
         self.write_times.borrow_mut()[index(table)].note_read(offsets, read);
     }
 }
--- a/crates/gradeloft_platform/src/fleet.rs
+++ b/crates/gradeloft_platform/src/fleet.rs
@@ -10,7 +10,7 @@
     replicas::Listing,
 };
 use gradeloft_policy::version::waves::RunningRequests;
-use gradeloft_wire::{frame::Table, id::Digest};
+use gradeloft_wire::{frame::Table, id::Digest, position::Position};
 
 use crate::CallFuture;
 
@@ -19,15 +19,15 @@
 /// this time, and a read without a wait on a new connection (0.3 s).
 pub const READ_GRACE: Duration = Duration::from_millis(400);
 
-/// The result of reading a table from an offset.
+/// The result of reading a table from a position.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum TableRead {
-    /// The store has truncated the requested records, or they are too large for one read; a
-    /// snapshot has to be read instead.
+    /// The store has truncated the requested records or was restored since, or the records are too
+    /// large for one read; a snapshot has to be read instead.
     Truncated,
     /// The first records; a read from the end of this update returns more.
     Partial(Update),
-    /// All records from the offset on; empty if none was written during the wait.
+    /// All records from the position on; empty if none was written during the wait.
     Complete(Update),
 }
 
@@ -42,13 +42,14 @@
 
 /// The tables in the platform's store.
 pub trait Store {
-    /// Reads the records from offset `from` on, with a long poll of up to `wait_ms` for the first
+    /// Reads the records from position `from` on, with a long poll of up to `wait_ms` for the first
     /// one. Fails if the response has not begun [`READ_GRACE`] after the wait.
-    fn follow(&self, table: Table, from: u64, wait_ms: u64) -> CallFuture<'_, TableRead>;
+    fn follow(&self, table: Table, from: Position, wait_ms: u64) -> CallFuture<'_, TableRead>;
     /// Reads the latest record of each key.
     fn snapshot(&self, table: Table) -> CallFuture<'_, Update>;
-    /// Writes records to the table of entries atomically.
-    fn write(&self, rows: Vec<Put>) -> CallFuture<'_, ()>;
+    /// Writes records to the table of entries atomically. Returns the era of the store in which the
+    /// records were written; a restore of the store loses them.
+    fn write(&self, rows: Vec<Put>) -> CallFuture<'_, u32>;
 }
 
 /// A decoded record of the operator's table.
--- a/crates/gradeloft_policy/src/process/mirror.rs
+++ b/crates/gradeloft_policy/src/process/mirror.rs
@@ -1,13 +1,15 @@
 //! A copy of one keyed table of the platform's store.
 //!
 //! The store numbers the records of a table without gaps. A copy is updated with the records that
-//! follow its end, or with a snapshot if the store has dropped records that the copy lacks. Another
+//! follow its end, or with a snapshot if the store has dropped records that the copy lacks or was
+//! restored since. Another
 //! process can update its copy from this one in the same two ways, so processes without access to
 //! the store copy the table from processes with access.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 
 use bytes::Bytes;
+use gradeloft_wire::position::Position;
 
 /// Number of recent records kept for peers; a peer that is further behind gets a snapshot.
 const TAIL_RECORDS: usize = 512;
@@ -23,19 +25,19 @@
     /// Value; `None` deletes the key.
     pub value: Option<Bytes>,
     /// Position in the table.
-    pub offset: u64,
+    pub position: Position,
 }
 
 /// Part of a table that updates a copy.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Update {
     /// Whether `records` holds the latest record of each key, rather than all records from some
-    /// offset on.
+    /// position on.
     pub snapshot: bool,
-    /// Records, ascending by offset.
+    /// Records, ascending by position.
     pub records: Vec<Record>,
-    /// Offset that follows the last record.
-    pub end: u64,
+    /// Position that follows the last record.
+    pub end: Position,
 }
 
 impl Update {
@@ -54,13 +56,13 @@
     tail: VecDeque<Record>,
     /// Size of the tail, in bytes.
     tail_bytes: usize,
-    end: u64,
+    end: Position,
     loaded: bool,
 }
 
 impl Mirror {
-    /// Returns the offset of the first record that the copy lacks.
-    pub fn end(&self) -> u64 {
+    /// Returns the position of the first record that the copy lacks.
+    pub fn end(&self) -> Position {
         self.end
     }
 
@@ -79,17 +81,17 @@
         self.newest.values()
     }
 
-    /// Returns the record at an offset, if it is the latest of its key or in the tail.
-    pub fn at(&self, offset: u64) -> Option<&Record> {
-        let recent = self.tail.iter().find(|it| it.offset == offset);
-        recent.or_else(|| self.newest.values().find(|it| it.offset == offset))
+    /// Returns the record at a position, if it is the latest of its key or in the tail.
+    pub fn at(&self, position: Position) -> Option<&Record> {
+        let recent = self.tail.iter().find(|it| it.position == position);
+        recent.or_else(|| self.newest.values().find(|it| it.position == position))
     }
 
-    /// Returns whether a record of a key at an offset would be newer than the known record of this
+    /// Returns whether a record of a key at a position would be newer than the known record of this
     /// key.
-    pub fn lacks(&self, key: &str, offset: u64) -> bool {
+    pub fn lacks(&self, key: &str, position: Position) -> bool {
         let known = self.newest.get(key);
-        self.end <= offset && known.is_none_or(|it| it.offset < offset)
+        self.end <= position && known.is_none_or(|it| it.position < position)
     }
 
     /// Applies records beyond the end of the copy before the records in between have arrived, and
@@ -100,15 +102,20 @@
     pub fn apply_ahead(&mut self, records: Vec<Record>) -> Vec<Record> {
         let mut changed = Vec::new();
         for record in records {
-            if record.value.is_some() && self.lacks(&record.key, record.offset) {
+            if record.value.is_some() && self.lacks(&record.key, record.position) {
                 changed.extend(self.set(record));
             }
         }
         changed
     }
 
-    /// Applies an update and returns the records that changed something, including deletions.
+    /// Applies an update and returns the records that changed something, including deletions. After a
+    /// restore of the store, a copy continues with a snapshot.
     pub fn apply(&mut self, update: Update) -> Vec<Record> {
+        let continues = update.snapshot || update.end.era == self.end.era;
+        if update.end.era < self.end.era || !continues {
+            return Vec::new();
+        }
         let known = !update.records.is_empty() || update.snapshot;
         self.loaded |= known;
         let changed = if update.snapshot {
@@ -125,10 +132,17 @@
     /// Returns an update for a copy that ends at `from`: the records from there on, or a snapshot
     /// if the tail starts later or the snapshot is smaller, such as after many versions of one
     /// large record.
-    pub fn since(&self, from: u64) -> Update {
-        let first = self.end - self.tail.len() as u64;
-        if first <= from {
-            let skip = (from - first) as usize;
+    pub fn since(&self, from: Position) -> Update {
+        if self.end <= from {
+            return Update {
+                snapshot: false,
+                records: Vec::new(),
+                end: self.end,
+            };
+        }
+        let first = self.end.offset - self.tail.len() as u64;
+        if from.era == self.end.era && first <= from.offset {
+            let skip = (from.offset - first) as usize;
             let missed = || self.tail.iter().skip(skip);
             if bytes(missed()) <= bytes(self.newest.values()) {
                 return Update {
@@ -139,7 +153,7 @@
             }
         }
         let mut records: Vec<Record> = self.newest.values().cloned().collect();
-        records.sort_by_key(|it| it.offset);
+        records.sort_by_key(|it| it.position);
         Update {
             snapshot: true,
             records,
@@ -150,13 +164,13 @@
     fn follow(&mut self, records: Vec<Record>) -> Vec<Record> {
         let mut changed = Vec::new();
         for record in records {
-            if record.offset < self.end {
+            if record.position < self.end {
                 continue;
             }
-            if self.end < record.offset {
+            if self.end < record.position {
                 self.clear_tail();
             }
-            self.end = record.offset + 1;
+            self.end = record.position.next();
             self.keep(record.clone());
             changed.extend(self.set(record));
         }
@@ -187,7 +201,7 @@
         }
         let named: HashSet<&str> = update.records.iter().map(|it| it.key.as_str()).collect();
         // Records that were applied ahead may be newer than the snapshot.
-        let older = self.newest.values().filter(|it| it.offset < update.end);
+        let older = self.newest.values().filter(|it| it.position < update.end);
         let gone: Vec<String> = older
             .map(|it| &it.key)
             .filter(|it| !named.contains(it.as_str()))
@@ -199,7 +213,7 @@
             changed.push(Record {
                 key,
                 value: None,
-                offset: update.end,
+                position: update.end,
             });
         }
         for record in &update.records {
@@ -211,11 +225,17 @@
         changed
     }
 
-    /// Applies a record unless a newer one of its key is known.
+    /// Applies a record unless a newer one of its key is known. Returns the record if it changed
+    /// something: a record that is known from before a restore of the store gets another position.
     fn set(&mut self, record: Record) -> Option<Record> {
-        let newer = self.newest.get(&record.key);
-        if newer.is_some_and(|it| record.offset <= it.offset) {
-            return None;
+        if let Some(known) = self.newest.get_mut(&record.key) {
+            if record.position <= known.position {
+                return None;
+            }
+            if record.position.era != known.position.era && record.value == known.value {
+                known.position = record.position;
+                return None;
+            }
         }
         if record.value.is_some() {
             self.newest.insert(record.key.clone(), record.clone());
--- a/crates/gradeloft_policy/src/process/pending_update.rs
+++ b/crates/gradeloft_policy/src/process/pending_update.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 
 use bytes::Bytes;
+use gradeloft_wire::position::Position;
 
 use super::{
     mirror::{Record, Update},
@@ -24,10 +25,10 @@
 }
 
 impl Row {
-    fn offset(&self) -> u64 {
+    fn position(&self) -> Position {
         match self {
-            Row::Missing(missing) => missing.offset,
-            Row::Present(record) => record.offset,
+            Row::Missing(missing) => missing.position,
+            Row::Present(record) => record.position,
         }
     }
 }
@@ -36,15 +37,15 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PendingUpdate {
     snapshot: bool,
-    /// Records, ascending by offset.
+    /// Records, ascending by position.
     rows: Vec<Row>,
-    end: u64,
+    end: Position,
 }
 
 impl PendingUpdate {
-    /// Creates an update from the records that a peer announced, ascending by offset and up to
+    /// Creates an update from the records that a peer announced, ascending by position and up to
     /// `end`. With `snapshot`, these are the latest records of all keys.
-    pub fn new(snapshot: bool, rows: Vec<Row>, end: u64) -> PendingUpdate {
+    pub fn new(snapshot: bool, rows: Vec<Row>, end: Position) -> PendingUpdate {
         PendingUpdate {
             snapshot,
             rows,
@@ -53,7 +54,7 @@
     }
 
     /// Returns the end of a copy to which all of the update was applied.
-    pub fn end(&self) -> u64 {
+    pub fn end(&self) -> Position {
         self.end
     }
 
@@ -81,16 +82,16 @@
                 *row = Row::Present(Record {
                     key: std::mem::take(&mut missing.key),
                     value: Some(value),
-                    offset: missing.offset,
+                    position: missing.position,
                 });
             }
         }
     }
 
-    /// Returns the present values by offset.
-    pub fn values(&self) -> HashMap<u64, Bytes> {
+    /// Returns the present values by position.
+    pub fn values(&self) -> HashMap<Position, Bytes> {
         let present = self.rows.iter().filter_map(|it| match it {
-            Row::Present(record) => Some((record.offset, record.value.clone()?)),
+            Row::Present(record) => Some((record.position, record.value.clone()?)),
             Row::Missing(_) => None,
         });
         present.collect()
@@ -98,15 +99,15 @@
 
     /// Returns whether the update is incomplete and contains nothing new for a copy that ends at
     /// `end`.
-    pub fn outdated(&self, end: u64) -> bool {
+    pub fn outdated(&self, end: Position) -> bool {
         self.end <= end && self.missing().is_some()
     }
 
     /// Removes and returns the part that can be applied to a copy that ends at `end`: the records
     /// before the first missing value, or a whole snapshot.
-    pub fn take_ready(&mut self, end: u64) -> Option<Update> {
+    pub fn take_ready(&mut self, end: Position) -> Option<Update> {
         if !self.snapshot {
-            self.rows.retain(|it| end <= it.offset());
+            self.rows.retain(|it| end <= it.position());
         }
         let present = self
             .rows
@@ -117,7 +118,7 @@
         if !whole && (self.snapshot || present == 0) {
             return None;
         }
-        let end = self.rows.get(present).map_or(self.end, Row::offset);
+        let end = self.rows.get(present).map_or(self.end, Row::position);
         let records = self.rows.drain(..present).filter_map(|it| match it {
             Row::Present(record) => Some(record),
             Row::Missing(_) => None,
@@ -143,7 +144,7 @@
             .filter(|it| it.value.is_some())
             .cloned()
             .collect();
-        ahead.sort_by_key(|it| it.offset);
+        ahead.sort_by_key(|it| it.position);
         ahead
     }
 }
--- a/crates/gradeloft_policy/src/process/roster.rs
+++ b/crates/gradeloft_policy/src/process/roster.rs
@@ -5,6 +5,8 @@
     net::Ipv4Addr,
 };
 
+use gradeloft_wire::position::Position;
+
 use crate::{clock::Time, rendezvous};
 
 /// Silence after which an entry is no longer offered to callers, in milliseconds.
@@ -57,7 +59,7 @@
     /// Whether the entry has access to the platform's store, by its last status.
     served: bool,
     /// End of the entry's copy of the operator's table, by its last status.
-    end: u64,
+    end: Position,
     /// Time at which the entry was last known to be alive.
     seen: Option<Time>,
     /// Time until which the entry counts as alive.
@@ -76,7 +78,7 @@
     /// Whether the entry has access to the platform's store.
     pub served: bool,
     /// End of the entry's copy of the operator's table.
-    pub end: u64,
+    pub end: Position,
 }
 
 /// The other entries.
@@ -95,7 +97,7 @@
             state: State::Starting,
             incarnation: 0,
             served: false,
-            end: 0,
+            end: Position::START,
             seen: None,
             alive_until: Time::ZERO,
         });
@@ -219,7 +221,7 @@
 
     /// Returns whether a majority of entries, including this one, accept callers and have a copy of
     /// the operator's table that reaches beyond `end`. Leaving entries don't count.
-    pub fn majority_beyond(&self, end: u64, now: Time) -> bool {
+    pub fn majority_beyond(&self, end: Position, now: Time) -> bool {
         let staying = |it: &&Entry| it.alive(now) && it.state != State::Leaving;
         let others = self.entries.values().filter(staying);
         let beyond = others
--- a/crates/gradeloft_policy/src/process/transfer.rs
+++ b/crates/gradeloft_policy/src/process/transfer.rs
@@ -8,7 +8,7 @@
 use std::{collections::HashMap, net::Ipv4Addr, time::Duration};
 
 use bytes::Bytes;
-use gradeloft_wire::{frame::Role, id::Digest};
+use gradeloft_wire::{frame::Role, id::Digest, position::Position};
 use rand::{Rng, seq::IteratorRandom};
 
 use crate::{clock::Time, rendezvous};
@@ -70,8 +70,8 @@
 pub struct MissingValue {
     /// Key of its record.
     pub key: String,
-    /// Offset of its record in the table.
-    pub offset: u64,
+    /// Position of its record in the table.
+    pub position: Position,
     /// Length in bytes.
     pub length: u64,
     /// Digest of the whole value.
@@ -164,7 +164,7 @@
     /// Whether the peer is in the own region.
     near: bool,
     /// End of the peer's copy.
-    end: u64,
+    end: Position,
     at: Time,
 }
 
@@ -178,7 +178,7 @@
 impl Holders {
     /// Records that a peer's copy ends at `end`. `near` is whether the peer is in the own region;
     /// `None` leaves this unchanged.
-    pub fn note(&mut self, peer: Ipv4Addr, near: Option<bool>, end: u64, now: Time) {
+    pub fn note(&mut self, peer: Ipv4Addr, near: Option<bool>, end: Position, now: Time) {
         if let Some(known) = self.known.iter_mut().find(|it| it.peer == peer) {
             known.near = near.unwrap_or(known.near);
             known.end = end;
@@ -223,9 +223,9 @@
         self.known.iter().filter(|it| it.near).filter(is_recent)
     }
 
-    fn holding(&self, offset: u64, now: Time) -> impl Iterator<Item = &Holder> {
+    fn holding(&self, position: Position, now: Time) -> impl Iterator<Item = &Holder> {
         let is_recent = move |it: &&Holder| now < it.at.after_ms(SILENCE_MS);
-        let has = move |it: &&Holder| offset < it.end;
+        let has = move |it: &&Holder| position < it.end;
         self.known.iter().filter(is_recent).filter(has)
     }
 }
@@ -354,7 +354,7 @@
     ) -> Choice {
         let exclusion = |it: &Holder| self.exclusions.get(&it.peer).copied();
         let candidates: Vec<&Holder> = holders
-            .holding(self.want.offset, now)
+            .holding(self.want.position, now)
             .filter(|it| exclusion(it) != Some(Exclusion::NotHeld))
             .collect();
         let until = |it: &Holder| {
@@ -379,7 +379,7 @@
             return Choice::Wait(soonest.since(now));
         }
         if let Some(holder) = free(false).choose(rng) {
-            let wait_ms = holders.far_wait_ms(self.want.offset, fetcher, now);
+            let wait_ms = holders.far_wait_ms(self.want.position.offset, fetcher, now);
             let turn = self.begun.after_ms(wait_ms);
             if turn <= now {
                 return Choice::Request(holder.peer);
--- a/crates/gradeloft_wire/src/datagram.rs
+++ b/crates/gradeloft_wire/src/datagram.rs
@@ -7,7 +7,7 @@
 
 use bincode::{Decode, Encode};
 
-use crate::quarantine::Suspect;
+use crate::{position::Position, quarantine::Suspect};
 
 /// Largest datagram that is read, in bytes; below the usual MTU.
 pub const MAX_BYTES: usize = 1_400;
@@ -22,9 +22,9 @@
     pub incarnation: u64,
     /// Availability zone of the sender.
     pub zone: String,
-    /// Offset at which the sender's copy of each table ends, in the order of
+    /// Position at which the sender's copy of each table ends, in the order of
     /// [`Table::ALL`](crate::frame::Table::ALL).
-    pub ends: [u64; 3],
+    pub ends: [Position; 3],
     /// Time since the sender's own reads of the store last confirmed that each copy is complete, in
     /// milliseconds; `u16::MAX` for longer and for never.
     pub unconfirmed_ms: [u16; 3],
@@ -129,8 +129,8 @@
     pub presence: Presence,
     /// Whether the platform's store serves the entry.
     pub store: StoreAccess,
-    /// Offset at which the entry's copy of the operator's table ends.
-    pub end: u64,
+    /// Position at which the entry's copy of the operator's table ends.
+    pub end: Position,
 }
 
 /// Whether the platform's store serves a process.
--- a/crates/gradeloft_wire/src/frame.rs
+++ b/crates/gradeloft_wire/src/frame.rs
@@ -8,6 +8,7 @@
 use crate::{
     error::Kind,
     id::{Digest, RequestId},
+    position::Position,
     record::SignedBundle,
 };
 
@@ -50,8 +51,8 @@
     Records {
         /// Table.
         table: Table,
-        /// Offset of the first record that the client lacks.
-        from: u64,
+        /// Position of the first record that the client lacks.
+        from: Position,
         /// Whether to omit the parts of the operator's records that only entries need.
         abridged: bool,
     },
@@ -67,8 +68,8 @@
     Parts {
         /// Table.
         table: Table,
-        /// Offset of the record in the table.
-        offset: u64,
+        /// Position of the record in the table.
+        position: Position,
         /// Number of bytes of the value that the client already has.
         start: u64,
         /// Role of the client.
@@ -144,12 +145,12 @@
     /// Records of a table.
     Records {
         /// Whether `rows` are the newest record of every key, instead of the records from the
-        /// requested offset on.
+        /// requested position on.
         snapshot: bool,
-        /// Records in order of offset.
+        /// Records in order of position.
         rows: Vec<Row>,
-        /// Offset of the record after the last one.
-        end: u64,
+        /// Position of the record after the last one.
+        end: Position,
         /// Whether the server has read the table from the store without interruption, so that it
         /// has seen every removal.
         sound: bool,
@@ -181,8 +182,8 @@
     pub key: String,
     /// Value.
     pub value: Value,
-    /// Offset in the table.
-    pub offset: u64,
+    /// Position in the table.
+    pub position: Position,
     /// Age of the record as the sender knows it, in milliseconds; `u16::MAX` for longer.
     pub age_ms: u16,
 }
--- a/crates/gradeloft_wire/src/lib.rs
+++ b/crates/gradeloft_wire/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`error`]: the closed list of error kinds and the response to each.
 //! - [`frame`]: messages between gradeloft's own processes.
 //! - [`id`]: digests, fingerprints and ids.
+//! - [`position`]: positions of records in the tables of the platform's store.
 //! - [`quarantine`]: requests suspected of crashing replicas.
 //! - [`record`]: records that gradeloft appends to the platform's log.
 //! - [`schema`]: validation of documents against the schemas.
@@ -16,6 +17,7 @@
 pub mod error;
 pub mod frame;
 pub mod id;
+pub mod position;
 pub mod quarantine;
 pub mod record;
 pub mod schema;
