Date records by their position, not by a reused offset

Cause: bounds for the time at which a record was written were kept by its offset. A record that gets an offset which was assigned before the restore had the age of the lost record there, so its time limit had passed when it was read.

Change: the bounds go by position. Ends of an earlier era bound records of a later one from below and never from above.

--- a/crates/gradeloft_gateway/src/node/confirmed.rs
+++ b/crates/gradeloft_gateway/src/node/confirmed.rs
@@ -12,7 +12,7 @@
     /// read is being applied, returns the time confirmed before the read. While reads succeed, the
     /// time is at most one long poll and one round trip ago.
     pub fn confirmed_until(&self, table: Table) -> Option<Time> {
-        self.write_times.borrow()[index(table)].complete_until(self.end(table).offset)
+        self.write_times.borrow()[index(table)].complete_until(self.end(table))
     }
 
     /// Returns whether the last successful read of a table followed a failed one. Its records may
@@ -26,7 +26,7 @@
         let end = self.end(table);
         // A response that arrives before the end of its wait confirms no time in the future.
         let at = at.min(self.clock.now());
-        self.write_times.borrow_mut()[index(table)].confirm(end.offset, at);
+        self.write_times.borrow_mut()[index(table)].confirm(end, at);
     }
 
     /// Notes whether the read that is about to be applied followed a failed one.
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -177,8 +177,7 @@
     /// Returns for how long the copy of a table has lacked records that peers are known to have;
     /// `None` if it lacks none.
     pub fn behind(&self, table: Table) -> Option<Duration> {
-        let lacks_since =
-            self.write_times.borrow()[index(table)].known_since(self.end(table).offset);
+        let lacks_since = self.write_times.borrow()[index(table)].known_since(self.end(table));
         lacks_since.map(|it| self.clock.now().since(it))
     }
 
@@ -424,7 +423,7 @@
     /// would then end too soon.
     pub fn trust_in_removal(&self, table: Table, record: &Record) -> StoreTrust {
         let now = self.clock.now();
-        let known = self.write_times.borrow()[index(table)].known_since(record.position.offset);
+        let known = self.write_times.borrow()[index(table)].known_since(record.position);
         let written = known.map_or(now, |it| it.min(now));
         self.trust(table).of_written(written, RESTORED_MS)
     }
--- a/crates/gradeloft_gateway/src/node/write_times.rs
+++ b/crates/gradeloft_gateway/src/node/write_times.rs
@@ -97,8 +97,7 @@
     /// the peer.
     pub fn written_at(&self, table: Table, record: &Record) -> Time {
         let now = self.clock.now();
-        let effective =
-            self.write_times.borrow()[index(table)].effective_since(record.position.offset);
+        let effective = self.write_times.borrow()[index(table)].effective_since(record.position);
         effective.map_or(now, |it| it.min(now))
     }
 
@@ -132,10 +131,10 @@
         }
         let mut ages = self.write_times.borrow_mut();
         for ((table, end), age) in ages.iter_mut().zip(ends).zip(unconfirmed_ms) {
-            table.note_peer_end(end.offset, now);
+            table.note_peer_end(end, now);
             // Right after a stall, the datagram may have been waiting in the socket.
             if fresh && age < u16::MAX {
-                table.note_peer_complete(end.offset, u64::from(age), now);
+                table.note_peer_complete(end, u64::from(age), now);
             }
         }
     }
@@ -151,7 +150,7 @@
     pub(super) fn note_received_rows(&self, table: Table, rows: &[Row], requested_at: Time) {
         let ages = &mut self.write_times.borrow_mut()[index(table)];
         for row in rows {
-            ages.note_received(row.position.offset, u64::from(row.age_ms), requested_at);
+            ages.note_received(row.position, u64::from(row.age_ms), requested_at);
         }
     }
 
@@ -180,8 +179,8 @@
             bytes: update.bytes(),
             disturbed,
         };
-        let offsets = update.records.iter().map(|it| it.position.offset);
-        self.write_times.borrow_mut()[index(table)].note_read(offsets, read);
+        let positions = update.records.iter().map(|it| it.position);
+        self.write_times.borrow_mut()[index(table)].note_read(positions, read);
     }
 }
 
--- a/crates/gradeloft_policy/src/process/latest_writes.rs
+++ b/crates/gradeloft_policy/src/process/latest_writes.rs
@@ -7,6 +7,8 @@
 
 use std::collections::VecDeque;
 
+use gradeloft_wire::position::Position;
+
 use crate::clock::Time;
 
 /// Number of ends that are remembered, enough for a few seconds of changes in close succession.
@@ -17,23 +19,25 @@
 ///
 /// ```
 /// use gradeloft_policy::{clock::Time, process::latest_writes::LatestWrites};
+/// use gradeloft_wire::position::Position;
+/// let at = |offset| Position::new(0, offset);
 /// let mut ends = LatestWrites::default();
-/// ends.note(7, Time::ZERO.after_ms(10));
-/// ends.note(9, Time::ZERO.after_ms(20));
-/// assert_eq!(ends.known_since(7), Some(Time::ZERO.after_ms(20)));
-/// assert_eq!(ends.known_since(9), None);
-/// ends.note(8, Time::ZERO.after_ms(5));
-/// assert_eq!(ends.known_since(6), Some(Time::ZERO.after_ms(5)));
+/// ends.note(at(7), Time::ZERO.after_ms(10));
+/// ends.note(at(9), Time::ZERO.after_ms(20));
+/// assert_eq!(ends.known_since(at(7)), Some(Time::ZERO.after_ms(20)));
+/// assert_eq!(ends.known_since(at(9)), None);
+/// ends.note(at(8), Time::ZERO.after_ms(5));
+/// assert_eq!(ends.known_since(at(6)), Some(Time::ZERO.after_ms(5)));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct LatestWrites {
     /// Pairs of end and time, ascending in both; other pairs would add no information.
-    ends: VecDeque<(u64, Time)>,
+    ends: VecDeque<(Position, Time)>,
 }
 
 impl LatestWrites {
     /// Records that the table reached `end` by the time `at`.
-    pub fn note(&mut self, end: u64, at: Time) {
+    pub fn note(&mut self, end: Position, at: Time) {
         let place = self.ends.partition_point(|it| it.0 < end);
         if self.ends.get(place).is_some_and(|it| it.1 <= at) {
             return;
@@ -50,9 +54,9 @@
         }
     }
 
-    /// Returns the earliest time by which the record at `offset` is known to have been written.
-    pub fn known_since(&self, offset: u64) -> Option<Time> {
-        let beyond = self.ends.iter().find(|it| offset < it.0);
+    /// Returns the earliest time by which the record at `position` is known to have been written.
+    pub fn known_since(&self, position: Position) -> Option<Time> {
+        let beyond = self.ends.iter().find(|it| position < it.0);
         beyond.map(|it| it.1)
     }
 }
--- a/crates/gradeloft_policy/src/process/write_times.rs
+++ b/crates/gradeloft_policy/src/process/write_times.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use gradeloft_wire::position::Position;
+
 use super::{earliest_writes::EarliestWrites, latest_writes::LatestWrites};
 use crate::clock::Time;
 
@@ -66,33 +68,33 @@
 
 impl WriteTimes {
     /// Records that the copy of a peer reaches up to `end` at `now`.
-    pub fn note_peer_end(&mut self, end: u64, now: Time) {
+    pub fn note_peer_end(&mut self, end: Position, now: Time) {
         self.latest.note(end, now);
     }
 
     /// Records that the copy of a peer, which reaches up to `end`, was complete `age_ms` before
     /// `now`.
-    pub fn note_peer_complete(&mut self, end: u64, age_ms: u64, now: Time) {
+    pub fn note_peer_complete(&mut self, end: Position, age_ms: u64, now: Time) {
         self.earliest.note(end, now.before_ms(age_ms));
     }
 
     /// Records that a peer sent a record that it has known for `age_ms`, in reply to a call made
     /// at `requested_at`.
-    pub fn note_received(&mut self, offset: u64, age_ms: u64, requested_at: Time) {
+    pub fn note_received(&mut self, position: Position, age_ms: u64, requested_at: Time) {
         self.effective
-            .note(offset + 1, requested_at.before_ms(age_ms));
+            .note(position.next(), requested_at.before_ms(age_ms));
     }
 
-    /// Records that a read brought the records at `offsets`.
-    pub fn note_read(&mut self, offsets: impl Iterator<Item = u64>, read: Read) {
+    /// Records that a read brought the records at `positions`.
+    pub fn note_read(&mut self, positions: impl Iterator<Item = Position>, read: Read) {
         let bound = self.lower_bound(read);
-        for offset in offsets {
+        for position in positions {
             let earliest = self
                 .earliest
-                .unwritten_until(offset)
+                .unwritten_until(position)
                 .unwrap_or(read.received_at);
             let written = earliest.max(bound).min(read.received_at);
-            self.effective.note(offset + 1, written);
+            self.effective.note(position.next(), written);
         }
         self.read_at = Some(read.received_at);
         self.read_delayed = read.is_delayed();
@@ -118,7 +120,7 @@
 
     /// Records that this process's own reads showed its copy, which reaches up to `end`, to be
     /// complete at `at`.
-    pub fn confirm(&mut self, end: u64, at: Time) {
+    pub fn confirm(&mut self, end: Position, at: Time) {
         self.earliest.note(end, at);
         self.confirmed = self.confirmed.max(Some(at));
     }
@@ -131,21 +133,21 @@
 
     /// Returns the latest time at which a copy that reaches up to `end` is known to have been
     /// complete, by the reads of this process and of peers.
-    pub fn complete_until(&self, end: u64) -> Option<Time> {
+    pub fn complete_until(&self, end: Position) -> Option<Time> {
         self.earliest.unwritten_until(end)
     }
 
     /// Returns the earliest time by which a record is known to have been written.
-    pub fn known_since(&self, offset: u64) -> Option<Time> {
-        self.latest.known_since(offset)
+    pub fn known_since(&self, position: Position) -> Option<Time> {
+        self.latest.known_since(position)
     }
 
     /// Returns the time at which a record counts as written, from which time limits set by its
     /// writer are measured.
-    pub fn effective_since(&self, offset: u64) -> Option<Time> {
+    pub fn effective_since(&self, position: Position) -> Option<Time> {
         let (known, counted) = (
-            self.latest.known_since(offset),
-            self.effective.known_since(offset),
+            self.latest.known_since(position),
+            self.effective.known_since(position),
         );
         known.into_iter().chain(counted).min()
     }
--- a/crates/gradeloft_policy/tests/freshness.rs
+++ b/crates/gradeloft_policy/tests/freshness.rs
@@ -83,9 +83,11 @@
     let mut freshness = Vec::new();
     for now_ms in (0..60_000).step_by(10) {
         let now = Time::ZERO.after_ms(now_ms);
-        ends.note(now_ms / 330 + 1, now);
+        ends.note(Position::new(0, now_ms / 330 + 1), now);
         let end = now_ms.checked_sub(delay_ms).map_or(0, |it| it / 330 + 1);
-        let lacked = ends.known_since(end).map(|it| now.since(it));
+        let lacked = ends
+            .known_since(Position::new(0, end))
+            .map(|it| now.since(it));
         freshness.push(Freshness::of(lacked, APPLY, || true));
     }
     freshness
