Keep what was in force when a restore of the store loses it

What callers would see: an entry that reads the restored store, or starts after it, serves by an older configuration than one that was confirmed, sends requests to a replica that had said that it leaves or is gone, and drops replicas that the store will list again within two seconds.

Cause: a copy followed the restored store, whose last records are seconds old; and the whole of a peer's copy was not passed on to a process that had read the same end itself.

What it has beyond them is lost: records and deletions stay until their key is written in the new era; other tables say by LostRecords what is dropped. A replica that the store lacks is removed only after the time within which it would be back. An entry that starts alone on a store that was ever restored waits for a peer for a second before it takes callers. Records that the store still has keep their age.

--- a/crates/gradeloft_gateway/src/agent/receive.rs
+++ b/crates/gradeloft_gateway/src/agent/receive.rs
@@ -125,9 +125,10 @@
                     is_new = self.entries.borrow_mut().insert(from, entry).is_none();
                 }
                 let end = datagram.ends[Table::Operator as usize];
-                if self.needs_records(&switched, end, received_at)
-                    && self.node.catch_up_from(from, &datagram.zone, datagram.ends)
-                {
+                let (ends, kept) = (datagram.ends, datagram.kept);
+                let needs_records = self.needs_records(&switched, end, received_at)
+                    || self.node.lacks_kept(Table::Operator, ends, kept);
+                if needs_records && self.node.catch_up_from(from, &datagram.zone, ends, kept) {
                     let mut refresh = self.refresh.get();
                     refresh.record_read(received_at);
                     self.refresh.set(refresh);
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -275,7 +275,8 @@
             return Presence::Leaving;
         }
         let known = self.config.borrow().is_some() && !self.replicas.borrow().is_empty();
-        if known && self.freshness() != Freshness::Stale {
+        let current = self.freshness() != Freshness::Stale && !self.node.awaits_kept_records();
+        if known && current {
             Presence::Ready
         } else {
             Presence::Starting
--- a/crates/gradeloft_gateway/src/entry/receive.rs
+++ b/crates/gradeloft_gateway/src/entry/receive.rs
@@ -92,7 +92,8 @@
         if !relayed_before {
             self.node
                 .note_peer_copies(datagram.ends, datagram.unconfirmed_ms);
-            self.node.catch_up_from(from, &datagram.zone, datagram.ends);
+            self.node
+                .catch_up_from(from, &datagram.zone, datagram.ends, datagram.kept);
         }
     }
 
--- a/crates/gradeloft_gateway/src/metrics.rs
+++ b/crates/gradeloft_gateway/src/metrics.rs
@@ -96,6 +96,10 @@
     pub resting: Gauge,
     /// Availability zones that are evacuated.
     pub evacuated: Gauge,
+    /// Highest era of the store that a copy of a table has reached.
+    pub store_era: Gauge,
+    /// Records that are kept although the store lost them in a restore.
+    pub kept_records: Gauge,
     /// Version of the weights loaded by the replica beside an agent.
     pub weights: Gauge,
     /// Chunks of weights fetched, by source.
@@ -131,6 +135,8 @@
             leaving: Gauge::default(),
             resting: Gauge::default(),
             evacuated: Gauge::default(),
+            store_era: Gauge::default(),
+            kept_records: Gauge::default(),
             weights: Gauge::default(),
             fetched_chunks: Family::default(),
         };
@@ -260,6 +266,16 @@
             "Availability zones whose replicas get no requests",
             self.evacuated.clone(),
         );
+        it.register(
+            "store_era",
+            "Highest era of the store that a table has reached",
+            self.store_era.clone(),
+        );
+        it.register(
+            "kept_records",
+            "Records kept although the store lost them",
+            self.kept_records.clone(),
+        );
         it.register(
             "weights_version",
             "Version of the weights loaded by the replica",
--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`write_times`]: the times at which records count as written, and stalls of the process.
 //! - [`abridged`]: the operator's records, without the parts that only entries need.
+//! - [`restored`]: restores of the store from a backup.
 //! - [`confirmed`]: the time up to which each copy is known to be complete.
 //! - [`unreadable`]: records of other writers that can't be decoded.
 //! - [`parts`]: large values, which peers send to each other in parts.
@@ -13,6 +14,7 @@
 pub mod confirmed;
 pub mod parts;
 pub mod records;
+pub mod restored;
 pub mod tables;
 pub mod unreadable;
 pub mod write_times;
@@ -52,6 +54,7 @@
 
 use abridged::AbridgedRecords;
 use records::Inbox;
+use restored::{PeerKept, lost_records};
 use tables::{ReadState, Source};
 use write_times::ActivityGaps;
 
@@ -148,6 +151,10 @@
     source: Cell<Source>,
     /// Whether the records that are being applied are the first of their table.
     initial_load: Cell<bool>,
+    /// Whether the update that is being applied is the first after a restore of the store.
+    entering_era: Cell<bool>,
+    /// Kept records of peers.
+    peer_kept: RefCell<PeerKept>,
     /// Last logged event of a store that does not respond; `None` while it responds.
     logged_store_fault: Cell<Option<&'static str>>,
     observer: RefCell<Option<Observer>>,
@@ -188,7 +195,7 @@
             scope: Rc::default(),
             peers: Pool::new(clock, MAX_FRAME, PEER_CONNECT, None),
             draining: Cell::new(false),
-            copies: RefCell::default(),
+            copies: RefCell::new(Table::ALL.map(|it| Mirror::new(lost_records(it)))),
             inboxes: RefCell::default(),
             uploads: RefCell::default(),
             write_times: RefCell::default(),
@@ -202,6 +209,8 @@
             abridged: RefCell::default(),
             source: Cell::default(),
             initial_load: Cell::default(),
+            entering_era: Cell::default(),
+            peer_kept: RefCell::default(),
             logged_store_fault: Cell::default(),
             observer: RefCell::default(),
             near_peers: RefCell::default(),
@@ -255,6 +264,7 @@
             incarnation: self.incarnation,
             zone: self.settings().zone.clone(),
             ends: Table::ALL.map(|it| self.advertised_end(it)),
+            kept: self.kept_digest(),
             unconfirmed_ms: self.unconfirmed_ms(),
             sender,
         };
--- a/crates/gradeloft_gateway/src/node/records.rs
+++ b/crates/gradeloft_gateway/src/node/records.rs
@@ -186,11 +186,17 @@
         settings.region(zone) == settings.region(&settings.zone)
     }
 
-    /// Fetches the records that this process lacks from a peer whose copies go up to `ends`;
-    /// returns whether this process lacks any. Requests to peers of other regions are delayed by a
+    /// Fetches the records that this process lacks from a peer whose copies go up to `ends` and who
+    /// keeps the records with the digest `kept`; returns whether this process lacks any. Requests to peers of other regions are delayed by a
     /// moment, within which near peers most likely get the records too. At first only a few
     /// processes of this region send such requests.
-    pub fn catch_up_from(self: &Rc<Node>, peer: Ipv4Addr, zone: &str, ends: [Position; 3]) -> bool {
+    pub fn catch_up_from(
+        self: &Rc<Node>,
+        peer: Ipv4Addr,
+        zone: &str,
+        ends: [Position; 3],
+        kept: u32,
+    ) -> bool {
         let mut requested = false;
         let near = self.near(zone);
         for table in Table::ALL {
@@ -199,8 +205,12 @@
                 continue;
             }
             let behind = self.announced_end(table) < ends[index(table)];
+            let lacks_kept = self.lacks_kept(table, ends, kept);
+            if lacks_kept {
+                self.note_kept_missing();
+            }
             let waits = !near && !self.may_request_far(table);
-            if !behind || waits {
+            if !(behind || lacks_kept) || waits {
                 continue;
             }
             requested = true;
@@ -210,7 +220,9 @@
             });
             let node = Rc::clone(self);
             self.scope.spawn(async move {
-                node.fetch_records(peer, table).await;
+                if node.fetch_records(peer, table).await && lacks_kept {
+                    node.note_kept_fetched(table, kept);
+                }
                 node.with_inbox(table, |it| it.requesting = false);
             });
         }
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -116,6 +116,10 @@
 
     /// Returns whether a removal from a table that is received now may be an error of the store.
     pub fn trust(&self, table: Table) -> StoreTrust {
+        if self.entering_era.get() {
+            // Replicas that a restored store lacks write their records again.
+            return StoreTrust::Doubtful(self.clock.now().after_ms(RESTORED_MS));
+        }
         if self.peer_is_sound.get() {
             return StoreTrust::Sound;
         }
@@ -156,9 +160,10 @@
     }
 
     /// Applies an update to the copy of a table.
-    fn apply_to_copy(&self, table: Table, update: Update) {
+    pub(super) fn apply_to_copy(&self, table: Table, update: Update) {
         self.initial_load.set(!self.loaded(table));
-        let changed = self.copies.borrow_mut()[index(table)].apply(update);
+        let current = self.is_current(table);
+        let changed = self.copies.borrow_mut()[index(table)].apply(update, current);
         self.notify_observer(table, changed);
     }
 
@@ -214,8 +219,12 @@
                 "ms" => self.clock.now().since(requested_at).as_millis() as u64);
         }
         self.source.set(source);
-        self.apply_to_copy(table, update);
+        match self.enters_era(table, &update) {
+            true => self.enter_era(table, update),
+            false => self.apply_to_copy(table, update),
+        }
         self.update_behind_metric();
+        self.update_restore_metrics();
     }
 
     /// Returns the reach of the bytes of an update.
--- a/crates/gradeloft_gateway/tests/agents/main.rs
+++ b/crates/gradeloft_gateway/tests/agents/main.rs
@@ -144,6 +144,7 @@
             incarnation: 1,
             zone: "elsewhere".to_owned(),
             ends: [Position::new(0, 9); 3],
+            kept: 0,
             unconfirmed_ms: [u16::MAX; 3],
             sender: Sender::Entry {
                 presence: Presence::Ready,
@@ -298,6 +299,7 @@
                 incarnation: 1,
                 zone: "z".to_owned(),
                 ends: [Position::START; 3],
+                kept: 0,
                 unconfirmed_ms: [u16::MAX; 3],
                 sender: Sender::Entry {
                     presence: Presence::Ready,
@@ -403,6 +405,7 @@
         incarnation: 1,
         zone: "z".to_owned(),
         ends: [Position::START; 3],
+        kept: 0,
         unconfirmed_ms: [u16::MAX; 3],
         sender: Sender::Entry {
             presence: Presence::Ready,
--- a/crates/gradeloft_gateway/tests/entry/gossip.rs
+++ b/crates/gradeloft_gateway/tests/entry/gossip.rs
@@ -33,6 +33,7 @@
         incarnation: 1,
         zone: zone.to_owned(),
         ends: [Position::START; 3],
+        kept: 0,
         unconfirmed_ms: [u16::MAX; 3],
         sender: Sender::Entry {
             presence: Presence::Ready,
--- a/crates/gradeloft_gateway/tests/entry/lagging_entry.rs
+++ b/crates/gradeloft_gateway/tests/entry/lagging_entry.rs
@@ -45,6 +45,7 @@
                 incarnation: 1,
                 zone: "z".to_owned(),
                 ends: [Position::START, end.get(), Position::START],
+                kept: 0,
                 unconfirmed_ms: [u16::MAX; 3],
                 sender: Sender::Entry {
                     presence: Presence::Ready,
--- a/crates/gradeloft_gateway/tests/entry/large_records.rs
+++ b/crates/gradeloft_gateway/tests/entry/large_records.rs
@@ -146,6 +146,7 @@
         incarnation: 1,
         zone: "z".to_owned(),
         ends: [Position::START, operator, Position::START],
+        kept: 0,
         unconfirmed_ms: [u16::MAX; 3],
         sender: Sender::Entry {
             presence: Presence::Ready,
--- a/crates/gradeloft_gateway/tests/entry/store_restored.rs
+++ b/crates/gradeloft_gateway/tests/entry/store_restored.rs
@@ -1,10 +1,17 @@
 //! Restores of the store from a backup that is a few seconds old: the records written since are lost,
 //! and their offsets are assigned again.
 
-use crate::support::{Harness, TestConfig, ok, replica_id, run, wait_until};
-use gradeloft_policy::process::document::RouteKind;
+use crate::support::{Harness, TestConfig, address, get, ok, replica_id, run, wait_until};
+use gradeloft_gateway::{
+    entry::Entry,
+    traffic::{Purpose, Reach},
+};
+use gradeloft_policy::{clock::Time, process::document::RouteKind};
 use gradeloft_standin::{scripted::Step, tables::StoreMode};
-use gradeloft_wire::{datagram::StoreAccess, frame::Table};
+use gradeloft_wire::{
+    datagram::{Loads, Presence, Sender, StoreAccess},
+    frame::Table,
+};
 
 /// Starts an entry with two replicas.
 async fn start() -> Harness {
@@ -106,3 +113,100 @@
         );
     });
 }
+
+#[test]
+fn a_leave_that_a_restore_lost_holds() {
+    run(async {
+        let harness = start().await;
+        let entry = harness.entry.entry();
+        harness.tables.back_up();
+        harness
+            .tables
+            .write(Table::Replicas, &replica_id(0), Some("draining"));
+        let leaves = |entry: &Entry| {
+            let replicas = entry.replicas.borrow();
+            replicas.state(&replica_id(0)).is_some_and(|it| it.0)
+        };
+        wait_until(|| async { leaves(entry) }).await;
+        restore_backup(&harness).await;
+        wait_until(|| async { entry.node.era(Table::Replicas) == 1 }).await;
+        assert!(leaves(entry));
+        let later = harness.add_entry(2, &harness.tables).await;
+        wait_until(|| async { get(2, 8002, "/ready").await.starts_with("HTTP/1.1 200") }).await;
+        wait_until(|| async { leaves(later.entry()) }).await;
+    });
+}
+
+#[test]
+fn an_entry_that_starts_after_a_restore_gets_the_lost_configuration_from_its_peers() {
+    run(async {
+        let harness = start().await;
+        harness.tables.back_up();
+        configure(&harness, 2).await;
+        configure(&harness, 3).await;
+        restore_backup(&harness).await;
+        let node = &harness.entry.entry().node;
+        wait_until(|| async { node.era(Table::Operator) == 1 }).await;
+        assert_eq!(harness.entry.entry().config_version(), 3);
+        let later = harness.add_entry(2, &harness.tables).await;
+        wait_until(|| async { get(2, 8002, "/ready").await.starts_with("HTTP/1.1 200") }).await;
+        assert_eq!(later.entry().config_version(), 3);
+    });
+}
+
+/// The entry can reach no peer at first. It leaves callers to other entries for a moment.
+#[test]
+fn an_entry_that_read_the_restored_store_gets_the_lost_configuration_from_later_peers() {
+    run(async {
+        let harness = start().await;
+        harness.tables.back_up();
+        configure(&harness, 2).await;
+        configure(&harness, 3).await;
+        restore_backup(&harness).await;
+        let node = &harness.entry.entry().node;
+        wait_until(|| async { node.era(Table::Operator) == 1 }).await;
+        let alone = harness.add_entry_with_seed(2, 99, &harness.tables).await;
+        let entry = alone.entry();
+        wait_until(|| async { entry.config_version() == 1 }).await;
+        wait_until(|| async { get(2, 8002, "/ready").await.starts_with("HTTP/1.1 200") }).await;
+        assert!(Time::ZERO.after_ms(1_000) <= entry.node.clock.now());
+        entry.node.send_state(
+            Purpose::Members,
+            Reach::Near,
+            introduction(),
+            [address(1)].into_iter(),
+        );
+        wait_until(|| async { entry.config_version() == 3 }).await;
+    });
+}
+
+/// Returns a message by which another entry learns of its sender.
+fn introduction() -> Sender {
+    Sender::Entry {
+        presence: Presence::Ready,
+        store: StoreAccess::Served,
+        wants_state: true,
+        loads: Loads::default(),
+        entries: Vec::new(),
+        switched: Vec::new(),
+    }
+}
+
+#[test]
+fn a_replica_that_a_restored_store_lacks_is_used_until_it_would_be_back() {
+    run(async {
+        let harness = start().await;
+        let entry = harness.entry.entry();
+        harness.tables.write(Table::Replicas, &replica_id(1), None);
+        wait_until(|| async { entry.replicas.borrow().len() == 1 }).await;
+        harness.tables.back_up();
+        harness
+            .tables
+            .write(Table::Replicas, &replica_id(1), Some("ready"));
+        wait_until(|| async { entry.replicas.borrow().len() == 2 }).await;
+        restore_backup(&harness).await;
+        wait_until(|| async { entry.node.era(Table::Replicas) == 1 }).await;
+        assert_eq!(entry.replicas.borrow().len(), 2);
+        wait_until(|| async { entry.replicas.borrow().len() == 1 }).await;
+    });
+}
--- a/crates/gradeloft_policy/src/process/mirror.rs
+++ b/crates/gradeloft_policy/src/process/mirror.rs
@@ -5,17 +5,37 @@
 //! restored since. Another
 //! process can update its copy from this one in the same two ways, so processes without access to
 //! the store copy the table from processes with access.
+//!
+//! A restore of the store loses its latest records, which were in force already. A copy keeps such a
+//! record until its key is written in the new era, and passes it on to copies that lack it.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 use bytes::Bytes;
 use gradeloft_wire::position::Position;
 
+use super::lineage::Lineage;
+use crate::rendezvous;
+
 /// Number of recent records kept for peers; a peer that is further behind gets a snapshot.
 const TAIL_RECORDS: usize = 512;
 /// Limit for the size of the recent records kept for peers, in bytes; the latest record is always
 /// kept. The limit allows four configurations of 0.9 MB on an instance with 128 MB of memory.
 const TAIL_BYTES: usize = 4 << 20;
+/// Number of deletions that are remembered, for the case that a restore of the store undoes them.
+const MAX_DELETIONS: usize = 1_024;
+
+/// What a copy does with records that a restore of the store lost.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum LostRecords {
+    /// The copy drops them and follows the store.
+    #[default]
+    Drop,
+    /// The copy keeps them.
+    Keep,
+    /// The copy keeps those of keys that have an older record in the store. Other keys are removed.
+    KeepOverOlder,
+}
 
 /// A record of a table.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -34,7 +54,7 @@
     /// Whether `records` holds the latest record of each key, rather than all records from some
     /// position on.
     pub snapshot: bool,
-    /// Records, ascending by position.
+    /// Records, ascending by position, then the records of earlier eras that a peer keeps.
     pub records: Vec<Record>,
     /// Position that follows the last record.
     pub end: Position,
@@ -58,9 +78,27 @@
     tail_bytes: usize,
     end: Position,
     loaded: bool,
+    /// Treatment of records that a restore of the store loses.
+    lost_records: LostRecords,
+    /// Records before `end`.
+    lineage: Lineage,
+    /// Positions of recent deletions of keys that are not in `newest`.
+    deleted: HashMap<String, Position>,
+    /// Positions of the kept records and deletions of earlier eras, which the store has lost.
+    kept: BTreeMap<String, Position>,
+    /// End of the copy in the era before; [`Position::START`] if the copy was not up to date then.
+    previous_end: Position,
 }
 
 impl Mirror {
+    /// Creates an empty copy.
+    pub fn new(lost_records: LostRecords) -> Mirror {
+        Mirror {
+            lost_records,
+            ..Mirror::default()
+        }
+    }
+
     /// Returns the position of the first record that the copy lacks.
     pub fn end(&self) -> Position {
         self.end
@@ -71,6 +109,11 @@
         self.loaded
     }
 
+    /// Returns whether the copy was up to date in the era before.
+    pub fn has_previous_era(&self) -> bool {
+        self.previous_end != Position::START
+    }
+
     /// Returns the latest value of a key.
     pub fn value(&self, key: &str) -> Option<&Bytes> {
         self.newest.get(key)?.value.as_ref()
@@ -109,30 +152,86 @@
         changed
     }
 
+    /// Returns a digest of the records that this copy keeps although the store has lost them; 0 if
+    /// there are none.
+    pub fn kept_digest(&self) -> u32 {
+        let kept = self.kept.iter().flat_map(|(key, position)| {
+            let position = [u64::from(position.era), position.offset];
+            let position = position.into_iter().flat_map(u64::to_be_bytes);
+            key.bytes().chain(position)
+        });
+        match self.kept.is_empty() {
+            true => 0,
+            false => (rendezvous::hash(&kept.collect::<Vec<u8>>()) as u32).max(1),
+        }
+    }
+
+    /// Returns the number of records that this copy keeps although the store has lost them.
+    pub fn kept_len(&self) -> usize {
+        self.kept.len()
+    }
+
     /// Applies an update and returns the records that changed something, including deletions. After a
-    /// restore of the store, a copy continues with a snapshot.
-    pub fn apply(&mut self, update: Update) -> Vec<Record> {
+    /// restore of the store, a copy continues with a snapshot. `current` is whether the copy was up
+    /// to date until a moment ago: otherwise, a key that the store lacks may have been deleted long
+    /// after the restore.
+    pub fn apply(&mut self, update: Update, current: bool) -> Vec<Record> {
         let continues = update.snapshot || update.end.era == self.end.era;
         if update.end.era < self.end.era || !continues {
             return Vec::new();
         }
         let known = !update.records.is_empty() || update.snapshot;
         self.loaded |= known;
-        let changed = if update.snapshot {
-            self.replace(&update)
+        let Update {
+            snapshot,
+            records,
+            end,
+        } = update;
+        let (kept, records): (Vec<Record>, _) = records
+            .into_iter()
+            .partition(|it| it.position.era < end.era);
+        let update = Update {
+            snapshot,
+            records,
+            end,
+        };
+        let mut changed = if self.end.era < end.era {
+            self.enter_era(&update, &kept, current)
+        } else if snapshot {
+            self.replace(&update, &kept)
         } else {
             self.follow(update.records)
         };
-        if self.end < update.end && (update.snapshot || self.tail.is_empty()) {
-            self.end = update.end;
+        if self.end < end && (snapshot || self.tail.is_empty()) {
+            self.end = end;
+            self.lineage.skip_to(end.offset);
         }
+        changed.extend(self.adopt(kept, end));
         changed
     }
 
     /// Returns an update for a copy that ends at `from`: the records from there on, or a snapshot
     /// if the tail starts later or the snapshot is smaller, such as after many versions of one
-    /// large record.
+    /// large record. The records that this copy keeps follow.
     pub fn since(&self, from: Position) -> Update {
+        let mut update = self.stored_since(from);
+        if from.era <= self.end.era {
+            update.records.extend(self.kept_records());
+        }
+        update
+    }
+
+    /// Returns the records that this copy keeps although the store has lost them.
+    fn kept_records(&self) -> impl Iterator<Item = Record> {
+        self.kept.iter().map(|(key, position)| Record {
+            key: key.clone(),
+            value: self.value(key).cloned(),
+            position: *position,
+        })
+    }
+
+    /// Returns the part of an update that the store has, too.
+    fn stored_since(&self, from: Position) -> Update {
         if self.end <= from {
             return Update {
                 snapshot: false,
@@ -140,11 +239,15 @@
                 end: self.end,
             };
         }
+        let stored = || {
+            let newest = self.newest.values();
+            newest.filter(|it| !self.kept.contains_key(&it.key))
+        };
         let first = self.end.offset - self.tail.len() as u64;
         if from.era == self.end.era && first <= from.offset {
             let skip = (from.offset - first) as usize;
             let missed = || self.tail.iter().skip(skip);
-            if bytes(missed()) <= bytes(self.newest.values()) {
+            if bytes(missed()) <= bytes(stored()) {
                 return Update {
                     snapshot: false,
                     records: missed().cloned().collect(),
@@ -152,7 +255,7 @@
                 };
             }
         }
-        let mut records: Vec<Record> = self.newest.values().cloned().collect();
+        let mut records: Vec<Record> = stored().cloned().collect();
         records.sort_by_key(|it| it.position);
         Update {
             snapshot: true,
@@ -171,14 +274,15 @@
                 self.clear_tail();
             }
             self.end = record.position.next();
-            self.keep(record.clone());
+            self.lineage.push(&record);
+            self.push_tail(record.clone());
             changed.extend(self.set(record));
         }
         changed
     }
 
     /// Adds a record to the tail and drops the oldest ones beyond the limits.
-    fn keep(&mut self, record: Record) {
+    fn push_tail(&mut self, record: Record) {
         self.tail_bytes += bytes([&record].into_iter());
         self.tail.push_back(record);
         while TAIL_RECORDS < self.tail.len()
@@ -194,37 +298,174 @@
         self.tail_bytes = 0;
     }
 
-    fn replace(&mut self, update: &Update) -> Vec<Record> {
+    /// Applies a snapshot of the copy's era. `kept` are the records that a peer keeps, which the
+    /// snapshot lacks.
+    fn replace(&mut self, update: &Update, kept: &[Record]) -> Vec<Record> {
         // A snapshot older than this copy contains nothing new.
         if update.end < self.end {
             return Vec::new();
         }
-        let named: HashSet<&str> = update.records.iter().map(|it| it.key.as_str()).collect();
-        // Records that were applied ahead may be newer than the snapshot.
-        let older = self.newest.values().filter(|it| it.position < update.end);
-        let gone: Vec<String> = older
-            .map(|it| &it.key)
-            .filter(|it| !named.contains(it.as_str()))
-            .cloned()
-            .collect();
-        let mut changed = Vec::new();
-        for key in gone {
-            self.newest.remove(&key);
-            changed.push(Record {
-                key,
-                value: None,
-                position: update.end,
-            });
-        }
+        let gone = self.missing_keys(update, kept);
+        let keeps_missing = self.lost_records == LostRecords::Keep;
+        let gone = gone.filter(|it| !(keeps_missing && self.kept.contains_key(*it)));
+        let gone: Vec<String> = gone.cloned().collect();
+        let mut changed = self.remove_all(gone, update.end);
         for record in &update.records {
-            changed.extend(self.set(record.clone()));
+            // The copy has seen the records before its end, and kept another one over them.
+            let seen = record.position < self.end;
+            if !(seen && self.kept.contains_key(&record.key)) {
+                changed.extend(self.set(record.clone()));
+            }
         }
         if self.end < update.end {
             self.clear_tail();
+            self.lineage.extend(&update.records);
         }
         changed
     }
 
+    /// Applies the first snapshot after a restore of the store. The store still has the records up
+    /// to some offset; the others are new, and records that the copy has from there on are lost.
+    fn enter_era(&mut self, update: &Update, kept: &[Record], current: bool) -> Vec<Record> {
+        let known = update.records.iter().filter(|it| self.lineage.has(it));
+        let restored_end = known.map(|it| it.position.offset + 1).max().unwrap_or(0);
+        let is_lost = |key: &String| {
+            let position = self.position_of(key);
+            position.is_some_and(|it| it.era < self.end.era || restored_end <= it.offset)
+        };
+        let drops_missing = self.lost_records != LostRecords::Keep || !current;
+        let gone = self.missing_keys(update, kept);
+        let gone = gone.filter(|it| drops_missing || !is_lost(it));
+        let gone: Vec<String> = gone.cloned().collect();
+        let is_superseded = |record: &&Record| {
+            let older = record.position.offset < restored_end;
+            let same = || {
+                let known = self.position_of(&record.key);
+                known
+                    .is_some_and(|it| it.era == self.end.era && it.offset <= record.position.offset)
+            };
+            let is_known = self.position_of(&record.key).is_some();
+            self.lost_records != LostRecords::Drop && older && is_known && !same()
+        };
+        let (superseded, applied): (Vec<&Record>, Vec<&Record>) =
+            update.records.iter().partition(is_superseded);
+        let superseded: HashSet<&str> = superseded.iter().map(|it| it.key.as_str()).collect();
+        let mut changed = self.remove_all(gone, update.end);
+        for record in applied {
+            changed.extend(self.set(record.clone()));
+        }
+        self.previous_end = match current {
+            true => self.end,
+            false => Position::START,
+        };
+        self.clear_tail();
+        self.lineage.truncate(restored_end);
+        self.lineage.extend(&update.records);
+        self.end = update.end;
+        self.lineage.skip_to(update.end.offset);
+        let earlier = self
+            .newest
+            .values()
+            .filter(|it| it.position.era < update.end.era);
+        let earlier = earlier.map(|it| (it.key.clone(), it.position));
+        let undone = self
+            .deleted
+            .iter()
+            .filter(|it| superseded.contains(it.0.as_str()));
+        let undone = undone.map(|(key, position)| (key.clone(), *position));
+        self.kept = earlier.chain(undone).collect();
+        let kept = &self.kept;
+        self.deleted.retain(|key, _| kept.contains_key(key));
+        changed
+    }
+
+    /// Applies the records that a peer keeps. `seen_end` is the end of the peer's copy: the peer
+    /// kept them over all records before it.
+    fn adopt(&mut self, kept: Vec<Record>, seen_end: Position) -> Vec<Record> {
+        let mut changed = Vec::new();
+        if self.lost_records == LostRecords::Drop {
+            return changed;
+        }
+        for record in kept {
+            let position = record.position;
+            // This copy had the record, and has seen what replaced it since.
+            let resolved = position.era == self.previous_end.era
+                && position < self.previous_end
+                && !self.kept.contains_key(&record.key);
+            let outdated = match self.position_of(&record.key) {
+                None => false,
+                Some(known) if known.era < self.end.era => position <= known,
+                Some(known) => seen_end <= known || self.deleted.contains_key(&record.key),
+            };
+            if resolved || outdated || self.end.era <= position.era {
+                continue;
+            }
+            let value = record.value.clone();
+            let before = self.remove(&record.key);
+            self.kept.insert(record.key.clone(), position);
+            match &value {
+                Some(_) => {
+                    self.deleted.remove(&record.key);
+                    self.newest.insert(record.key.clone(), record.clone());
+                }
+                None => self.note_deletion(&record.key, position),
+            }
+            if before.and_then(|it| it.value) != value {
+                changed.push(record);
+            }
+        }
+        changed
+    }
+
+    /// Returns the position of the latest known record or deletion of a key.
+    fn position_of(&self, key: &str) -> Option<Position> {
+        let newest = self.newest.get(key).map(|it| it.position);
+        newest.or_else(|| self.deleted.get(key).copied())
+    }
+
+    /// Iterates over the keys of this copy that a snapshot lacks.
+    fn missing_keys(&self, update: &Update, kept: &[Record]) -> impl Iterator<Item = &String> {
+        let named = update.records.iter().chain(kept);
+        let named: HashSet<String> = named.map(|it| it.key.clone()).collect();
+        // Records that were applied ahead may be newer than the snapshot.
+        let end = update.end;
+        let older = self.newest.values().filter(move |it| it.position < end);
+        older
+            .map(|it| &it.key)
+            .filter(move |it| !named.contains(*it))
+    }
+
+    /// Removes keys, and returns their deletions at a position.
+    fn remove_all(&mut self, keys: Vec<String>, position: Position) -> Vec<Record> {
+        for key in &keys {
+            self.remove(key);
+            self.note_deletion(key, position);
+        }
+        let deletion = |key| Record {
+            key,
+            value: None,
+            position,
+        };
+        keys.into_iter().map(deletion).collect()
+    }
+
+    fn remove(&mut self, key: &str) -> Option<Record> {
+        self.kept.remove(key);
+        self.newest.remove(key)
+    }
+
+    fn note_deletion(&mut self, key: &str, position: Position) {
+        if self.lost_records == LostRecords::Drop {
+            return;
+        }
+        self.deleted.insert(key.to_owned(), position);
+        if MAX_DELETIONS < self.deleted.len() {
+            let oldest = self.deleted.iter().min_by_key(|it| it.1);
+            let oldest = oldest.map(|it| it.0.clone());
+            oldest.map(|it| self.deleted.remove(&it));
+        }
+    }
+
     /// Applies a record unless a newer one of its key is known. Returns the record if it changed
     /// something: a record that is known from before a restore of the store gets another position.
     fn set(&mut self, record: Record) -> Option<Record> {
@@ -234,13 +475,18 @@
             }
             if record.position.era != known.position.era && record.value == known.value {
                 known.position = record.position;
+                self.kept.remove(&record.key);
                 return None;
             }
         }
         if record.value.is_some() {
+            self.kept.remove(&record.key);
+            self.deleted.remove(&record.key);
             self.newest.insert(record.key.clone(), record.clone());
         } else {
-            self.newest.remove(&record.key)?;
+            let before = self.remove(&record.key);
+            self.note_deletion(&record.key, record.position);
+            before?;
         }
         Some(record)
     }
--- a/crates/gradeloft_policy/src/process/mod.rs
+++ b/crates/gradeloft_policy/src/process/mod.rs
@@ -44,6 +44,7 @@
 pub mod gaps;
 pub mod gossip;
 pub mod latest_writes;
+pub mod lineage;
 pub mod membership;
 pub mod mirror;
 pub mod pending_update;
--- a/crates/gradeloft_policy/src/process/pending_update.rs
+++ b/crates/gradeloft_policy/src/process/pending_update.rs
@@ -37,14 +37,15 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PendingUpdate {
     snapshot: bool,
-    /// Records, ascending by position.
+    /// Records, ascending by position, then those of earlier eras that the peer keeps although the
+    /// store has lost them.
     rows: Vec<Row>,
     end: Position,
 }
 
 impl PendingUpdate {
-    /// Creates an update from the records that a peer announced, ascending by position and up to
-    /// `end`. With `snapshot`, these are the latest records of all keys.
+    /// Creates an update from the records that a peer announced, in the order of an
+    /// [`Update`] and up to `end`. With `snapshot`, these are the latest records of all keys.
     pub fn new(snapshot: bool, rows: Vec<Row>, end: Position) -> PendingUpdate {
         PendingUpdate {
             snapshot,
@@ -100,14 +101,17 @@
     /// Returns whether the update is incomplete and contains nothing new for a copy that ends at
     /// `end`.
     pub fn outdated(&self, end: Position) -> bool {
-        self.end <= end && self.missing().is_some()
+        let is_stored = |it: &MissingValue| it.position.era == self.end.era;
+        self.end <= end && self.missing().is_some_and(is_stored)
     }
 
     /// Removes and returns the part that can be applied to a copy that ends at `end`: the records
     /// before the first missing value, or a whole snapshot.
     pub fn take_ready(&mut self, end: Position) -> Option<Update> {
         if !self.snapshot {
-            self.rows.retain(|it| end <= it.position());
+            let era = self.end.era;
+            self.rows
+                .retain(|it| end <= it.position() || it.position().era < era);
         }
         let present = self
             .rows
@@ -118,7 +122,9 @@
         if !whole && (self.snapshot || present == 0) {
             return None;
         }
-        let end = self.rows.get(present).map_or(self.end, Row::position);
+        let missing = self.rows.get(present).map(Row::position);
+        let missing = missing.filter(|it| it.era == self.end.era);
+        let end = missing.unwrap_or(self.end);
         let records = self.rows.drain(..present).filter_map(|it| match it {
             Row::Present(record) => Some(record),
             Row::Missing(_) => None,
--- a/crates/gradeloft_policy/src/process/write_times.rs
+++ b/crates/gradeloft_policy/src/process/write_times.rs
@@ -5,7 +5,7 @@
 //! complete, and counts as written at that time. A record received from a peer is as old as it is
 //! at the peer, or older if this process learned of it earlier.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use gradeloft_wire::position::Position;
 
@@ -57,6 +57,9 @@
     effective: LatestWrites,
     /// Lower bounds.
     earliest: EarliestWrites,
+    /// Effective times of records that a restored store still has, at their positions in the new
+    /// era.
+    restored: HashMap<Position, Time>,
     /// Latest time at which this process's own reads showed the copy to be complete.
     confirmed: Option<Time>,
     /// Time at which the last successful read ended.
@@ -85,6 +88,12 @@
             .note(position.next(), requested_at.before_ms(age_ms));
     }
 
+    /// Sets the times at which the records that a restored store still has were written, by their
+    /// positions in the new era.
+    pub fn set_restored(&mut self, written: HashMap<Position, Time>) {
+        self.restored = written;
+    }
+
     /// Records that a read brought the records at `positions`.
     pub fn note_read(&mut self, positions: impl Iterator<Item = Position>, read: Read) {
         let bound = self.lower_bound(read);
@@ -149,6 +158,7 @@
             self.latest.known_since(position),
             self.effective.known_since(position),
         );
-        known.into_iter().chain(counted).min()
+        let restored = self.restored.get(&position).copied();
+        known.into_iter().chain(counted).chain(restored).min()
     }
 }
--- a/crates/gradeloft_policy/tests/forwarding.rs
+++ b/crates/gradeloft_policy/tests/forwarding.rs
@@ -127,13 +127,13 @@
 #[test]
 fn an_old_record_read_late_has_no_effect() {
     let mut mirror = Mirror::default();
-    mirror.apply(follow(vec![
-        record("a", Some("1"), 0),
-        record("a", Some("2"), 1),
-    ]));
+    mirror.apply(
+        follow(vec![record("a", Some("1"), 0), record("a", Some("2"), 1)]),
+        true,
+    );
     assert!(
         mirror
-            .apply(follow(vec![record("a", Some("1"), 0)]))
+            .apply(follow(vec![record("a", Some("1"), 0)]), true)
             .is_empty()
     );
     assert_eq!(mirror.value("a"), Some(&Bytes::from("2")));
@@ -144,7 +144,7 @@
     let mut mirror = Mirror::default();
     let large = "x".repeat(1_000);
     let versions = (0..5).map(|it| record("config", Some(&format!("{it}{large}")), it));
-    mirror.apply(follow(versions.collect()));
+    mirror.apply(follow(versions.collect()), true);
     let missed = mirror.since(at(1));
     assert!(missed.snapshot);
     assert_eq!((missed.records.len(), missed.end), (1, at(5)));
@@ -152,7 +152,7 @@
     assert!(!last.snapshot);
     assert_eq!(last.records.len(), 1);
     let mut other = Mirror::default();
-    other.apply(missed);
+    other.apply(missed, true);
     assert_eq!(other.value("config"), mirror.value("config"));
     assert_eq!(other.end(), at(5));
 }
@@ -160,22 +160,22 @@
 #[test]
 fn a_snapshot_removes_missing_keys_and_an_old_one_removes_none() {
     let mut mirror = Mirror::default();
-    mirror.apply(follow(vec![
-        record("a", Some("1"), 0),
-        record("b", Some("1"), 1),
-    ]));
+    mirror.apply(
+        follow(vec![record("a", Some("1"), 0), record("b", Some("1"), 1)]),
+        true,
+    );
     let old = Update {
         snapshot: true,
         records: Vec::new(),
         end: at(1),
     };
-    assert!(mirror.apply(old).is_empty());
+    assert!(mirror.apply(old, true).is_empty());
     let new = Update {
         snapshot: true,
         records: vec![record("b", Some("1"), 1)],
         end: at(9),
     };
-    let changed = mirror.apply(new);
+    let changed = mirror.apply(new, true);
     assert_eq!(changed.len(), 1);
     assert_eq!((mirror.value("a"), mirror.end()), (None, at(9)));
 }
@@ -199,11 +199,11 @@
         });
         let records: Vec<Record> = records.collect();
         let mut full = Mirror::default();
-        full.apply(follow(records.clone()));
+        full.apply(follow(records.clone()), true);
         let mut late = Mirror::default();
         let seen = seen.min(records.len());
-        late.apply(follow(records[..seen].to_vec()));
-        late.apply(full.since(late.end()));
+        late.apply(follow(records[..seen].to_vec()), true);
+        late.apply(full.since(late.end()), true);
         prop_assert_eq!(late.end(), full.end());
         for key in 0..5u8 {
             let key = key.to_string();
@@ -235,17 +235,17 @@
                 1 => {
                     let from = (copies[copy].end().offset as usize).saturating_sub(back);
                     let update = follow(log[from.min(log.len())..].to_vec());
-                    copies[copy].apply(update);
+                    copies[copy].apply(update, true);
                 }
                 // A current or an old snapshot.
                 2 => {
                     let upto = log.len().saturating_sub(back).max(1);
-                    copies[copy].apply(snapshot(&log[..upto]));
+                    copies[copy].apply(snapshot(&log[..upto]), true);
                 }
                 // Update from a peer.
                 3 | 4 => {
                     let update = copies[(copy + 1) % 3].since(copies[copy].end());
-                    copies[copy].apply(update);
+                    copies[copy].apply(update, true);
                 }
                 // Restart.
                 _ => copies[copy] = Mirror::default(),
@@ -253,7 +253,7 @@
             prop_assert!(step == 5 || before <= newest(&copies[copy]));
         }
         for copy in &mut copies {
-            copy.apply(snapshot(&log));
+            copy.apply(snapshot(&log), true);
             prop_assert_eq!(newest(copy), log.last().map(|it| it.position));
         }
     }
--- a/crates/gradeloft_policy/tests/records.rs
+++ b/crates/gradeloft_policy/tests/records.rs
@@ -79,7 +79,7 @@
             position: at(offset),
         };
         let small = record("weights", Some("1"), offset + 1);
-        mirror.apply(update(vec![large, small]));
+        mirror.apply(update(vec![large, small]), true);
     }
     let kept = (0..80).filter(|it| {
         mirror
@@ -109,14 +109,14 @@
         value: Some(Bytes::from(vec![0; 8 << 20])),
         position: at(0),
     };
-    mirror.apply(update(vec![huge.clone()]));
+    mirror.apply(update(vec![huge.clone()]), true);
     assert_eq!(mirror.since(at(0)), update(vec![huge]));
 }
 
 #[test]
 fn records_applied_ahead_do_not_move_the_end_and_are_reported_once() {
     let mut mirror = Mirror::default();
-    mirror.apply(update(vec![record("a", Some("0"), 0)]));
+    mirror.apply(update(vec![record("a", Some("0"), 0)]), true);
     let ahead = vec![record("b", Some("2"), 2), record("a", None, 3)];
     assert_eq!(
         mirror.apply_ahead(ahead.clone()),
@@ -131,7 +131,7 @@
     );
     let missed = record("c", Some("1"), 1);
     let whole = [vec![missed.clone()], ahead].concat();
-    let changed = mirror.apply(update(whole));
+    let changed = mirror.apply(update(whole), true);
     assert_eq!(changed, [missed, record("a", None, 3)]);
     assert_eq!(mirror.end(), at(4));
 }
@@ -141,7 +141,7 @@
     let mut mirror = Mirror::default();
     mirror.apply_ahead(vec![record("a", Some("new"), 5)]);
     let older = (0..5).map(|it| record("a", (it % 2 == 0).then_some("old"), it));
-    assert!(mirror.apply(update(older.collect())).is_empty());
+    assert!(mirror.apply(update(older.collect()), true).is_empty());
     assert_eq!(mirror.value("a"), Some(&Bytes::from("new")));
     // An older snapshot doesn't undo it either.
     let snapshot = Update {
@@ -149,14 +149,14 @@
         records: Vec::new(),
         end: at(5),
     };
-    assert!(mirror.apply(snapshot).is_empty());
+    assert!(mirror.apply(snapshot, true).is_empty());
     assert_eq!(mirror.value("a"), Some(&Bytes::from("new")));
     let snapshot = Update {
         snapshot: true,
         records: Vec::new(),
         end: at(7),
     };
-    assert_eq!(mirror.apply(snapshot), [record("a", None, 7)]);
+    assert_eq!(mirror.apply(snapshot, true), [record("a", None, 7)]);
 }
 
 #[test]
--- a/crates/gradeloft_standin/src/tables.rs
+++ b/crates/gradeloft_standin/src/tables.rs
@@ -114,6 +114,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns the end of a table.
+    pub fn end(&self, table: Table) -> Position {
+        self.position(self.records_from(table, 0).len())
+    }
+
     /// Returns the keys of a table that are not deleted.
     pub fn keys(&self, table: Table) -> Vec<String> {
         let mut newest = HashMap::new();
--- a/crates/gradeloft_wire/src/datagram.rs
+++ b/crates/gradeloft_wire/src/datagram.rs
@@ -25,6 +25,9 @@
     /// Position at which the sender's copy of each table ends, in the order of
     /// [`Table::ALL`](crate::frame::Table::ALL).
     pub ends: [Position; 3],
+    /// Digest of the records that the sender keeps although the store lost them in a restore; 0 for
+    /// none.
+    pub kept: u32,
     /// Time since the sender's own reads of the store last confirmed that each copy is complete, in
     /// milliseconds; `u16::MAX` for longer and for never.
     pub unconfirmed_ms: [u16; 3],
--- a/crates/gradeloft_wire/tests/wire.rs
+++ b/crates/gradeloft_wire/tests/wire.rs
@@ -203,6 +203,7 @@
             incarnation: u64::MAX,
             zone: "z".to_owned(),
             ends: [Position::new(u32::MAX, u64::MAX); 3],
+            kept: u32::MAX,
             unconfirmed_ms,
             sender: Sender::Entry {
                 presence: Presence::Ready,
@@ -236,6 +237,7 @@
         incarnation: u64::MAX,
         zone: "a zone with a very long name, in a region far away from all others".to_owned(),
         ends: [Position::new(u32::MAX, u64::MAX); 3],
+        kept: u32::MAX,
         unconfirmed_ms: [u16::MAX; 3],
         sender: Sender::Signals {
             relayed: true,
@@ -261,6 +263,7 @@
         incarnation: u64::MAX,
         zone: "a zone with a very long name, in a region far away from all others".to_owned(),
         ends: [Position::new(u32::MAX, u64::MAX); 3],
+        kept: u32::MAX,
         unconfirmed_ms: [u16::MAX; 3],
         sender: Sender::Suspects {
             relayed: true,
