Keep a replica's leave when it writes its records again in another order

What callers would see: a replica whose leave a restore of the store lost writes "ready" before "draining" again, and gets requests in between.

Change: a leave that was listed in an earlier era of the store holds until the replica restarts, which its start time tells.

Test: the last part of a_leave_that_a_restore_lost_holds, also for an entry that starts after the restore; it fails without the change.

--- a/crates/gradeloft_gateway/src/entry/table_updates.rs
+++ b/crates/gradeloft_gateway/src/entry/table_updates.rs
@@ -206,7 +206,7 @@
                 }
                 let near = self.node.near(&listing.zone);
                 let warmup_left_ms = listing.warmup_left_ms;
-                let key = replicas.apply_listing(listing);
+                let key = replicas.apply_written(listing, record.position.era);
                 if let Some(replica) = replicas.get_mut(key) {
                     replica.near = near;
                     replica
--- a/crates/gradeloft_gateway/tests/entry/store_restored.rs
+++ b/crates/gradeloft_gateway/tests/entry/store_restored.rs
@@ -134,6 +134,15 @@
         let later = harness.add_entry(2, &harness.tables).await;
         wait_until(|| async { get(2, 8002, "/ready").await.starts_with("HTTP/1.1 200") }).await;
         wait_until(|| async { leaves(later.entry()) }).await;
+        // The replica writes its records again, in another order.
+        harness
+            .tables
+            .write(Table::Replicas, &replica_id(0), Some("ready again"));
+        let end = harness.tables.end(Table::Replicas);
+        for entry in [entry, later.entry()] {
+            wait_until(|| async { entry.node.end(Table::Replicas) == end }).await;
+            assert!(leaves(entry));
+        }
     });
 }
 
