Write the rows of entries again after a restore of the store

What callers would see: entries that start after the restore don't find peers whose rows were lost.

Cause: a row counted as written once the store had acknowledged it.

Change: a row counts as written in the era of the store's response only. The regions' writers write the lost rows of all entries of their region; the others wait four to eight seconds, as after a start.

Test: the_rows_of_entries_that_a_restore_lost_are_written_again fails without the check of the era.

--- a/crates/gradeloft_gateway/src/entry/registration.rs
+++ b/crates/gradeloft_gateway/src/entry/registration.rs
@@ -5,7 +5,7 @@
 //! entry of each region writes the rows of all entries there in one batch, and the others write
 //! their own row only if it stays missing.
 
-use std::{collections::HashSet, net::Ipv4Addr, rc::Rc, time::Duration};
+use std::{collections::HashMap, net::Ipv4Addr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use gradeloft_platform::{Fault, fleet::Put};
@@ -35,9 +35,16 @@
     pub(super) async fn register(self: Rc<Entry>) {
         let mut pause_ms = FIRST_PAUSE_MS;
         let mut own_due = self.jittered_deadline(pause_ms);
-        let mut written = HashSet::new();
+        // Eras of the store in which this entry wrote rows.
+        let mut written = HashMap::new();
+        let mut era = self.node.era(Table::Entries);
         loop {
             actix_rt::time::sleep(CHECK_PAUSE).await;
+            let current_era = self.node.era(Table::Entries);
+            if std::mem::replace(&mut era, current_era) != current_era {
+                // The rows that a restore of the store lost are written by the regions' writers first.
+                own_due = self.jittered_deadline(FIRST_PAUSE_MS);
+            }
             let is_writer = self.is_region_writer();
             if !is_writer && self.node.clock.now() < own_due {
                 continue;
@@ -49,7 +56,7 @@
                 continue;
             }
             match self.write_rows(&missing).await {
-                Ok(()) => written.extend(missing.into_iter().map(|it| it.0)),
+                Ok(era) => written.extend(missing.into_iter().map(|it| (it.0, era))),
                 Err(fault) => {
                     self.node.metrics.store_faults.inc();
                     if let Some(log) = self.node.logs.line(Topic::Dependency) {
@@ -64,7 +71,7 @@
 
     /// Returns whether this entry writes the rows of its whole region: it does if it ranks
     /// first among the region's entries that the store serves.
-    fn is_region_writer(&self) -> bool {
+    pub(super) fn is_region_writer(&self) -> bool {
         let now = self.node.clock.now();
         let settled = |it: Time| it.after_ms(SETTLE_MS) <= now;
         if !self.first_contact.get().is_some_and(settled) {
@@ -81,30 +88,33 @@
 
     /// Returns the live entries of this region without a row, including this one, with their
     /// availability zones; none before the table has been read.
-    fn without_row(&self, written: &HashSet<Ipv4Addr>) -> Vec<(Ipv4Addr, String)> {
+    fn without_row(&self, written: &HashMap<Ipv4Addr, u32>) -> Vec<(Ipv4Addr, String)> {
         if !self.node.loaded(Table::Entries) {
             return Vec::new();
         }
         let settings = self.node.settings();
         let now = self.node.clock.now();
+        let era = self.node.era(Table::Entries);
         let roster = self.roster.borrow();
         let others = roster.statuses(|it| self.node.near(it), now);
         let others = others.map(|(address, it)| (address, it.zone.to_owned()));
         let all = others.chain([(settings.address, settings.zone.clone())]);
         let has_row = |address: &Ipv4Addr| {
-            written.contains(address) || self.node.has_key(Table::Entries, &address.to_string())
+            // A restore of the store loses the rows that were written in the era before.
+            let written = written.get(address);
+            written.is_some_and(|it| era <= *it)
+                || self.node.has_key(Table::Entries, &address.to_string())
         };
         all.filter(|it| !has_row(&it.0)).collect()
     }
 
-    async fn write_rows(&self, rows: &[(Ipv4Addr, String)]) -> Result<(), Fault> {
+    async fn write_rows(&self, rows: &[(Ipv4Addr, String)]) -> Result<u32, Fault> {
         self.node.count_store_call(Table::Entries);
         let rows = rows.iter().map(|(address, zone)| Put {
             key: address.to_string(),
             value: Some(Bytes::from(zone.clone())),
         });
-        self.node.platform.store.write(rows.collect()).await?;
-        Ok(())
+        self.node.platform.store.write(rows.collect()).await
     }
 
     /// Returns a random time one to two pauses from now, so that entries which start together write
--- a/crates/gradeloft_gateway/tests/entry/store_restored.rs
+++ b/crates/gradeloft_gateway/tests/entry/store_restored.rs
@@ -219,3 +219,20 @@
         wait_until(|| async { entry.replicas.borrow().len() == 1 }).await;
     });
 }
+
+#[test]
+fn the_rows_of_entries_that_a_restore_lost_are_written_again() {
+    run(async {
+        let harness = start().await;
+        harness.tables.back_up();
+        let _second = harness.add_entry(2, &harness.tables).await;
+        let has_row = |octet| {
+            let keys = harness.tables.keys(Table::Entries);
+            keys.contains(&address(octet).to_string())
+        };
+        wait_until(|| async { has_row(1) && has_row(2) }).await;
+        restore_backup(&harness).await;
+        assert!(!has_row(2));
+        wait_until(|| async { has_row(1) && has_row(2) }).await;
+    });
+}
