Write suspect requests again after a restore of the store

What callers would see: after all entries restart, a request that ends replicas is unknown again, although its record was acknowledged.

Change: once its copy reaches a new era, the writer of each region writes the suspects that the store lacks; the others do so after 5 to 20 s if the records are still missing.

Test: a_quarantine_that_a_restore_of_the_store_lost_is_stored_again fails without the change.

--- a/crates/gradeloft_gateway/src/entry/quarantine/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/quarantine/mod.rs
@@ -100,6 +100,11 @@
     /// Times at which crashes that are missing in the store are due to be written.
     pending_writes: RefCell<HashMap<Fingerprint, Time>>,
     write_in_progress: Cell<bool>,
+    /// Era of the store for which the writes of lost records were scheduled last.
+    era: Cell<u32>,
+    /// Time at which this entry writes the records that a restore of the store may have lost; `None`
+    /// once it has done so.
+    rewrite_at: Cell<Option<Time>>,
 }
 
 impl Entry {
@@ -238,6 +243,7 @@
     pub(super) fn maintain_quarantine(self: &Rc<Entry>, now: Time) {
         self.settle_lost_requests(now);
         self.expire_suspects(now);
+        self.rewrite_lost_suspects(now);
         self.write_due_suspects(now);
     }
 
--- a/crates/gradeloft_gateway/src/entry/quarantine/store.rs
+++ b/crates/gradeloft_gateway/src/entry/quarantine/store.rs
@@ -23,6 +23,9 @@
 /// reported and that is still missing in the store. The entry that observed the crash writes the
 /// suspect at once.
 pub(super) const LEARNED_WRITE_DELAY_MS: (u64, u64) = (2_000, 4_000);
+/// Bounds of the random delay, in milliseconds, after which an entry writes suspects that a restore of
+/// the store may have lost, although it is not the writer of its region.
+const LOST_WRITE_DELAY_MS: (u64, u64) = (5_000, 20_000);
 /// Delay before a failed write is retried, in milliseconds.
 const WRITE_RETRY_MS: u64 = 700;
 /// Bounds of the random delay, in milliseconds, before an entry deletes an expired record. They are
@@ -82,6 +85,30 @@
         }
     }
 
+    /// Schedules the writes of suspects after a restore of the store, which loses their latest
+    /// records. The writers of the regions write first, so that the others find the records written.
+    pub(super) fn rewrite_lost_suspects(&self, now: Time) {
+        let quarantine = &self.quarantine;
+        let era = self.node.era(Table::Entries);
+        if quarantine.era.replace(era) != era {
+            let (from, to) = LOST_WRITE_DELAY_MS;
+            let delay_ms = self.node.with_rng(|it| it.random_range(from..to));
+            quarantine.rewrite_at.set(Some(now.after_ms(delay_ms)));
+        }
+        let Some(rewrite_at) = quarantine.rewrite_at.get() else {
+            return;
+        };
+        if now < rewrite_at && !self.is_region_writer() {
+            return;
+        }
+        quarantine.rewrite_at.set(None);
+        let known = quarantine.known.borrow();
+        let mut pending_writes = quarantine.pending_writes.borrow_mut();
+        for request in known.fingerprints() {
+            pending_writes.entry(request).or_insert(now);
+        }
+    }
+
     /// Writes records that are due and missing in the store.
     pub(super) fn write_due_suspects(self: &Rc<Entry>, now: Time) {
         let quarantine = &self.quarantine;
--- a/crates/gradeloft_gateway/tests/entry/quarantine.rs
+++ b/crates/gradeloft_gateway/tests/entry/quarantine.rs
@@ -31,6 +31,10 @@
 /// three crashes, and three entries may have requests in flight before they learn of it.
 const MAX_MARKED_REQUESTS: usize = 6;
 
+/// Time within which entries write the suspects that they learned from each other, if these are
+/// missing in the store, in milliseconds.
+const LEARNED_WRITES_MS: u64 = 4_500;
+
 /// Entries in two regions with replicas that marked requests crash.
 struct Fleet {
     harness: Harness,
@@ -305,6 +309,25 @@
     });
 }
 
+#[test]
+fn a_quarantine_that_a_restore_of_the_store_lost_is_stored_again() {
+    run(async {
+        let fleet = Fleet::start(6, &[(2, "z")]).await;
+        let Harness { tables, .. } = &fleet.harness;
+        tables.back_up();
+        fleet.send_marked_by_turns(&[1, 2], 4).await;
+        wait_until(|| async { fleet.harness.has_request_record() }).await;
+        // Until no entry is about to write what it learned from the other one.
+        let clock = &fleet.harness.entry.entry().node.clock;
+        let settled = clock.now().after_ms(LEARNED_WRITES_MS);
+        wait_until(|| async { settled < clock.now() }).await;
+        tables.restore_backup();
+        tables.abort_reads();
+        assert!(!fleet.harness.has_request_record());
+        wait_until(|| async { fleet.harness.has_request_record() }).await;
+    });
+}
+
 /// All replicas crash at once, twice, with harmless requests on each; the callers repeat the same
 /// requests.
 #[test]
