--- a/crates/gradeloft_gateway/tests/entry/store_restored.rs
+++ b/crates/gradeloft_gateway/tests/entry/store_restored.rs
@@ -42,6 +42,16 @@
     wait_until(|| async { harness.entry.entry().config_version() == version }).await;
 }
 
+/// Restores the store, which loses configurations 2 and 3, and waits until the entry has read it.
+async fn lose_configurations(harness: &Harness) {
+    harness.tables.back_up();
+    configure(harness, 2).await;
+    configure(harness, 3).await;
+    restore_backup(harness).await;
+    let node = &harness.entry.entry().node;
+    wait_until(|| async { node.era(Table::Operator) == 1 }).await;
+}
+
 #[test]
 fn a_configuration_is_applied_at_an_offset_that_was_assigned_before_a_restore() {
     run(async {
@@ -150,12 +160,7 @@
 fn an_entry_that_starts_after_a_restore_gets_the_lost_configuration_from_its_peers() {
     run(async {
         let harness = start().await;
-        harness.tables.back_up();
-        configure(&harness, 2).await;
-        configure(&harness, 3).await;
-        restore_backup(&harness).await;
-        let node = &harness.entry.entry().node;
-        wait_until(|| async { node.era(Table::Operator) == 1 }).await;
+        lose_configurations(&harness).await;
         assert_eq!(harness.entry.entry().config_version(), 3);
         let later = harness.add_entry(2, &harness.tables).await;
         wait_until(|| async { get(2, 8002, "/ready").await.starts_with("HTTP/1.1 200") }).await;
@@ -168,12 +173,7 @@
 fn an_entry_that_read_the_restored_store_gets_the_lost_configuration_from_later_peers() {
     run(async {
         let harness = start().await;
-        harness.tables.back_up();
-        configure(&harness, 2).await;
-        configure(&harness, 3).await;
-        restore_backup(&harness).await;
-        let node = &harness.entry.entry().node;
-        wait_until(|| async { node.era(Table::Operator) == 1 }).await;
+        lose_configurations(&harness).await;
         let alone = harness.add_entry_with_seed(2, 99, &harness.tables).await;
         let entry = alone.entry();
         wait_until(|| async { entry.config_version() == 1 }).await;
--- a/crates/gradeloft_policy/src/process/mirror.rs
+++ b/crates/gradeloft_policy/src/process/mirror.rs
@@ -9,13 +9,14 @@
 //! A restore of the store loses its latest records, which were in force already. A copy keeps such a
 //! record until its key is written in the new era, and passes it on to copies that lack it.
 
+mod restore;
+
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 use bytes::Bytes;
 use gradeloft_wire::position::Position;
 
 use super::lineage::Lineage;
-use crate::rendezvous;
 
 /// Number of recent records kept for peers; a peer that is further behind gets a snapshot.
 const TAIL_RECORDS: usize = 512;
@@ -109,11 +110,6 @@
         self.loaded
     }
 
-    /// Returns whether the copy was up to date in the era before.
-    pub fn has_previous_era(&self) -> bool {
-        self.previous_end != Position::START
-    }
-
     /// Returns the latest value of a key.
     pub fn value(&self, key: &str) -> Option<&Bytes> {
         self.newest.get(key)?.value.as_ref()
@@ -152,25 +148,6 @@
         changed
     }
 
-    /// Returns a digest of the records that this copy keeps although the store has lost them; 0 if
-    /// there are none.
-    pub fn kept_digest(&self) -> u32 {
-        let kept = self.kept.iter().flat_map(|(key, position)| {
-            let position = [u64::from(position.era), position.offset];
-            let position = position.into_iter().flat_map(u64::to_be_bytes);
-            key.bytes().chain(position)
-        });
-        match self.kept.is_empty() {
-            true => 0,
-            false => (rendezvous::hash(&kept.collect::<Vec<u8>>()) as u32).max(1),
-        }
-    }
-
-    /// Returns the number of records that this copy keeps although the store has lost them.
-    pub fn kept_len(&self) -> usize {
-        self.kept.len()
-    }
-
     /// Applies an update and returns the records that changed something, including deletions. After a
     /// restore of the store, a copy continues with a snapshot. `current` is whether the copy was up
     /// to date until a moment ago: otherwise, a key that the store lacks may have been deleted long
@@ -221,15 +198,6 @@
         update
     }
 
-    /// Returns the records that this copy keeps although the store has lost them.
-    fn kept_records(&self) -> impl Iterator<Item = Record> {
-        self.kept.iter().map(|(key, position)| Record {
-            key: key.clone(),
-            value: self.value(key).cloned(),
-            position: *position,
-        })
-    }
-
     /// Returns the part of an update that the store has, too.
     fn stored_since(&self, from: Position) -> Update {
         if self.end <= from {
@@ -324,105 +292,6 @@
         changed
     }
 
-    /// Applies the first snapshot after a restore of the store. The store still has the records up
-    /// to some offset; the others are new, and records that the copy has from there on are lost.
-    fn enter_era(&mut self, update: &Update, kept: &[Record], current: bool) -> Vec<Record> {
-        let known = update.records.iter().filter(|it| self.lineage.has(it));
-        let restored_end = known.map(|it| it.position.offset + 1).max().unwrap_or(0);
-        let is_lost = |key: &String| {
-            let position = self.position_of(key);
-            position.is_some_and(|it| it.era < self.end.era || restored_end <= it.offset)
-        };
-        let drops_missing = self.lost_records != LostRecords::Keep || !current;
-        let gone = self.missing_keys(update, kept);
-        let gone = gone.filter(|it| drops_missing || !is_lost(it));
-        let gone: Vec<String> = gone.cloned().collect();
-        let is_superseded = |record: &&Record| {
-            let older = record.position.offset < restored_end;
-            let same = || {
-                let known = self.position_of(&record.key);
-                known
-                    .is_some_and(|it| it.era == self.end.era && it.offset <= record.position.offset)
-            };
-            let is_known = self.position_of(&record.key).is_some();
-            self.lost_records != LostRecords::Drop && older && is_known && !same()
-        };
-        let (superseded, applied): (Vec<&Record>, Vec<&Record>) =
-            update.records.iter().partition(is_superseded);
-        let superseded: HashSet<&str> = superseded.iter().map(|it| it.key.as_str()).collect();
-        let mut changed = self.remove_all(gone, update.end);
-        for record in applied {
-            changed.extend(self.set(record.clone()));
-        }
-        self.previous_end = match current {
-            true => self.end,
-            false => Position::START,
-        };
-        self.clear_tail();
-        self.lineage.truncate(restored_end);
-        self.lineage.extend(&update.records);
-        self.end = update.end;
-        self.lineage.skip_to(update.end.offset);
-        let earlier = self
-            .newest
-            .values()
-            .filter(|it| it.position.era < update.end.era);
-        let earlier = earlier.map(|it| (it.key.clone(), it.position));
-        let undone = self
-            .deleted
-            .iter()
-            .filter(|it| superseded.contains(it.0.as_str()));
-        let undone = undone.map(|(key, position)| (key.clone(), *position));
-        self.kept = earlier.chain(undone).collect();
-        let kept = &self.kept;
-        self.deleted.retain(|key, _| kept.contains_key(key));
-        changed
-    }
-
-    /// Applies the records that a peer keeps. `seen_end` is the end of the peer's copy: the peer
-    /// kept them over all records before it.
-    fn adopt(&mut self, kept: Vec<Record>, seen_end: Position) -> Vec<Record> {
-        let mut changed = Vec::new();
-        if self.lost_records == LostRecords::Drop {
-            return changed;
-        }
-        for record in kept {
-            let position = record.position;
-            // This copy had the record, and has seen what replaced it since.
-            let resolved = position.era == self.previous_end.era
-                && position < self.previous_end
-                && !self.kept.contains_key(&record.key);
-            let outdated = match self.position_of(&record.key) {
-                None => false,
-                Some(known) if known.era < self.end.era => position <= known,
-                Some(known) => seen_end <= known || self.deleted.contains_key(&record.key),
-            };
-            if resolved || outdated || self.end.era <= position.era {
-                continue;
-            }
-            let value = record.value.clone();
-            let before = self.remove(&record.key);
-            self.kept.insert(record.key.clone(), position);
-            match &value {
-                Some(_) => {
-                    self.deleted.remove(&record.key);
-                    self.newest.insert(record.key.clone(), record.clone());
-                }
-                None => self.note_deletion(&record.key, position),
-            }
-            if before.and_then(|it| it.value) != value {
-                changed.push(record);
-            }
-        }
-        changed
-    }
-
-    /// Returns the position of the latest known record or deletion of a key.
-    fn position_of(&self, key: &str) -> Option<Position> {
-        let newest = self.newest.get(key).map(|it| it.position);
-        newest.or_else(|| self.deleted.get(key).copied())
-    }
-
     /// Iterates over the keys of this copy that a snapshot lacks.
     fn missing_keys(&self, update: &Update, kept: &[Record]) -> impl Iterator<Item = &String> {
         let named = update.records.iter().chain(kept);
