--- a/crates/gradeloft_gateway/src/agent/receive.rs
+++ b/crates/gradeloft_gateway/src/agent/receive.rs
@@ -163,6 +163,25 @@
         }
     }
 
+    /// Leaves the snapshot to entries, which abridge it. They count as unserved by the store for a
+    /// moment after its outage, and so all agents read it then.
+    fn pause_after_restore(&self, pause: Duration) -> Duration {
+        let Some(agent) = self.upgrade() else {
+            return pause;
+        };
+        let now = agent.node.clock.now();
+        let is_heard = |it: &KnownEntry| now < it.received_at.after_ms(SERVED_ENTRY_TIMEOUT_MS);
+        if !agent.entries.borrow().values().any(is_heard) {
+            return pause;
+        }
+        let longest_ms = FIRST_READ_SPREAD_WITH_ENTRIES_MS as u64;
+        let shortest_ms = SERVED_ENTRY_TIMEOUT_MS;
+        let pause_ms = agent
+            .node
+            .with_rng(|it| it.random_range(shortest_ms..=longest_ms));
+        Duration::from_millis(pause_ms)
+    }
+
     fn longest_pause(&self) -> Duration {
         MAX_BACKOFF
     }
--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -96,6 +96,10 @@
     fn pause(&self, _table: Table, pause: Duration) -> Duration {
         pause
     }
+    /// Returns the pause before a snapshot is read because the store was restored.
+    fn pause_after_restore(&self, pause: Duration) -> Duration {
+        pause
+    }
     /// Returns the longest pause after failed reads.
     fn longest_pause(&self) -> Duration {
         tables::LONGEST_PAUSE
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -86,6 +86,15 @@
     Standby,
 }
 
+/// Result of a read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Progress {
+    /// The records were applied, or the next read is one of a snapshot.
+    Applied,
+    /// The store was restored, so the next read is one of a snapshot.
+    Restored,
+}
+
 impl Node {
     /// Returns whether this process leaves reading a table from the store to others.
     pub fn on_standby(&self, table: Table) -> bool {
@@ -288,11 +297,14 @@
             };
             let read = self.read(table, &mut fresh, wait).await;
             match read {
-                Ok(()) => {
+                Ok(progress) => {
                     failures = 0;
                     self.note_store_success(table);
                     let election = self.election.borrow().clone();
-                    let pause = election.map_or(pause, |it| it.pause(table, pause));
+                    let pause = election.map_or(pause, |it| match progress {
+                        Progress::Applied => it.pause(table, pause),
+                        Progress::Restored => it.pause_after_restore(pause),
+                    });
                     actix_rt::time::sleep(pause).await;
                 }
                 Err(fault) => {
@@ -349,7 +361,12 @@
     }
 
     /// Reads a table once: a snapshot first, then changes.
-    async fn read(&self, table: Table, fresh: &mut bool, wait: Duration) -> Result<(), Fault> {
+    async fn read(
+        &self,
+        table: Table,
+        fresh: &mut bool,
+        wait: Duration,
+    ) -> Result<Progress, Fault> {
         let store = &self.platform.store;
         let requested_at = self.clock.now();
         if !*fresh {
@@ -358,10 +375,14 @@
             self.note_read(table, &update, requested_at, Duration::ZERO);
             self.apply_update(table, update, Source::Store, requested_at);
             self.confirm(table, requested_at);
-            return Ok(());
+            return Ok(Progress::Applied);
         }
         let wait_ms = wait.as_millis() as u64;
         match store.follow(table, self.end(table), wait_ms).await? {
+            TableRead::Restored => {
+                *fresh = false;
+                return Ok(Progress::Restored);
+            }
             TableRead::Truncated => *fresh = false,
             TableRead::Partial(update) => {
                 // The response broke off, so it confirms nothing about the time after the request.
@@ -382,7 +403,7 @@
                 self.confirm(table, complete_at);
             }
         }
-        Ok(())
+        Ok(Progress::Applied)
     }
 
     /// Reads a snapshot of a table from the store, once.
--- a/crates/gradeloft_gateway/tests/agents/main.rs
+++ b/crates/gradeloft_gateway/tests/agents/main.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use gradeloft_gateway::settings::Settings;
+use gradeloft_gateway::{node::Election, settings::Settings};
 use gradeloft_policy::rendezvous;
 use gradeloft_standin::tables::{StoreMode, Tables};
 use gradeloft_wire::{
@@ -495,6 +495,26 @@
     });
 }
 
+/// After a restore of the store all agents would read the whole configuration from it, which entries
+/// abridge for them.
+#[test]
+fn an_agent_leaves_the_snapshot_of_a_restored_store_to_the_entries_that_it_hears() {
+    run(async {
+        let harness = Harness::start(2, |_, _| {}).await;
+        harness.wait_for_version(1).await;
+        fake_entry(30, 1, StoreAccess::Unserved, Rc::default()).await;
+        let pause = |idx: usize| {
+            let election = Rc::downgrade(harness.agents[idx].agent());
+            election.pause_after_restore(Duration::ZERO)
+        };
+        while harness.agents[0].agent().entries().is_empty() {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert!(Duration::ZERO < pause(0));
+        assert_eq!(pause(1), Duration::ZERO);
+    });
+}
+
 #[test]
 fn version_read_late_counts_as_named_before_the_store_outage() {
     run(async {
--- a/crates/gradeloft_platform/src/fleet.rs
+++ b/crates/gradeloft_platform/src/fleet.rs
@@ -22,8 +22,10 @@
 /// The result of reading a table from a position.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum TableRead {
-    /// The store has truncated the requested records or was restored since, or the records are too
-    /// large for one read; a snapshot has to be read instead.
+    /// The store was restored since the position was read; a snapshot has to be read instead.
+    Restored,
+    /// The store has truncated the requested records, or they are too large for one read; a
+    /// snapshot has to be read instead.
     Truncated,
     /// The first records; a read from the end of this update returns more.
     Partial(Update),
--- a/crates/gradeloft_standin/src/tables.rs
+++ b/crates/gradeloft_standin/src/tables.rs
@@ -178,7 +178,7 @@
         async move {
             self.handle_call().await?;
             if from.era != self.era.get() {
-                return Ok(TableRead::Truncated);
+                return Ok(TableRead::Restored);
             }
             let first = self.compacted.borrow().get(&table).copied().unwrap_or(0);
             let end = self.records.borrow().get(&table).map_or(0, Vec::len);
@@ -211,7 +211,7 @@
                 _ = records_ready => {}
             }
             if from.era != self.era.get() {
-                return Ok(TableRead::Truncated);
+                return Ok(TableRead::Restored);
             }
             let records = self.records_from(table, from.offset);
             let end = self.position(from.offset as usize + records.len());
