Hold every listed leave once the store was restored

What callers would see: an entry that starts after a restore, reads a replica's leave from the restored store, and sends it requests between its "ready" and its "draining" of the new era.

Cause: the leave held only if it was known from an earlier era, but to a process that starts then, all records are of the era in which it reads them.

Change: once the store was restored, a listed leave holds until the replica's start changes, in whatever era it was read. Without a restore nothing changes.

Test: a_leave_holds_for_an_entry_that_read_it_from_the_restored_store failed before and passes.

--- a/crates/gradeloft_gateway/tests/entry/store_restored.rs
+++ b/crates/gradeloft_gateway/tests/entry/store_restored.rs
@@ -156,6 +156,36 @@
     });
 }
 
+/// The restored store has the leave, and the replica writes its earlier record again.
+#[test]
+fn a_leave_holds_for_an_entry_that_read_it_from_the_restored_store() {
+    run(async {
+        let harness = start().await;
+        let entry = harness.entry.entry();
+        let leaves = |entry: &Entry| {
+            let replicas = entry.replicas.borrow();
+            replicas.state(&replica_id(0)).is_some_and(|it| it.0)
+        };
+        harness
+            .tables
+            .write(Table::Replicas, &replica_id(0), Some("draining"));
+        wait_until(|| async { leaves(entry) }).await;
+        harness.tables.back_up();
+        restore_backup(&harness).await;
+        wait_until(|| async { entry.node.era(Table::Replicas) == 1 }).await;
+        let later = harness.add_entry(2, &harness.tables).await;
+        wait_until(|| async { leaves(later.entry()) }).await;
+        harness
+            .tables
+            .write(Table::Replicas, &replica_id(0), Some("ready again"));
+        let end = harness.tables.end(Table::Replicas);
+        for entry in [entry, later.entry()] {
+            wait_until(|| async { entry.node.end(Table::Replicas) == end }).await;
+            assert!(leaves(entry));
+        }
+    });
+}
+
 #[test]
 fn an_entry_that_starts_after_a_restore_gets_the_lost_configuration_from_its_peers() {
     run(async {
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -137,9 +137,6 @@
     pub evacuated: bool,
     /// Requests that the replica accepts from this entry, by its backpressure and warm-up.
     pub throttle: Throttle,
-    /// Era of the store in which the listed leave was written; `None` while the replica isn't listed
-    /// as leaving.
-    leave_era: Option<u32>,
     failures: u32,
     paused_until: Time,
     /// Time of the replica's removal, if one is scheduled.
@@ -165,7 +162,6 @@
             last_received: Time::ZERO,
             evacuated: false,
             throttle: Throttle::default(),
-            leave_era: None,
             failures: 0,
             paused_until: Time::ZERO,
             gone_at: None,
@@ -316,22 +312,17 @@
         self.arena.is_empty()
     }
 
-    /// Applies a listing that was written in an era of the store. A leave that was listed in an
-    /// earlier era holds until the replica restarts, as replicas write their records again in any
-    /// order after a restore of the store.
+    /// Applies a listing that was written in an era of the store. Once the store was restored, a leave
+    /// that was listed holds until the replica restarts: replicas write their records again in any
+    /// order.
     pub fn apply_written(&mut self, mut listing: Listing, era: u32) -> ReplicaKey {
         let known = self.key(&listing.id).map(|it| &self.arena[it]);
-        let same_start = |it: &&Replica| {
+        let leaves = |it: &Replica| {
             let born = it.starts.born().zip(listing.born);
-            born.is_none_or(|(known, listed)| known == listed)
+            it.listing.draining && born.is_none_or(|(known, listed)| known == listed)
         };
-        let leave_era = known.filter(same_start).and_then(|it| it.leave_era);
-        listing.draining |= leave_era.is_some_and(|it| it < era);
-        let draining = listing.draining;
-        let key = self.apply_listing(listing);
-        let replica = &mut self.arena[key];
-        replica.leave_era = draining.then(|| leave_era.map_or(era, |it| it.min(era)));
-        key
+        listing.draining |= 0 < era && known.is_some_and(leaves);
+        self.apply_listing(listing)
     }
 
     /// Applies a listing of a replica. A replica that restarted gets a new key.
