Describe contenders, precedence and demand as types

The interfaces of the parts for hard load, before the parts: a request that competes for replicas and its precedence (team before route), priorities of teams in the document, demand by precedence and waiting prompt tokens in the entries' datagrams, and a replica's own counts in its agent's reports.

No decision uses them yet.

--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -38,7 +38,7 @@
     version::{fetch::Fetch, readers, waves::SwitchProgress},
 };
 use gradeloft_wire::{
-    datagram::{EngineStatus, Sender, StoreAccess},
+    datagram::{self, EngineStatus, Sender, StoreAccess},
     frame::Table,
     id::Digest,
 };
@@ -447,6 +447,8 @@
             version: it.version,
             loading: self.closed() || it.busy,
             congested: self.congested.get(),
+            running: datagram::saturate(it.active),
+            queued: datagram::saturate(it.queued),
         });
         let sender = Sender::Agent { replica, engine };
         self.node
--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -10,8 +10,11 @@
         freshness::Freshness,
         replicas::ReplicaKey,
     },
+    rendezvous,
     request::{
         attempt::{Attempts, Failure, Ran},
+        contention::{Contender, Precedence},
+        forecast,
         placement::{ExclusionCounts, Urgency},
     },
 };
@@ -46,12 +49,16 @@
     pub service: Rc<str>,
     /// Team that sent the request.
     pub team: Option<Rc<str>>,
+    /// Precedence of the request among those that compete for the service's replicas.
+    pub precedence: Precedence,
     /// Regions in which the request may be served.
     pub allowed_regions: AllowedRegions,
     /// Time by which the response must be complete.
     pub deadline: Time,
     /// Time by which the response must begin to meet the route's latency objective.
     pub goal: Time,
+    /// Whether the caller was refused before, by its remaining time.
+    pub returned: bool,
     /// Number of prompt tokens; 0 without a prompt.
     pub prompt_tokens: f64,
     /// Urgency when the current replica was selected.
@@ -103,6 +110,22 @@
     }
 }
 
+/// Returns a request as one that competes for its service's replicas; `None` for services without a
+/// model.
+pub(super) fn contender(entry: &Entry, job: &Job) -> Option<Contender> {
+    let speed = entry.speed(&job.service)?;
+    let slots = entry.slots_of(&job.service)?;
+    let team = job.team.as_deref();
+    Some(Contender {
+        precedence: job.precedence,
+        team: team.map(|it| rendezvous::hash(it.as_bytes())),
+        work_ms: forecast::work_ms(&speed, slots, job.prompt_tokens),
+        goal: job.goal,
+        deadline: job.deadline,
+        returned: job.returned,
+    })
+}
+
 /// Outcome of a request.
 enum Outcome {
     Answered(u16),
@@ -149,7 +172,11 @@
     match resolve_route(entry, &config, &received) {
         Ok((route, team)) => {
             let allowed_regions = config.allowed_regions(&route, team.as_deref());
-            let job = new_job(entry, route, team, allowed_regions, received, keep_alive);
+            let precedence = config.precedence(&route, team.as_deref());
+            let job = Job {
+                precedence,
+                ..new_job(entry, route, team, allowed_regions, received, keep_alive)
+            };
             match entry.drain.get() {
                 Some(drain) if entry.others_accept_callers() || !drain.accepts(job.deadline) => {
                     Err(Box::new((Refusal::Leaving, job.received)))
@@ -203,6 +230,8 @@
     Job {
         deadline: received.at.after_ms(timeout_ms),
         goal: received.at.after(goal),
+        returned: !age.is_zero(),
+        precedence: Precedence::default(),
         prompt_tokens: prompt_tokens(entry, &received),
         urgency: Urgency::Late,
         expected_ms: 0,
--- a/crates/gradeloft_gateway/src/entry/gossip.rs
+++ b/crates/gradeloft_gateway/src/entry/gossip.rs
@@ -94,13 +94,13 @@
 /// Maximum number of entries, known only by address, whose state is requested in one round.
 const MAX_STATE_REQUESTS: usize = 8;
 /// Most loads in one datagram.
-const MAX_LOADS: usize = 150;
+const MAX_LOADS: usize = 120;
 /// Largest encoding of a load, in bytes.
-const LOAD_BYTES: usize = 7;
+const LOAD_BYTES: usize = 8;
 /// Most engine states in one datagram.
 const MAX_ENGINES: usize = 45;
 /// Largest encoding of an engine state, in bytes.
-const ENGINE_BYTES: usize = 24;
+const ENGINE_BYTES: usize = 26;
 /// Most members in one datagram.
 const MAX_MEMBERS: usize = 40;
 /// Largest encoding of a member, in bytes, with an era below 251 and an offset below 2^32.
@@ -144,7 +144,7 @@
         };
         let mut own = HashMap::new();
         self.add_own_loads(&mut own);
-        for loads in split_loads(own, self.model_request_rate()) {
+        for loads in split_loads(own, self.model_request_rate(), &[]) {
             let sender = self.state(loads, entries.clone(), false);
             self.node
                 .send_state(Purpose::Loads, Reach::Near, sender, near.iter().copied());
@@ -318,7 +318,7 @@
         near.add_to(&mut sums);
         let demand = self.model_request_rate() + near.demand();
         drop(near);
-        split_loads(sums, demand)
+        split_loads(sums, demand, &[])
     }
 
     /// Returns the live entries of this region.
@@ -353,6 +353,8 @@
                     version: report.version,
                     loading: report.loading,
                     congested: report.congested,
+                    running: datagram::saturate(report.running),
+                    queued: datagram::saturate(report.queued),
                 },
                 age_ms: age_ms as u16,
             })
@@ -441,6 +443,7 @@
                 replica: replica.hash(),
                 running: replica.own_requests,
                 waiting: replica.own_waiting,
+                waiting_tokens: replica.own_waiting_tokens,
             };
             remote_loads::add(sums, load);
         }
@@ -476,7 +479,7 @@
 }
 
 /// Splits the requests at replicas into as many messages as they need.
-fn split_loads(sums: HashMap<u32, Load>, demand: f64) -> Vec<Loads> {
+fn split_loads(sums: HashMap<u32, Load>, demand: f64, demands: &[datagram::Demand]) -> Vec<Loads> {
     let last_part = sums.len().saturating_sub(1) / MAX_LOADS;
     let count = last_part as u32 + 1;
     let mut parts: Vec<Loads> = (0..count)
@@ -484,6 +487,7 @@
             part: number as u16,
             last_part: last_part as u16,
             demand: (demand * 10.0) as u32,
+            demands: demands.to_vec(),
             loads: Vec::new(),
         })
         .collect();
@@ -491,8 +495,9 @@
         let part = &mut parts[(load.replica % count) as usize];
         part.loads.push(datagram::Load {
             replica: load.replica,
-            running: load.running.min(u32::from(u16::MAX)) as u16,
-            waiting: load.waiting.min(u32::from(u16::MAX)) as u16,
+            running: datagram::saturate(load.running),
+            waiting: datagram::saturate(load.waiting),
+            waiting_tokens: (load.waiting_tokens / datagram::Load::TOKENS_UNIT).round() as u16,
         });
     }
     parts
--- a/crates/gradeloft_gateway/src/entry/maintenance.rs
+++ b/crates/gradeloft_gateway/src/entry/maintenance.rs
@@ -10,6 +10,7 @@
     clock::Time,
     process::{
         rate_share,
+        remote_loads::Load,
         replicas::{Replica, ReplicaKey},
         roster::{self, State},
         slot_split::{self, RegionSlots},
@@ -127,10 +128,12 @@
             // except for the slots that it lends; otherwise all entries that are short of slots
             // would send their overflow there.
             if replica.listing.has_model && !replica.near && !far_loads.has(region) {
-                return (replica.listing.slots, 0);
+                return Load {
+                    running: replica.listing.slots,
+                    ..Load::default()
+                };
             }
-            let sum = sums.get(&replica.hash()).copied().unwrap_or_default();
-            (sum.running, sum.waiting)
+            sums.get(&replica.hash()).copied().unwrap_or_default()
         };
         let mut replicas = self.replicas.borrow_mut();
         replicas.set_near(|zone| self.node.near(zone));
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -407,6 +407,13 @@
         self.config.borrow().as_ref()?.service(service)?.speed
     }
 
+    /// Returns the number of requests that a replica of a service runs at once, if one is known.
+    pub fn slots_of(&self, service: &str) -> Option<u32> {
+        let replicas = self.replicas.borrow();
+        let slots = replicas.of(service).map(|(_, it)| it.listing.slots);
+        slots.max()
+    }
+
     /// Records the time that a replica took to begin a response.
     pub fn record_response_start(&self, key: ReplicaKey, expected: FirstTokenForecast) {
         let took = self.node.clock.now().since(expected.sent);
--- a/crates/gradeloft_gateway/src/entry/receive.rs
+++ b/crates/gradeloft_gateway/src/entry/receive.rs
@@ -10,15 +10,16 @@
     clock::Time,
     process::{
         readers::{self, FirstRead},
-        remote_loads::{self, Load},
+        remote_loads::{self, Demand, Load},
         replicas::Report,
         roster::{self, State, Status},
     },
     rendezvous,
+    request::contention::Precedence,
 };
 use gradeloft_wire::{
     datagram::{
-        Datagram, EngineReport, EngineStatus, Loads, Member, Presence, RegionMessage, Sender,
+        self, Datagram, EngineReport, EngineStatus, Loads, Member, Presence, RegionMessage, Sender,
         StoreAccess,
     },
     frame::Table,
@@ -257,21 +258,33 @@
         version: engine.version,
         loading: engine.loading,
         congested: engine.congested,
+        running: u32::from(engine.running),
+        queued: u32::from(engine.queued),
         at,
     }
 }
 
 fn load_report(loads: &Loads, at: Time) -> remote_loads::Part {
-    let load = |it: &gradeloft_wire::datagram::Load| Load {
+    let load = |it: &datagram::Load| Load {
         replica: it.replica,
         running: u32::from(it.running),
         waiting: u32::from(it.waiting),
+        waiting_tokens: f64::from(it.waiting_tokens) * datagram::Load::TOKENS_UNIT,
+    };
+    let demand = |it: &datagram::Demand| Demand {
+        service: it.service,
+        precedence: Precedence {
+            team: u32::from(it.team_priority),
+            route: u32::from(it.route_priority),
+        },
+        replicas: f64::from(it.work) / datagram::Demand::WORK_UNITS,
     };
     remote_loads::Part {
         at,
         part: loads.part,
         last_part: loads.last_part,
         demand: f64::from(loads.demand) / 10.0,
+        demands: loads.demands.iter().map(demand).collect(),
         loads: loads.loads.iter().map(load).collect(),
     }
 }
--- a/crates/gradeloft_gateway/tests/agents/support.rs
+++ b/crates/gradeloft_gateway/tests/agents/support.rs
@@ -303,6 +303,7 @@
         services: vec![service("m", None), service("o", Some(replica(1)))],
         keys: HashMap::new(),
         allowed_regions: HashMap::new(),
+        team_priorities: HashMap::new(),
         limits: CallerLimits {
             head_bytes: 1,
             body_bytes: 1,
--- a/crates/gradeloft_gateway/tests/entry/gossip.rs
+++ b/crates/gradeloft_gateway/tests/entry/gossip.rs
@@ -537,6 +537,7 @@
                         replica: hash,
                         running: 3,
                         waiting: 1,
+                        waiting_tokens: 0,
                     }],
                     ..Loads::default()
                 }),
--- a/crates/gradeloft_gateway/tests/entry/support/mod.rs
+++ b/crates/gradeloft_gateway/tests/entry/support/mod.rs
@@ -256,6 +256,7 @@
         }],
         keys: HashMap::from([("secret".to_owned(), Rc::from("rangers"))]),
         allowed_regions: HashMap::new(),
+        team_priorities: HashMap::new(),
         limits: CallerLimits {
             head_bytes: 4 << 10,
             body_bytes: config.body_bytes,
--- a/crates/gradeloft_policy/src/process/document.rs
+++ b/crates/gradeloft_policy/src/process/document.rs
@@ -1,10 +1,15 @@
 //! The operator's configuration: routes, services, API keys and the limits for requests.
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use rand::Rng;
 
 use super::allowed_regions::AllowedRegions;
+use crate::request::contention::Precedence;
 
 /// Whether a request may run more than once, and the form of its response.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -165,6 +170,8 @@
     pub keys: HashMap<String, Rc<str>>,
     /// Regions in which requests of a team may be served, for teams with such a restriction.
     pub allowed_regions: HashMap<Rc<str>, AllowedRegions>,
+    /// Priority of each team under overload; 0 is the highest. Other teams have priority 0.
+    pub team_priorities: HashMap<Rc<str>, u32>,
     /// Limits for requests of callers.
     pub limits: CallerLimits,
 }
@@ -233,6 +240,30 @@
         Ok(team)
     }
 
+    /// Returns the precedence of a team's requests on a route.
+    pub fn precedence(&self, route: &Route, team: Option<&str>) -> Precedence {
+        let priority = team.and_then(|it| self.document.team_priorities.get(it));
+        Precedence {
+            team: priority.copied().unwrap_or_default(),
+            route: route.priority,
+        }
+    }
+
+    /// Returns whether the operator ranks the requests for a service: its routes, or the teams,
+    /// differ in priority.
+    pub fn ranks_requests_for(&self, service: &str) -> bool {
+        let leads = |it: &&Route| it.targets.iter().any(|it| &*it.service == service);
+        let routes = self.document.routes.iter().filter(leads);
+        let mut priorities = routes.map(|it| it.priority);
+        let first = priorities.next();
+        let routes_differ = priorities.any(|it| Some(it) != first);
+        let teams: HashSet<&Rc<str>> = self.document.keys.values().collect();
+        let priority = |it: &Rc<str>| self.document.team_priorities.get(it).copied();
+        let mut priorities = teams.into_iter().map(|it| priority(it).unwrap_or_default());
+        let first = priorities.next();
+        routes_differ || priorities.any(|it| Some(it) != first)
+    }
+
     /// Returns the regions in which a team's requests on a route may be served.
     pub fn allowed_regions(&self, route: &Route, team: Option<&str>) -> AllowedRegions {
         match team.and_then(|it| self.document.allowed_regions.get(it)) {
--- a/crates/gradeloft_policy/src/process/remote_loads.rs
+++ b/crates/gradeloft_policy/src/process/remote_loads.rs
@@ -6,10 +6,10 @@
 
 use std::{borrow::Borrow, collections::HashMap, hash::Hash, time::Duration};
 
-use crate::clock::Time;
+use crate::{clock::Time, request::contention::Precedence};
 
 /// Requests at one replica.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
     /// Hash of the replica's current start.
     pub replica: u32,
@@ -17,6 +17,20 @@
     pub running: u32,
     /// Number of requests in progress whose response has not begun.
     pub waiting: u32,
+    /// Prompt tokens of the requests whose response has not begun.
+    pub waiting_tokens: f64,
+}
+
+/// Demand for a service at one precedence.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Demand {
+    /// Hash of the service's name.
+    pub service: u32,
+    /// Precedence of the requests.
+    pub precedence: Precedence,
+    /// Replica time that the requests of one second take, in seconds: the number of replicas that
+    /// they keep busy.
+    pub replicas: f64,
 }
 
 /// One part of a report.
@@ -30,6 +44,8 @@
     pub last_part: u16,
     /// Requests a second that the sender receives.
     pub demand: f64,
+    /// Demand for services whose requests the operator ranks.
+    pub demands: Vec<Demand>,
     /// Requests in progress by replica.
     pub loads: Vec<Load>,
 }
@@ -109,6 +125,13 @@
         self.reports.keys().map(|it| self.demand_of(it)).sum()
     }
 
+    /// Iterates over the demands that each sender reported last, with the time of the report.
+    pub fn demands(&self) -> impl Iterator<Item = (Time, &Demand)> {
+        let latest = self.reports.values();
+        let latest = latest.filter_map(|it| it.values().max_by_key(|it| it.at));
+        latest.flat_map(|it| it.demands.iter().map(|demand| (it.at, demand)))
+    }
+
     /// Adds the reported requests at each replica to `sums`.
     pub fn add_to(&self, sums: &mut HashMap<u32, Load>) {
         for load in self.parts().flat_map(|it| &it.loads) {
@@ -129,4 +152,5 @@
     });
     sum.running += load.running;
     sum.waiting += load.waiting;
+    sum.waiting_tokens += load.waiting_tokens;
 }
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -15,6 +15,7 @@
     process::{
         backpressure::{Throttle, Unlisted},
         document::Speed,
+        remote_loads::Load,
         replica_starts::{StartOrder, Starts},
     },
     rendezvous,
@@ -76,6 +77,10 @@
     pub loading: bool,
     /// Whether the link of the replica's instance is saturated.
     pub congested: bool,
+    /// Number of requests that the replica runs, by its own count.
+    pub running: u32,
+    /// Number of requests in the replica's queue, by its own count.
+    pub queued: u32,
     /// Time at which the report was received.
     pub at: Time,
 }
@@ -121,6 +126,8 @@
     pub other_requests: u32,
     /// Number of these requests whose response has not begun.
     pub others_waiting: u32,
+    /// Number of prompt tokens of these requests whose response has not begun.
+    pub others_waiting_tokens: f64,
     /// Slots assigned to this entry, which it fills without regard to other entries.
     pub own_slots: u32,
     /// Whether the replica is in this entry's region.
@@ -155,6 +162,7 @@
             own_waiting_tokens: 0.0,
             other_requests: 0,
             others_waiting: 0,
+            others_waiting_tokens: 0.0,
             own_slots: 0,
             near: true,
             slowness: Slowness::default(),
@@ -436,11 +444,13 @@
         ended
     }
 
-    /// Sets the requests of other entries at each replica, as a pair: the number in progress, and
-    /// the number of these whose response has not begun.
-    pub fn set_others(&mut self, others: impl Fn(&Replica) -> (u32, u32)) {
+    /// Sets the requests of other entries at each replica.
+    pub fn set_others(&mut self, others: impl Fn(&Replica) -> Load) {
         for replica in self.arena.values_mut() {
-            (replica.other_requests, replica.others_waiting) = others(replica);
+            let load = others(replica);
+            replica.other_requests = load.running;
+            replica.others_waiting = load.waiting;
+            replica.others_waiting_tokens = load.waiting_tokens;
         }
     }
 
--- a/crates/gradeloft_policy/src/request/forecast.rs
+++ b/crates/gradeloft_policy/src/request/forecast.rs
@@ -68,6 +68,14 @@
     ahead * response_ms / f64::from(queue.slots.max(1))
 }
 
+/// Returns the replica time that a request takes while all slots are in use, in milliseconds: the
+/// prefill of its prompt, for which all other requests wait, and its share of the decoding steps.
+pub fn work_ms(speed: &Speed, slots: u32, prompt_tokens: f64) -> f64 {
+    let slots = f64::from(slots.max(1));
+    let step_ms = speed.step_ms + speed.step_ms_per_request * slots;
+    prompt_tokens / speed.read_per_ms + speed.usual_response * step_ms / slots
+}
+
 /// Ratio of observed to forecast time to first token of a replica; 1 means as published.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Slowness(f64);
--- a/crates/gradeloft_policy/src/request/mod.rs
+++ b/crates/gradeloft_policy/src/request/mod.rs
@@ -4,6 +4,7 @@
 //! - [`at_most_once`]: calls that run at most once.
 //! - [`attempt`]: whether another attempt may follow a failed one.
 //! - [`caller_age`]: how long ago a caller first sent its request.
+//! - [`contention`]: requests that compete for the replicas of a service.
 //! - [`forecast`]: time to first token at a replica.
 //! - [`placement`]: selection of a replica for a forwarded request.
 //! - [`quarantine`]: requests that crash the replicas running them.
@@ -17,6 +18,7 @@
 pub mod at_most_once;
 pub mod attempt;
 pub mod caller_age;
+pub mod contention;
 pub mod forecast;
 pub mod placement;
 pub mod quarantine;
--- a/crates/gradeloft_policy/tests/allowed_regions.rs
+++ b/crates/gradeloft_policy/tests/allowed_regions.rs
@@ -38,6 +38,7 @@
         services: Vec::new(),
         keys: HashMap::from([("k".to_owned(), Rc::from("t"))]),
         allowed_regions: HashMap::from([(Rc::from("t"), allowed_regions(team))]),
+        team_priorities: HashMap::new(),
         limits: CallerLimits {
             head_bytes: 1,
             body_bytes: 1,
--- a/crates/gradeloft_policy/tests/forwarding.rs
+++ b/crates/gradeloft_policy/tests/forwarding.rs
@@ -47,6 +47,7 @@
         services: Vec::new(),
         keys: HashMap::from([("k1".to_owned(), Rc::from("night-watch"))]),
         allowed_regions: HashMap::new(),
+        team_priorities: HashMap::new(),
         limits: CallerLimits {
             head_bytes: 1000,
             body_bytes: 1000,
--- a/crates/gradeloft_policy/tests/placement.rs
+++ b/crates/gradeloft_policy/tests/placement.rs
@@ -64,6 +64,8 @@
         version: Some(1),
         loading: true,
         congested: false,
+        running: 0,
+        queued: 0,
         at: Time::ZERO,
     };
     let address = replicas.get(key).unwrap().listing.address;
@@ -84,6 +86,8 @@
         version: Some(1),
         loading: false,
         congested: true,
+        running: 0,
+        queued: 0,
         at: Time::ZERO,
     };
     replicas.apply_report(replicas.get(behind).unwrap().listing.address, report);
--- a/crates/gradeloft_policy/tests/regions.rs
+++ b/crates/gradeloft_policy/tests/regions.rs
@@ -163,12 +163,14 @@
         replica: *replica,
         running: *running,
         waiting: 0,
+        waiting_tokens: 0.0,
     };
     Part {
         at,
         part,
         last_part,
         demand: 3.0,
+        demands: Vec::new(),
         loads: loads.iter().map(load).collect(),
     }
 }
--- a/crates/gradeloft_policy/tests/restarts.rs
+++ b/crates/gradeloft_policy/tests/restarts.rs
@@ -24,6 +24,8 @@
         version,
         loading: false,
         congested: false,
+        running: 0,
+        queued: 0,
         at: NOW,
     }
 }
--- a/crates/gradeloft_wire/src/datagram.rs
+++ b/crates/gradeloft_wire/src/datagram.rs
@@ -12,9 +12,17 @@
 /// Largest datagram that is read, in bytes; below the usual MTU.
 pub const MAX_BYTES: usize = 1_400;
 
+/// Maximum number of demands in one datagram. Each takes at most 10 bytes.
+pub const MAX_DEMANDS: usize = 6;
+
 /// Maximum number of signals in one datagram. Each takes at most 22 bytes.
 pub const MAX_SIGNALS: usize = 50;
 
+/// Returns a count as a field of a datagram; the largest value stands for larger ones as well.
+pub fn saturate(count: u32) -> u16 {
+    count.min(u32::from(u16::MAX)) as u16
+}
+
 /// State of the sender.
 #[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
 pub struct Datagram {
@@ -106,10 +114,32 @@
     pub last_part: u16,
     /// Rate of incoming requests to services that run a model, in tenths of a request per second.
     pub demand: u32,
+    /// Demand for services whose requests the operator ranks, by precedence; at most
+    /// [`MAX_DEMANDS`], the most urgent ones.
+    pub demands: Vec<Demand>,
     /// Requests in flight, by replica.
     pub loads: Vec<Load>,
 }
 
+/// Demand for a service at one precedence.
+#[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct Demand {
+    /// Hash of the service's name.
+    pub service: u32,
+    /// Priority of the teams that send the requests.
+    pub team_priority: u8,
+    /// Priority of the requests' routes.
+    pub route_priority: u8,
+    /// Replica time that the requests of one second take, in units of 1 /
+    /// [`Demand::WORK_UNITS`] seconds.
+    pub work: u16,
+}
+
+impl Demand {
+    /// Units of [`Demand::work`] per second.
+    pub const WORK_UNITS: f64 = 16.0;
+}
+
 /// Status of a replica as its agent reported it.
 #[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
 pub struct EngineReport {
@@ -176,6 +206,15 @@
     pub running: u16,
     /// Number of requests in flight whose response has not begun.
     pub waiting: u16,
+    /// Prompt tokens of the requests whose response has not begun, in units of
+    /// [`Load::TOKENS_UNIT`].
+    pub waiting_tokens: u16,
+}
+
+impl Load {
+    /// Unit of [`Load::waiting_tokens`], in tokens: small next to a prompt, and large enough for the
+    /// prompts of a full replica to fit into one byte.
+    pub const TOKENS_UNIT: f64 = 64.0;
 }
 
 /// Status that a replica reports to its agent.
@@ -189,6 +228,10 @@
     pub loading: bool,
     /// Whether the instance's link is saturated, so that requests to the replica wait for the link.
     pub congested: bool,
+    /// Number of requests that the replica runs, by its own count.
+    pub running: u16,
+    /// Number of requests in the replica's queue, by its own count.
+    pub queued: u16,
 }
 
 /// Backpressure that a replica signalled, as one entry knows it.
