Admit requests up to one level over all entries

While demand exceeds the replicas, entries raced for slots: requests with the longest objective outlasted the others and took each slot that became free, so the least urgent route was served best.

Entries now measure the replica time that arrives by precedence, report it in the datagrams that exist, and deal the replicas to the sum from the most urgent precedence down. Who is beyond the fraction of its precedence is refused at once; who is below the most urgent precedence leaves the slots free that more urgent requests need next, and is placed only where they would be in time too. Takes effect only for services whose requests the operator ranks.

--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -12,6 +12,7 @@
     },
     rendezvous,
     request::{
+        admission_level::Verdict,
         attempt::{Attempts, Failure, Ran},
         contention::{Contender, Precedence},
         forecast,
@@ -19,6 +20,7 @@
     },
 };
 use gradeloft_wire::{frame::Table, id::Fingerprint};
+use rand::Rng;
 use slog::info;
 
 use super::{
@@ -61,6 +63,11 @@
     pub returned: bool,
     /// Number of prompt tokens; 0 without a prompt.
     pub prompt_tokens: f64,
+    /// Random number in 0..1 that decides whether the request is within the fraction that is
+    /// admitted.
+    pub(super) draw: f64,
+    /// Last decision of the service's level of admission.
+    pub(super) verdict: Verdict,
     /// Urgency when the current replica was selected.
     pub urgency: Urgency,
     /// Time until the first token that was forecast when the current replica was selected, in
@@ -233,6 +240,8 @@
         returned: !age.is_zero(),
         precedence: Precedence::default(),
         prompt_tokens: prompt_tokens(entry, &received),
+        draw: entry.node.with_rng(|it| it.random()),
+        verdict: Verdict::Unlimited,
         urgency: Urgency::Late,
         expected_ms: 0,
         progress: Attempts::new(route.kind, route.max_attempts),
@@ -269,6 +278,7 @@
 
 async fn run_attempts(entry: &Rc<Entry>, caller: &mut Wire, mut job: Job) -> ConnectionReuse {
     entry.count_request(&job.service);
+    entry.count_arrival(&job);
     let guard = ShutdownGuard::begin(entry, request_id(entry, &job.received), job.received.at);
     let mut replica_error = None;
     let outcome = loop {
@@ -484,7 +494,7 @@
         "replicas" => tried.join(","), "failures" => failures.join(","),
         "first_ms" => job.first_byte.map_or(-1, |it| since(it).as_millis() as i64),
         "ms" => since(now).as_millis() as u64, "claim" => %job.urgency, "expected_ms" => job.expected_ms,
-        "ended_by" => abort_reason.map_or("", AbortReason::name),
+        "admission" => %job.verdict, "ended_by" => abort_reason.map_or("", AbortReason::name),
         "quiet_ms" => job.last_data_at.map_or(-1, |it| now.since(it).as_millis() as i64),
         "leaving_ms" => entry.draining_ms(), "config_before" => job.config_version,
         "config" => entry.config_version(), "behind_ms" => behind_ms(entry),
--- a/crates/gradeloft_gateway/src/entry/gossip.rs
+++ b/crates/gradeloft_gateway/src/entry/gossip.rs
@@ -144,7 +144,7 @@
         };
         let mut own = HashMap::new();
         self.add_own_loads(&mut own);
-        for loads in split_loads(own, self.model_request_rate(), &[]) {
+        for loads in split_loads(own, self.model_request_rate(), &self.own_demands()) {
             let sender = self.state(loads, entries.clone(), false);
             self.node
                 .send_state(Purpose::Loads, Reach::Near, sender, near.iter().copied());
@@ -318,7 +318,7 @@
         near.add_to(&mut sums);
         let demand = self.model_request_rate() + near.demand();
         drop(near);
-        split_loads(sums, demand, &[])
+        split_loads(sums, demand, &self.region_demands())
     }
 
     /// Returns the live entries of this region.
--- a/crates/gradeloft_gateway/src/entry/maintenance.rs
+++ b/crates/gradeloft_gateway/src/entry/maintenance.rs
@@ -103,6 +103,7 @@
             .forget(|it| seeds.contains(&it), now);
         self.sum_other_loads(now);
         self.split_slots(now);
+        self.update_admission(now);
         self.share_restricted_rates(now);
         self.count_restricted_replicas(now);
     }
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry: the process that receives callers' requests and routes them to replicas.
 //!
 //! - [`abort`]: reasons for which a request ends without a complete response.
+//! - `admission`: the level of admission of services whose requests the operator ranks.
 //! - [`attempt`]: one attempt of a request at one replica.
 //! - `backpressure`: backpressure that replicas signal in their responses.
 //! - [`connection`]: callers' connections.
@@ -20,6 +21,7 @@
 //! - [`uncertainty`]: the uncertainty of load information, and retry times for callers.
 
 pub mod abort;
+mod admission;
 pub mod attempt;
 mod backpressure;
 pub mod connection;
@@ -78,8 +80,8 @@
 use tokio_util::sync::CancellationToken;
 
 use self::{
-    attempt::FirstTokenForecast, backpressure::gossip::SignalGossip, quarantine::QuarantineState,
-    uncertainty::ServiceRates,
+    admission::ServiceAdmission, attempt::FirstTokenForecast, backpressure::gossip::SignalGossip,
+    quarantine::QuarantineState, uncertainty::ServiceRates,
 };
 use crate::{
     logs::Topic,
@@ -157,6 +159,8 @@
     service_rates: RefCell<HashMap<Rc<str>, ServiceRates>>,
     /// Capacity shortages, by service.
     shortages: RefCell<HashMap<Rc<str>, Shortage>>,
+    /// Levels of admission, by service.
+    admission: RefCell<HashMap<Rc<str>, ServiceAdmission>>,
     /// Request rate of all services that run a model.
     model_request_rate: RefCell<RequestRate>,
     /// Requests that other entries of this region have at replicas.
@@ -218,6 +222,7 @@
             caller_ages: RefCell::default(),
             service_rates: RefCell::default(),
             shortages: RefCell::default(),
+            admission: RefCell::default(),
             model_request_rate: RefCell::new(RequestRate::with_window(RATE_WINDOW_S)),
             near_loads: RefCell::default(),
             far_loads: RefCell::default(),
--- a/crates/gradeloft_gateway/src/entry/selection.rs
+++ b/crates/gradeloft_gateway/src/entry/selection.rs
@@ -9,6 +9,7 @@
         replicas::{Replica, ReplicaKey},
     },
     request::{
+        admission_level::Verdict,
         placement::{self, ExclusionCounts, Requirements, Urgency},
         wait,
     },
@@ -38,6 +39,9 @@
     job.exclusive_attempt = None;
     let exclusions = count_exclusions(entry, job, now);
     job.exclusions = Some(exclusions);
+    if job.verdict.refuses() {
+        return CapacityWait::GiveUp;
+    }
     let since = *job.waiting_since.get_or_insert(now);
     let objective = Duration::from_millis(job.route.goal_ms);
     let until = wait::wait_deadline(
@@ -63,7 +67,15 @@
 
 /// Selects a replica for a request, preferring one that can meet its latency objective.
 pub(super) fn select_replica(entry: &Entry, job: &mut Job, now: Time) -> Option<ReplicaKey> {
-    let chosen = select_alternative(entry, job, now);
+    job.verdict = entry.decide_admission(job, now);
+    let chosen = match job.verdict {
+        Verdict::Unlimited => select_alternative(entry, job, now),
+        Verdict::InTime(within_ms) => {
+            job.urgency = Urgency::OnTime(within_ms);
+            select_by_version(entry, job, now)
+        }
+        Verdict::Late | Verdict::Reserved | Verdict::Shed => None,
+    };
     // A waiting request was counted at its first selection.
     if job.waiting_since.is_none() {
         entry.count_placement(&job.service, chosen);
@@ -74,10 +86,7 @@
 /// Selects a replica like [`select_replica`], for a request that is already at another replica. The
 /// result is not counted towards the service's shortage.
 pub(super) fn select_alternative(entry: &Entry, job: &mut Job, now: Time) -> Option<ReplicaKey> {
-    job.urgency = match job.head_sent {
-        true => Urgency::Resumed,
-        false => Urgency::of(job.goal.since(now)),
-    };
+    job.urgency = urgency(job, now);
     let mut chosen = select_by_version(entry, job, now);
     if let Some(fallback) = job.urgency.fallback().filter(|_| chosen.is_none()) {
         job.urgency = fallback;
@@ -86,6 +95,14 @@
     chosen
 }
 
+/// Returns the latency that is still achievable for a request.
+pub(super) fn urgency(job: &Job, now: Time) -> Urgency {
+    match job.head_sent {
+        true => Urgency::Resumed,
+        false => Urgency::of(job.goal.since(now)),
+    }
+}
+
 fn select_by_version(entry: &Entry, job: &Job, now: Time) -> Option<ReplicaKey> {
     // Read again for each attempt, as a version may have become due in the meantime.
     let oldest = entry.oldest_versions(&job.service);
--- a/crates/gradeloft_gateway/src/metrics.rs
+++ b/crates/gradeloft_gateway/src/metrics.rs
@@ -41,6 +41,17 @@
     pub reason: &'static str,
 }
 
+/// Labels of the requests for a service at one precedence.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct AdmissionLabels {
+    /// Service.
+    pub service: String,
+    /// Priority of the teams.
+    pub team_priority: u32,
+    /// Priority of the routes.
+    pub priority: u32,
+}
+
 /// Histograms of durations in seconds, one for each team.
 type Timing = Family<Team, Histogram, fn() -> Histogram>;
 
@@ -49,6 +60,8 @@
     registry: Registry,
     /// Requests by outcome.
     pub requests: Family<RequestLabels, Counter>,
+    /// Fraction of the requests that is admitted, by service and precedence.
+    pub admitted_fraction: Family<AdmissionLabels, Gauge<f64, AtomicU64>>,
     /// Requests without a complete response, by the reason of the abort.
     pub cut: Family<Reason, Counter>,
     /// Connections of callers that were closed with unread bytes.
@@ -112,6 +125,7 @@
         let mut it = Metrics {
             registry: Registry::with_prefix("gradeloft"),
             requests: Family::default(),
+            admitted_fraction: Family::default(),
             cut: Family::default(),
             closed_unread: Counter::default(),
             first_byte: Family::new_with_constructor(seconds as fn() -> Histogram),
@@ -163,6 +177,11 @@
     fn register(&mut self) {
         let it = &mut self.registry;
         it.register("requests", "Requests by outcome", self.requests.clone());
+        it.register(
+            "admitted_fraction",
+            "Fraction of requests admitted, by service and precedence",
+            self.admitted_fraction.clone(),
+        );
         it.register(
             "cut_requests",
             "Requests without a complete response, by reason",
--- a/crates/gradeloft_policy/src/process/slot_split.rs
+++ b/crates/gradeloft_policy/src/process/slot_split.rs
@@ -219,7 +219,12 @@
 
     /// Counts a request.
     pub fn count(&mut self, now: Time) {
-        self.rate = self.rate(now) + 1.0 / self.window_s;
+        self.add(1.0, now);
+    }
+
+    /// Adds an amount, of which the rate per second is measured.
+    pub fn add(&mut self, amount: f64, now: Time) {
+        self.rate = self.rate(now) + amount / self.window_s;
         self.at = now;
     }
 
--- a/crates/gradeloft_policy/src/request/mod.rs
+++ b/crates/gradeloft_policy/src/request/mod.rs
@@ -1,6 +1,7 @@
 //! State and decisions that last for one request.
 //!
 //! - [`admission`]: rate limits of teams and load shedding by class.
+//! - [`admission_level`]: the fraction of the requests of each precedence that is admitted.
 //! - [`at_most_once`]: calls that run at most once.
 //! - [`attempt`]: whether another attempt may follow a failed one.
 //! - [`caller_age`]: how long ago a caller first sent its request.
@@ -15,6 +16,7 @@
 //! - [`wait`]: how long a request waits for a replica with room.
 
 pub mod admission;
+pub mod admission_level;
 pub mod at_most_once;
 pub mod attempt;
 pub mod caller_age;
