Test that each start of an entry gets a report at once

Guards against an entry that restarts within the 4 s for which an agent remembers it and waits up to 1 s for the replica's load.

--- a/crates/gradeloft_gateway/tests/agents/main.rs
+++ b/crates/gradeloft_gateway/tests/agents/main.rs
@@ -401,8 +401,13 @@
 
 /// Returns a datagram from an entry without load, with the given access to the store.
 fn entry_datagram(store: StoreAccess) -> Vec<u8> {
+    started_entry_datagram(1, store)
+}
+
+/// Returns a datagram from a start of an entry, like [`entry_datagram`].
+fn started_entry_datagram(incarnation: u64, store: StoreAccess) -> Vec<u8> {
     codec::encode_body(&Datagram {
-        incarnation: 1,
+        incarnation,
         zone: "z".to_owned(),
         ends: [Position::START; 3],
         kept: 0,
@@ -448,6 +453,30 @@
     });
 }
 
+/// Guards against an entry that restarts within the seconds for which an agent remembers it, and
+/// doesn't get the replica's load before the next regular report.
+#[test]
+fn first_datagram_of_each_start_of_an_entry_causes_a_report() {
+    run(async {
+        let received = Rc::default();
+        fake_entry(30, 1, StoreAccess::Unserved, Rc::clone(&received)).await;
+        let harness = Harness::start(1, |_, _| {}).await;
+        harness.wait_for_version(1).await;
+        let regular_reports = || received.borrow().len();
+        let before = regular_reports();
+        let starts = 20;
+        let socket = UdpSocket::bind((address(40), 7700)).await.unwrap();
+        for incarnation in 1..=starts {
+            let datagram = started_entry_datagram(incarnation, StoreAccess::Unserved);
+            socket.send_to(&datagram, (address(1), 7700)).await.unwrap();
+            let mut buffer = [0; MAX_BYTES];
+            socket.recv_from(&mut buffer).await.unwrap();
+        }
+        let regular = regular_reports() - before;
+        assert!(regular < starts as usize / 2, "{regular} reports");
+    });
+}
+
 /// When everything starts, no entry knows any replica, so no entry sends datagrams to agents.
 /// Agents that don't report to the seeds then read the store, by the hundreds.
 #[test]
