--- a/crates/gradeloft_gateway/src/entry/maintenance.rs
+++ b/crates/gradeloft_gateway/src/entry/maintenance.rs
@@ -28,6 +28,12 @@
 /// (`slot_split::unseen_requests`).
 const FAR_LOADS_MAX_AGE_MS: u64 = 10_000;
 
+/// Time after its start for which an entry expects each listed entry of its region to share the slots
+/// of replicas, in milliseconds: two of the longest intervals between the messages of entries. If
+/// all entries start together, each would otherwise take the slots of those that it hasn't received
+/// a message from.
+const EXPECTED_MS: u64 = 2_000;
+
 /// Replicas and slots of one region for a service.
 #[derive(Default)]
 struct RegionReplicas {
@@ -139,7 +145,7 @@
         };
         let mut replicas = self.replicas.borrow_mut();
         replicas.set_near(|zone| self.node.near(zone));
-        replicas.set_others(others);
+        replicas.set_others(others, now);
     }
 
     /// Sets this entry's share of the request rate of each replica that is cold or limits the rate.
@@ -185,13 +191,17 @@
     }
 
     /// Splits the slots of each model's available replicas among the entries that accept callers.
-    fn split_slots(&self, now: Time) {
+    pub(super) fn split_slots(&self, now: Time) {
         let own = self.node.settings().address;
         let near = |it: &str| self.node.near(it);
+        let just_started = now < Time::ZERO.after_ms(EXPECTED_MS);
+        let roster = self.roster.borrow();
         let mut entries: Vec<u64> = vec![roster::hash(&own)];
-        let others = self.roster.borrow();
-        entries.extend(others.serving(near, now).map(|it| roster::hash(&it)));
-        drop(others);
+        match just_started {
+            true => entries.extend(roster.expected(near, now).map(|it| roster::hash(&it))),
+            false => entries.extend(roster.serving(near, now).map(|it| roster::hash(&it))),
+        }
+        drop(roster);
         let config = self.config.borrow();
         let services = config.iter().flat_map(|it| &it.document.services);
         for service in services.filter(|it| it.speed.is_some()) {
@@ -232,7 +242,7 @@
             in_region.keys.push(key);
             in_region.slots.replicas.push(ReplicaSlots {
                 key: rendezvous::hash(listing.id.as_bytes()),
-                slots: listing.slots,
+                slots: replica.splittable_slots(),
             });
         }
         regions.extend(by_region.keys().cloned());
