Split scarce replica time among teams, max-min fair

Callers saw: of two teams of one precedence, the one that repeats at once and often gets most of the room in a shortage, since each try competes alike.

Change: `team_shares` measures the replica time that arrives by team at one entry and fills it up to a common level (a team that asks for less gets all). The claim of a team is the lower confidence bound of its demand, as an entry sees only a sample of each team's requests.

--- a/crates/gradeloft_policy/src/process/mod.rs
+++ b/crates/gradeloft_policy/src/process/mod.rs
@@ -28,6 +28,7 @@
 //! - [`roster`]: the entries that callers can be sent to.
 //! - [`signal_reports`]: schedules reports of replicas' backpressure to other entries.
 //! - [`slot_split`]: splits the slots of replicas among entries.
+//! - [`team_shares`]: splits scarce replica time among teams.
 //! - [`transfer`]: fetches a large value from the peers that hold it.
 //! - [`write_times`]: estimates the times at which records of a table were written.
 
@@ -59,5 +60,6 @@
 pub mod roster;
 pub mod signal_reports;
 pub mod slot_split;
+pub mod team_shares;
 pub mod transfer;
 pub mod write_times;
