Count teams' demand at entries, and rank requests at replicas by team

The rank that a request gets in a replica's queue followed the priority of its route alone, while the operator's priority of the team goes first. `Config::queue_priority` places a request by its precedence among those that the configuration has for the service; where teams don't differ in priority, it remains the priority of the route.

Each try counts to the team that causes it: requests as received, repeats and hedges.

--- a/crates/gradeloft_gateway/src/entry/attempt.rs
+++ b/crates/gradeloft_gateway/src/entry/attempt.rs
@@ -488,7 +488,11 @@
     let mut set = |name: &str, value: &str| put_header(&mut out, name.as_bytes(), value.as_bytes());
     set(headers.deadline, &left.as_millis().max(1).to_string());
     set(headers.target_replica, id);
-    let rank = job.urgency.rank(job.route.priority);
+    let config = entry.config.borrow();
+    let priority = config.as_ref().map_or(job.route.priority, |it| {
+        it.queue_priority(&job.service, job.precedence)
+    });
+    let rank = job.urgency.rank(priority);
     set(headers.priority, &rank.to_string());
     if let Some(team) = &job.team {
         set(headers.team, team);
--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -269,6 +269,7 @@
 
 async fn run_attempts(entry: &Rc<Entry>, caller: &mut Wire, mut job: Job) -> ConnectionReuse {
     entry.count_request(&job.service);
+    entry.count_team_demand(&job);
     let guard = ShutdownGuard::begin(entry, request_id(entry, &job.received), job.received.at);
     let mut replica_error = None;
     let outcome = loop {
@@ -294,8 +295,11 @@
         };
         job.exclusions = None;
         job.waiting_since = None;
-        if 0 < job.progress.attempts && !entry.take_repeat(&job.service) {
-            break exhausted_outcome(&job);
+        if 0 < job.progress.attempts {
+            if !entry.take_repeat(&job.service) {
+                break exhausted_outcome(&job);
+            }
+            entry.count_team_demand(&job);
         }
         job.tried.push(replica);
         let ended = match Attempt::begin(entry, caller, &mut job, replica).await {
--- a/crates/gradeloft_gateway/src/entry/hedge.rs
+++ b/crates/gradeloft_gateway/src/entry/hedge.rs
@@ -98,7 +98,11 @@
         return None;
     }
     let hedge_replica = selection::select_alternative(entry, job, entry.node.clock.now())?;
-    entry.take_repeat(&job.service).then_some(hedge_replica)
+    if !entry.take_repeat(&job.service) {
+        return None;
+    }
+    entry.count_team_demand(job);
+    Some(hedge_replica)
 }
 
 /// Records the failure of an attempt that could not be started.
--- a/crates/gradeloft_gateway/src/entry/maintenance.rs
+++ b/crates/gradeloft_gateway/src/entry/maintenance.rs
@@ -101,6 +101,7 @@
         self.roster
             .borrow_mut()
             .forget(|it| seeds.contains(&it), now);
+        self.expire_team_shares(now);
         self.sum_other_loads(now);
         self.split_slots(now);
         self.share_restricted_rates(now);
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -17,6 +17,7 @@
 //! - [`relay`]: relaying of a replica's response to the caller.
 //! - [`selection`]: selection of a replica, and waiting for capacity.
 //! - [`table_updates`]: changes of the platform's tables, applied to the entry's state.
+//! - `team_shares`: shares of teams in scarce replica time.
 //! - [`uncertainty`]: the uncertainty of load information, and retry times for callers.
 
 pub mod abort;
@@ -36,6 +37,7 @@
 pub mod relay;
 pub mod selection;
 pub mod table_updates;
+mod team_shares;
 pub mod uncertainty;
 
 use std::{
@@ -64,6 +66,7 @@
         retry_budget::Budget,
         roster::{Discovery, Roster},
         slot_split::RequestRate,
+        team_shares::TeamShares,
     },
     request::{caller_age::TimeBudgets, shortage::Shortage},
     version::named_versions::NamedVersions,
@@ -157,6 +160,8 @@
     service_rates: RefCell<HashMap<Rc<str>, ServiceRates>>,
     /// Capacity shortages, by service.
     shortages: RefCell<HashMap<Rc<str>, Shortage>>,
+    /// Demand of teams, for services whose requests are ranked.
+    team_shares: RefCell<HashMap<Rc<str>, TeamShares>>,
     /// Request rate of all services that run a model.
     model_request_rate: RefCell<RequestRate>,
     /// Requests that other entries of this region have at replicas.
@@ -218,6 +223,7 @@
             caller_ages: RefCell::default(),
             service_rates: RefCell::default(),
             shortages: RefCell::default(),
+            team_shares: RefCell::default(),
             model_request_rate: RefCell::new(RequestRate::with_window(RATE_WINDOW_S)),
             near_loads: RefCell::default(),
             far_loads: RefCell::default(),
--- a/crates/gradeloft_policy/src/process/document.rs
+++ b/crates/gradeloft_policy/src/process/document.rs
@@ -1,7 +1,7 @@
 //! The operator's configuration: routes, services, API keys and the limits for requests.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     rc::Rc,
 };
@@ -9,7 +9,7 @@
 use rand::Rng;
 
 use super::allowed_regions::AllowedRegions;
-use crate::request::contention::Precedence;
+use crate::request::{contention::Precedence, placement::Urgency};
 
 /// Whether a request may run more than once, and the form of its response.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -202,6 +202,8 @@
     /// The document.
     pub document: Document,
     by_host: HashMap<String, Vec<usize>>,
+    /// Precedences of the requests for each service for which teams differ in priority, ascending.
+    precedences: HashMap<Rc<str>, Vec<Precedence>>,
 }
 
 impl Config {
@@ -214,7 +216,11 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|&idx| std::cmp::Reverse(document.routes[idx].prefix.len()));
         }
-        Config { document, by_host }
+        Config {
+            precedences: precedences_by_service(&document),
+            document,
+            by_host,
+        }
     }
 
     /// Returns the route of a request; `path` has no query.
@@ -249,6 +255,19 @@
         }
     }
 
+    /// Returns the priority of a request among those that wait at a replica of a service, for
+    /// [`Urgency::rank`]: the priority of the route, or the place of the precedence in the order of
+    /// all precedences if teams differ. Neighbours in this order share a place if there are more
+    /// precedences than ranks.
+    pub fn queue_priority(&self, service: &str, precedence: Precedence) -> u32 {
+        let Some(ordered) = self.precedences.get(service) else {
+            return precedence.route;
+        };
+        let place = ordered.partition_point(|it| *it < precedence);
+        let ranks = Urgency::RANKS as usize;
+        (place * ranks / ordered.len().max(ranks)) as u32
+    }
+
     /// Returns whether the operator ranks the requests for a service: its routes, or the teams,
     /// differ in priority.
     pub fn ranks_requests_for(&self, service: &str) -> bool {
@@ -293,3 +312,27 @@
         self.document.services.iter().find_map(|it| it.origin)
     }
 }
+
+fn precedences_by_service(document: &Document) -> HashMap<Rc<str>, Vec<Precedence>> {
+    let mut by_service: HashMap<Rc<str>, BTreeSet<Precedence>> = HashMap::new();
+    let priority = |it: &Rc<str>| document.team_priorities.get(it).copied();
+    let teams = document.keys.values();
+    let teams: BTreeSet<u32> = teams.map(|it| priority(it).unwrap_or_default()).collect();
+    for route in &document.routes {
+        // Requests without a team have priority 0.
+        let without_team = (route.public || teams.is_empty()).then_some(0);
+        for target in &route.targets {
+            let of_route = teams.iter().copied().chain(without_team);
+            let of_route = of_route.map(|team| Precedence {
+                team,
+                route: route.priority,
+            });
+            let precedences = by_service.entry(Rc::clone(&target.service)).or_default();
+            precedences.extend(of_route);
+        }
+    }
+    let ordered = by_service.into_iter();
+    let ordered = ordered.map(|(service, it)| (service, it.into_iter().collect()));
+    let differ = |it: &Vec<Precedence>| it.first().map(|it| it.team) != it.last().map(|it| it.team);
+    ordered.filter(|(_, it)| differ(it)).collect()
+}
--- a/crates/gradeloft_policy/src/request/placement.rs
+++ b/crates/gradeloft_policy/src/request/placement.rs
@@ -59,6 +59,9 @@
 }
 
 impl Urgency {
+    /// Number of ranks of requests that can be in time.
+    pub const RANKS: u32 = 4;
+
     /// Returns the urgency of a request that is late once `left` has passed.
     pub fn of(left: Duration) -> Urgency {
         if left.is_zero() {
@@ -74,12 +77,14 @@
     }
 
     /// Returns the rank in a replica's queue, from 0 (first) to 9: resumed streams, then requests
-    /// that can be in time, then late ones. The operator's `priority` of the route ranks the
-    /// requests within the last two groups.
+    /// that can be in time, then late ones. The operator's `priority`, by
+    /// [`Config::queue_priority`], ranks the requests within the last two groups.
+    ///
+    /// [`Config::queue_priority`]: crate::process::document::Config::queue_priority
     pub fn rank(self, priority: u32) -> u32 {
         match self {
             Urgency::Resumed => 0,
-            Urgency::OnTime(_) => 1 + priority.min(3),
+            Urgency::OnTime(_) => 1 + priority.min(Urgency::RANKS - 1),
             Urgency::Late => 5 + priority.min(4),
         }
     }
--- a/crates/gradeloft_policy/tests/forwarding.rs
+++ b/crates/gradeloft_policy/tests/forwarding.rs
@@ -13,7 +13,10 @@
         retry_budget::{Bounds, Budget},
         roster::{Discovery, Roster, State, Status},
     },
-    request::attempt::{Attempts, Failure, Ran},
+    request::{
+        attempt::{Attempts, Failure, Ran},
+        placement::Urgency,
+    },
 };
 use gradeloft_wire::position::Position;
 use proptest::prelude::*;
@@ -492,3 +495,48 @@
     assert_eq!(after.len(), 4);
     assert!(readers.iter().all(|it| after.contains(it)));
 }
+
+fn queue_ranks(team_priorities: &[u32], route_priorities: &[u32]) -> Vec<u32> {
+    let routes = route_priorities.iter().map(|it| Route {
+        priority: *it,
+        ..route(&format!("r{it}"), &format!("/{it}/"), false)
+    });
+    let names = team_priorities.iter().map(|it| (it, format!("t{it}")));
+    let names: Vec<(&u32, Rc<str>)> = names.map(|(it, name)| (it, name.into())).collect();
+    let config = config(routes.collect());
+    let config = Config::new(Document {
+        keys: names
+            .iter()
+            .map(|(it, name)| (it.to_string(), Rc::clone(name)))
+            .collect(),
+        team_priorities: names
+            .iter()
+            .map(|(it, name)| (Rc::clone(name), **it))
+            .collect(),
+        ..config.document
+    });
+    let mut ranks = Vec::new();
+    for (_, team) in &names {
+        for route in &config.document.routes {
+            let precedence = config.precedence(route, Some(team));
+            ranks.push(Urgency::OnTime(1.0).rank(config.queue_priority("s", precedence)));
+        }
+    }
+    ranks
+}
+
+#[rstest]
+// Teams are alike: routes rank as they did without teams.
+#[case(&[0], &[0, 1, 2, 9], &[1, 2, 3, 4])]
+#[case(&[3], &[0, 2], &[1, 3])]
+#[case(&[0, 1], &[0, 2], &[1, 2, 3, 4])]
+#[case(&[0, 5], &[1], &[1, 2])]
+// Six precedences share four ranks.
+#[case(&[0, 1, 2], &[0, 2], &[1, 1, 2, 3, 3, 4])]
+fn requests_wait_at_a_replica_by_team_and_then_by_route(
+    #[case] team_priorities: &[u32],
+    #[case] route_priorities: &[u32],
+    #[case] expected: &[u32],
+) {
+    assert_eq!(queue_ranks(team_priorities, route_priorities), expected);
+}
