--- a/crates/gradeloft_policy/src/process/document.rs
+++ b/crates/gradeloft_policy/src/process/document.rs
@@ -204,6 +204,10 @@
     by_host: HashMap<String, Vec<usize>>,
     /// Precedences of the requests for each service for which teams differ in priority, ascending.
     precedences: HashMap<Rc<str>, Vec<Precedence>>,
+    /// Whether teams differ in priority.
+    teams_differ: bool,
+    /// Services whose routes differ in priority.
+    services_with_ranked_routes: HashSet<Rc<str>>,
 }
 
 impl Config {
@@ -218,6 +222,8 @@
         }
         Config {
             precedences: precedences_by_service(&document),
+            teams_differ: 1 < team_priorities(&document).len(),
+            services_with_ranked_routes: services_with_ranked_routes(&document),
             document,
             by_host,
         }
@@ -271,16 +277,7 @@
     /// Returns whether the operator ranks the requests for a service: its routes, or the teams,
     /// differ in priority.
     pub fn ranks_requests_for(&self, service: &str) -> bool {
-        let leads = |it: &&Route| it.targets.iter().any(|it| &*it.service == service);
-        let routes = self.document.routes.iter().filter(leads);
-        let mut priorities = routes.map(|it| it.priority);
-        let first = priorities.next();
-        let routes_differ = priorities.any(|it| Some(it) != first);
-        let teams: HashSet<&Rc<str>> = self.document.keys.values().collect();
-        let priority = |it: &Rc<str>| self.document.team_priorities.get(it).copied();
-        let mut priorities = teams.into_iter().map(|it| priority(it).unwrap_or_default());
-        let first = priorities.next();
-        routes_differ || priorities.any(|it| Some(it) != first)
+        self.teams_differ || self.services_with_ranked_routes.contains(service)
     }
 
     /// Returns the regions in which a team's requests on a route may be served.
@@ -313,11 +310,28 @@
     }
 }
 
-fn precedences_by_service(document: &Document) -> HashMap<Rc<str>, Vec<Precedence>> {
-    let mut by_service: HashMap<Rc<str>, BTreeSet<Precedence>> = HashMap::new();
+/// Returns the different priorities of the teams that have an API key.
+fn team_priorities(document: &Document) -> BTreeSet<u32> {
     let priority = |it: &Rc<str>| document.team_priorities.get(it).copied();
     let teams = document.keys.values();
-    let teams: BTreeSet<u32> = teams.map(|it| priority(it).unwrap_or_default()).collect();
+    teams.map(|it| priority(it).unwrap_or_default()).collect()
+}
+
+fn services_with_ranked_routes(document: &Document) -> HashSet<Rc<str>> {
+    let mut by_service: HashMap<Rc<str>, BTreeSet<u32>> = HashMap::new();
+    for route in &document.routes {
+        for target in &route.targets {
+            let priorities = by_service.entry(Rc::clone(&target.service)).or_default();
+            priorities.insert(route.priority);
+        }
+    }
+    let ranked = by_service.into_iter().filter(|(_, it)| 1 < it.len());
+    ranked.map(|(service, _)| service).collect()
+}
+
+fn precedences_by_service(document: &Document) -> HashMap<Rc<str>, Vec<Precedence>> {
+    let mut by_service: HashMap<Rc<str>, BTreeSet<Precedence>> = HashMap::new();
+    let teams = team_priorities(document);
     for route in &document.routes {
         // Requests without a team have priority 0.
         let without_team = (route.public || teams.is_empty()).then_some(0);
--- a/crates/gradeloft_policy/src/request/contention.rs
+++ b/crates/gradeloft_policy/src/request/contention.rs
@@ -25,6 +25,7 @@
     pub goal: Time,
     /// Time by which the response has to be complete.
     pub deadline: Time,
-    /// Whether the caller was refused before and now returns.
+    /// Whether the caller was refused before and returns as told; it goes before others of its
+    /// precedence.
     pub returned: bool,
 }
--- a/crates/gradeloft_policy/src/request/forecast.rs
+++ b/crates/gradeloft_policy/src/request/forecast.rs
@@ -76,6 +76,13 @@
     prompt_tokens / speed.read_per_ms + speed.usual_response * step_ms / slots
 }
 
+/// Returns the time from the first to the last step of a request while all slots are in use, in
+/// milliseconds.
+pub fn response_ms(speed: &Speed, slots: u32, prompt_tokens: f64) -> f64 {
+    let step_ms = speed.step_ms + speed.step_ms_per_request * f64::from(slots);
+    prompt_tokens / speed.read_per_ms + speed.usual_response * step_ms
+}
+
 /// Ratio of observed to forecast time to first token of a replica; 1 means as published.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Slowness(f64);
