Book returns at entries, and report them

Entries keep a ledger for each service whose requests are ranked. A refused caller's Retry-After is that of the ledger; other services keep that of `Shortage`. `Job.returned`, and with it `Contender.returned`, holds only for callers that return as told. `Entry::reserved_for_returns` is not connected to admission yet, and claimed returns don't wait ahead of others until the queue orders by `Contender.returned`.

The log line of a request has `age_ms`, `returned`, `retry_after_ms` and `booked`; the metric `returns` counts booked, kept, expired and unbooked.

--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -16,6 +16,7 @@
         contention::{Contender, Precedence},
         forecast,
         placement::{ExclusionCounts, Urgency},
+        reservation::Answer,
     },
 };
 use gradeloft_wire::{frame::Table, id::Fingerprint};
@@ -57,7 +58,10 @@
     pub deadline: Time,
     /// Time by which the response must begin to meet the route's latency objective.
     pub goal: Time,
-    /// Whether the caller was refused before, by its remaining time.
+    /// Time since the caller's first try, by its remaining time.
+    pub age: Duration,
+    /// Whether the caller was refused before and returns: as told, for services whose requests are
+    /// ranked.
     pub returned: bool,
     /// Number of prompt tokens; 0 without a prompt.
     pub prompt_tokens: f64,
@@ -90,6 +94,8 @@
     failures: Vec<Failure>,
     /// Reasons why no replica was available at the last selection.
     pub(super) exclusions: Option<ExclusionCounts>,
+    /// When the caller was asked to return, once it is refused for lack of room.
+    return_answer: Option<Answer>,
     /// Time since which no replica has been available.
     pub(super) waiting_since: Option<Time>,
     fingerprint: OnceCell<Fingerprint>,
@@ -230,6 +236,7 @@
     Job {
         deadline: received.at.after_ms(timeout_ms),
         goal: received.at.after(goal),
+        age,
         returned: !age.is_zero(),
         precedence: Precedence::default(),
         prompt_tokens: prompt_tokens(entry, &received),
@@ -252,6 +259,7 @@
         config_version: entry.config_version(),
         failures: Vec::new(),
         exclusions: None,
+        return_answer: None,
         waiting_since: None,
         fingerprint: OnceCell::new(),
         exclusive_attempt: None,
@@ -270,6 +278,7 @@
 async fn run_attempts(entry: &Rc<Entry>, caller: &mut Wire, mut job: Job) -> ConnectionReuse {
     entry.count_request(&job.service);
     entry.count_team_demand(&job);
+    entry.receive_return(&mut job);
     let guard = ShutdownGuard::begin(entry, request_id(entry, &job.received), job.received.at);
     let mut replica_error = None;
     let outcome = loop {
@@ -373,7 +382,7 @@
 async fn finish(
     entry: &Rc<Entry>,
     caller: &mut Wire,
-    job: Job,
+    mut job: Job,
     replica_error: Option<BufferedResponse>,
     outcome: Outcome,
 ) -> ConnectionReuse {
@@ -405,6 +414,14 @@
                 let sent = replica_error.send(entry, caller, &job, close).await;
                 return keep_or_close(sent && !close);
             }
+            let refusal = match refusal {
+                Refusal::NoReplica(_) => {
+                    let answer = entry.retry_after(&job);
+                    job.return_answer = Some(answer);
+                    Refusal::NoReplica(answer.retry_after)
+                }
+                refusal => refusal,
+            };
             record_outcome(
                 entry,
                 &job,
@@ -413,10 +430,6 @@
                 None,
             );
             let head = Some(&job.received.head);
-            let refusal = match refusal {
-                Refusal::NoReplica(_) => Refusal::NoReplica(entry.retry_after(&job)),
-                refusal => refusal,
-            };
             let sent = refuse(entry, caller, refusal, head, close).await;
             keep_or_close(sent && !close)
         }
@@ -494,6 +507,9 @@
         "config" => entry.config_version(), "behind_ms" => behind_ms(entry),
         "replicas_known" => entry.replicas.borrow().len(), "resumed" => is_resumed(job),
         "fingerprint" => suspect_fingerprint(job, outcome).map_or_else(String::new, |it| it.to_string()),
+        "age_ms" => job.age.as_millis() as u64, "returned" => job.returned,
+        "retry_after_ms" => job.return_answer.map_or(-1, |it| it.retry_after.as_millis() as i64),
+        "booked" => job.return_answer.is_some_and(|it| it.booked),
         "none_free" => job.exclusions.map_or_else(String::new, |it| it.to_string()));
 }
 
--- a/crates/gradeloft_gateway/src/entry/in_flight.rs
+++ b/crates/gradeloft_gateway/src/entry/in_flight.rs
@@ -104,6 +104,7 @@
                 replica.throttle.request_ended(permit);
             }
         }
+        self.entry.record_freed_slot(self.key);
         self.entry.room_freed.notify_waiters();
     }
 }
--- a/crates/gradeloft_gateway/src/entry/maintenance.rs
+++ b/crates/gradeloft_gateway/src/entry/maintenance.rs
@@ -102,6 +102,7 @@
             .borrow_mut()
             .forget(|it| seeds.contains(&it), now);
         self.expire_team_shares(now);
+        self.expire_returns(now);
         self.sum_other_loads(now);
         self.split_slots(now);
         self.share_restricted_rates(now);
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -15,6 +15,7 @@
 //! - [`refusal`]: error responses of the entry itself.
 //! - [`registration`]: rows in the table of entries, by which later entries find their peers.
 //! - [`relay`]: relaying of a replica's response to the caller.
+//! - `returns`: reservations for callers that were refused and return.
 //! - [`selection`]: selection of a replica, and waiting for capacity.
 //! - [`table_updates`]: changes of the platform's tables, applied to the entry's state.
 //! - `team_shares`: shares of teams in scarce replica time.
@@ -35,6 +36,7 @@
 pub mod refusal;
 pub mod registration;
 pub mod relay;
+mod returns;
 pub mod selection;
 pub mod table_updates;
 mod team_shares;
@@ -68,7 +70,7 @@
         slot_split::RequestRate,
         team_shares::TeamShares,
     },
-    request::{caller_age::TimeBudgets, shortage::Shortage},
+    request::{caller_age::TimeBudgets, reservation::Ledger, shortage::Shortage},
     version::named_versions::NamedVersions,
 };
 use gradeloft_wire::{
@@ -160,6 +162,8 @@
     service_rates: RefCell<HashMap<Rc<str>, ServiceRates>>,
     /// Capacity shortages, by service.
     shortages: RefCell<HashMap<Rc<str>, Shortage>>,
+    /// Reservations for returning callers, for services whose requests are ranked.
+    returns: RefCell<HashMap<Rc<str>, Ledger>>,
     /// Demand of teams, for services whose requests are ranked.
     team_shares: RefCell<HashMap<Rc<str>, TeamShares>>,
     /// Request rate of all services that run a model.
@@ -223,6 +227,7 @@
             caller_ages: RefCell::default(),
             service_rates: RefCell::default(),
             shortages: RefCell::default(),
+            returns: RefCell::default(),
             team_shares: RefCell::default(),
             model_request_rate: RefCell::new(RequestRate::with_window(RATE_WINDOW_S)),
             near_loads: RefCell::default(),
--- a/crates/gradeloft_gateway/src/entry/uncertainty.rs
+++ b/crates/gradeloft_gateway/src/entry/uncertainty.rs
@@ -9,7 +9,7 @@
         replicas::{Replica, ReplicaKey},
         slot_split::{self, RequestRate},
     },
-    request::placement::Uncertainty,
+    request::{placement::Uncertainty, reservation::Answer},
 };
 
 use super::{Entry, forward::Job};
@@ -108,8 +108,9 @@
         shortages.get(service).is_some_and(|it| it.is_active(now))
     }
 
-    /// Returns the time after which the caller of a request that found no replica should retry.
-    pub fn retry_after(&self, job: &Job) -> Duration {
+    /// Returns when the caller of a request that found no replica should retry, and whether room is
+    /// reserved for it.
+    pub fn retry_after(&self, job: &Job) -> Answer {
         let now = self.node.clock.now();
         let mut shortages = self.shortages.borrow_mut();
         let shortage = shortages.entry(Rc::clone(&job.service)).or_default();
@@ -117,7 +118,12 @@
         let exclusions = job.exclusions.filter(|it| it.full == 0);
         let room_at = exclusions.and_then(|it| it.room_at);
         let room_in = room_at.map_or(Duration::ZERO, |it| it.since(now));
-        self.node
-            .with_rng(|rng| shortage.record_refusal(left, room_in, now, rng))
+        let likely = self
+            .node
+            .with_rng(|rng| shortage.record_refusal(left, room_in, now, rng));
+        self.book_return(job, room_in).unwrap_or(Answer {
+            retry_after: likely,
+            booked: false,
+        })
     }
 }
--- a/crates/gradeloft_gateway/src/metrics.rs
+++ b/crates/gradeloft_gateway/src/metrics.rs
@@ -61,6 +61,8 @@
     pub attempts: Family<Reason, Counter>,
     /// Requests that were retried or hedged.
     pub repeats: Counter,
+    /// Returns of refused callers, by what became of the reservation.
+    pub returns: Family<Reason, Counter>,
     /// Connections opened to replicas.
     pub connections: Counter,
     /// Ends of replicas during requests of this entry, by evidence.
@@ -118,6 +120,7 @@
             whole_answer: Family::new_with_constructor(seconds as fn() -> Histogram),
             attempts: Family::default(),
             repeats: Counter::default(),
+            returns: Family::default(),
             connections: Counter::default(),
             replica_ends: Family::default(),
             quarantined: Gauge::default(),
@@ -189,6 +192,11 @@
             "Requests retried or hedged",
             self.repeats.clone(),
         );
+        it.register(
+            "returns",
+            "Refused callers with a reservation for their return, and without one",
+            self.returns.clone(),
+        );
         it.register(
             "connections",
             "Connections opened to replicas",
--- a/crates/gradeloft_gateway/tests/entry/main.rs
+++ b/crates/gradeloft_gateway/tests/entry/main.rs
@@ -11,6 +11,7 @@
 mod quarantine;
 mod queueing;
 mod replica_restarts;
+mod returns;
 mod stalled_replicas;
 mod store_outage;
 mod store_restored;
--- a/crates/gradeloft_gateway/tests/entry/support/mod.rs
+++ b/crates/gradeloft_gateway/tests/entry/support/mod.rs
@@ -180,6 +180,8 @@
     pub(crate) model_slots: Option<u32>,
     /// The only region in which requests may run; without one, any region.
     pub(crate) allowed_region: Option<&'static str>,
+    /// Whether another team has a lower priority, so that requests are ranked.
+    pub(crate) ranked: bool,
     /// Request rate limit of cold replicas.
     pub(crate) warmup: Option<Warmup>,
 }
@@ -195,6 +197,7 @@
             goal_ms: 100,
             model_slots: None,
             allowed_region: None,
+            ranked: false,
             warmup: None,
         }
     }
@@ -254,9 +257,12 @@
             warmup: config.warmup,
             origin: None,
         }],
-        keys: HashMap::from([("secret".to_owned(), Rc::from("rangers"))]),
+        keys: HashMap::from([
+            ("secret".to_owned(), Rc::from("rangers")),
+            ("other".to_owned(), Rc::from("visitors")),
+        ]),
         allowed_regions: HashMap::new(),
-        team_priorities: HashMap::new(),
+        team_priorities: HashMap::from([(Rc::from("visitors"), u32::from(config.ranked))]),
         limits: CallerLimits {
             head_bytes: 4 << 10,
             body_bytes: config.body_bytes,
