--- a/crates/gradeloft_gateway/src/entry/maintenance.rs
+++ b/crates/gradeloft_gateway/src/entry/maintenance.rs
@@ -108,6 +108,8 @@
         self.roster
             .borrow_mut()
             .forget(|it| seeds.contains(&it), now);
+        self.expire_team_shares(now);
+        self.expire_returns(now);
         self.sum_other_loads(now);
         self.split_slots(now);
         self.update_admission(now);
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -16,8 +16,10 @@
 //! - [`refusal`]: error responses of the entry itself.
 //! - [`registration`]: rows in the table of entries, by which later entries find their peers.
 //! - [`relay`]: relaying of a replica's response to the caller.
+//! - `returns`: reservations for callers that were refused and return.
 //! - [`selection`]: selection of a replica, and waiting for capacity.
 //! - [`table_updates`]: changes of the platform's tables, applied to the entry's state.
+//! - `team_shares`: shares of teams in scarce replica time.
 //! - [`uncertainty`]: the uncertainty of load information, and retry times for callers.
 
 pub mod abort;
@@ -36,8 +38,10 @@
 pub mod refusal;
 pub mod registration;
 pub mod relay;
+mod returns;
 pub mod selection;
 pub mod table_updates;
+mod team_shares;
 pub mod uncertainty;
 
 use std::{
@@ -66,8 +70,9 @@
         retry_budget::Budget,
         roster::{Discovery, Roster},
         slot_split::RequestRate,
+        team_shares::TeamShares,
     },
-    request::{caller_age::TimeBudgets, shortage::Shortage},
+    request::{caller_age::TimeBudgets, reservation::Ledger, shortage::Shortage},
     version::named_versions::NamedVersions,
 };
 use gradeloft_wire::{
@@ -161,6 +166,10 @@
     shortages: RefCell<HashMap<Rc<str>, Shortage>>,
     /// Levels of admission, by service.
     admission: RefCell<HashMap<Rc<str>, ServiceAdmission>>,
+    /// Reservations for returning callers, for services whose requests are ranked.
+    returns: RefCell<HashMap<Rc<str>, Ledger>>,
+    /// Demand of teams, for services whose requests are ranked.
+    team_shares: RefCell<HashMap<Rc<str>, TeamShares>>,
     /// Request rate of all services that run a model.
     model_request_rate: RefCell<RequestRate>,
     /// Requests that other entries of this region have at replicas.
@@ -225,6 +234,8 @@
             service_rates: RefCell::default(),
             shortages: RefCell::default(),
             admission: RefCell::default(),
+            returns: RefCell::default(),
+            team_shares: RefCell::default(),
             model_request_rate: RefCell::new(RequestRate::with_window(RATE_WINDOW_S)),
             near_loads: RefCell::default(),
             far_loads: RefCell::default(),
