Admit each team's share of what the level of admission admits

The fraction of a precedence that is admitted is split among its teams: a request's draw is compared with the fraction of its team.

--- a/crates/gradeloft_gateway/src/entry/admission.rs
+++ b/crates/gradeloft_gateway/src/entry/admission.rs
@@ -59,7 +59,8 @@
             .count(precedence, contender.work_ms, objective_ms, now);
     }
 
-    fn ranks_requests_for(&self, service: &str) -> bool {
+    /// Returns whether a service runs a model and the operator ranks its requests.
+    pub(super) fn ranks_requests_for(&self, service: &str) -> bool {
         let config = self.config.borrow();
         let config = config.as_ref();
         config.is_some_and(|it| it.ranks_requests_for(service) && self.speed(service).is_some())
@@ -77,9 +78,11 @@
             .arrivals
             .reserve(precedence, service.slot_interval_s, now);
         let free = self.free_own_slots(&job.service, now);
+        let team_fraction = self.team_fraction(job, service.level.fraction(precedence));
+        let draw = service.level.draw_of_team(precedence, job.draw, team_fraction);
         service
             .level
-            .decide(precedence, urgency, job.draw, reserve, free)
+            .decide(precedence, urgency, draw, reserve, free)
     }
 
     /// Returns the number of free slots of a service that are assigned to this entry.
--- a/crates/gradeloft_gateway/src/entry/team_shares.rs
+++ b/crates/gradeloft_gateway/src/entry/team_shares.rs
@@ -10,14 +10,6 @@
 };
 
 impl Entry {
-    /// Returns whether the operator ranks the requests for a service.
-    pub(super) fn ranks_requests_for(&self, service: &str) -> bool {
-        let config = self.config.borrow();
-        config
-            .as_ref()
-            .is_some_and(|it| it.ranks_requests_for(service))
-    }
-
     /// Counts a try of a request, as received or repeated by this entry, towards the demand of its
     /// team.
     pub(super) fn count_team_demand(&self, job: &Job) {
--- a/crates/gradeloft_policy/src/request/admission_level.rs
+++ b/crates/gradeloft_policy/src/request/admission_level.rs
@@ -188,6 +188,15 @@
         known.next().map_or(1.0, |it| it.fraction)
     }
 
+    /// Returns the draw by which [`Level::decide`] admits the fraction `team_fraction` of a team's
+    /// requests, where the requests of the precedence are admitted by draws in 0..1.
+    pub fn draw_of_team(&self, precedence: Precedence, draw: f64, team_fraction: f64) -> f64 {
+        if team_fraction <= 0.0 {
+            return 1.0;
+        }
+        draw * self.fraction(precedence) / team_fraction
+    }
+
     /// Returns whether demand exceeds the capacity, or nearly so.
     pub fn is_short(&self) -> bool {
         let demand: f64 = self.shares.iter().map(|it| it.demand).sum();
