Measure the interval between ends of all responses

Callers saw: behind a queue that was too long, requests other than streams were refused only at their objective.

Cause: only streams record that a response has begun, so ends of other requests weren't counted as slots that became free.

Change: a completed response counts as well.

Evidence: gateway tests `queueing`, 6 of 6 pass; before, one of them failed (the first of 85 waiting requests was refused first, at its objective).

--- a/crates/gradeloft_gateway/src/entry/attempt.rs
+++ b/crates/gradeloft_gateway/src/entry/attempt.rs
@@ -218,6 +218,7 @@
     pub fn finish(self, entry: &Entry) {
         let now = entry.node.clock.now();
         entry.replicas.borrow_mut().succeeded(self.replica, now);
+        self.in_flight.response_completed();
         if let Stage::Relaying(relay) = &self.stage
             && relay.connection_reusable()
             && self.connection.wire.buffer.is_empty()
--- a/crates/gradeloft_gateway/src/entry/in_flight.rs
+++ b/crates/gradeloft_gateway/src/entry/in_flight.rs
@@ -26,6 +26,7 @@
         let mut restart_tokens = self.restart_tokens.borrow_mut();
         InFlightGuard {
             waiting: Cell::new(true),
+            completed: Cell::new(false),
             entry: Rc::clone(self),
             key,
             prompt_tokens,
@@ -65,6 +66,8 @@
     permit: Option<SendPermit>,
     /// Whether the response has not begun.
     waiting: Cell<bool>,
+    /// Whether the response is complete.
+    completed: Cell<bool>,
     /// Cancelled once the replica has restarted.
     replica_restarted: CancellationToken,
 }
@@ -83,6 +86,11 @@
         replica.is_none_or(|(replica, permit)| replica.throttle.still_permits(permit, now))
     }
 
+    /// Records that the response is complete.
+    pub fn response_completed(&self) {
+        self.completed.set(true);
+    }
+
     /// Records that the response has begun.
     pub fn response_begun(&self) {
         let mut replicas = self.entry.replicas.borrow_mut();
@@ -97,7 +105,7 @@
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        let answered = !self.waiting.get();
+        let answered = self.completed.get() || !self.waiting.get();
         self.response_begun();
         let mut service = None;
         if let Some(replica) = self.entry.replicas.borrow_mut().get_mut(self.key) {
