--- a/crates/gradeloft_gateway/src/entry/admission.rs
+++ b/crates/gradeloft_gateway/src/entry/admission.rs
@@ -79,7 +79,9 @@
             .reserve(precedence, service.slot_interval_s, now);
         let free = self.free_own_slots(&job.service, now);
         let team_fraction = self.team_fraction(job, service.level.fraction(precedence));
-        let draw = service.level.draw_of_team(precedence, job.draw, team_fraction);
+        let draw = service
+            .level
+            .draw_of_team(precedence, job.draw, team_fraction);
         service
             .level
             .decide(precedence, urgency, draw, reserve, free)
--- a/crates/gradeloft_gateway/src/metrics.rs
+++ b/crates/gradeloft_gateway/src/metrics.rs
@@ -34,6 +34,13 @@
     pub team: String,
 }
 
+/// Label of a service.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Service {
+    /// Name.
+    pub service: String,
+}
+
 /// Label with a reason from a fixed set.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct Reason {
@@ -62,6 +69,10 @@
     pub requests: Family<RequestLabels, Counter>,
     /// Fraction of the requests that is admitted, by service and precedence.
     pub admitted_fraction: Family<AdmissionLabels, Gauge<f64, AtomicU64>>,
+    /// Requests that wait for a replica with room, by service.
+    pub waiting: Family<Service, Gauge>,
+    /// Requests that were refused while they waited, as more urgent ones arrived, by service.
+    pub evictions: Family<Service, Counter>,
     /// Requests without a complete response, by the reason of the abort.
     pub cut: Family<Reason, Counter>,
     /// Connections of callers that were closed with unread bytes.
@@ -128,6 +139,8 @@
             registry: Registry::with_prefix("gradeloft"),
             requests: Family::default(),
             admitted_fraction: Family::default(),
+            waiting: Family::default(),
+            evictions: Family::default(),
             cut: Family::default(),
             closed_unread: Counter::default(),
             first_byte: Family::new_with_constructor(seconds as fn() -> Histogram),
@@ -185,6 +198,16 @@
             "Fraction of requests admitted, by service and precedence",
             self.admitted_fraction.clone(),
         );
+        it.register(
+            "waiting_requests",
+            "Requests that wait for a replica with room, by service",
+            self.waiting.clone(),
+        );
+        it.register(
+            "evicted_requests",
+            "Waiting requests refused as more urgent ones arrived, by service",
+            self.evictions.clone(),
+        );
         it.register(
             "cut_requests",
             "Requests without a complete response, by reason",
--- a/crates/gradeloft_policy/src/request/mod.rs
+++ b/crates/gradeloft_policy/src/request/mod.rs
@@ -9,6 +9,7 @@
 //! - [`forecast`]: time to first token at a replica.
 //! - [`placement`]: selection of a replica for a forwarded request.
 //! - [`quarantine`]: requests that crash the replicas running them.
+//! - [`queue`]: requests that wait for a replica, and their order.
 //! - [`reservation`]: reservations of room for callers that were refused and return.
 //! - [`response`]: validation of response frames.
 //! - [`retry`]: whether to retry a failed attempt.
@@ -25,6 +26,7 @@
 pub mod forecast;
 pub mod placement;
 pub mod quarantine;
+pub mod queue;
 pub mod reservation;
 pub mod response;
 pub mod retry;
