Emulate priorities, and admit twice what replicas can serve

The emulator's requests have priorities, its entries exchange demand and use the level of admission; loads of one priority are unchanged.

--- a/crates/gradeloft_emulator/src/entry.rs
+++ b/crates/gradeloft_emulator/src/entry.rs
@@ -9,7 +9,9 @@
         slot_split::{self, RequestRate},
     },
     request::{
+        admission_level::{self, Arrivals, Level, Verdict},
         caller_age::TimeBudgets,
+        contention::Precedence,
         forecast,
         placement::{self, Requirements, Uncertainty, Urgency},
         shortage::Shortage,
@@ -34,6 +36,8 @@
 pub struct IncomingRequest {
     /// Route of the request's kind.
     pub route: Rc<str>,
+    /// Precedence of the request.
+    pub precedence: Precedence,
     /// Number of prompt tokens.
     pub prompt_tokens: f64,
     /// Target time to the first token, counted from the first attempt.
@@ -74,6 +78,9 @@
     keys: Vec<ReplicaKey>,
     time_budgets: TimeBudgets,
     shortage: Shortage,
+    /// Requests by precedence.
+    arrivals: Arrivals,
+    level: Level,
     /// Rate of all requests.
     demand: RequestRate,
     /// Rate of requests beyond the entry's own slots.
@@ -96,6 +103,8 @@
             keys,
             time_budgets: TimeBudgets::default(),
             shortage: Shortage::default(),
+            arrivals: Arrivals::default(),
+            level: Level::default(),
             demand: RequestRate::default(),
             overflow: RequestRate::default(),
             view_time: Time::ZERO,
@@ -117,7 +126,7 @@
             .age(&request.route, request.time_left, now);
         let urgency = Urgency::of(request.first_token_goal.saturating_sub(age));
         let chosen = match load.scheme {
-            Scheme::Gradeloft => self.place(load, request, urgency, now, rng),
+            Scheme::Gradeloft => self.place_by_level(load, request, urgency, now, rng),
             baseline => self
                 .place_by_baseline(baseline, rng)
                 .map(|it| (it, urgency)),
@@ -151,11 +160,76 @@
         }
     }
 
+    /// Places a request as far as the level of admission permits.
+    fn place_by_level(
+        &mut self,
+        load: &Load,
+        request: &IncomingRequest,
+        urgency: Urgency,
+        now: Time,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<(usize, Urgency)> {
+        let urgencies = [Some(urgency), urgency.fallback()];
+        match self.admit(load, request, urgency, now, rng) {
+            Verdict::Unlimited => self.place(load, request, &urgencies, now, rng),
+            Verdict::InTime(within_ms) => {
+                let urgencies = [Some(Urgency::OnTime(within_ms))];
+                self.place(load, request, &urgencies, now, rng)
+            }
+            Verdict::Late | Verdict::Reserved | Verdict::Shed => None,
+        }
+    }
+
+    fn admit(
+        &mut self,
+        load: &Load,
+        request: &IncomingRequest,
+        urgency: Urgency,
+        now: Time,
+        rng: &mut ChaCha8Rng,
+    ) -> Verdict {
+        if !load.ranks_requests() {
+            return Verdict::Unlimited;
+        }
+        let work_ms = forecast::work_ms(&load.speed, load.slots, request.prompt_tokens);
+        let objective_ms = request.first_token_goal.as_secs_f64() * 1000.0;
+        let precedence = request.precedence;
+        self.arrivals.count(precedence, work_ms, objective_ms, now);
+        let open = || self.replicas.of(SERVICE).filter(|(_, it)| it.open(now));
+        let own_slots: u32 = open().map(|(_, it)| it.own_slots).sum();
+        let free = open().map(|(_, it)| it.own_slots.saturating_sub(it.own_requests));
+        let interval_s = admission_level::slot_interval_s(&load.speed, load.slots, own_slots);
+        let reserve = self.arrivals.reserve(precedence, interval_s, now);
+        self.level
+            .decide(precedence, urgency, rng.random(), reserve, free.sum())
+    }
+
+    /// Returns the demand at this entry, in numbers of replicas.
+    pub fn demands(&self, now: Time) -> Vec<(Precedence, f64)> {
+        self.arrivals.replicas(now).collect()
+    }
+
+    /// Recomputes the level of admission from the demand that other entries report.
+    pub fn update_level(
+        &mut self,
+        others: impl Iterator<Item = (Precedence, f64)>,
+        load: &Load,
+        now: Time,
+    ) {
+        if load.ranks_requests() {
+            let open = self.replicas.of(SERVICE).filter(|(_, it)| it.open(now));
+            let slownesses = open.map(|(_, it)| it.slowness.factor());
+            let capacity = admission_level::capacity(slownesses.collect());
+            let demands = self.arrivals.replicas(now).chain(others);
+            self.level = Level::deal(demands, capacity);
+        }
+    }
+
     fn place(
         &self,
         load: &Load,
         request: &IncomingRequest,
-        urgency: Urgency,
+        urgencies: &[Option<Urgency>],
         now: Time,
         rng: &mut ChaCha8Rng,
     ) -> Option<(usize, Urgency)> {
@@ -170,7 +244,7 @@
             min_version: None,
             resumed_version: None,
             tried: &[],
-            urgency,
+            urgency: Urgency::Late,
             prompt_tokens: request.prompt_tokens,
             speed: Some(&load.speed),
             near: Uncertainty {
@@ -184,8 +258,8 @@
             },
             far: Uncertainty::default(),
         };
-        let urgencies = [Some(urgency), urgency.fallback()];
-        urgencies.into_iter().flatten().find_map(|urgency| {
+        urgencies.iter().flatten().find_map(|urgency| {
+            let urgency = *urgency;
             let requirements = Requirements {
                 urgency,
                 ..requirements
--- a/crates/gradeloft_emulator/src/lib.rs
+++ b/crates/gradeloft_emulator/src/lib.rs
@@ -20,7 +20,7 @@
 /// Commonly used items of this crate.
 pub mod prelude {
     pub use crate::{
-        load::{Load, Outage, RequestKind, Scheme},
+        load::{Load, Outage, RequestKind, Scheme, Surge},
         outcome::{Outcome, Tally},
         simulation::simulate,
     };
--- a/crates/gradeloft_emulator/src/load.rs
+++ b/crates/gradeloft_emulator/src/load.rs
@@ -28,6 +28,8 @@
     pub answer_tokens: f64,
     /// Target time to the first token, in milliseconds.
     pub first_token_goal_ms: u64,
+    /// Priority of the route; 0 is the highest.
+    pub priority: u32,
 }
 
 /// Temporary outage of some replicas.
@@ -41,6 +43,23 @@
     pub replicas: usize,
 }
 
+/// Temporary change of the rate of new requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Surge {
+    /// Start, in milliseconds from the start of the run.
+    pub start_ms: u64,
+    /// Duration in milliseconds.
+    pub duration_ms: u64,
+    /// Factor by which the rate changes.
+    pub factor: f64,
+}
+
+impl Surge {
+    fn includes(self, at_ms: u64) -> bool {
+        (self.start_ms..self.start_ms + self.duration_ms).contains(&at_ms)
+    }
+}
+
 /// A fleet and the load on it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Load {
@@ -66,6 +85,10 @@
     pub exchange_interval_ms: u64,
     /// Temporary outages of replicas.
     pub outages: Vec<Outage>,
+    /// Temporary changes of the rate.
+    pub surges: Vec<Surge>,
+    /// Time from which the reports of entries no longer reach the others, in milliseconds.
+    pub silent_from_ms: Option<u64>,
 }
 
 impl Load {
@@ -77,6 +100,7 @@
             prompt_tokens,
             answer_tokens,
             first_token_goal_ms,
+            priority: 1,
         };
         let load = Load {
             scheme: Scheme::Gradeloft,
@@ -101,6 +125,8 @@
             caller_timeout_ms: 6_000,
             exchange_interval_ms: 125,
             outages: Vec::new(),
+            surges: Vec::new(),
+            silent_from_ms: None,
         };
         Load {
             rate: utilization * load.capacity(),
@@ -108,6 +134,39 @@
         }
     }
 
+    /// Returns the load with three kinds of requests of different priorities, of which the least
+    /// urgent has the longest objective. `rate` and all other parameters stay the same.
+    pub fn with_priorities(self) -> Load {
+        let kind = |priority, fraction, prompt_tokens, first_token_goal_ms| RequestKind {
+            fraction,
+            prompt_tokens,
+            answer_tokens: 120.0,
+            first_token_goal_ms,
+            priority,
+        };
+        Load {
+            kinds: vec![
+                kind(0, 0.4, 950.0, 400),
+                kind(1, 0.3, 950.0, 500),
+                kind(2, 0.3, 950.0, 1_000),
+            ],
+            ..self
+        }
+    }
+
+    /// Returns whether the kinds of requests differ in priority.
+    pub fn ranks_requests(&self) -> bool {
+        self.kinds
+            .windows(2)
+            .any(|it| it[0].priority != it[1].priority)
+    }
+
+    /// Returns the new requests per second at a time.
+    pub fn rate_at(&self, at_ms: u64) -> f64 {
+        let factors = self.surges.iter().filter(|it| it.includes(at_ms));
+        factors.fold(self.rate, |rate, it| rate * it.factor)
+    }
+
     /// Returns the requests per second that all replicas together answer with every slot in use:
     /// each request takes the time to process its prompt and its share of the decoding steps.
     pub fn capacity(&self) -> f64 {
--- a/crates/gradeloft_emulator/src/simulation.rs
+++ b/crates/gradeloft_emulator/src/simulation.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use gradeloft_policy::clock::Time;
+use gradeloft_policy::{clock::Time, request::contention::Precedence};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -65,6 +65,16 @@
     outcome: Option<Outcome>,
 }
 
+/// State of all entries at one time, as they send it to each other.
+struct View {
+    /// In-flight requests by entry and replica.
+    in_flight: Vec<Vec<InFlight>>,
+    /// Availability of each replica.
+    available: Vec<bool>,
+    /// Demand by entry.
+    demands: Vec<Vec<(Precedence, f64)>>,
+}
+
 struct Simulation<'a> {
     load: &'a Load,
     rng: ChaCha8Rng,
@@ -78,7 +88,7 @@
     epochs: Vec<u32>,
     available: Vec<bool>,
     /// Views in transit, by key.
-    views: HashMap<usize, (Vec<Vec<InFlight>>, Vec<bool>)>,
+    views: HashMap<usize, View>,
     routes: Vec<Rc<str>>,
 }
 
@@ -117,7 +127,7 @@
         let mut at = Time::ZERO;
         let end = Time::ZERO.after_ms(self.load.arrivals_ms);
         loop {
-            let gap_s = -(1.0 - self.rng.random::<f64>()).ln() / self.load.rate;
+            let gap_s = -(1.0 - self.rng.random::<f64>()).ln() / self.load.rate_at(at.0 / 1_000);
             at = at.after(Duration::from_secs_f64(gap_s));
             if end <= at {
                 break;
@@ -203,8 +213,14 @@
             } => self.arrive_at_replica(request, replica, rank),
             Event::ViewsSent => {
                 let in_flight = self.entries.iter().map(Entry::in_flight).collect();
+                let demands = self.entries.iter().map(|it| it.demands(self.now));
+                let view = View {
+                    in_flight,
+                    available: self.available.clone(),
+                    demands: demands.collect(),
+                };
                 let key = self.sequence as usize;
-                self.views.insert(key, (in_flight, self.available.clone()));
+                self.views.insert(key, view);
                 self.push(
                     Time(self.now.0 + ENTRY_LATENCY_US),
                     Event::ViewsReceived(key),
@@ -215,19 +231,25 @@
     }
 
     fn receive_views(&mut self, key: usize) {
-        let Some((in_flight, available)) = self.views.remove(&key) else {
+        let Some(view) = self.views.remove(&key) else {
             return;
         };
+        let silent_from = self.load.silent_from_ms;
+        let silent = silent_from.is_some_and(|it| Time::ZERO.after_ms(it) <= self.now);
         for (idx, entry) in self.entries.iter_mut().enumerate() {
             let mut others = vec![InFlight::default(); self.load.replicas];
-            let views = in_flight.iter().enumerate().filter(|(it, _)| *it != idx);
-            for (_, view) in views {
+            let views = view.in_flight.iter().enumerate();
+            for (_, view) in views.filter(|(it, _)| *it != idx) {
                 for (sum, it) in others.iter_mut().zip(view) {
                     sum.requests += it.requests;
                     sum.waiting += it.waiting;
                 }
             }
-            entry.apply_view(&others, &available, self.load, self.now);
+            entry.apply_view(&others, &view.available, self.load, self.now);
+            let demands = view.demands.iter().enumerate();
+            let demands = demands.filter(|(it, _)| *it != idx && !silent);
+            let demands = demands.flat_map(|(_, rows)| rows.iter().copied());
+            entry.update_level(demands, self.load, self.now);
         }
     }
 
@@ -240,6 +262,10 @@
         let waited = Duration::from_micros(self.now.0 - CALLER_LATENCY_US - caller.first_sent.0);
         let incoming = IncomingRequest {
             route: Rc::clone(&self.routes[caller.kind]),
+            precedence: Precedence {
+                team: 0,
+                route: kind.priority,
+            },
             prompt_tokens: caller.prompt_tokens,
             first_token_goal: Duration::from_millis(kind.first_token_goal_ms),
             time_left: Duration::from_millis(self.load.caller_timeout_ms).saturating_sub(waited),
--- a/crates/gradeloft_policy/src/request/admission_level.rs
+++ b/crates/gradeloft_policy/src/request/admission_level.rs
@@ -26,10 +26,10 @@
 /// urgent callers are served at least a quarter as often as callers are on average.
 const FLOOR_SHARE: f64 = 0.25;
 /// Replica time that is admitted, as a share of the capacity. An admitted request is placed only
-/// where its entry knows of a slot in time. While demand is several times the capacity, more than a
-/// third of the admitted requests find none, since one entry's slots are full at times while those
-/// of others are free; an admitted request without a slot is refused and takes no replica time.
-pub const ADMITTED_SHARE: f64 = 1.6;
+/// where its entry knows of a slot in time. While demand is several times the capacity, about half of
+/// the admitted requests find none, since one entry's slots are full at times while those of others
+/// are free; an admitted request without a slot is refused and takes no replica time.
+pub const ADMITTED_SHARE: f64 = 2.0;
 /// Share of the capacity from which demand counts as a shortage. Arrivals of a tenth of a second
 /// vary by more than the rest, so requests wait for slots from here on.
 const SHORT_FROM: f64 = 0.9;
