--- a/crates/gradeloft_gateway/src/entry/admission.rs
+++ b/crates/gradeloft_gateway/src/entry/admission.rs
@@ -209,7 +209,7 @@
             let units =
                 rows.iter().map(|it| it.replicas).sum::<f64>() * datagram::Demand::WORK_UNITS;
             // Rounded at random, so that small demands at many entries add up correctly.
-            let rounding: f64 = self.node.with_rng(|it| it.random());
+            let rounding: f64 = self.node.with_rng(Rng::random);
             datagram::Demand {
                 service: rows[0].service,
                 team_priority: saturate(rows[0].precedence.team),
--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -240,7 +240,7 @@
         returned: !age.is_zero(),
         precedence: Precedence::default(),
         prompt_tokens: prompt_tokens(entry, &received),
-        draw: entry.node.with_rng(|it| it.random()),
+        draw: entry.node.with_rng(Rng::random),
         verdict: Verdict::Unlimited,
         urgency: Urgency::Late,
         expected_ms: 0,
