Hold the slot in queueing tests until all callers wait

By reading, the slot was free again after 100 ms, before all four callers waited, so the awaited number never came; this wasn't seen directly.

Change: the first response takes 800 ms, and the tests fail at once if the slot isn't held while callers arrive. What they check of the order is unchanged.

--- a/crates/gradeloft_gateway/tests/entry/queueing.rs
+++ b/crates/gradeloft_gateway/tests/entry/queueing.rs
@@ -22,14 +22,24 @@
     request("POST", "form").replace("/r/", &format!("/{route}/"))
 }
 
-/// Returns a script that answers `count` requests one after the other.
-fn slow_answers(count: usize) -> Vec<Step> {
-    let answer = [Step::Read, Step::Wait(HELD), ok("answer")];
-    answer.iter().cycle().take(3 * count).cloned().collect()
+/// Time for which a replica holds the slot for which several callers come to wait.
+const FIRST_HELD: Duration = Duration::from_millis(800);
+
+/// Returns a script that answers `count` requests one after the other, the first after `first`.
+fn slow_answers(first: Duration, count: usize) -> Vec<Step> {
+    let holds = (0..count).map(|it| if it == 0 { first } else { HELD });
+    holds
+        .flat_map(|it| [Step::Read, Step::Wait(it), ok("answer")])
+        .collect()
 }
 
+/// Waits until `count` requests wait, while the first one holds the slot.
 async fn wait_for_waiting(harness: &Harness, count: usize) {
-    wait_until(|| async { waiting(harness) == count }).await;
+    wait_until(|| async {
+        assert_eq!(harness.request_count(), 1, "the slot is held");
+        waiting(harness) == count
+    })
+    .await;
 }
 
 fn waiting(harness: &Harness) -> usize {
@@ -111,7 +121,7 @@
 #[test]
 fn a_slot_goes_to_waiting_requests_in_the_order_of_their_priorities() {
     run(async {
-        let harness = Harness::start(ranked(3_000), vec![vec![slow_answers(4)]]).await;
+        let harness = Harness::start(ranked(3_000), vec![vec![slow_answers(FIRST_HELD, 4)]]).await;
         let mut callers = vec![actix_rt::spawn(send_to("r"))];
         wait_until(|| async { harness.request_count() == 1 }).await;
         for (idx, route) in ["l", "r", "u"].into_iter().enumerate() {
@@ -131,7 +141,7 @@
 #[test]
 fn a_slot_goes_to_equal_requests_in_the_order_of_their_arrival() {
     run(async {
-        let harness = Harness::start(config(3_000), vec![vec![slow_answers(5)]]).await;
+        let harness = Harness::start(config(3_000), vec![vec![slow_answers(FIRST_HELD, 5)]]).await;
         let mut callers = vec![actix_rt::spawn(send_body("0"))];
         wait_until(|| async { harness.request_count() == 1 }).await;
         for (idx, body) in ["1", "2", "3", "4"].into_iter().enumerate() {
@@ -152,7 +162,7 @@
 #[test]
 fn a_caller_that_leaves_frees_its_place() {
     run(async {
-        let harness = Harness::start(ranked(3_000), vec![vec![slow_answers(2)]]).await;
+        let harness = Harness::start(ranked(3_000), vec![vec![slow_answers(FIRST_HELD, 2)]]).await;
         let first = actix_rt::spawn(send_to("r"));
         wait_until(|| async { harness.request_count() == 1 }).await;
         let urgent = actix_rt::spawn(send_to("u"));
@@ -174,7 +184,7 @@
 #[test]
 fn a_request_that_cannot_be_in_time_behind_others_is_refused_at_once() {
     run(async {
-        let mut script = slow_answers(3);
+        let mut script = slow_answers(HELD, 3);
         script.extend([Step::Read, Step::WaitForDisconnect]);
         let harness = Harness::start(ranked(1_000), vec![vec![script]]).await;
         let measured = [(); 3].map(|()| actix_rt::spawn(send_to("r")));
--- a/crates/gradeloft_policy/tests/queue.rs
+++ b/crates/gradeloft_policy/tests/queue.rs
@@ -226,7 +226,7 @@
 #[test]
 fn a_request_counts_on_the_slots_that_more_urgent_ones_leave() {
     let (mut queue, now) = draining(100);
-    let mut admits = |queue: &mut Queue| {
+    let admits = |queue: &mut Queue| {
         let key = queue.join(Order::Precedence, entrant(1, now.0 / 1000 + 400), true, now);
         let admitted = queue.admit(key, now).is_some();
         queue.leave(key);
