--- a/crates/gradeloft_policy/src/process/slot_split.rs
+++ b/crates/gradeloft_policy/src/process/slot_split.rs
@@ -56,7 +56,7 @@
     let mut parts = vec![vec![0; replicas.len()]; entries.len()];
     let claims = equal_claims(entries, slots, 0);
     match_slots(&claims, replicas, |it| {
-        parts[it.claim][it.replica] += it.slots
+        parts[it.claim][it.replica] += it.slots;
     });
     parts
 }
