--- a/crates/gradeloft_emulator/src/entry.rs
+++ b/crates/gradeloft_emulator/src/entry.rs
@@ -66,8 +66,6 @@
     pub requests: u32,
     /// In-flight requests without a first token.
     pub waiting: u32,
-    /// Prompt tokens of these requests.
-    pub waiting_tokens: f64,
 }
 
 /// An emulated entry.
@@ -273,7 +271,6 @@
             .map(|it| InFlight {
                 requests: it.own_requests,
                 waiting: it.own_waiting,
-                waiting_tokens: it.own_waiting_tokens,
             })
             .collect()
     }
@@ -286,7 +283,6 @@
             if let Some(replica) = self.replicas.get_mut(*key) {
                 (replica.other_requests, replica.others_waiting) =
                     (others[idx].requests, others[idx].waiting);
-                replica.others_waiting_tokens = others[idx].waiting_tokens;
                 replica.listing.draining = !available[idx];
             }
         }
--- a/crates/gradeloft_emulator/src/simulation.rs
+++ b/crates/gradeloft_emulator/src/simulation.rs
@@ -225,7 +225,6 @@
                 for (sum, it) in others.iter_mut().zip(view) {
                     sum.requests += it.requests;
                     sum.waiting += it.waiting;
-                    sum.waiting_tokens += it.waiting_tokens;
                 }
             }
             entry.apply_view(&others, &available, self.load, self.now);
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -241,7 +241,8 @@
         (f64::from(self.listing.slots) - f64::from(self.load()) - unseen).max(0.0)
     }
 
-    /// Returns the queue that a new request meets, as far as this entry knows. While a slot assigned to this entry is free,
+    /// Returns the queue that a new request meets, as far as this entry knows. The prompt lengths
+    /// of other entries' requests are not reported. While a slot assigned to this entry is free,
     /// other entries can't have taken it, whatever they reported some time ago.
     pub fn queue(&self, speed: &Speed) -> Queue {
         let slots = self.listing.slots;
@@ -252,12 +253,7 @@
         };
         let others_waiting = self.others_waiting.min(others);
         let waiting = self.own_waiting + others_waiting;
-        let mean_prompt = match self.others_waiting_tokens {
-            // Callers of other entries don't declare the length of their prompts.
-            0.0 => speed.usual_prompt,
-            tokens => tokens / f64::from(self.others_waiting.max(1)),
-        };
-        let others_tokens = f64::from(others_waiting) * mean_prompt;
+        let others_tokens = f64::from(others_waiting) * speed.usual_prompt;
         Queue {
             slots,
             begun: (self.own_requests + others).saturating_sub(waiting),
--- a/crates/gradeloft_policy/src/request/placement.rs
+++ b/crates/gradeloft_policy/src/request/placement.rs
@@ -19,9 +19,8 @@
 /// Cost of a replica in another availability zone, as a share of its slots: the distance adds
 /// milliseconds and billed traffic.
 const REMOTE_COST: f64 = 0.8;
-/// Cost of each usual prompt of requests whose response has not begun, as a share of the replica's
-/// slots. Prompts are read one after the other, so a request behind a few of them is late even if
-/// slots are free.
+/// Cost of each request whose response has not begun, as a share of the replica's slots. Prompts
+/// are read one after the other, so a request behind a few of them is late even if slots are free.
 const UNSTARTED_COST: f64 = 0.15;
 /// Range of a random cost, as a share of the replica's slots, so that entries with the same view
 /// don't all choose the same replica.
@@ -382,7 +381,7 @@
     let version = replica.version(now);
     let mut cost = f64::from(replica.load()) / slots;
     if replica.listing.has_model {
-        cost += UNSTARTED_COST * prompts_ahead(replica, requirements.speed);
+        cost += UNSTARTED_COST * f64::from(replica.waiting());
     }
     if replica.listing.zone != requirements.zone {
         cost += REMOTE_COST;
@@ -393,15 +392,6 @@
     cost
 }
 
-/// Returns the length of the prompts that a replica has not read, in usual prompts; their number if
-/// their lengths are unknown.
-fn prompts_ahead(replica: &Replica, speed: Option<&Speed>) -> f64 {
-    let known = speed.filter(|it| 0.0 < it.usual_prompt);
-    let tokens = known.map(|it| replica.queue(it).waiting_tokens / it.usual_prompt);
-    let tokens = tokens.filter(|it| 0.0 < *it);
-    tokens.unwrap_or_else(|| f64::from(replica.waiting()))
-}
-
 fn penalties(replica: &Replica, requirements: Requirements<'_>, now: Time) -> Penalties {
     Penalties {
         suspect: replica.suspect(now),
