--- a/crates/gradeloft_gateway/tests/entry/support/mod.rs
+++ b/crates/gradeloft_gateway/tests/entry/support/mod.rs
@@ -179,12 +179,10 @@
     /// at once.
     pub(crate) model_slots: Option<u32>,
     /// Whether the service has a route `/u/` of higher priority and a route `/l/` of lower priority
-    /// beside `/r/`.
+    /// beside `/r/`, and another team has a lower priority.
     pub(crate) ranked: bool,
     /// The only region in which requests may run; without one, any region.
     pub(crate) allowed_region: Option<&'static str>,
-    /// Whether another team has a lower priority, so that requests are ranked.
-    pub(crate) ranked: bool,
     /// Request rate limit of cold replicas.
     pub(crate) warmup: Option<Warmup>,
 }
@@ -201,7 +199,6 @@
             model_slots: None,
             ranked: false,
             allowed_region: None,
-            ranked: false,
             warmup: None,
         }
     }
--- a/crates/gradeloft_policy/src/process/document.rs
+++ b/crates/gradeloft_policy/src/process/document.rs
@@ -202,8 +202,6 @@
     /// The document.
     pub document: Document,
     by_host: HashMap<String, Vec<usize>>,
-    /// Services whose requests the operator ranks: their routes, or the teams, differ in priority.
-    ranked: HashSet<Rc<str>>,
     /// Precedences of the requests for each service for which teams differ in priority, ascending.
     precedences: HashMap<Rc<str>, Vec<Precedence>>,
     /// Whether teams differ in priority.
@@ -223,7 +221,6 @@
             routes.sort_by_key(|&idx| std::cmp::Reverse(document.routes[idx].prefix.len()));
         }
         Config {
-            ranked: ranked_services(&document),
             precedences: precedences_by_service(&document),
             teams_differ: 1 < team_priorities(&document).len(),
             services_with_ranked_routes: services_with_ranked_routes(&document),
@@ -280,7 +277,7 @@
     /// Returns whether the operator ranks the requests for a service: its routes, or the teams,
     /// differ in priority.
     pub fn ranks_requests_for(&self, service: &str) -> bool {
-        self.ranked.contains(service)
+        self.teams_differ || self.services_with_ranked_routes.contains(service)
     }
 
     /// Returns the shortest latency objective of the routes of a priority that lead to a service, in
@@ -341,22 +338,6 @@
     ranked.map(|(service, _)| service).collect()
 }
 
-fn ranked_services(document: &Document) -> HashSet<Rc<str>> {
-    let priority = |it: &Rc<str>| document.team_priorities.get(it).copied();
-    let teams = document.keys.values();
-    let teams: BTreeSet<u32> = teams.map(|it| priority(it).unwrap_or_default()).collect();
-    let mut routes: HashMap<&Rc<str>, BTreeSet<u32>> = HashMap::new();
-    for route in &document.routes {
-        for target in &route.targets {
-            let priorities = routes.entry(&target.service).or_default();
-            priorities.insert(route.priority);
-        }
-    }
-    let ranked = routes.into_iter();
-    let ranked = ranked.filter(|(_, routes)| 1 < teams.len() || 1 < routes.len());
-    ranked.map(|(service, _)| Rc::clone(service)).collect()
-}
-
 fn precedences_by_service(document: &Document) -> HashMap<Rc<str>, Vec<Precedence>> {
     let mut by_service: HashMap<Rc<str>, BTreeSet<Precedence>> = HashMap::new();
     let teams = team_priorities(document);
--- a/crates/gradeloft_policy/tests/occupancy.rs
+++ b/crates/gradeloft_policy/tests/occupancy.rs
@@ -9,7 +9,7 @@
         occupancy::Occupancy,
         remote_loads::Load,
         replicas::{Listing, Replica, ReplicaKey, Replicas, Report},
-        slot_split::{self, RequestRate, overflow_probability},
+        slot_split::{self, ReplicaSlots, RequestRate, overflow_probability},
     },
     request::placement::{self, Requirements, Uncertainty, Urgency},
 };
@@ -100,8 +100,12 @@
 
     fn split_slots(&mut self, idx: usize) {
         let slots = self.keys.iter().map(|it| self.replicas.get(*it).unwrap());
-        let slots: Vec<u32> = slots.map(Replica::splittable_slots).collect();
-        let parts = slot_split::parts(idx, ENTRIES, &slots);
+        let slots = (0..).zip(slots).map(|(key, it)| ReplicaSlots {
+            key,
+            slots: it.splittable_slots(),
+        });
+        let entries: Vec<u64> = (0..ENTRIES as u64).collect();
+        let parts = slot_split::parts(idx, &entries, &slots.collect::<Vec<_>>());
         for (key, part) in self.keys.iter().zip(parts) {
             self.replicas.get_mut(*key).unwrap().own_slots = part;
         }
