Wait for a nearly complete version while the origin is dark

While the origin is dark the newer version can't be fetched either, so the wait costs nothing: three quarters now, and only for the version directly before the newest, as the origin has no older ones.

--- a/crates/gradeloft_gateway/src/agent/fetch.rs
+++ b/crates/gradeloft_gateway/src/agent/fetch.rs
@@ -151,6 +151,8 @@
     started: Time,
     /// Time of the last arrival of a chunk.
     last_arrival: Time,
+    /// First newer version that was named during the fetch.
+    successor: Option<Version>,
 }
 
 impl<'a> Fetcher<'a> {
@@ -202,6 +204,7 @@
             staging: 0,
             started,
             last_arrival: started,
+            successor: None,
         }
     }
 
@@ -229,9 +232,13 @@
 
     /// Returns whether to end the fetch because no chunk has arrived for long. The fetch of the
     /// target version is then restarted; a superseded version is given up.
-    fn is_silent_for_too_long(&self) -> bool {
+    fn is_silent_for_too_long(&mut self) -> bool {
         let newer = self.agent.target().filter(|it| it != self.version);
-        let newer_named = newer.map(|it| self.agent.named_at(&it));
+        if self.successor.is_none() {
+            self.successor.clone_from(&newer);
+        }
+        let successor = newer.filter(|it| self.successor.as_ref() == Some(it));
+        let newer_named = successor.map(|it| self.agent.named_at(&it));
         let version_ms = self.agent.node.settings().version_ms;
         let until = finish::silence_ends(self.last_arrival, newer_named, version_ms);
         until <= self.agent.node.clock.now()
--- a/crates/gradeloft_policy/src/version/finish.rs
+++ b/crates/gradeloft_policy/src/version/finish.rs
@@ -11,18 +11,20 @@
 /// milliseconds: longer than the stall of a single request.
 const SILENCE_MS: u64 = 4_000;
 /// Share of a version's rollout time after which an agent no longer waits for chunks of the version
-/// before it. Fetching the newer version takes a third of its rollout time.
-const FINISH_SHARE: f64 = 2.0 / 3.0;
+/// before it. While the origin doesn't respond, the wait costs nothing; if the missing chunks are
+/// lost for another reason, a quarter of the rollout time is left for the newer version.
+const FINISH_SHARE: f64 = 0.75;
 
 /// Returns the time at which the fetch of a version ends unless a chunk arrives. The last one
-/// arrived at `last_arrival`. If the version is superseded, `newer_named` is the time at which the
-/// newest version was named; replicas have to serve it `version_ms` milliseconds later.
+/// arrived at `last_arrival`. If a single newer version superseded it, `newer_named` is the time at
+/// which that one was named; replicas have to serve the newer one `version_ms` milliseconds later.
+/// The origin no longer has versions before these two.
 ///
 /// ```
 /// use gradeloft_policy::{clock::Time, version::finish::silence_ends};
 /// let at = |ms| Time::ZERO.after_ms(ms);
 /// assert_eq!(silence_ends(at(1_000), None, 9_000), at(5_000));
-/// assert_eq!(silence_ends(at(1_000), Some(at(900)), 9_000), at(6_900));
+/// assert_eq!(silence_ends(at(1_000), Some(at(900)), 9_000), at(7_650));
 /// ```
 pub fn silence_ends(last_arrival: Time, newer_named: Option<Time>, version_ms: u64) -> Time {
     let restart = last_arrival.after_ms(SILENCE_MS);
