Revert "Finish a nearly complete version through an outage of the origin"

The missing chunks of the first version take longer after the outage than what its two seconds of service are worth here.

--- a/crates/gradeloft_gateway/src/agent/fetch.rs
+++ b/crates/gradeloft_gateway/src/agent/fetch.rs
@@ -21,7 +21,6 @@
     rendezvous,
     version::{
         fetch::{ChunkRequest, Failure, Fetch, Scheme, SourceKey, Tuning, Upstream},
-        finish,
         manifest::{Chunk, Manifest},
         partners,
     },
@@ -76,6 +75,9 @@
 /// Time after which an agent fetches chunks from other regions although another agent of its own
 /// region is responsible for that, in milliseconds. Traffic between regions is expensive.
 const FAR_FETCH_DELAY_MS: u64 = 2_500;
+/// Time without an arrival after which the fetch is restarted with the agents known by then, in
+/// milliseconds: longer than `STALL_MS`.
+const FETCH_TIMEOUT_MS: u64 = 4_000;
 /// Pause before a failed attempt to stage a chunk is retried.
 const STAGE_RETRY_PAUSE: Duration = Duration::from_millis(60);
 
@@ -151,8 +153,6 @@
     started: Time,
     /// Time of the last arrival of a chunk.
     last_arrival: Time,
-    /// First newer version that was named during the fetch.
-    successor: Option<Version>,
 }
 
 impl<'a> Fetcher<'a> {
@@ -204,7 +204,6 @@
             staging: 0,
             started,
             last_arrival: started,
-            successor: None,
         }
     }
 
@@ -223,27 +222,13 @@
             if self.superseded() {
                 return Err(DeployError::Superseded);
             }
-            if self.is_silent_for_too_long() {
+            if self.last_arrival.after_ms(FETCH_TIMEOUT_MS) <= self.agent.node.clock.now() {
                 return Err("no chunk arrived for too long".to_owned().into());
             }
         }
         Ok(())
     }
 
-    /// Returns whether to end the fetch because no chunk has arrived for long. The fetch of the
-    /// target version is then restarted; a superseded version is given up.
-    fn is_silent_for_too_long(&mut self) -> bool {
-        let newer = self.agent.target().filter(|it| it != self.version);
-        if self.successor.is_none() {
-            self.successor.clone_from(&newer);
-        }
-        let successor = newer.filter(|it| self.successor.as_ref() == Some(it));
-        let newer_named = successor.map(|it| self.agent.named_at(&it));
-        let version_ms = self.agent.node.settings().version_ms;
-        let until = finish::silence_ends(self.last_arrival, newer_named, version_ms);
-        until <= self.agent.node.clock.now()
-    }
-
     /// Returns whether every followed peer has reported which chunks it holds.
     fn all_reported(&self) -> bool {
         let mut followed = self.followed.values();
--- a/crates/gradeloft_policy/src/version/mod.rs
+++ b/crates/gradeloft_policy/src/version/mod.rs
@@ -2,7 +2,6 @@
 //!
 //! - [`bundle`]: validation, canonical form and signatures of bundles.
 //! - [`chain`]: selection of the published bundle that is in force.
-//! - [`finish`]: how long an agent goes on fetching a version while no chunk arrives.
 //! - [`manifest`]: list of the chunks of a version.
 //! - [`order_backoff`]: pause between orders to a replica to load a version.
 //! - [`outside_sources`]: access to the weight store and the origin.
@@ -19,7 +18,6 @@
 pub mod bundle;
 pub mod chain;
 pub mod fetch;
-pub mod finish;
 pub mod manifest;
 pub mod named_versions;
 pub mod order_backoff;
--- a/crates/gradeloft_policy/tests/versions.rs
+++ b/crates/gradeloft_policy/tests/versions.rs
@@ -6,7 +6,6 @@
     clock::Time,
     connection::window::Window,
     version::{
-        finish,
         named_versions::{NamedVersions, VersionTimes},
         waves::{RunningRequests, SwitchProgress, Wave},
     },
@@ -240,28 +239,3 @@
         (0, 1)
     );
 }
-
-// Half of the version is in the fleet when the newer one is named, then the origin is dark for six
-// seconds: longer than a fetch waits for a chunk.
-#[rstest]
-#[case(10_300)]
-#[case(13_400)]
-fn an_outage_of_the_origin_does_not_end_the_fetch_of_a_nearly_complete_version(
-    #[case] version_ms: u64,
-) {
-    let last_arrival = Time::ZERO.after_ms(20_500);
-    let newer_named = Time::ZERO.after_ms(20_060);
-    let origin_back = Time::ZERO.after_ms(26_500);
-    let ends = finish::silence_ends(last_arrival, Some(newer_named), version_ms);
-    assert!(origin_back < ends, "{ends:?}");
-    // Enough time is left to fetch the newer version.
-    let due = newer_named.after_ms(version_ms);
-    assert!(ends.after_ms(version_ms / 5) < due);
-}
-
-#[test]
-fn the_fetch_of_the_newest_version_restarts_after_a_silence() {
-    let last_arrival = Time::ZERO.after_ms(20_500);
-    let ends = finish::silence_ends(last_arrival, None, 60_000);
-    assert_eq!(ends, last_arrival.after_ms(4_000));
-}
