Rank requests only for services whose routes differ in priority

Cause: two of 24 teams have a higher priority on these deployments, so admission, queue and returns took effect. From 0.9 of the capacity on, all other requests left slots free for these teams.

Change: the routes of a service have to differ in priority. Where they do, the team's priority goes before the route's. Elsewhere it ranks requests in a replica's queue only.

--- a/crates/gradeloft_policy/src/process/document.rs
+++ b/crates/gradeloft_policy/src/process/document.rs
@@ -204,10 +204,8 @@
     by_host: HashMap<String, Vec<usize>>,
     /// Precedences of the requests for each service for which teams differ in priority, ascending.
     precedences: HashMap<Rc<str>, Vec<Precedence>>,
-    /// Whether teams differ in priority.
-    teams_differ: bool,
     /// Services whose routes differ in priority.
-    services_with_ranked_routes: HashSet<Rc<str>>,
+    ranked: HashSet<Rc<str>>,
 }
 
 impl Config {
@@ -222,8 +220,7 @@
         }
         Config {
             precedences: precedences_by_service(&document),
-            teams_differ: 1 < team_priorities(&document).len(),
-            services_with_ranked_routes: services_with_ranked_routes(&document),
+            ranked: ranked_services(&document),
             document,
             by_host,
         }
@@ -274,10 +271,11 @@
         (place * ranks / ordered.len().max(ranks)) as u32
     }
 
-    /// Returns whether the operator ranks the requests for a service: its routes, or the teams,
-    /// differ in priority.
+    /// Returns whether the operator ranks the requests for a service: its routes differ in priority.
+    /// Teams that differ rank requests beside that. If all routes have one priority, admission by
+    /// precedence would hold back most requests for a few teams without relieving the replicas.
     pub fn ranks_requests_for(&self, service: &str) -> bool {
-        self.teams_differ || self.services_with_ranked_routes.contains(service)
+        self.ranked.contains(service)
     }
 
     /// Returns the shortest latency objective of the routes of a priority that lead to a service, in
@@ -326,7 +324,7 @@
     teams.map(|it| priority(it).unwrap_or_default()).collect()
 }
 
-fn services_with_ranked_routes(document: &Document) -> HashSet<Rc<str>> {
+fn ranked_services(document: &Document) -> HashSet<Rc<str>> {
     let mut by_service: HashMap<Rc<str>, BTreeSet<u32>> = HashMap::new();
     for route in &document.routes {
         for target in &route.targets {
--- a/crates/gradeloft_policy/tests/forwarding.rs
+++ b/crates/gradeloft_policy/tests/forwarding.rs
@@ -496,29 +496,30 @@
     assert!(readers.iter().all(|it| after.contains(it)));
 }
 
-fn queue_ranks(team_priorities: &[u32], route_priorities: &[u32]) -> Vec<u32> {
+fn ranked_config(team_priorities: &[u32], route_priorities: &[u32]) -> Config {
     let routes = route_priorities.iter().map(|it| Route {
         priority: *it,
         ..route(&format!("r{it}"), &format!("/{it}/"), false)
     });
-    let names = team_priorities.iter().map(|it| (it, format!("t{it}")));
-    let names: Vec<(&u32, Rc<str>)> = names.map(|(it, name)| (it, name.into())).collect();
     let config = config(routes.collect());
-    let config = Config::new(Document {
-        keys: names
-            .iter()
-            .map(|(it, name)| (it.to_string(), Rc::clone(name)))
-            .collect(),
-        team_priorities: names
-            .iter()
-            .map(|(it, name)| (Rc::clone(name), **it))
-            .collect(),
+    let teams = || team_priorities.iter().map(|it| (it, team_name(*it)));
+    Config::new(Document {
+        keys: teams().map(|(it, name)| (it.to_string(), name)).collect(),
+        team_priorities: teams().map(|(it, name)| (name, *it)).collect(),
         ..config.document
-    });
+    })
+}
+
+fn team_name(priority: u32) -> Rc<str> {
+    format!("t{priority}").into()
+}
+
+fn queue_ranks(team_priorities: &[u32], route_priorities: &[u32]) -> Vec<u32> {
+    let config = ranked_config(team_priorities, route_priorities);
     let mut ranks = Vec::new();
-    for (_, team) in &names {
+    for priority in team_priorities {
         for route in &config.document.routes {
-            let precedence = config.precedence(route, Some(team));
+            let precedence = config.precedence(route, Some(&team_name(*priority)));
             ranks.push(Urgency::OnTime(1.0).rank(config.queue_priority("s", precedence)));
         }
     }
@@ -540,3 +541,17 @@
 ) {
     assert_eq!(queue_ranks(team_priorities, route_priorities), expected);
 }
+
+#[rstest]
+#[case(&[0, 1], &[1], false)]
+#[case(&[1], &[0, 2], true)]
+#[case(&[0, 1], &[0, 2], true)]
+fn services_whose_routes_have_one_priority_are_not_ranked(
+    #[case] team_priorities: &[u32],
+    #[case] route_priorities: &[u32],
+    #[case] expected: bool,
+) {
+    let config = ranked_config(team_priorities, route_priorities);
+    assert_eq!(config.ranks_requests_for("s"), expected);
+    assert!(!config.ranks_requests_for("other"));
+}
