Explain admission, wait and return of a refused request

An operator saw none of them: explain named only the replicas that had no room. It names the level of admission's verdict, the wait and place in the queue, and when the caller was asked to return. Run: the package's tests.

--- a/crates/gradeloft_cli/src/explain.rs
+++ b/crates/gradeloft_cli/src/explain.rs
@@ -138,7 +138,10 @@
     if let Some(rejections) = line.field("none_free").filter(|it| !it.is_empty()) {
         steps.push(format!("no further replica could get it: {rejections}"));
     }
+    steps.extend(line.field("admission").and_then(describe_admission));
+    steps.extend(describe_wait(line));
     steps.push(describe_outcome(line));
+    steps.extend(describe_return(line));
     EntryOutcome {
         node: line.field("node").unwrap_or("-").to_owned(),
         steps,
@@ -146,6 +149,41 @@
     }
 }
 
+/// Describes how the service's level of admission limited a request; `None` if it didn't.
+fn describe_admission(verdict: &str) -> Option<String> {
+    let meaning = match verdict.split(':').next()? {
+        "in_time" => {
+            "limited to replicas by which it would also be in time for more urgent requests"
+        }
+        "late" => "refused at once: late, while others of its precedence are in time",
+        "reserved" => "the free slots were left to more urgent requests",
+        "shed" => {
+            "refused at once: beyond the fraction of its precedence and team that is admitted"
+        }
+        _ => return None,
+    };
+    Some(format!("admission {verdict}: {meaning}"))
+}
+
+/// Describes the wait of a request in its service's queue; `None` if it didn't wait.
+fn describe_wait(line: &Line) -> Option<String> {
+    let position: usize = line.field("queue_position")?.parse().ok()?;
+    let waited = line.field("waited_ms").unwrap_or("-");
+    Some(format!(
+        "waited {waited} ms for a replica, at first behind {position} others"
+    ))
+}
+
+/// Describes when a refused caller was asked to return; `None` without such a time.
+fn describe_return(line: &Line) -> Option<String> {
+    let after: u64 = line.field("retry_after_ms")?.parse().ok()?;
+    let reserved = match line.field("booked") {
+        Some("true") => "room is reserved for it then",
+        _ => "no room is reserved for it",
+    };
+    Some(format!("asked to return after {after} ms; {reserved}"))
+}
+
 /// Describes a failed attempt by its name in the `failures` field.
 fn describe_failure(name: &str) -> &str {
     match name {
--- a/crates/gradeloft_cli/tests/explain.rs
+++ b/crates/gradeloft_cli/tests/explain.rs
@@ -61,3 +61,30 @@
     assert_eq!(line.field("reason"), Some(r#"peer "x" said no"#));
     assert_eq!(line.field("version"), Some("2"));
 }
+
+#[test]
+fn a_refusal_under_overload_names_admission_wait_and_return() {
+    let log = "INFO | request\tnode=entry-1 admission=shed waited_ms=40 queue_position=3 retry_after_ms=600 booked=true ms=41 first_ms=-1 status=503 outcome=no_replica request=abc";
+    let found = explain([log].into_iter(), "abc");
+    let steps = &found.endings[0].steps;
+    assert!(
+        steps[0].starts_with("admission shed: refused at once"),
+        "{steps:?}"
+    );
+    assert_eq!(
+        steps[1],
+        "waited 40 ms for a replica, at first behind 3 others"
+    );
+    assert!(
+        steps[2].starts_with("no_replica: refused, not run"),
+        "{steps:?}"
+    );
+    assert_eq!(
+        steps[3],
+        "asked to return after 600 ms; room is reserved for it then"
+    );
+    let calm = log.replace("admission=shed", "admission=unlimited");
+    let calm = calm.replace("queue_position=3", "queue_position=-1");
+    let found = explain([calm.as_str()].into_iter(), "abc");
+    assert_eq!(found.endings[0].steps.len(), 2);
+}
