--- a/crates/gradeloft_policy/src/process/team_shares.rs
+++ b/crates/gradeloft_policy/src/process/team_shares.rs
@@ -9,7 +9,7 @@
 //! team's demand, and no entry needs the counts of others. The sample of a small team is noisy: at
 //! 3 requests a second over 410 entries, one entry receives a request every 137 s. Therefore a
 //! team's claim on the split is the lower confidence bound of its measured demand, and teams of
-//! which an entry receives less than a request in [`SLOW_WINDOW_S`] have equal claims.
+//! which an entry receives less than a request in half a minute have equal claims.
 
 use std::collections::{BTreeMap, HashMap};
 
