Let the second transfer end before an unresponsive peer may be asked again

Cause: a peer that didn't reply may be asked again after a second. The rest of the record takes 0.6 s over the test's second link, and longer than a second beside load, so the second request is right.

Change: the second link is ten times faster, the check stays.

--- a/crates/gradeloft_gateway/tests/entry/large_records.rs
+++ b/crates/gradeloft_gateway/tests/entry/large_records.rs
@@ -497,7 +497,8 @@
         wait_until(|| async { 0.3 < first.records_sent() }).await;
         drop(first);
         wait_until(|| async { connections.get() == 1 }).await;
-        let links = links(1, 4 * NARROW_BYTES_PER_S);
+        // The rest of the record has to arrive before the peer may be asked again.
+        let links = links(1, 40 * NARROW_BYTES_PER_S);
         let _second = Link::start(&harness.entry, BEHIND_SECOND_LINK, &[2], links).await;
         wait_for_config(&follower, 7).await;
         assert_eq!(connections.get(), 1);
