--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -63,8 +63,8 @@
     pub goal: Time,
     /// Time since the caller's first try, by its remaining time.
     pub age: Duration,
-    /// Whether the caller was refused before and returns: as told, for services whose requests are
-    /// ranked.
+    /// Whether the caller was refused before and returns. For services whose requests are ranked,
+    /// only callers that return at the time of their booking count.
     pub returned: bool,
     /// Number of prompt tokens; 0 without a prompt.
     pub prompt_tokens: f64,
--- a/crates/gradeloft_gateway/src/entry/returns.rs
+++ b/crates/gradeloft_gateway/src/entry/returns.rs
@@ -6,7 +6,6 @@
     clock::Time,
     process::replicas::ReplicaKey,
     request::{
-        contention::Precedence,
         forecast,
         reservation::{Answer, Ledger, Refused},
     },
@@ -27,7 +26,7 @@
         }))
     }
 
-    /// Records a received request, and uses up a booking if its caller returns as told.
+    /// Records a received request, and uses up a booking if its caller returns at the booked time.
     pub(super) fn receive_return(&self, job: &mut Job) {
         let now = self.node.clock.now();
         let Some(mut ledger) = self.ledger(&job.service) else {
@@ -65,14 +64,6 @@
         Some(self.node.with_rng(|rng| ledger.refuse(refused, now, rng)))
     }
 
-    /// Returns the number of slots that newcomers of a precedence leave to returning callers.
-    pub fn reserved_for_returns(&self, service: &str, precedence: Precedence) -> f64 {
-        let now = self.node.clock.now();
-        let ledgers = self.returns.borrow();
-        let ledger = ledgers.get(service);
-        ledger.map_or(0.0, |it| it.reserved(precedence, now))
-    }
-
     /// Lets bookings expire and counts them, and drops ledgers of services whose requests are no
     /// longer ranked.
     pub(super) fn expire_returns(&self, now: Time) {
--- a/crates/gradeloft_policy/src/request/contention.rs
+++ b/crates/gradeloft_policy/src/request/contention.rs
@@ -25,7 +25,7 @@
     pub goal: Time,
     /// Time by which the response has to be complete.
     pub deadline: Time,
-    /// Whether the caller was refused before and returns as told; it goes before others of its
-    /// precedence.
+    /// Whether the caller was refused before and returns at the time of its booking. The request
+    /// goes before others of its precedence.
     pub returned: bool,
 }
--- a/crates/gradeloft_policy/src/request/reservation.rs
+++ b/crates/gradeloft_policy/src/request/reservation.rs
@@ -69,7 +69,7 @@
     pub room_in: Duration,
 }
 
-/// What a refused caller is told.
+/// Response to a refused caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Answer {
     /// Delay before the return.
