--- a/crates/gradeloft_gateway/src/entry/backpressure/gossip.rs
+++ b/crates/gradeloft_gateway/src/entry/backpressure/gossip.rs
@@ -1,4 +1,4 @@
-//! Reports of backpressure between entries, since a replica tells only the entries that it answers.
+//! Reports of backpressure between entries, since a replica signals only to the entries that it answers.
 
 use std::{
     cell::{Cell, RefCell},
@@ -29,7 +29,7 @@
 
 /// Bandwidth that an entry's reports of backpressure take at all receivers of its region together,
 /// and again at those of other regions, beyond the first report after a pause. Entries that use a
-/// replica hear from it directly, so reports may be late while many replicas signal.
+/// replica receive its signals directly, so reports may be late while many replicas signal.
 const GOSSIP_BUDGET: Budget = Budget {
     bytes_per_s: 1_500,
     shortest: Duration::ZERO,
@@ -63,10 +63,10 @@
 }
 
 impl Entry {
-    /// Schedules reports of what a replica told this entry.
+    /// Schedules reports of what a replica signalled to this entry.
     pub(super) fn record_told(&self, key: ReplicaKey, change: Option<Change>, now: Time) {
         self.signal_gossip.record(|reports| match change {
-            Some(_) => reports.told(key, now),
+            Some(_) => reports.signalled(key, now),
             None => reports.confirmed(key),
         });
     }
@@ -92,21 +92,21 @@
         }
     }
 
-    fn receive_signal(&self, key: ReplicaKey, told: ReplicaSignal, from: Ipv4Addr, now: Time) {
+    fn receive_signal(&self, key: ReplicaKey, reported: ReplicaSignal, from: Ipv4Addr, now: Time) {
         let mut replicas = self.replicas.borrow_mut();
         let Some(replica) = replicas.get_mut(key) else {
             return;
         };
         let since = |age_ms: u32| now.before_ms(u64::from(age_ms));
-        let limit = told.limit.map(signal::from_thousandths);
+        let limit = reported.limit.map(signal::from_thousandths);
         let limit = replica
             .throttle
             .limit
-            .merge(limit, since(told.limit_age_ms));
+            .merge(limit, since(reported.limit_age_ms));
         let leaving = replica
             .throttle
             .leaving
-            .merge(told.leaving, since(told.leaving_age_ms));
+            .merge(reported.leaving, since(reported.leaving_age_ms));
         drop(replicas);
         let source = Source::Peer(from);
         if let Merge::Applied(change) = limit {
@@ -122,7 +122,7 @@
             } else if merged.iter().any(|it| matches!(it, Merge::Applied(_))) {
                 reports.learned(key, now);
             } else {
-                reports.heard(key, now);
+                reports.reported(key, now);
             }
         });
     }
--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -102,7 +102,7 @@
     failures: Vec<Failure>,
     /// Reasons why no replica was available at the last selection.
     pub(super) exclusions: Option<ExclusionCounts>,
-    /// When the caller was asked to return, once it is refused for lack of room.
+    /// Response to the caller about its return, once it is refused for lack of room.
     return_answer: Option<Answer>,
     /// Time since which no replica has been available.
     pub(super) waiting_since: Option<Time>,
@@ -436,7 +436,7 @@
             ConnectionReuse::Close
         }
         Outcome::Refused(refusal) => {
-            // The replica's own error response tells the caller more than a refusal would.
+            // The replica's own error response has more information for the caller than a refusal.
             if let Some(replica_error) = replica_error.filter(|_| job.progress.ran == Ran::Unknown)
             {
                 record_outcome(entry, &job, replica_error.status(), "replica_failed", None);
--- a/crates/gradeloft_gateway/src/entry/queue.rs
+++ b/crates/gradeloft_gateway/src/entry/queue.rs
@@ -63,7 +63,7 @@
 /// Event of a waiting request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Event {
-    /// It is the request's turn to look for room.
+    /// Turn of the request to look for room.
     Turn,
     /// The request can no longer be in time, as more urgent ones have arrived.
     Evicted,
--- a/crates/gradeloft_policy/src/process/occupancy.rs
+++ b/crates/gradeloft_policy/src/process/occupancy.rs
@@ -16,7 +16,7 @@
 /// fraction of a second old, in which a replica receives and completes about one request each.
 const UNEXPLAINED: u32 = 1;
 
-/// What an entry knows of the requests at a replica by the replica's own count.
+/// Knowledge of an entry about the requests at a replica, by the replica's own count.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Occupancy {
     /// No count has been received, and requests are limited until this time.
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -128,7 +128,7 @@
     pub other_requests: u32,
     /// Number of these requests that no entry reports.
     pub unreported_requests: u32,
-    /// What is known of the requests at the replica by its own count.
+    /// Knowledge of the requests at the replica by its own count.
     pub occupancy: Occupancy,
     /// Number of these requests whose response has not begun.
     pub others_waiting: u32,
--- a/crates/gradeloft_policy/src/process/signal_reports.rs
+++ b/crates/gradeloft_policy/src/process/signal_reports.rs
@@ -1,7 +1,7 @@
 //! Schedules reports of replicas' backpressure to other entries.
 //!
-//! A replica tells only the entries that it answers, and an entry without a share of its rate gets
-//! no further answers. So the entries that a replica told last report it to the others, and repeat
+//! A replica signals only to the entries that it answers, and an entry without a share of its rate gets
+//! no further answers. So the entries that a replica signalled to last report it to the others, and repeat
 //! the report, as datagrams get lost. Only replicas with backpressure, or whose backpressure ended
 //! a moment ago, are reported.
 
@@ -12,7 +12,7 @@
 /// Interval between two reports of the same replica, in milliseconds.
 const REPEAT_MS: u64 = 1_000;
 /// Time without a report of others after which an entry reports what it knows from others, in
-/// milliseconds: the entry that the replica told may have ended.
+/// milliseconds: the entry that the replica signalled to may have ended.
 const UNHEARD_MS: u64 = 5_000;
 /// Time for which the end of backpressure is reported, in milliseconds.
 const ENDED_MS: u64 = 10_000;
@@ -26,7 +26,7 @@
     /// Time of this entry's last report.
     sent: Option<Time>,
     /// Time at which another entry last reported the same state.
-    heard: Time,
+    last_report: Time,
     /// Time of the last change.
     changed: Time,
 }
@@ -34,7 +34,7 @@
 impl Item {
     fn is_due(&self, now: Time) -> bool {
         let rested = self.sent.is_none_or(|it| it.after_ms(REPEAT_MS) <= now);
-        let repeats = self.firsthand || self.heard.after_ms(UNHEARD_MS) <= now;
+        let repeats = self.firsthand || self.last_report.after_ms(UNHEARD_MS) <= now;
         self.urgent || (rested && repeats)
     }
 }
@@ -54,8 +54,8 @@
 }
 
 impl<K: Copy + Eq + Hash + Ord> Reports<K> {
-    /// Records that a replica told this entry of a change.
-    pub fn told(&mut self, replica: K, now: Time) {
+    /// Records that a replica signalled a change to this entry.
+    pub fn signalled(&mut self, replica: K, now: Time) {
         let item = self.items.entry(replica).or_default();
         item.firsthand = true;
         item.urgent = true;
@@ -75,13 +75,13 @@
         item.firsthand = false;
         item.urgent = false;
         item.changed = now;
-        item.heard = now;
+        item.last_report = now;
     }
 
     /// Records that another entry reported what is known already.
-    pub fn heard(&mut self, replica: K, now: Time) {
+    pub fn reported(&mut self, replica: K, now: Time) {
         if let Some(item) = self.items.get_mut(&replica) {
-            item.heard = now;
+            item.last_report = now;
         }
     }
 
--- a/crates/gradeloft_policy/tests/backpressure.rs
+++ b/crates/gradeloft_policy/tests/backpressure.rs
@@ -113,14 +113,14 @@
 fn only_entries_that_a_replica_told_repeat_its_state_while_they_live() {
     let at = |ms| Time::ZERO.after_ms(ms);
     let mut told = Reports::default();
-    told.told(1, at(0));
+    told.signalled(1, at(0));
     assert_eq!(reported(&mut told, 0, 10), [1]);
     assert_eq!(reported(&mut told, 999, 10), NONE);
     assert_eq!(reported(&mut told, 1_000, 10), [1]);
     let mut learned = Reports::default();
     learned.learned(1, at(0));
     assert_eq!(reported(&mut learned, 4_999, 10), NONE);
-    learned.heard(1, at(4_999));
+    learned.reported(1, at(4_999));
     assert_eq!(reported(&mut learned, 9_998, 10), NONE);
     assert_eq!(reported(&mut learned, 9_999, 10), [1]);
     learned.confirmed(1);
@@ -131,7 +131,7 @@
 fn an_entry_with_an_older_state_is_corrected_and_an_end_is_not_reported_for_ever() {
     let at = |ms| Time::ZERO.after_ms(ms);
     let mut reports = Reports::default();
-    reports.told(1, at(0));
+    reports.signalled(1, at(0));
     let due = |reports: &mut Reports<u32>, at_ms| reports.take_due(at(at_ms), 10, |_| Some(false));
     assert_eq!(due(&mut reports, 0), [1]);
     assert_eq!(due(&mut reports, 9_999), [1]);
@@ -146,12 +146,12 @@
     let at = |ms| Time::ZERO.after_ms(ms);
     let mut reports = Reports::default();
     for replica in 0..100 {
-        reports.told(replica, at(0));
+        reports.signalled(replica, at(0));
     }
     let mut first: Vec<u32> = (0..2).flat_map(|_| reported(&mut reports, 0, 50)).collect();
     first.sort_unstable();
     assert_eq!(first, (0..100).collect::<Vec<u32>>());
-    reports.told(99, at(500));
+    reports.signalled(99, at(500));
     assert_eq!(reported(&mut reports, 2_000, 2)[0], 99);
 }
 
