Log the prompt parts of lost requests, and responses that end with their connection

No decision changes.

The header that lists a prompt's parts is read only for requests that may have crashed a replica or are quarantined.

--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -17,6 +17,7 @@
         contention::{Contender, Precedence},
         forecast,
         placement::{ExclusionCounts, Urgency},
+        prompt,
         reservation::Answer,
     },
 };
@@ -113,6 +114,8 @@
     /// Number of requests ahead when this one first joined the queue.
     pub(super) queue_position: Option<usize>,
     fingerprint: OnceCell<Fingerprint>,
+    /// Whether the last response ended with its connection, without a declared length.
+    pub(super) ended_with_connection: bool,
     /// Guard held while this entry must not send another copy of this suspect request.
     pub(super) exclusive_attempt: Option<ExclusiveAttempt>,
 }
@@ -281,6 +284,7 @@
         waited: Duration::ZERO,
         queue_position: None,
         fingerprint: OnceCell::new(),
+        ended_with_connection: false,
         exclusive_attempt: None,
     }
 }
@@ -539,6 +543,7 @@
         "config" => entry.config_version(), "behind_ms" => behind_ms(entry),
         "replicas_known" => entry.replicas.borrow().len(), "resumed" => is_resumed(job),
         "fingerprint" => suspect_fingerprint(job, outcome).map_or_else(String::new, |it| it.to_string()),
+        "parts" => suspect_parts(entry, job, outcome), "ended_with_connection" => job.ended_with_connection,
         "age_ms" => job.age.as_millis() as u64, "returned" => job.returned,
         "retry_after_ms" => job.return_answer.map_or(-1, |it| it.retry_after.as_millis() as i64),
         "booked" => job.return_answer.is_some_and(|it| it.booked),
@@ -552,6 +557,18 @@
     (crashed || quarantined).then(|| job.fingerprint())
 }
 
+/// Returns the ids of the shared prompt parts of a request that may have crashed a replica or is
+/// quarantined.
+fn suspect_parts(entry: &Entry, job: &Job, outcome: &str) -> String {
+    let declared = job
+        .received
+        .head
+        .fields
+        .get(entry.node.platform.headers.prompt_parts);
+    let declared = declared.filter(|_| suspect_fingerprint(job, outcome).is_some());
+    declared.map_or_else(String::new, |it| prompt::shared_parts(it).join(","))
+}
+
 /// Returns for how long the configuration has been behind that of peers, in milliseconds; -1 if the
 /// configuration is current.
 fn behind_ms(entry: &Entry) -> i64 {
--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -214,11 +214,12 @@
         &mut self,
         entry: &Entry,
         caller: &mut Wire,
-        deadline: Time,
+        job: &mut Job,
         upstream: &mut Upstream<'_>,
         silence: Option<Duration>,
     ) -> ReadOutcome {
         let node = &entry.node;
+        let deadline = job.deadline;
         let Upstream {
             connection,
             in_flight,
@@ -233,7 +234,10 @@
             tokio::select! {
                 biased;
                 read = connection.wire.fill() => match read {
-                    Ok(0) if self.decoder.finish_at_eof() => return ReadOutcome::End,
+                    Ok(0) if self.decoder.finish_at_eof() => {
+                        job.ended_with_connection = true;
+                        return ReadOutcome::End;
+                    }
                     Ok(0) | Err(_) => return ReadOutcome::Broken,
                     Ok(_) => {}
                 },
@@ -273,7 +277,7 @@
     ) -> AttemptOutcome {
         loop {
             let read = self
-                .next_piece(entry, caller, job.deadline, &mut upstream, silence)
+                .next_piece(entry, caller, job, &mut upstream, silence)
                 .await;
             if let Some(ended) = read.attempt_outcome() {
                 return ended;
@@ -345,7 +349,7 @@
         let mut out = BytesMut::new();
         loop {
             let read = self
-                .next_piece(entry, caller, job.deadline, &mut upstream, None)
+                .next_piece(entry, caller, job, &mut upstream, None)
                 .await;
             match read {
                 ReadOutcome::Data(data) => {
@@ -386,7 +390,7 @@
             let read = match buffered.take() {
                 Some(read) => read,
                 None => {
-                    self.next_piece(entry, caller, job.deadline, &mut upstream, silence)
+                    self.next_piece(entry, caller, job, &mut upstream, silence)
                         .await
                 }
             };
--- a/crates/gradeloft_gateway/tests/agents/support.rs
+++ b/crates/gradeloft_gateway/tests/agents/support.rs
@@ -322,6 +322,7 @@
     replica_id: "f",
     expected_version: "g",
     tokens: "h",
+    prompt_parts: "m",
     priority: "h",
     seal: "i",
     not_executed: "j",
--- a/crates/gradeloft_gateway/tests/entry/support/mod.rs
+++ b/crates/gradeloft_gateway/tests/entry/support/mod.rs
@@ -55,6 +55,7 @@
     replica_id: "t-replica-id",
     expected_version: "t-version",
     tokens: "t-tokens",
+    prompt_parts: "t-parts",
     priority: "t-priority",
     seal: "t-seal",
     not_executed: "t-not-run",
--- a/crates/gradeloft_platform/src/fleet.rs
+++ b/crates/gradeloft_platform/src/fleet.rs
@@ -185,6 +185,9 @@
     pub expected_version: &'static str,
     /// Number of prompt tokens and limit of output tokens, separated by a comma.
     pub tokens: &'static str,
+    /// Parts of the prompt in order, as comma-separated entries of an id, a colon and a number of
+    /// tokens. Requests share parts, other than the last one.
+    pub prompt_parts: &'static str,
     /// Priority of the request in the replica's queue.
     pub priority: &'static str,
     /// Marks a response as created by a replica.
--- a/crates/gradeloft_policy/src/request/mod.rs
+++ b/crates/gradeloft_policy/src/request/mod.rs
@@ -8,6 +8,7 @@
 //! - [`contention`]: requests that compete for the replicas of a service.
 //! - [`forecast`]: time to first token at a replica.
 //! - [`placement`]: selection of a replica for a forwarded request.
+//! - [`prompt`]: parts that prompts share.
 //! - [`quarantine`]: requests that crash the replicas running them.
 //! - [`queue`]: requests that wait for a replica, and their order.
 //! - [`reservation`]: reservations of room for callers that were refused and return.
@@ -25,6 +26,7 @@
 pub mod contention;
 pub mod forecast;
 pub mod placement;
+pub mod prompt;
 pub mod quarantine;
 pub mod queue;
 pub mod reservation;
