Failing tests of prompt parts that crash replicas

The fleet of crashing replicas moves from quarantine.rs to the test support unchanged, and takes the text that crashes a replica and the look of the crash as options.

--- a/crates/gradeloft_gateway/tests/entry/main.rs
+++ b/crates/gradeloft_gateway/tests/entry/main.rs
@@ -9,6 +9,7 @@
 mod large_records;
 mod placement;
 mod quarantine;
+mod quarantine_parts;
 mod queueing;
 mod replica_restarts;
 mod returns;
--- a/crates/gradeloft_gateway/tests/entry/quarantine.rs
+++ b/crates/gradeloft_gateway/tests/entry/quarantine.rs
@@ -10,23 +10,18 @@
 //! Evidence: the same path, team and body preceded each crash, and the entries logged these
 //! requests with `failures=lost,lost` at different replicas each time.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
-
 use futures_util::future::{join, join_all};
 use gradeloft_gateway::{entry::Handle, suspects};
-use gradeloft_platform::fleet::Lookup;
-use gradeloft_policy::process::{document::RouteKind, replicas::Listing};
-use gradeloft_standin::{
-    crashing_replica::{Behavior, CrashingReplica},
-    scripted::Step,
-    tables::StoreMode,
-};
-use gradeloft_wire::{frame::Table, id::Fingerprint};
+use gradeloft_policy::process::document::RouteKind;
+use gradeloft_standin::{scripted::Step, tables::StoreMode};
+use gradeloft_wire::id::Fingerprint;
 
-use crate::support::{self, HEADERS, Harness, TestConfig, address, replica_id, run, wait_until};
+use crate::support::{
+    self, Harness, TestConfig,
+    crashing_fleet::{Fleet, MARKER},
+    run, wait_until,
+};
 
-/// Replicas crash when they start a request whose body contains this text.
-const MARKER: &str = "ends replicas";
 /// Highest number of marked requests that may reach replicas in all. The quarantine starts after
 /// three crashes, and three entries may have requests in flight before they learn of it.
 const MAX_MARKED_REQUESTS: usize = 6;
@@ -35,192 +30,6 @@
 /// missing in the store, in milliseconds.
 const LEARNED_WRITES_MS: u64 = 4_500;
 
-/// Entries in two regions with replicas that marked requests crash.
-struct Fleet {
-    harness: Harness,
-    others: Vec<Handle>,
-    replicas: Vec<Rc<CrashingReplica>>,
-}
-
-impl Fleet {
-    /// Starts a fleet with one entry.
-    async fn with_one_entry(replicas: u8) -> Fleet {
-        Fleet::start(replicas, &[]).await
-    }
-
-    /// Starts entry 1 in the region `z` and `others` in their availability zones, each of which is
-    /// a region.
-    async fn start(replicas: u8, others: &[(u8, &str)]) -> Fleet {
-        let harness =
-            Harness::start_unready(TestConfig::of(RouteKind::Idempotent), Vec::new()).await;
-        let mut other_entries = Vec::new();
-        for (octet, zone) in others {
-            other_entries.push(
-                harness
-                    .add_entry_in_zone(*octet, zone, &harness.tables)
-                    .await,
-            );
-        }
-        harness.tables.write(Table::Operator, "config", Some("1"));
-        let mut crashing_replicas = Vec::new();
-        for idx in 0..replicas {
-            let behavior = Behavior {
-                marker: MARKER.to_owned(),
-                request_header: HEADERS.attempt_id.to_owned(),
-                seal_header: HEADERS.seal.to_owned(),
-                service_time: Duration::from_millis(20),
-            };
-            let at = SocketAddr::from((address(100 + idx), 8540));
-            crashing_replicas.push(Rc::new(CrashingReplica::start(at, behavior).await.unwrap()));
-        }
-        let fleet = Fleet {
-            harness,
-            others: other_entries,
-            replicas: crashing_replicas,
-        };
-        for idx in 0..fleet.replicas.len() {
-            fleet.list(idx);
-            fleet.keep_listed(idx);
-        }
-        for octet in [1].into_iter().chain(others.iter().map(|it| it.0)) {
-            let ready = || async {
-                let response = support::get(octet, 8002, "/ready").await;
-                response.starts_with("HTTP/1.1 200")
-            };
-            wait_until(ready).await;
-        }
-        fleet.wait_until_listed().await;
-        // Entries exchange suspects only after they have discovered each other.
-        let has_all_peers = |handle: &Handle| {
-            handle.entry().addresses(&Lookup::default()).len() == 1 + others.len()
-        };
-        wait_until(|| async { fleet.entries().all(has_all_peers) }).await;
-        fleet
-    }
-
-    /// Returns all entries.
-    fn entries(&self) -> impl Iterator<Item = &Handle> {
-        [&self.harness.entry].into_iter().chain(&self.others)
-    }
-
-    /// Lists a replica in its current state.
-    fn list(&self, idx: usize) {
-        let replica = &self.replicas[idx];
-        self.harness.list_replica(listing(idx, replica));
-    }
-
-    /// Starts a task that lists a replica again after each restart.
-    fn keep_listed(&self, idx: usize) {
-        let replica = Rc::clone(&self.replicas[idx]);
-        let list_replica = self.harness.replica_lister();
-        actix_rt::spawn(async move {
-            let mut crashes = 0;
-            loop {
-                crashes = replica.wait_for_restart(crashes).await.crashes;
-                list_replica(listing(idx, &replica));
-            }
-        });
-    }
-
-    /// Sends a request to an entry and returns the status code of the response.
-    async fn send(&self, octet: u8, body: &str) -> String {
-        let response = support::send(octet, &support::request("POST", body)).await;
-        let status = response.split(' ').nth(1).unwrap_or("none");
-        status.to_owned()
-    }
-
-    /// Returns the number of marked requests that have reached replicas.
-    fn marked_requests(&self) -> usize {
-        self.replicas.iter().map(|it| it.stats().marked).sum()
-    }
-
-    /// Returns the number of requests that have reached replicas.
-    fn total_requests(&self) -> usize {
-        self.replicas.iter().map(|it| it.stats().received).sum()
-    }
-
-    /// Crashes all replicas at once and waits until they have restarted.
-    async fn crash_all(&self) {
-        let crashes = self.replicas.iter().map(|it| it.stats().crashes);
-        let crashes: Vec<usize> = crashes.collect();
-        self.replicas.iter().for_each(|it| it.crash());
-        for (replica, crashes) in self.replicas.iter().zip(crashes) {
-            replica.wait_for_restart(crashes).await;
-        }
-        self.wait_until_listed().await;
-    }
-
-    /// Waits until every entry has the current start of each replica.
-    async fn wait_until_listed(&self) {
-        let start_time = |handle: &Handle, idx: usize| {
-            let replicas = handle.entry().replicas.borrow();
-            let key = replicas.key(&replica_id(idx))?;
-            replicas.get(key)?.listing.born
-        };
-        let is_current = |handle: &Handle| {
-            let mut all = self.replicas.iter().enumerate();
-            all.all(|(idx, replica)| start_time(handle, idx) == Some(replica.stats().started_ms))
-        };
-        wait_until(|| async { self.entries().all(is_current) }).await;
-    }
-
-    /// Sends the marked request to the entries in turn, and returns how many requests reached
-    /// replicas. A crashed replica stays down until the entry has detected the crash.
-    async fn send_marked_by_turns(&self, entries: &[u8], times: usize) -> usize {
-        for turn in 0..times {
-            self.send_marked(entries[turn % entries.len()]).await;
-            self.wait_until_listed().await;
-        }
-        self.marked_requests()
-    }
-
-    /// Sends the marked request to an entry, and waits until the entry has detected all crashes and
-    /// the replicas run again.
-    async fn send_marked(&self, octet: u8) {
-        self.replicas.iter().for_each(|it| it.hold_restarts(true));
-        self.send(octet, MARKER).await;
-        let handle = self.entry(octet);
-        wait_until(|| async { handle.entry().unsettled() == 0 }).await;
-        self.replicas.iter().for_each(|it| it.hold_restarts(false));
-        wait_until(|| async { self.replicas.iter().all(|it| it.is_running()) }).await;
-    }
-
-    /// Waits until no crash is undecided and all entries have the same suspects.
-    async fn wait_until_agreed(&self) {
-        let sorted_suspects = |handle: &Handle| {
-            let mut suspects = handle.entry().suspects();
-            suspects.sort_unstable();
-            suspects
-        };
-        let first = &self.harness.entry;
-        let settled = |it: &Handle| {
-            it.entry().unsettled() == 0 && sorted_suspects(it) == sorted_suspects(first)
-        };
-        wait_until(|| async { self.entries().all(settled) }).await;
-    }
-
-    /// Returns the entry with the given last octet.
-    fn entry(&self, octet: u8) -> &Handle {
-        let has_address = |it: &&Handle| it.entry().node.settings().address == address(octet);
-        self.entries().find(has_address).unwrap()
-    }
-}
-
-fn listing(idx: usize, replica: &CrashingReplica) -> Listing {
-    Listing {
-        id: replica_id(idx).into(),
-        born: Some(replica.stats().started_ms),
-        service: "s".into(),
-        address: replica.address,
-        zone: "z".to_owned(),
-        slots: 8,
-        draining: false,
-        has_model: false,
-        version: None,
-        warmup_left_ms: 0,
-    }
-}
-
 #[test]
 fn a_request_is_quarantined_after_three_crashes_while_others_are_served() {
     run(async {
--- a/crates/gradeloft_gateway/tests/entry/support/mod.rs
+++ b/crates/gradeloft_gateway/tests/entry/support/mod.rs
@@ -1,5 +1,6 @@
 //! Test harness: an entry with scripted replicas, on addresses private to the test process.
 
+pub(crate) mod crashing_fleet;
 mod machine;
 mod responses;
 
--- a/crates/gradeloft_standin/src/crashing_replica.rs
+++ b/crates/gradeloft_standin/src/crashing_replica.rs
@@ -37,11 +37,22 @@
     pub answered: usize,
 }
 
+/// What the caller of a marked request sees when its replica crashes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Crash {
+    /// The connection is reset without a response.
+    Reset,
+    /// A response begins that has neither a length nor chunks, and its connection closes in order.
+    LooksComplete,
+}
+
 /// Behavior of a replica.
 #[derive(Clone, Debug)]
 pub struct Behavior {
     /// Text in a request that crashes the replica.
     pub marker: String,
+    /// What the caller of a marked request sees of the crash; other connections are reset.
+    pub crash: Crash,
     /// Name of the request id header, which responses echo.
     pub request_header: String,
     /// Name of the response header that marks a response as sent by the replica.
@@ -178,20 +189,36 @@
             if request.contains(&self.behavior.marker) {
                 self.stats.borrow_mut().marked += 1;
                 actix_rt::time::sleep(CRASH_DELAY).await;
-                self.running.cancel();
-                std::future::pending::<()>().await;
+                return self.crash(stream, &request).await;
             }
             actix_rt::time::sleep(self.behavior.service_time).await;
             self.stats.borrow_mut().answered += 1;
-            let behavior = &self.behavior;
-            let id = header_value(&request, &behavior.request_header);
-            let answer = format!(
-                "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: s\r\nContent-Length: 2\r\n\r\nok",
-                behavior.request_header, behavior.seal_header
-            );
+            let answer = format!("{}Content-Length: 2\r\n\r\nok", self.head(&request));
             stream.write_all(answer.as_bytes()).await?;
         }
     }
+
+    /// Returns the head of a response, without a length.
+    fn head(&self, request: &str) -> String {
+        let Behavior {
+            request_header,
+            seal_header,
+            ..
+        } = &*self.behavior;
+        let id = header_value(request, request_header);
+        format!("HTTP/1.1 200 OK\r\n{request_header}: {id}\r\n{seal_header}: s\r\n")
+    }
+
+    /// Crashes the replica under the current request.
+    async fn crash(&self, stream: &mut TcpStream, request: &str) -> io::Result<()> {
+        if self.behavior.crash == Crash::LooksComplete {
+            let head = format!("{}\r\n", self.head(request));
+            stream.write_all(head.as_bytes()).await?;
+            stream.shutdown().await?;
+        }
+        self.running.cancel();
+        std::future::pending().await
+    }
 }
 
 /// Reads the next request with its body; returns `None` at the end of the connection.
