Serve callers after a stall if the entry never had peers

An entry without peers refuses so only after its process stood still for a second, as it then leaves callers to others that know newer records. The test's entry has no peers, so nobody could serve its caller; a single entry of a deployment would refuse callers for a second after each stall.

The new test suspends the machine of a lone entry for 1.5 s and fails without the change. The case with peers keeps its test.

--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -308,8 +308,9 @@
     /// this entry lacks.
     pub fn freshness(&self) -> Freshness {
         // Keys may have been revoked and routes changed while this process was stalled; other
-        // entries have these changes.
-        if self.node.stale_after_stall() {
+        // entries have these changes. An entry that never had peers has nobody to leave callers to.
+        let has_peers = 1 < self.roster.borrow().peak_size();
+        if has_peers && self.node.stale_after_stall() {
             return Freshness::Stale;
         }
         let table = Table::Operator;
--- a/crates/gradeloft_gateway/tests/entry/suspended.rs
+++ b/crates/gradeloft_gateway/tests/entry/suspended.rs
@@ -126,3 +126,17 @@
         assert_eq!(status(&response), "200", "{response}");
     });
 }
+
+/// Guards against refusing callers whom no other entry can serve.
+#[test]
+fn an_entry_that_never_had_peers_serves_right_after_a_stall() {
+    run(async {
+        let machine = Machine::new();
+        let replica = vec![vec![Step::Read, ok("receipt")]; 4];
+        let harness =
+            Harness::start_on(&machine, TestConfig::of(RouteKind::Once), vec![replica]).await;
+        machine.suspend_ms(1_500);
+        let response = harness.send(&request("POST", "b")).await;
+        assert_eq!(status(&response), "200", "{response}");
+    });
+}
