Send suspects to peers that start again

A restarted entry learns its peers from their status, which comes first, and so asks none of them for their state.

An entry now sends the suspects with the most crashes to each peer whose number of starts has risen. The new test restarts an entry during an outage of the store; without the change it waits for suspects in vain (10 s). An entry that started for the first time asked its peers already, and its test is unchanged.

--- a/crates/gradeloft_gateway/src/entry/receive.rs
+++ b/crates/gradeloft_gateway/src/entry/receive.rs
@@ -131,7 +131,11 @@
             served: *store == StoreAccess::Served,
             end: datagram.ends[Table::Operator as usize],
         };
+        let has_started = self.roster.borrow().incarnation(from) < status.incarnation;
         self.roster.borrow_mut().receive(from, status, now);
+        if has_started {
+            self.send_suspects_to(from);
+        }
         self.add_to_roster(entries);
         if self.node.near(&datagram.zone) {
             self.near_loads
--- a/crates/gradeloft_gateway/tests/entry/quarantine.rs
+++ b/crates/gradeloft_gateway/tests/entry/quarantine.rs
@@ -279,3 +279,39 @@
         assert_eq!(suspects::lift(store, unknown).await, Ok(false));
     });
 }
+
+/// A restarted entry knows no peer, but its peers know it and send their status first.
+#[test]
+fn an_entry_that_restarts_during_a_store_outage_gets_suspects_from_peers() {
+    run(async {
+        let fleet = Fleet::start(6, &[(2, "z")]).await;
+        fleet.harness.tables.mode.set(StoreMode::Refusing);
+        fleet.harness.tables.abort_reads();
+        for turn in 0..6 {
+            fleet.send_marked([1, 2][turn % 2]).await;
+        }
+        fleet.wait_until_agreed().await;
+        let Fleet {
+            harness,
+            others,
+            replicas,
+        } = fleet;
+        let harness = harness.restart_entry().await;
+        let fleet = Fleet {
+            harness,
+            others,
+            replicas,
+        };
+        let restarted = fleet.harness.entry.entry();
+        wait_until(|| async { !restarted.suspects().is_empty() }).await;
+        let before = fleet.marked_requests();
+        wait_until(|| async {
+            support::get(1, 8002, "/ready")
+                .await
+                .starts_with("HTTP/1.1 200")
+        })
+        .await;
+        assert_eq!(fleet.send(1, MARKER).await, "503");
+        assert_eq!(fleet.marked_requests(), before);
+    });
+}
--- a/crates/gradeloft_policy/src/process/roster.rs
+++ b/crates/gradeloft_policy/src/process/roster.rs
@@ -247,6 +247,11 @@
         others.count() + 1 < 2 * beyond.count()
     }
 
+    /// Returns the number of an entry's latest known start; 0 if it has sent no status.
+    pub fn incarnation(&self, address: Ipv4Addr) -> u64 {
+        self.entries.get(&address).map_or(0, |it| it.incarnation)
+    }
+
     /// Returns whether an entry is alive.
     pub fn alive(&self, address: Ipv4Addr, now: Time) -> bool {
         self.entries.get(&address).is_some_and(|it| it.alive(now))
