Keep the times of crashes from before the start of a process

Times of a process are unsigned and begin at its start, so all crashes before it fell on one moment, and a part is quarantined for crashes at four. Crash times are signed milliseconds now. The new test fails without the change.

--- a/crates/gradeloft_policy/src/request/quarantine/mod.rs
+++ b/crates/gradeloft_policy/src/request/quarantine/mod.rs
@@ -341,7 +341,7 @@
         match subject {
             Subject::Request(_) => QUARANTINE_CRASHES <= own.count(),
             Subject::Part(_) => {
-                let unexplained = suspect::count_moments(own.map(|it| it.at));
+                let unexplained = suspect::count_moments(own.map(|it| it.at_ms));
                 QUARANTINE_CRASHES <= unexplained && self.has_most_crashes(suspect)
             }
         }
@@ -350,12 +350,14 @@
     /// Returns whether a part has enough of the crashes between its first and its last one. Of a series
     /// of unrelated crashes, few happen to lose requests with the same rare part.
     fn has_most_crashes(&self, part: &Suspect) -> bool {
-        let times = part.times();
+        let times = part.times_ms();
         let [first, .., last] = &times[..] else {
             return false;
         };
         let all = self.suspects.values().flat_map(Suspect::crashes);
-        let meanwhile = all.map(|it| it.at).filter(|it| first <= it && it <= last);
+        let meanwhile = all
+            .map(|it| it.at_ms)
+            .filter(|it| first <= it && it <= last);
         let all = suspect::count_moments(meanwhile);
         let own = suspect::count_moments(times.iter().copied());
         let is_likely = PART_MOMENTS <= own && all <= 2 * own;
@@ -394,10 +396,10 @@
 
 /// Returns the time from the last crash of a quarantined part to its next attempt.
 fn part_period(suspect: &Suspect) -> Duration {
-    let times = suspect.times();
-    let mut pauses = times.windows(2).map(|it| it[1].since(it[0]));
+    let times = suspect.times_ms();
+    let mut pauses_ms = times.windows(2).map(|it| it[1] - it[0]);
     // After a pause without a success, the part crashed a replica again.
-    match pauses.any(|it| FIRST_PART_PERIOD <= it) {
+    match pauses_ms.any(|it| FIRST_PART_PERIOD.as_millis() as i64 <= it) {
         true => MAX_PERIOD,
         false => FIRST_PART_PERIOD,
     }
--- a/crates/gradeloft_policy/src/request/quarantine/suspect.rs
+++ b/crates/gradeloft_policy/src/request/quarantine/suspect.rs
@@ -1,22 +1,21 @@
 //! Crashes that are held against one subject.
 
-use std::time::Duration;
-
 use gradeloft_wire::quarantine::{Crash as CrashMessage, MAX_CRASHES, Subject};
 
 use crate::clock::Time;
 
-/// Time within which crashes count as one moment. A rack or a region that fails crashes many replicas
+/// Time within which crashes count as one moment, in milliseconds. A rack or a region that fails crashes many replicas
 /// at once, and entries notice and report these crashes a moment apart.
-const SIMULTANEOUS: Duration = Duration::from_millis(150);
+const SIMULTANEOUS_MS: i64 = 150;
 
 /// A crash of a replica while it had a request with the subject.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Crash {
     /// Hash that identifies the start of the replica.
     pub(super) start: u32,
-    /// Earliest time at which an entry noticed the crash.
-    pub(super) at: Time,
+    /// Earliest time at which an entry noticed the crash, in milliseconds since the start of this
+    /// process; negative for a crash before it.
+    pub(super) at_ms: i64,
     /// Whether the crash no longer counts.
     void: bool,
 }
@@ -25,7 +24,7 @@
     fn received(message: &CrashMessage, now: Time) -> Crash {
         Crash {
             start: message.start,
-            at: now.before_ms(u64::from(message.age_ms)),
+            at_ms: signed_ms(now) - i64::from(message.age_ms),
             void: message.void,
         }
     }
@@ -73,9 +72,9 @@
         self.counted().any(|it| it.start == start)
     }
 
-    /// Returns the times of the crashes that count, in order.
-    pub(super) fn times(&self) -> Vec<Time> {
-        let mut times: Vec<Time> = self.counted().map(|it| it.at).collect();
+    /// Returns the times of the crashes that count, in order, in milliseconds.
+    pub(super) fn times_ms(&self) -> Vec<i64> {
+        let mut times: Vec<i64> = self.counted().map(|it| it.at_ms).collect();
         times.sort_unstable();
         times
     }
@@ -85,7 +84,8 @@
         let mut changed = false;
         for message in reported {
             let crash = Crash::received(message, now);
-            self.crashed_at = self.crashed_at.max(crash.at);
+            let crashed_at = now.before_ms(u64::from(message.age_ms));
+            self.crashed_at = self.crashed_at.max(crashed_at);
             changed |= self.merge_crash(crash);
         }
         changed
@@ -98,7 +98,7 @@
         match known {
             Ok(idx) => {
                 let known = &mut self.crashes[idx];
-                known.at = known.at.min(crash.at);
+                known.at_ms = known.at_ms.min(crash.at_ms);
                 let voided = crash.void && !known.void;
                 known.void |= crash.void;
                 voided
@@ -116,13 +116,13 @@
         if self.crashes.len() <= MAX_CRASHES {
             return None;
         }
-        let last = self.crashes.iter().map(|it| it.at).max();
+        let last = self.crashes.iter().map(|it| it.at_ms).max();
         let mut all = self.crashes.iter().enumerate();
         let dropped = match self.subject {
             // A sound part that many requests share has many void crashes, and its next crashes must
             // count. The latest crash decides when the part is tried again.
             Subject::Part(_) => all
-                .filter(|(_, it)| Some(it.at) != last)
+                .filter(|(_, it)| Some(it.at_ms) != last)
                 .max_by_key(|(_, it)| (it.void, it.start)),
             Subject::Request(_) => all.next_back(),
         };
@@ -134,7 +134,7 @@
     pub(super) fn void(&mut self, until: Time) -> bool {
         let counted = self.crashes.iter_mut().filter(|it| !it.void);
         let mut changed = false;
-        for crash in counted.filter(|it| it.at <= until) {
+        for crash in counted.filter(|it| it.at_ms <= signed_ms(until)) {
             crash.void = true;
             changed = true;
         }
@@ -160,7 +160,7 @@
         let message = |it: &Crash| CrashMessage {
             start: it.start,
             void: it.void,
-            age_ms: age_ms(it.at, now),
+            age_ms: (signed_ms(now) - it.at_ms).clamp(0, i64::from(u32::MAX)) as u32,
         };
         self.crashes.iter().map(message).collect()
     }
@@ -172,16 +172,20 @@
     age_ms.min(u128::from(u32::MAX)) as u32
 }
 
+fn signed_ms(time: Time) -> i64 {
+    (time.0 / 1_000) as i64
+}
+
 /// Returns the number of moments at which crashes happened, where simultaneous crashes count once.
-pub(super) fn count_moments(times: impl IntoIterator<Item = Time>) -> usize {
-    let mut times: Vec<Time> = times.into_iter().collect();
-    times.sort_unstable();
+pub(super) fn count_moments(times_ms: impl IntoIterator<Item = i64>) -> usize {
+    let mut times_ms: Vec<i64> = times_ms.into_iter().collect();
+    times_ms.sort_unstable();
     let mut moments = 0;
-    let mut began: Option<Time> = None;
-    for time in times {
-        if began.is_none_or(|it| SIMULTANEOUS <= time.since(it)) {
+    let mut began_ms: Option<i64> = None;
+    for time_ms in times_ms {
+        if began_ms.is_none_or(|it| SIMULTANEOUS_MS <= time_ms - it) {
             moments += 1;
-            began = Some(time);
+            began_ms = Some(time_ms);
         }
     }
     moments
--- a/crates/gradeloft_policy/tests/quarantine_parts.rs
+++ b/crates/gradeloft_policy/tests/quarantine_parts.rs
@@ -13,7 +13,7 @@
 };
 use gradeloft_wire::{
     id::Fingerprint,
-    quarantine::{Subject, Suspect},
+    quarantine::{Crash, Subject, Suspect},
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -296,7 +296,7 @@
                         .iter()
                         .map(|it| {
                             let age_ms = it.age_ms + age_ms;
-                            gradeloft_wire::quarantine::Crash { age_ms, ..*it }
+                            Crash { age_ms, ..*it }
                         })
                         .collect(),
                     ..message
@@ -551,6 +551,28 @@
     }
 }
 
+/// Guards against taking crashes from before the start of a process for simultaneous ones, so that a
+/// restarted entry releases a part that it learns from its peers or the store.
+#[test]
+fn a_part_stays_quarantined_at_an_entry_that_has_just_started() {
+    let subject = Subject::Part(fingerprint(FIRST_BAD));
+    let crash = |idx: u32| Crash {
+        start: idx,
+        void: false,
+        age_ms: 9_000 - 700 * idx,
+    };
+    let message = Suspect {
+        subject,
+        crashes: (0..6).map(crash).collect(),
+    };
+    let now = Time::ZERO.after_ms(5);
+    let mut restarted = Quarantine::default();
+    restarted.merge(&message, now);
+    assert!(restarted.is_quarantined(subject));
+    let reported = restarted.snapshot(subject, now).unwrap();
+    assert_eq!(reported, message, "ages are passed on");
+}
+
 /// Guards against taking replicas that fail for other reasons for replicas crashed by a part.
 #[rstest]
 #[case::all_at_once_three_times(Options { rack: 12, rack_at_ms: &[500, 3_700, 7_000], ..SMALL }, 0..6)]
