--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -216,6 +216,25 @@
         self.record.line(format_args!("signal {signal:?} to the agent of {id}"));
     }
 
+    /// Returns the memory that an entry takes now; `None` once it has ended.
+    pub fn entry_memory_mb(&mut self, entry: usize) -> Option<u64> {
+        let process = &mut self.processes[self.replicas.len() + entry].0;
+        if process.try_wait().ok()?.is_some() {
+            return None;
+        }
+        let status = std::fs::read_to_string(format!("/proc/{}/status", process.id())).ok()?;
+        let line = status.lines().find(|it| it.starts_with("VmRSS:"))?;
+        let kb: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+        Some(kb / 1_024)
+    }
+
+    /// Kills an entry.
+    pub fn kill_entry(&mut self, entry: usize) {
+        let process = &mut self.processes[self.replicas.len() + entry].0;
+        // It may have ended by itself.
+        let _ = process.kill();
+    }
+
     /// Returns the address of an entry for clients.
     pub fn frontend(&self, number: usize) -> SocketAddr {
         self.frontends[number % self.frontends.len()]
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins and checks of the cases of the review: `standin CASE FOLDER`.
 
+mod bodies;
 mod fleet;
 mod http;
 mod keys;
@@ -29,6 +30,7 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let folder = Path::new(folder);
     let result = match name.as_str() {
+        "bodies" => bodies::run(folder, trouble),
         "keys" => keys::run(folder, trouble),
         "whole" => whole::run(folder, trouble),
         _ => {
