--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -4,6 +4,7 @@
     fs::File,
     io,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::Arc,
@@ -34,8 +35,13 @@
     Stop = 19,
 }
 
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const SET_PARENT_DEATH_SIGNAL: i32 = 1;
+const SIGKILL: u64 = 9;
+
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 /// A process of the project, which ends with the case.
@@ -171,14 +177,18 @@
         let file = self.dir.join(format!("{name}.yaml"));
         std::fs::write(&file, settings)?;
         let log = File::create(self.dir.join(format!("{name}.log")))?;
-        let child = Command::new(PROGRAM)
-            .arg(role)
-            .arg("--settings")
-            .arg(&file)
-            .stdin(Stdio::null())
-            .stderr(log.try_clone()?)
-            .stdout(log)
-            .spawn()?;
+        let mut command = Command::new(PROGRAM);
+        command.arg(role).arg("--settings").arg(&file);
+        command.stdin(Stdio::null());
+        command.stderr(log.try_clone()?).stdout(log);
+        // SAFETY: `prctl` with plain numbers may be called between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(SET_PARENT_DEATH_SIGNAL, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command.spawn()?;
         self.record.line(format_args!("starts {name}"));
         self.processes.push(Process(child));
         Ok(())
