Log how old the verification of the chunks is when a load is ordered

The log could not distinguish four hypotheses: (1) the order is sent long after the chunks were read back; (2) the read-back passes corrupt chunks; (3) chunks are staged again between the read-back and the order; (4) the order is sent in time and accepted late.

Change: a line "staged chunks verified" (bad, ms), and in "load ordered" verified_ms (from the start of the verification to the order) and ms (until the replica responded).

Cause: Agent::deploy verifies the chunks, then reports the replica as closed, waits for an earlier order, for queued requests and for their prefill, and orders the load. These waits are bounded by themselves (up to 9 s together) but not by the age of the verification, and a freeze of the process adds to any of them.

--- a/crates/gradeloft_gateway/src/agent/deploy.rs
+++ b/crates/gradeloft_gateway/src/agent/deploy.rs
@@ -161,10 +161,10 @@
         let named = self.named_at(version);
         let others = staging::stage(self, version).await?;
         let wave = self.wait_for_turn(version, named, &others).await;
-        self.repair(version).await?;
+        let verified = self.repair(version).await?;
         self.loading.set(true);
         self.report();
-        let loaded = self.order_load(version, wave).await;
+        let loaded = self.order_load(version, wave, verified).await;
         if self.target().as_ref() != Some(version) {
             let until = self
                 .node
@@ -181,11 +181,12 @@
 
     /// Verifies the staged chunks and fetches corrupt ones again. The replica loads chunks without
     /// checks, as they are when it accepts the order. A version whose deployment failed is not
-    /// retried if it has been superseded in the meantime.
-    async fn repair(self: &Rc<Agent>, version: &Version) -> Result<(), DeployError> {
+    /// retried if it has been superseded in the meantime. Returns the time before the first chunk
+    /// was read in the successful verification.
+    async fn repair(self: &Rc<Agent>, version: &Version) -> Result<Time, DeployError> {
         for _ in 0..MAX_REPAIRS {
-            if staging::verify(self, version).await.is_ok() {
-                return Ok(());
+            if let Ok(verified) = staging::verify(self, version).await {
+                return Ok(verified);
             }
             staging::stage(self, version).await?;
         }
@@ -224,7 +225,12 @@
         }
     }
 
-    async fn order_load(&self, version: &Version, wave: Wave) -> Result<(), DeployError> {
+    async fn order_load(
+        &self,
+        version: &Version,
+        wave: Wave,
+        verified: Time,
+    ) -> Result<(), DeployError> {
         actix_rt::time::sleep(CLOSE_NOTICE).await;
         self.wait_until_idle().await?;
         let running = wave.running_requests(self.resumable.get());
@@ -239,9 +245,13 @@
             running,
         };
         let born = self.state.get().and_then(|it| it.born);
+        let sent = self.node.clock.now();
         let ordered = self.engine.load(load).await;
         if let Some(log) = self.node.logs.line(Topic::Weights) {
-            info!(log, "load ordered"; "order" => ?load, "result" => ?ordered);
+            let elapsed = self.node.clock.now().since(sent);
+            info!(log, "load ordered"; "order" => ?load, "result" => ?ordered,
+                "verified_ms" => sent.since(verified).as_millis() as u64,
+                "ms" => elapsed.as_millis() as u64);
         }
         match ordered {
             Ok(LoadOutcome::Started) => self.wait_until_loaded(version, born).await,
--- a/crates/gradeloft_gateway/src/agent/staging.rs
+++ b/crates/gradeloft_gateway/src/agent/staging.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use gradeloft_daemon::transport::client::Lane;
-use gradeloft_policy::rendezvous;
+use gradeloft_policy::{clock::Time, rendezvous};
 use gradeloft_wire::{
     frame::{Call, Reply, Table},
     id::Digest,
@@ -64,15 +64,21 @@
 }
 
 /// Reads back every staged chunk of a version, and fails unless all are present and match their
-/// digests.
-pub async fn verify(agent: &Rc<Agent>, version: &Version) -> Result<(), String> {
+/// digests. Returns the time before the first chunk was read.
+pub async fn verify(agent: &Rc<Agent>, version: &Version) -> Result<Time, String> {
+    let started = agent.node.clock.now();
     verify_chunks(agent, version).await;
     let chunks = agent.staged_chunks.borrow();
     let bad = chunks.staged.iter().filter(|it| !**it).count();
+    if let Some(log) = agent.node.logs.line(Topic::Weights) {
+        let elapsed = agent.node.clock.now().since(started);
+        info!(log, "staged chunks verified"; "model" => &version.model,
+            "version" => version.number, "bad" => bad, "ms" => elapsed.as_millis() as u64);
+    }
     if 0 < bad || chunks.staged.is_empty() || chunks.version.as_ref() != Some(version) {
         return Err(format!("{bad} staged chunks are missing or corrupt"));
     }
-    Ok(())
+    Ok(started)
 }
 
 /// Determines which chunks of the version that the replica serves are still staged, so that they
