Order a load only while the verification of its chunks is recent

Cause: the agent verified the staged chunks, closed the replica, waited until it was ready for the order, and ordered. Nothing bounded the age of the verification at the order. A freeze of the process in the waits (0.04 to 1.04 s, up to 9 s with an earlier order) makes it any age; chunks that become corrupt meanwhile are loaded, as the replica doesn't verify them.

Change: version::verification bounds the age of a verification, counted from before its first read (a freeze can fall between two reads) on the clock that counts suspensions. The agent asks for this after the waits and immediately before the order; if it is older, the chunks are verified again and the preparation is repeated, as entries send requests again after 3 s without a report. If chunks are corrupt by then, the replica is opened and the deployment starts over, since fetching while the replica is closed could take any time. Without a stall nothing is read twice and nothing is slower; the last attempt verifies immediately before the order, so that a slow instance still loads the version.

Tests: chunk_that_becomes_corrupt_during_a_pause_before_the_order_is_not_loaded, three cases.

--- a/crates/gradeloft_gateway/src/agent/deploy.rs
+++ b/crates/gradeloft_gateway/src/agent/deploy.rs
@@ -7,6 +7,7 @@
     clock::Time,
     version::{
         order_backoff::OrderBackoff,
+        verification::Verification,
         waves::{RunningRequests, Wave},
     },
 };
@@ -26,6 +27,9 @@
 /// Maximum number of times that chunks which became corrupt after staging are fetched again before
 /// a load is ordered.
 const MAX_REPAIRS: usize = 3;
+/// Maximum number of times that the chunks are verified again because the verification became too
+/// old while the replica was prepared for the load. Each one prolongs the time without requests.
+const MAX_REVERIFICATIONS: usize = 2;
 /// Maximum time from an order until it takes effect, in milliseconds: the duration of the longest
 /// request plus that of the load.
 const LOAD_TIMEOUT_MS: u64 = 8_000;
@@ -161,10 +165,9 @@
         let named = self.named_at(version);
         let others = staging::stage(self, version).await?;
         let wave = self.wait_for_turn(version, named, &others).await;
-        let verified = self.repair(version).await?;
+        let verification = self.repair(version).await?;
         self.loading.set(true);
-        self.report();
-        let loaded = self.order_load(version, wave, verified).await;
+        let loaded = self.load(version, wave, verification).await;
         if self.target().as_ref() != Some(version) {
             let until = self
                 .node
@@ -181,12 +184,11 @@
 
     /// Verifies the staged chunks and fetches corrupt ones again. The replica loads chunks without
     /// checks, as they are when it accepts the order. A version whose deployment failed is not
-    /// retried if it has been superseded in the meantime. Returns the time before the first chunk
-    /// was read in the successful verification.
-    async fn repair(self: &Rc<Agent>, version: &Version) -> Result<Time, DeployError> {
+    /// retried if it has been superseded in the meantime.
+    async fn repair(self: &Rc<Agent>, version: &Version) -> Result<Verification, DeployError> {
         for _ in 0..MAX_REPAIRS {
-            if let Ok(verified) = staging::verify(self, version).await {
-                return Ok(verified);
+            if let Ok(verification) = staging::verify(self, version).await {
+                return Ok(verification);
             }
             staging::stage(self, version).await?;
         }
@@ -225,19 +227,63 @@
         }
     }
 
-    async fn order_load(
-        &self,
+    /// Loads a version whose staged chunks were verified.
+    async fn load(
+        self: &Rc<Agent>,
         version: &Version,
         wave: Wave,
-        verified: Time,
+        verification: Verification,
     ) -> Result<(), DeployError> {
+        let running = wave.running_requests(self.resumable.get());
+        let verification = self.prepare(version, running, verification).await?;
+        self.order_load(version, running, verification).await
+    }
+
+    /// Prepares the replica for a load, and returns a verification of the chunks that permits the
+    /// order. The process may be paused during any wait, in which chunks can become corrupt and
+    /// entries resume sending requests, so an outdated verification is followed by another
+    /// preparation. Chunks that have become corrupt are not fetched here, as the replica gets no
+    /// requests in the meantime.
+    async fn prepare(
+        self: &Rc<Agent>,
+        version: &Version,
+        running: RunningRequests,
+        mut verification: Verification,
+    ) -> Result<Verification, DeployError> {
+        for _ in 0..MAX_REVERIFICATIONS {
+            self.close(running).await?;
+            let now = self.node.clock.now();
+            if verification.permits_order(now) {
+                return Ok(verification);
+            }
+            if let Some(log) = self.node.logs.line(Topic::Weights) {
+                let age = verification.age(now);
+                warn!(log, "verification outdated"; "model" => &version.model,
+                    "version" => version.number, "age_ms" => age.as_millis() as u64);
+            }
+            verification = staging::verify(self, version).await?;
+        }
+        Ok(verification)
+    }
+
+    /// Reports that the replica gets no more requests, and waits until it can accept an order.
+    async fn close(&self, running: RunningRequests) -> Result<(), DeployError> {
+        self.report();
         actix_rt::time::sleep(CLOSE_NOTICE).await;
         self.wait_until_idle().await?;
-        let running = wave.running_requests(self.resumable.get());
         let serves = self.state.get().is_some_and(|it| it.version.is_some());
         if serves && running == RunningRequests::Finished {
             self.wait_for_queued_requests().await;
         }
+        Ok(())
+    }
+
+    async fn order_load(
+        &self,
+        version: &Version,
+        running: RunningRequests,
+        verification: Verification,
+    ) -> Result<(), DeployError> {
         let load = Load {
             model: &version.model,
             version: version.number,
@@ -250,7 +296,7 @@
         if let Some(log) = self.node.logs.line(Topic::Weights) {
             let elapsed = self.node.clock.now().since(sent);
             info!(log, "load ordered"; "order" => ?load, "result" => ?ordered,
-                "verified_ms" => sent.since(verified).as_millis() as u64,
+                "verified_ms" => verification.age(sent).as_millis() as u64,
                 "ms" => elapsed.as_millis() as u64);
         }
         match ordered {
--- a/crates/gradeloft_gateway/src/agent/staging.rs
+++ b/crates/gradeloft_gateway/src/agent/staging.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use gradeloft_daemon::transport::client::Lane;
-use gradeloft_policy::{clock::Time, rendezvous};
+use gradeloft_policy::{rendezvous, version::verification::Verification};
 use gradeloft_wire::{
     frame::{Call, Reply, Table},
     id::Digest,
@@ -64,8 +64,8 @@
 }
 
 /// Reads back every staged chunk of a version, and fails unless all are present and match their
-/// digests. Returns the time before the first chunk was read.
-pub async fn verify(agent: &Rc<Agent>, version: &Version) -> Result<Time, String> {
+/// digests.
+pub async fn verify(agent: &Rc<Agent>, version: &Version) -> Result<Verification, String> {
     let started = agent.node.clock.now();
     verify_chunks(agent, version).await;
     let chunks = agent.staged_chunks.borrow();
@@ -78,7 +78,7 @@
     if 0 < bad || chunks.staged.is_empty() || chunks.version.as_ref() != Some(version) {
         return Err(format!("{bad} staged chunks are missing or corrupt"));
     }
-    Ok(started)
+    Ok(Verification::started_at(started))
 }
 
 /// Determines which chunks of the version that the replica serves are still staged, so that they
--- a/crates/gradeloft_gateway/tests/agents/main.rs
+++ b/crates/gradeloft_gateway/tests/agents/main.rs
@@ -1,6 +1,7 @@
 //! Tests of agents, which deploy weights to replicas.
 
 mod support;
+mod verification;
 
 use std::{
     cell::{Cell, RefCell},
--- a/crates/gradeloft_gateway/tests/agents/support.rs
+++ b/crates/gradeloft_gateway/tests/agents/support.rs
@@ -5,6 +5,7 @@
     collections::{BTreeMap, HashMap},
     net::{Ipv4Addr, SocketAddr},
     rc::Rc,
+    sync::atomic::{AtomicU64, Ordering},
     time::Duration,
 };
 
@@ -51,6 +52,24 @@
     Bytes::from(vec![(version * 31 + u64::from(idx)) as u8; CHUNK_BYTES])
 }
 
+/// A pause of an agent's instance, during which a chunk becomes corrupt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pause {
+    /// Event after which the instance is paused.
+    pub(crate) after: PausePoint,
+    /// Position of the chunk that becomes corrupt.
+    pub(crate) corrupt: u32,
+    /// Duration, in milliseconds.
+    pub(crate) ms: u64,
+}
+
+/// Event after which an instance is paused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum PausePoint {
+    /// The engine has sent the content of the staged chunk at this position.
+    ChunkRead(u32),
+}
+
 /// An in-memory engine that, unlike a real one, verifies the chunks that it loads.
 #[derive(Default)]
 pub(crate) struct FakeEngine {
@@ -74,6 +93,10 @@
     pub(crate) born: Cell<Option<u64>>,
     /// Version that makes the engine exit and restart when it is ordered to load it.
     pub(crate) fatal_version: Cell<Option<u64>>,
+    /// Next pause of the agent's instance.
+    pub(crate) pause: Cell<Option<Pause>>,
+    /// Duration of all pauses of the agent's instance, in milliseconds.
+    pub(crate) paused_ms: Cell<Option<&'static AtomicU64>>,
 }
 
 impl FakeEngine {
@@ -85,6 +108,19 @@
         self.staged.borrow_mut().insert(idx, content);
     }
 
+    /// Pauses the agent's instance if it is to be paused at this point.
+    fn pause_at(&self, point: PausePoint) {
+        let Some(pause) = self.pause.get().filter(|it| it.after == point) else {
+            return;
+        };
+        self.pause.set(None);
+        self.staged
+            .borrow_mut()
+            .insert(pause.corrupt, Bytes::from_static(b"rotten"));
+        let paused_ms = self.paused_ms.get().expect("the agent was started");
+        paused_ms.fetch_add(pause.ms, Ordering::Relaxed);
+    }
+
     /// Finishes the load that was ordered last.
     pub(crate) fn finish_load(&self) {
         let ordered = self.orders.borrow().last().map(|it| it.0);
@@ -115,6 +151,7 @@
                 actix_rt::time::sleep(Duration::from_millis(5)).await;
             }
             let chunk = self.staged.borrow().get(&idx).cloned();
+            self.pause_at(PausePoint::ChunkRead(idx));
             chunk.ok_or(Fault::Missing)
         })
     }
@@ -432,7 +469,9 @@
         engine: Some(Rc::clone(engine) as _),
         headers: HEADERS,
     };
-    let clock = Clock::start();
+    let paused_ms: &'static AtomicU64 = Box::leak(Box::default());
+    engine.paused_ms.set(Some(paused_ms));
+    let clock = Clock::with_simulated_suspension(paused_ms);
     let logs = Logs::new(logging::none(), clock);
     let node = Node::new(settings, platform, logs, clock).await.unwrap();
     Agent::start(node).await.unwrap()
--- a/crates/gradeloft_policy/src/version/mod.rs
+++ b/crates/gradeloft_policy/src/version/mod.rs
@@ -13,6 +13,7 @@
 //! - [`upload`]: admission of peers' requests for chunks.
 //! - [`rollout`]: version to which requests are pinned.
 //! - [`turns`]: leases that bound how many replicas are down at once.
+//! - [`verification`]: time for which a verification of staged chunks is valid.
 //! - [`waves`]: time at which each replica loads a new version.
 
 pub mod bundle;
@@ -28,4 +29,5 @@
 pub mod rollout;
 pub mod turns;
 pub mod upload;
+pub mod verification;
 pub mod waves;
