Keep a replica closed until its loaded chunks are known to have been intact

Cause: a check before the order can't exclude a pause between the check and the order, and a replica that doesn't respond accepts the order once it responds again. The agent opened the replica in both cases: it took "accepted" for "accepted at once", and after a call without a response it reopened the replica, and took the version that appeared later for its own success.

Change: after the call, the age of the verification is asked for again (2.5 s, half a second less than the 3 s for which corruption may go unnoticed). If it is exceeded, the chunks are read back once more while the replica is closed: a corrupt chunk stays corrupt until it is staged again, so chunks that are intact after the acceptance were intact at it. If they aren't, the replica stays closed for as long as it may hold this load (version::suspect_load): an engine answers a repeated order with "already in effect", so nothing else removes the weights. A call that failed is followed by a wait, closed, until the replica's state shows whether it accepted the order.

Costs: nothing without a stall.

What remains: an agent that is killed between a late order and its confirmation; entries send requests again to a replica whose agent has been silent for 3 s.

--- a/crates/gradeloft_gateway/src/agent/deploy.rs
+++ b/crates/gradeloft_gateway/src/agent/deploy.rs
@@ -5,6 +5,7 @@
 use gradeloft_platform::fleet::{Load, LoadOutcome};
 use gradeloft_policy::{
     clock::Time,
+    process::replica_starts,
     version::{
         order_backoff::OrderBackoff,
         verification::Verification,
@@ -300,16 +301,22 @@
                 "ms" => elapsed.as_millis() as u64);
         }
         match ordered {
-            Ok(LoadOutcome::Started) => self.wait_until_loaded(version, born).await,
-            Ok(LoadOutcome::Conflict) => Err("the order does not fit the replica's state"
-                .to_owned()
-                .into()),
+            Ok(LoadOutcome::Started) => {}
+            Ok(LoadOutcome::Conflict) => {
+                return Err("the order does not fit the replica's state"
+                    .to_owned()
+                    .into());
+            }
             Ok(LoadOutcome::Fenced) => {
-                Err("the replica has accepted a higher fence".to_owned().into())
+                return Err("the replica has accepted a higher fence".to_owned().into());
             }
-            // The replica may have accepted the order nevertheless; its next state shows that.
-            Err(fault) => Err(fault.to_string().into()),
+            Err(fault) => self.settle_order(version, born, fault).await?,
+        }
+        // The order may have been accepted at any time until now.
+        if !verification.covers_load(self.node.clock.now()) {
+            self.confirm_load(version, born).await;
         }
+        self.wait_until_loaded(version, born).await
     }
 
     /// Waits until no order is in progress at the replica.
@@ -348,7 +355,7 @@
             match state {
                 Some(state) if state.version == Some(version.number) => return Ok(()),
                 // A restarted replica has lost the order.
-                Some(state) if state.born.is_some() && born.is_some() && state.born != born => {
+                Some(state) if replica_starts::differ(born, state.born) => {
                     return Err(DeployError::ReplicaExited("the replica restarted"));
                 }
                 None => return Err(DeployError::ReplicaExited("the replica does not respond")),
--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -1,6 +1,7 @@
 //! Agent beside a replica: deploys the weights that the operator named, and reports the replica's
 //! state to entries.
 //!
+//! - [`acceptance`]: loads for which it is uncertain when the replica accepted the order.
 //! - [`chunk_request`]: a single request for a chunk of weights.
 //! - [`deploy`]: deployment of the target version to the replica.
 //! - [`fetch`]: fetch of a version's chunks from peers and the origin.
@@ -8,6 +9,7 @@
 //! - [`staging`]: staging and verification of a version's chunks.
 //! - [`upload`]: uploads of chunks to other agents.
 
+mod acceptance;
 pub mod chunk_request;
 pub mod deploy;
 pub mod fetch;
@@ -34,8 +36,9 @@
         document::{Document, Service},
         mirror::Record,
         refresh::Refresh,
+        replica_starts,
     },
-    version::{fetch::Fetch, readers, waves::SwitchProgress},
+    version::{fetch::Fetch, readers, suspect_load::SuspectLoad, waves::SwitchProgress},
 };
 use gradeloft_wire::{
     datagram::{self, EngineStatus, Sender, StoreAccess},
@@ -141,6 +144,8 @@
     state: Cell<Option<State>>,
     /// Whether the replica is being ordered to load a version, or is loading it.
     loading: Cell<bool>,
+    /// Load for which the replica gets no requests, as its chunks may have been corrupt.
+    suspect_load: Cell<Option<SuspectLoad>>,
     /// Progress of the switch to a new version by hash of the model, as last reported by an entry.
     switch_progress: RefCell<HashMap<u64, SwitchProgress>>,
     /// Time of the replica's first response.
@@ -201,6 +206,7 @@
             uploads: Cell::default(),
             state: Cell::default(),
             loading: Cell::default(),
+            suspect_load: Cell::default(),
             switch_progress: RefCell::default(),
             first_response_at: Cell::default(),
             refresh: Cell::default(),
@@ -393,9 +399,7 @@
             self.first_response_at.set(Some(self.node.clock.now()));
         }
         let born = |it: Option<State>| it.and_then(|it| it.born);
-        if born(before).is_some()
-            && born(state).is_some()
-            && born(before) != born(state)
+        if replica_starts::differ(born(before), born(state))
             && let Some(log) = self.node.logs.line(Topic::Dependency)
         {
             info!(log, "replica started again"; "state" => ?state);
@@ -407,6 +411,7 @@
             info!(log, "replica responds"; "state" => ?state);
         }
         self.state.set(state);
+        self.update_suspect_load();
         let version = state.and_then(|it| it.version);
         self.node
             .metrics
@@ -440,7 +445,9 @@
 
     /// Returns whether the replica must get no requests now.
     fn closed(&self) -> bool {
-        self.loading.get() || self.node.clock.now() < self.closed_until.get()
+        self.loading.get()
+            || self.suspect_load.get().is_some()
+            || self.node.clock.now() < self.closed_until.get()
     }
 
     /// Sends the replica's state to all known entries, or to the seeds if none is known.
--- a/crates/gradeloft_gateway/src/agent/staging.rs
+++ b/crates/gradeloft_gateway/src/agent/staging.rs
@@ -65,7 +65,7 @@
 
 /// Reads back every staged chunk of a version, and fails unless all are present and match their
 /// digests.
-pub async fn verify(agent: &Rc<Agent>, version: &Version) -> Result<Verification, String> {
+pub async fn verify(agent: &Agent, version: &Version) -> Result<Verification, String> {
     let started = agent.node.clock.now();
     verify_chunks(agent, version).await;
     let chunks = agent.staged_chunks.borrow();
--- a/crates/gradeloft_gateway/src/metrics.rs
+++ b/crates/gradeloft_gateway/src/metrics.rs
@@ -128,6 +128,8 @@
     pub kept_records: Gauge,
     /// Version of the weights loaded by the replica beside an agent.
     pub weights: Gauge,
+    /// Loads of chunks that may have been corrupt.
+    pub suspect_loads: Counter,
     /// Chunks of weights fetched, by source.
     pub fetched_chunks: Family<Reason, Counter>,
 }
@@ -168,6 +170,7 @@
             store_era: Gauge::default(),
             kept_records: Gauge::default(),
             weights: Gauge::default(),
+            suspect_loads: Counter::default(),
             fetched_chunks: Family::default(),
         };
         it.register();
@@ -331,6 +334,11 @@
             "Version of the weights loaded by the replica",
             self.weights.clone(),
         );
+        it.register(
+            "suspect_loads",
+            "Loads of chunks that may have been corrupt",
+            self.suspect_loads.clone(),
+        );
         it.register(
             "pieces",
             "Chunks of weights fetched",
--- a/crates/gradeloft_gateway/tests/agents/support.rs
+++ b/crates/gradeloft_gateway/tests/agents/support.rs
@@ -52,13 +52,13 @@
     Bytes::from(vec![(version * 31 + u64::from(idx)) as u8; CHUNK_BYTES])
 }
 
-/// A pause of an agent's instance, during which a chunk becomes corrupt.
+/// A pause of an agent's instance, during which a chunk may become corrupt.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Pause {
     /// Event after which the instance is paused.
     pub(crate) after: PausePoint,
     /// Position of the chunk that becomes corrupt.
-    pub(crate) corrupt: u32,
+    pub(crate) corrupt: Option<u32>,
     /// Duration, in milliseconds.
     pub(crate) ms: u64,
 }
@@ -68,6 +68,8 @@
 pub(crate) enum PausePoint {
     /// The engine has sent the content of the staged chunk at this position.
     ChunkRead(u32),
+    /// The agent has decided to order a load, and the engine has not received the order.
+    OrderDecided,
 }
 
 /// An in-memory engine that, unlike a real one, verifies the chunks that it loads.
@@ -93,6 +95,12 @@
     pub(crate) born: Cell<Option<u64>>,
     /// Version that makes the engine exit and restart when it is ordered to load it.
     pub(crate) fatal_version: Cell<Option<u64>>,
+    /// Whether the engine stops responding once it receives the next order.
+    pub(crate) unresponsive_to_order: Cell<bool>,
+    /// Whether the engine does not respond.
+    pub(crate) unresponsive: Cell<bool>,
+    /// Version and fence of an order that the engine accepts once it responds again.
+    delayed_order: Cell<Option<(u64, u64)>>,
     /// Next pause of the agent's instance.
     pub(crate) pause: Cell<Option<Pause>>,
     /// Duration of all pauses of the agent's instance, in milliseconds.
@@ -114,11 +122,45 @@
             return;
         };
         self.pause.set(None);
-        self.staged
-            .borrow_mut()
-            .insert(pause.corrupt, Bytes::from_static(b"rotten"));
+        if let Some(idx) = pause.corrupt {
+            self.corrupt(idx);
+        }
+        self.pass_time(pause.ms);
+    }
+
+    /// Lets a staged chunk become corrupt.
+    pub(crate) fn corrupt(&self, idx: u32) {
+        let content = Bytes::from_static(b"rotten");
+        self.staged.borrow_mut().insert(idx, content);
+    }
+
+    /// Advances the clock of the agent, in milliseconds.
+    pub(crate) fn pass_time(&self, ms: u64) {
         let paused_ms = self.paused_ms.get().expect("the agent was started");
-        paused_ms.fetch_add(pause.ms, Ordering::Relaxed);
+        paused_ms.fetch_add(ms, Ordering::Relaxed);
+    }
+
+    /// Makes the engine responsive again; it then accepts the order that it received last.
+    pub(crate) fn resume(&self) {
+        if let Some((version, fence)) = self.delayed_order.take() {
+            self.accept(version, fence);
+        }
+        self.unresponsive.set(false);
+    }
+
+    /// Accepts an order, and loads the staged chunks as they are.
+    fn accept(&self, version: u64, fence: u64) {
+        self.orders.borrow_mut().push((version, fence));
+        let complete = (0..CHUNKS)
+            .all(|it| self.staged.borrow().get(&it) == Some(&chunk_content(version, it)));
+        self.loaded_corrupt
+            .set(self.loaded_corrupt.get() || !complete);
+        if self.fatal_version.get() == Some(version) {
+            self.born.set(self.born.get().map(|it| it + 1));
+            self.version.set(None);
+        } else if !self.hold_loads.get() {
+            self.finish_load();
+        }
     }
 
     /// Finishes the load that was ordered last.
@@ -137,6 +179,9 @@
             active: 0,
             queued: 0,
         };
+        if self.unresponsive.get() {
+            return Box::pin(async { Err(Fault::Lost) });
+        }
         Box::pin(async move { Ok(state) })
     }
 
@@ -150,6 +195,9 @@
             if self.slow_reads.get() {
                 actix_rt::time::sleep(Duration::from_millis(5)).await;
             }
+            if self.unresponsive.get() {
+                return Err(Fault::Lost);
+            }
             let chunk = self.staged.borrow().get(&idx).cloned();
             self.pause_at(PausePoint::ChunkRead(idx));
             chunk.ok_or(Fault::Missing)
@@ -166,17 +214,13 @@
     }
 
     fn load<'a>(&'a self, load: Load<'a>) -> CallFuture<'a, LoadOutcome> {
-        self.orders.borrow_mut().push((load.version, load.fence));
-        let complete = (0..CHUNKS)
-            .all(|it| self.staged.borrow().get(&it) == Some(&chunk_content(load.version, it)));
-        self.loaded_corrupt
-            .set(self.loaded_corrupt.get() || !complete);
-        if self.fatal_version.get() == Some(load.version) {
-            self.born.set(self.born.get().map(|it| it + 1));
-            self.version.set(None);
-        } else if !self.hold_loads.get() {
-            self.finish_load();
+        self.pause_at(PausePoint::OrderDecided);
+        if self.unresponsive_to_order.take() {
+            self.unresponsive.set(true);
+            self.delayed_order.set(Some((load.version, load.fence)));
+            return Box::pin(async { Err(Fault::Lost) });
         }
+        self.accept(load.version, load.fence);
         Box::pin(async { Ok(LoadOutcome::Started) })
     }
 }
--- a/crates/gradeloft_policy/src/process/replica_starts.rs
+++ b/crates/gradeloft_policy/src/process/replica_starts.rs
@@ -14,6 +14,11 @@
     Same,
 }
 
+/// Returns whether two start times are those of different starts; false if one is unknown.
+pub fn differ(before: Option<u64>, after: Option<u64>) -> bool {
+    before.is_some() && after.is_some() && before != after
+}
+
 /// The starts of one replica.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Starts {
--- a/crates/gradeloft_policy/src/version/mod.rs
+++ b/crates/gradeloft_policy/src/version/mod.rs
@@ -12,6 +12,7 @@
 //! - [`fetch`]: selection of the next chunk to fetch and of its source.
 //! - [`upload`]: admission of peers' requests for chunks.
 //! - [`rollout`]: version to which requests are pinned.
+//! - [`suspect_load`]: load of chunks that may have been corrupt.
 //! - [`turns`]: leases that bound how many replicas are down at once.
 //! - [`verification`]: time for which a verification of staged chunks is valid.
 //! - [`waves`]: time at which each replica loads a new version.
@@ -27,6 +28,7 @@
 pub mod placement;
 pub mod readers;
 pub mod rollout;
+pub mod suspect_load;
 pub mod turns;
 pub mod upload;
 pub mod verification;
