Require API keys whenever the configuration defines tenants

Cause: Document::keys was a map, and an empty map meant "requests need no key". Two facts were one: no tenants are configured, and no key is left. The decoder dropped the difference (an absent field became an empty list).

Change: ApiKeys is either NotRequired or Required(keys), and everything that asked for emptiness asks for the variant: Config::team and the precedences of routes. The log says "no API key is left" once.

A rolling release: an entry of the last release still opens all routes, whatever the others do.

--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -33,6 +33,7 @@
     clock::Time,
     connection::pace::Pacer,
     process::{
+        api_keys::ApiKeys,
         document::{Document, Service},
         mirror::Record,
         refresh::Refresh,
@@ -360,7 +361,7 @@
             // Only entries need routes and keys, which use most of the memory.
             *config = Some(Document {
                 routes: Vec::new(),
-                keys: HashMap::new(),
+                keys: ApiKeys::NotRequired,
                 ..document
             });
         }
--- a/crates/gradeloft_gateway/src/entry/table_updates.rs
+++ b/crates/gradeloft_gateway/src/entry/table_updates.rs
@@ -150,9 +150,16 @@
         if let Some(log) = self.node.logs.line(Topic::State) {
             info!(log, "configuration applied"; "version" => version,
                 "before" => self.config_version(), "routes" => document.routes.len(),
-                "keys" => document.keys.len(), "source" => %self.node.source(),
+                "keys" => %document.keys, "source" => %self.node.source(),
                 "learned_ms" => self.node.clock.now().since(written).as_millis() as u64);
         }
+        let accepts_none = |it: &Rc<Config>| it.document.keys.accept_none();
+        if document.keys.accept_none()
+            && !self.config.borrow().as_ref().is_some_and(accepts_none)
+            && let Some(log) = self.node.logs.line(Topic::State)
+        {
+            warn!(log, "no API key is left"; "version" => version);
+        }
         let routes: HashSet<Rc<str>> = document
             .routes
             .iter()
--- a/crates/gradeloft_gateway/tests/agents/support.rs
+++ b/crates/gradeloft_gateway/tests/agents/support.rs
@@ -24,6 +24,7 @@
     },
 };
 use gradeloft_policy::process::{
+    api_keys::ApiKeys,
     document::{CallerLimits, Document, Layout, Service},
     mirror::Record,
     replicas::Listing,
@@ -382,7 +383,7 @@
         version: 1,
         routes: Vec::new(),
         services: vec![service("m", None), service("o", Some(replica(1)))],
-        keys: HashMap::new(),
+        keys: ApiKeys::NotRequired,
         allowed_regions: HashMap::new(),
         team_priorities: HashMap::new(),
         limits: CallerLimits {
--- a/crates/gradeloft_gateway/tests/entry/support/mod.rs
+++ b/crates/gradeloft_gateway/tests/entry/support/mod.rs
@@ -26,6 +26,7 @@
 };
 use gradeloft_policy::process::{
     allowed_regions::AllowedRegions,
+    api_keys::ApiKeys,
     document::{CallerLimits, Document, Route, RouteKind, Service, Speed, Target, Warmup},
     mirror::Record,
     replicas::Listing,
@@ -269,7 +270,7 @@
             warmup: config.warmup,
             origin: None,
         }],
-        keys: HashMap::from([
+        keys: ApiKeys::of([
             ("secret".to_owned(), Rc::from("rangers")),
             ("other".to_owned(), Rc::from("visitors")),
         ]),
--- a/crates/gradeloft_policy/src/process/document.rs
+++ b/crates/gradeloft_policy/src/process/document.rs
@@ -8,7 +8,7 @@
 
 use rand::Rng;
 
-use super::allowed_regions::AllowedRegions;
+use super::{allowed_regions::AllowedRegions, api_keys::ApiKeys};
 use crate::request::{contention::Precedence, placement::Urgency};
 
 /// Whether a request may run more than once, and the form of its response.
@@ -166,8 +166,8 @@
     pub routes: Vec<Route>,
     /// Services.
     pub services: Vec<Service>,
-    /// Team of each API key. Empty when requests need no key.
-    pub keys: HashMap<String, Rc<str>>,
+    /// API keys.
+    pub keys: ApiKeys,
     /// Regions in which requests of a team may be served, for teams with such a restriction.
     pub allowed_regions: HashMap<Rc<str>, AllowedRegions>,
     /// Priority of each team under overload; 0 is the highest. Other teams have priority 0.
@@ -241,8 +241,8 @@
     /// Returns the team that sends a request on `route`, or `None` if the request has no known key
     /// and needs none.
     pub fn team(&self, route: &Route, key: Option<&str>) -> Result<Option<Rc<str>>, Denied> {
-        let team = key.and_then(|it| self.document.keys.get(it)).cloned();
-        let needed = !route.public && !self.document.keys.is_empty();
+        let team = key.and_then(|it| self.document.keys.team(it)).cloned();
+        let needed = !route.public && self.document.keys.are_required();
         if needed && team.is_none() {
             return Err(Denied::UnknownKey);
         }
@@ -320,7 +320,7 @@
 /// Returns the different priorities of the teams that have an API key.
 fn team_priorities(document: &Document) -> BTreeSet<u32> {
     let priority = |it: &Rc<str>| document.team_priorities.get(it).copied();
-    let teams = document.keys.values();
+    let teams = document.keys.teams();
     teams.map(|it| priority(it).unwrap_or_default()).collect()
 }
 
@@ -341,7 +341,7 @@
     let teams = team_priorities(document);
     for route in &document.routes {
         // Requests without a team have priority 0.
-        let without_team = (route.public || teams.is_empty()).then_some(0);
+        let without_team = (route.public || !document.keys.are_required()).then_some(0);
         for target in &route.targets {
             let of_route = teams.iter().copied().chain(without_team);
             let of_route = of_route.map(|team| Precedence {
--- a/crates/gradeloft_policy/src/process/mod.rs
+++ b/crates/gradeloft_policy/src/process/mod.rs
@@ -3,6 +3,7 @@
 //! - [`address`]: orders the entries that a caller can use.
 //! - [`allowed_regions`]: regions in which the requests of a route or team may be served.
 //! - [`announcements`]: schedules announcements to other entries and their repetition.
+//! - [`api_keys`]: API keys of the teams.
 //! - [`backpressure`]: backpressure that replicas signal in their responses.
 //! - [`cadence`]: derives the interval between messages from a byte budget.
 //! - [`delegates`]: selects the entries that send messages to other regions on behalf of their own
@@ -36,6 +37,7 @@
 pub mod address;
 pub mod allowed_regions;
 pub mod announcements;
+pub mod api_keys;
 pub mod backpressure;
 pub mod cadence;
 pub mod delegates;
--- a/crates/gradeloft_policy/tests/allowed_regions.rs
+++ b/crates/gradeloft_policy/tests/allowed_regions.rs
@@ -4,6 +4,7 @@
 
 use gradeloft_policy::process::{
     allowed_regions::AllowedRegions,
+    api_keys::ApiKeys,
     document::{CallerLimits, Config, Document, Route, RouteKind, Target},
 };
 use rstest::rstest;
@@ -36,7 +37,7 @@
         version: 1,
         routes,
         services: Vec::new(),
-        keys: HashMap::from([("k".to_owned(), Rc::from("t"))]),
+        keys: ApiKeys::of([("k".to_owned(), Rc::from("t"))]),
         allowed_regions: HashMap::from([(Rc::from("t"), allowed_regions(team))]),
         team_priorities: HashMap::new(),
         limits: CallerLimits {
--- a/crates/gradeloft_policy/tests/forwarding.rs
+++ b/crates/gradeloft_policy/tests/forwarding.rs
@@ -7,6 +7,7 @@
     clock::Time,
     process::{
         allowed_regions::AllowedRegions,
+        api_keys::ApiKeys,
         document::{CallerLimits, Config, Denied, Document, Route, RouteKind, Target},
         mirror::{Mirror, Record, Update},
         readers,
@@ -48,7 +49,7 @@
         version: 1,
         routes,
         services: Vec::new(),
-        keys: HashMap::from([("k1".to_owned(), Rc::from("night-watch"))]),
+        keys: ApiKeys::of([("k1".to_owned(), Rc::from("night-watch"))]),
         allowed_regions: HashMap::new(),
         team_priorities: HashMap::new(),
         limits: CallerLimits {
@@ -504,7 +505,7 @@
     let config = config(routes.collect());
     let teams = || team_priorities.iter().map(|it| (it, team_name(*it)));
     Config::new(Document {
-        keys: teams().map(|(it, name)| (it.to_string(), name)).collect(),
+        keys: ApiKeys::of(teams().map(|(it, name)| (it.to_string(), name))),
         team_priorities: teams().map(|(it, name)| (name, *it)).collect(),
         ..config.document
     })
