Apply a configuration although a route has no service left

What callers would see: a revoked key that stays valid, because another part of the same configuration is empty.

Cause: the decoder rejected the whole configuration if one route had no backend, whether the field was missing or its list was empty. Every entry then kept the version before, with its keys and routes. A route whose only weights are 0 sent all requests to its last backend.

Change: a route with an empty list of backends is kept without a target, and its requests get 503 no_service, not run, at once. Backends without a share are never drawn. A route that names neither a service nor backends still makes the configuration unreadable, as two tests demand. Rejecting the route alone was weighed: its requests would then get 404, or run on a route with a shorter prefix.

--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -215,12 +215,13 @@
         return Err(Box::new((Refusal::Behind, received)));
     }
     match resolve_route(entry, &config, &received) {
-        Ok((route, team)) => {
-            let allowed_regions = config.allowed_regions(&route, team.as_deref());
-            let precedence = config.precedence(&route, team.as_deref());
+        Ok(destination) => {
+            let (route, team) = (&destination.route, destination.team.as_deref());
+            let allowed_regions = config.allowed_regions(route, team);
+            let precedence = config.precedence(route, team);
             let job = Job {
                 precedence,
-                ..new_job(entry, route, team, allowed_regions, received, keep_alive)
+                ..new_job(entry, destination, allowed_regions, received, keep_alive)
             };
             match entry.drain.get() {
                 Some(drain) if entry.others_accept_callers() || !drain.accepts(job.deadline) => {
@@ -233,6 +234,10 @@
             Refusal::NoRoute.adjusted_for(freshness),
             received,
         ))),
+        Err(Denied::NoService) => Err(Box::new((
+            Refusal::NoService.adjusted_for(freshness),
+            received,
+        ))),
         Err(Denied::UnknownKey) => Err(Box::new((
             Refusal::UnknownKey.adjusted_for(freshness),
             received,
@@ -240,27 +245,44 @@
     }
 }
 
+/// Route of a request, with the choices that the configuration leaves to the request.
+struct Destination {
+    route: Route,
+    team: Option<Rc<str>>,
+    service: Rc<str>,
+}
+
+/// Returns the destination that the configuration in force allows a request.
 fn resolve_route(
     entry: &Entry,
     config: &Config,
     received: &ReceivedRequest,
-) -> Result<(Route, Option<Rc<str>>), Denied> {
+) -> Result<Destination, Denied> {
     let fields = &received.head.fields;
     let host = fields.get("host").unwrap_or_default();
     let route = config.route(host, received.head.path())?;
     let key = fields.get(entry.node.platform.headers.api_key);
     let team = config.team(route, key)?;
-    Ok((route.clone(), team))
+    let service = entry.node.with_rng(|it| route.draw(it));
+    Ok(Destination {
+        route: route.clone(),
+        team,
+        service: service.ok_or(Denied::NoService)?,
+    })
 }
 
 fn new_job(
     entry: &Entry,
-    route: Route,
-    team: Option<Rc<str>>,
+    destination: Destination,
     allowed_regions: AllowedRegions,
     received: ReceivedRequest,
     keep_alive: bool,
 ) -> Job {
+    let Destination {
+        route,
+        team,
+        service,
+    } = destination;
     let name = entry.node.platform.headers.deadline;
     let declared = received
         .head
@@ -271,7 +293,6 @@
     let left = Duration::from_millis(declared.unwrap_or(route.timeout_ms));
     let age = entry.caller_age(&route.name, left);
     let goal = Duration::from_millis(route.goal_ms).saturating_sub(age);
-    let service = entry.node.with_rng(|it| route.draw(it));
     Job {
         deadline: received.at.after_ms(timeout_ms),
         goal: received.at.after(goal),
--- a/crates/gradeloft_gateway/src/entry/refusal.rs
+++ b/crates/gradeloft_gateway/src/entry/refusal.rs
@@ -30,6 +30,8 @@
     NoReplica(Duration),
     /// No route matches the host and path.
     NoRoute,
+    /// The configuration names no service for the route.
+    NoService,
     /// The request is suspected of crashing replicas; it may be retried after this time.
     Quarantined(Duration),
     /// The deadline passed after the request was sent to a replica.
@@ -95,6 +97,7 @@
                 ..response(503, "Service Unavailable", "no_replica")
             },
             Refusal::NoRoute => response(404, "Not Found", "no_route"),
+            Refusal::NoService => retry_later("no_service"),
             Refusal::Quarantined(back) => ErrorResponse {
                 retry_after_ms: Some(back.as_millis() as u64),
                 ..response(503, "Service Unavailable", "quarantined")
@@ -113,6 +116,7 @@
             Refusal::BodyTooLarge
             | Refusal::HeadTooLarge
             | Refusal::NoRoute
+            | Refusal::NoService
             | Refusal::UnknownKey => Refusal::Behind,
             _ => self,
         }
--- a/crates/gradeloft_policy/src/process/document.rs
+++ b/crates/gradeloft_policy/src/process/document.rs
@@ -56,7 +56,7 @@
     pub prefix: String,
     /// Whether the route's requests may be repeated, and the form of their responses.
     pub kind: RouteKind,
-    /// Services; at least one.
+    /// Services. If there are none, or none has a share, no request on the route is served.
     pub targets: Vec<Target>,
     /// Longest time that a request is kept waiting, in milliseconds.
     pub timeout_ms: u64,
@@ -73,17 +73,19 @@
 }
 
 impl Route {
-    /// Selects the service of one request at random by the weights of the targets.
-    pub fn draw(&self, rng: &mut impl Rng) -> Rc<str> {
-        let sum: f64 = self.targets.iter().map(|it| it.weight).sum();
+    /// Selects the service of one request at random by the weights of the targets; `None` if no
+    /// target has a share.
+    pub fn draw(&self, rng: &mut impl Rng) -> Option<Rc<str>> {
+        let with_share = || self.targets.iter().filter(|it| 0.0 < it.weight);
+        let sum: f64 = with_share().map(|it| it.weight).sum();
         let mut left = rng.random::<f64>() * sum;
-        for target in &self.targets {
-            left -= target.weight;
-            if left < 0.0 {
-                return Rc::clone(&target.service);
-            }
-        }
-        Rc::clone(&self.targets[self.targets.len() - 1].service)
+        let drawn = with_share().find(|it| {
+            left -= it.weight;
+            left < 0.0
+        });
+        // Rounding may leave a rest after the last target.
+        let target = drawn.or_else(|| with_share().next_back())?;
+        Some(Rc::clone(&target.service))
     }
 }
 
@@ -190,6 +192,8 @@
 pub enum Denied {
     /// No route for the host and path.
     NoRoute,
+    /// The route has no service.
+    NoService,
     /// The API key is missing or unknown.
     UnknownKey,
 }
