Bind a verification of chunks to one start of the replica

What callers would see: tokens from chunks that are missing or of another version.

Cause: a replica that restarts between the verification and the order has lost its staged chunks (on the platform by a loss of power; the soak's replica stages version 1 again). The agent ordered the load all the same, even while its last poll had failed. It noticed a restart only if the start differed from the one at the time of the order, and then opened the replica.

Ruled out: an outdated verification (462 ms), an order without a response.

Change: a verification holds the start of the replica whose chunks were read. The agent asks for the replica's state immediately before the order (one call on the same instance); without a response, or with another start, the deployment starts over. It asks again after the order: if another start accepted it, the chunks are confirmed as after a late order.

Tests, with the comparison of starts taken out: Summary 8 tests run: 6 passed, 2 failed FAIL replica_that_restarts_after_its_verification_is_not_opened_without_chunks, cases 1 and 2 With it 28 of 28 tests of agents pass.

--- a/crates/gradeloft_gateway/src/agent/acceptance.rs
+++ b/crates/gradeloft_gateway/src/agent/acceptance.rs
@@ -4,10 +4,14 @@
 //! lost. The replica stays closed until it is known that the loaded chunks were intact.
 
 use gradeloft_platform::Fault;
-use gradeloft_policy::{process::replica_starts, version::suspect_load::SuspectLoad};
+use gradeloft_policy::version::{suspect_load::SuspectLoad, verification::Verification};
 use slog::{error, info};
 
-use super::{Agent, LOADING_POLL_INTERVAL, Version, deploy::DeployError, staging};
+use super::{
+    Agent, LOADING_POLL_INTERVAL, Version,
+    deploy::{DeployError, holds_load},
+    staging,
+};
 use crate::logs::Topic;
 
 /// Maximum number of verifications after a load was accepted; a read also fails if the replica
@@ -16,21 +20,21 @@
 
 impl Agent {
     /// Waits until the replica's state shows whether the replica accepted an order whose call
-    /// failed; `born` identifies the start of the replica that got the order. There is no time
-    /// limit, as an unresponsive replica may accept the order once it responds again.
+    /// failed. There is no time limit, as an unresponsive replica may accept the order once it
+    /// responds again.
     pub(super) async fn settle_order(
         &self,
         version: &Version,
-        born: Option<u64>,
+        verification: Verification,
         fault: Fault,
     ) -> Result<(), DeployError> {
         loop {
             self.update_state().await;
             match self.state.get() {
-                Some(state) if replica_starts::differ(born, state.born) => {
+                Some(state) if holds_load(state, version) => return Ok(()),
+                Some(state) if verification.is_of_other_start(state.born) => {
                     return Err(DeployError::ReplicaExited("the replica restarted"));
                 }
-                Some(state) if state.busy || state.version == Some(version.number) => return Ok(()),
                 Some(_) => return Err(fault.to_string().into()),
                 None => actix_rt::time::sleep(LOADING_POLL_INTERVAL).await,
             }
--- a/crates/gradeloft_gateway/src/agent/deploy.rs
+++ b/crates/gradeloft_gateway/src/agent/deploy.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use gradeloft_platform::fleet::{Load, LoadOutcome};
+use gradeloft_platform::fleet::{Load, LoadOutcome, State};
 use gradeloft_policy::{
     clock::Time,
     process::replica_starts,
@@ -253,6 +253,12 @@
     ) -> Result<Verification, DeployError> {
         for _ in 0..MAX_REVERIFICATIONS {
             self.close(running).await?;
+            let born = self.state.get().and_then(|it| it.born);
+            if verification.is_of_other_start(born) {
+                return Err("the replica restarted after its chunks were verified"
+                    .to_owned()
+                    .into());
+            }
             let now = self.node.clock.now();
             if verification.permits_order(now) {
                 return Ok(verification);
@@ -276,7 +282,11 @@
         if serves && running == RunningRequests::Finished {
             self.wait_for_queued_requests().await;
         }
-        Ok(())
+        self.update_state().await;
+        match self.state.get() {
+            Some(_) => Ok(()),
+            None => Err("the replica does not respond".to_owned().into()),
+        }
     }
 
     async fn order_load(
@@ -291,7 +301,6 @@
             fence: version.number,
             running,
         };
-        let born = self.state.get().and_then(|it| it.born);
         let sent = self.node.clock.now();
         let ordered = self.engine.load(load).await;
         if let Some(log) = self.node.logs.line(Topic::Weights) {
@@ -301,7 +310,7 @@
                 "ms" => elapsed.as_millis() as u64);
         }
         match ordered {
-            Ok(LoadOutcome::Started) => {}
+            Ok(LoadOutcome::Started) => self.update_state().await,
             Ok(LoadOutcome::Conflict) => {
                 return Err("the order does not fit the replica's state"
                     .to_owned()
@@ -310,10 +319,16 @@
             Ok(LoadOutcome::Fenced) => {
                 return Err("the replica has accepted a higher fence".to_owned().into());
             }
-            Err(fault) => self.settle_order(version, born, fault).await?,
+            Err(fault) => self.settle_order(version, verification, fault).await?,
+        }
+        let state = self.state.get();
+        let born = state.and_then(|it| it.born);
+        let restarted = verification.is_of_other_start(born);
+        if restarted && !state.is_some_and(|it| holds_load(it, version)) {
+            return Err(DeployError::ReplicaExited("the replica restarted"));
         }
-        // The order may have been accepted at any time until now.
-        if !verification.covers_load(self.node.clock.now()) {
+        // The order may have been accepted at any time until now, and by either start.
+        if restarted || !verification.covers_load(self.node.clock.now()) {
             self.confirm_load(version, born).await;
         }
         self.wait_until_loaded(version, born).await
@@ -373,3 +388,8 @@
         }
     }
 }
+
+/// Returns whether a replica has loaded a version, or has accepted an order and not completed it.
+pub(super) fn holds_load(state: State, version: &Version) -> bool {
+    state.busy || state.version == Some(version.number)
+}
--- a/crates/gradeloft_gateway/tests/agents/support.rs
+++ b/crates/gradeloft_gateway/tests/agents/support.rs
@@ -60,6 +60,8 @@
     pub(crate) after: PausePoint,
     /// Position of the chunk that becomes corrupt.
     pub(crate) corrupt: Option<u32>,
+    /// Whether the engine restarts, and loses its staged chunks.
+    pub(crate) restarts: bool,
     /// Duration, in milliseconds.
     pub(crate) ms: u64,
 }
@@ -126,6 +128,11 @@
         if let Some(idx) = pause.corrupt {
             self.corrupt(idx);
         }
+        if pause.restarts {
+            self.born.set(self.born.get().map(|it| it + 1));
+            self.version.set(None);
+            self.staged.borrow_mut().clear();
+        }
         self.pass_time(pause.ms);
     }
 
--- a/crates/gradeloft_gateway/tests/agents/verification.rs
+++ b/crates/gradeloft_gateway/tests/agents/verification.rs
@@ -24,6 +24,7 @@
         engine.pause.set(Some(Pause {
             after: PausePoint::ChunkRead(position),
             corrupt: Some(position),
+            restarts: false,
             ms: 4_000,
         }));
         harness.name_version(2);
@@ -56,7 +57,7 @@
 
 /// Starts an agent whose replica serves version 1, and an entry that collects its reports.
 async fn start() -> (Harness, Rc<RefCell<Vec<Sender>>>) {
-    let harness = Harness::start(1, |_, _| {}).await;
+    let harness = Harness::start(1, |_, engines| engines[0].born.set(Some(1_000))).await;
     let reports = Rc::new(RefCell::new(Vec::new()));
     // The entry has no access to the store, so the agent reads the store itself.
     fake_entry(9, 1, StoreAccess::Unserved, Rc::clone(&reports)).await;
@@ -86,6 +87,7 @@
         harness.engines[0].pause.set(Some(Pause {
             after: PausePoint::OrderDecided,
             corrupt: Some(5),
+            restarts: false,
             ms: 4_000,
         }));
         harness.name_version(2);
@@ -101,6 +103,7 @@
         harness.engines[0].pause.set(Some(Pause {
             after: PausePoint::OrderDecided,
             corrupt: None,
+            restarts: false,
             ms: 4_000,
         }));
         harness.name_version(2);
@@ -125,3 +128,31 @@
         replace_corrupt_load(&harness, &reports).await;
     });
 }
+
+/// Guards against a load that is ordered for chunks which the replica lost when it restarted after
+/// their verification, and against requests to a replica that accepted such an order.
+#[rstest]
+#[case::before_the_order(PausePoint::ChunkRead(CHUNKS - 1), false)]
+#[case::after_the_last_check(PausePoint::OrderDecided, true)]
+fn replica_that_restarts_after_its_verification_is_not_opened_without_chunks(
+    #[case] after: PausePoint,
+    #[case] loaded: bool,
+) {
+    run(async {
+        let (harness, reports) = start().await;
+        let engine = &harness.engines[0];
+        engine.pause.set(Some(Pause {
+            after,
+            corrupt: None,
+            restarts: true,
+            ms: 0,
+        }));
+        harness.name_version(2);
+        if loaded {
+            replace_corrupt_load(&harness, &reports).await;
+        } else {
+            wait_until_open(&reports, 2).await;
+            assert!(!engine.loaded_corrupt.get());
+        }
+    });
+}
--- a/crates/gradeloft_policy/src/version/verification.rs
+++ b/crates/gradeloft_policy/src/version/verification.rs
@@ -3,11 +3,12 @@
 //! A replica loads the staged chunks without checks, as they are when it accepts an order. Chunks
 //! can become corrupt at any time, and the process or the machine of an agent can be paused between
 //! any two steps. The validity of a verification is therefore bounded by time and not by the steps
-//! that follow it.
+//! that follow it. A restarted replica may have lost its staged chunks, so a verification is also
+//! bound to one start of the replica.
 
 use std::time::Duration;
 
-use crate::clock::Time;
+use crate::{clock::Time, process::replica_starts};
 
 /// Maximum age of a verification when the replica accepts the order. Requests may be served with a
 /// chunk that became corrupt up to 3 s before the load; half a second of this is margin.
@@ -21,12 +22,20 @@
 pub struct Verification {
     /// Time before the first chunk was read. Each chunk may have become corrupt from then on.
     started: Time,
+    /// Start of the replica whose chunks were read, in Unix milliseconds, if reported.
+    born: Option<u64>,
 }
 
 impl Verification {
-    /// Creates the result of a verification that was started at a time.
-    pub fn started_at(started: Time) -> Verification {
-        Verification { started }
+    /// Creates the result of a verification that was started at a time; `born` is the start of the
+    /// replica.
+    pub fn new(started: Time, born: Option<u64>) -> Verification {
+        Verification { started, born }
+    }
+
+    /// Returns whether the chunks of another start of the replica were verified.
+    pub fn is_of_other_start(self, born: Option<u64>) -> bool {
+        replica_starts::differ(self.born, born)
     }
 
     /// Returns the age, from the start of the verification.
