Emulate rollouts with pauses at each step of a deployment

A model of a rollout in virtual time: replicas switch by the waves of the policy, agents are paused after a chunk is read back, after the replica is closed, or after the order is decided, and a chunk becomes corrupt at the start of the pause.

--- a/crates/gradeloft_emulator/src/lib.rs
+++ b/crates/gradeloft_emulator/src/lib.rs
@@ -9,12 +9,14 @@
 //! - [`load`]: parameters of a run.
 //! - [`outcome`]: outcomes of the callers' requests.
 //! - [`entry`]: view and decisions of one entry.
+//! - [`rollout`]: rollout of a version, with pauses of agents and corrupt chunks.
 //! - [`simulation`]: event loop of a run.
 
 pub mod engine;
 pub mod entry;
 pub mod load;
 pub mod outcome;
+pub mod rollout;
 pub mod simulation;
 
 /// Commonly used items of this crate.
