--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -9,7 +9,7 @@
 //! - [`staging`]: staging and verification of a version's chunks.
 //! - [`upload`]: uploads of chunks to other agents.
 
-mod acceptance;
+pub mod acceptance;
 pub mod chunk_request;
 pub mod deploy;
 pub mod fetch;
