Verify chunks only for a known start of the replica

Cause: a verification took the start of the replica from the last poll. If that poll had failed, the start was unknown, and an unknown start differs from none.

Ruled out: an outdated verification.

Change: the agent asks for the replica's state when it begins a verification (one call on the same instance), and fails without a response.

Test, with the start from the last poll: FAIL chunks_are_not_verified_while_the_state_of_the_replica_is_unknown assertion failed: !engine.loaded_corrupt.get() With the change 29 of 29 tests of agents pass.

--- a/crates/gradeloft_gateway/src/agent/staging.rs
+++ b/crates/gradeloft_gateway/src/agent/staging.rs
@@ -67,7 +67,9 @@
 /// digests.
 pub async fn verify(agent: &Agent, version: &Version) -> Result<Verification, String> {
     let started = agent.node.clock.now();
-    let born = agent.state().and_then(|it| it.born);
+    // The last poll may have failed, or may be older than the replica's last restart.
+    agent.update_state().await;
+    let state = agent.state().ok_or("the replica does not respond")?;
     verify_chunks(agent, version).await;
     let chunks = agent.staged_chunks.borrow();
     let bad = chunks.staged.iter().filter(|it| !**it).count();
@@ -79,7 +81,7 @@
     if 0 < bad || chunks.staged.is_empty() || chunks.version.as_ref() != Some(version) {
         return Err(format!("{bad} staged chunks are missing or corrupt"));
     }
-    Ok(Verification::new(started, born))
+    Ok(Verification::new(started, state.born))
 }
 
 /// Determines which chunks of the version that the replica serves are still staged, so that they
--- a/crates/gradeloft_gateway/tests/agents/support.rs
+++ b/crates/gradeloft_gateway/tests/agents/support.rs
@@ -100,6 +100,10 @@
     pub(crate) fatal_version: Cell<Option<u64>>,
     /// Whether the engine stops responding once it receives the next order.
     pub(crate) unresponsive_to_order: Cell<bool>,
+    /// Whether requests for the engine's state fail.
+    pub(crate) state_fails: Cell<bool>,
+    /// Number of requests for the engine's state.
+    pub(crate) state_requests: Cell<u32>,
     /// Whether the engine does not respond.
     pub(crate) unresponsive: Cell<bool>,
     /// Version and fence of an order that the engine accepts once it responds again.
@@ -132,6 +136,7 @@
             self.born.set(self.born.get().map(|it| it + 1));
             self.version.set(None);
             self.staged.borrow_mut().clear();
+            self.state_fails.set(false);
         }
         self.pass_time(pause.ms);
     }
@@ -187,7 +192,8 @@
             active: 0,
             queued: 0,
         };
-        if self.unresponsive.get() {
+        self.state_requests.set(self.state_requests.get() + 1);
+        if self.unresponsive.get() || self.state_fails.get() {
             return Box::pin(async { Err(Fault::Lost) });
         }
         Box::pin(async move { Ok(state) })
--- a/crates/gradeloft_gateway/tests/agents/verification.rs
+++ b/crates/gradeloft_gateway/tests/agents/verification.rs
@@ -156,3 +156,37 @@
         }
     });
 }
+
+/// Number of failed requests for the state of a replica during which an agent would order a load
+/// without a known start of the replica.
+const FAILED_STATE_REQUESTS: u32 = 6;
+
+/// Guards against a verification for an unknown start of the replica, which no restart invalidates.
+#[test]
+fn chunks_are_not_verified_while_the_state_of_the_replica_is_unknown() {
+    run(async {
+        let (harness, reports) = start().await;
+        let engine = &harness.engines[0];
+        engine.refused_chunk.set(Some(CHUNKS - 1));
+        harness.name_version(2);
+        harness.wait_for_all(|it| 0 < it.refusals.get()).await;
+        engine.state_fails.set(true);
+        while harness.agents[0].agent().state().is_some() {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        engine.pause.set(Some(Pause {
+            after: PausePoint::ChunkRead(CHUNKS - 1),
+            corrupt: None,
+            restarts: true,
+            ms: 0,
+        }));
+        engine.refused_chunk.set(None);
+        let until = engine.state_requests.get() + FAILED_STATE_REQUESTS;
+        harness
+            .wait_for_all(|it| until <= it.state_requests.get())
+            .await;
+        engine.state_fails.set(false);
+        wait_until_open(&reports, 2).await;
+        assert!(!engine.loaded_corrupt.get());
+    });
+}
