Review: streams of a replica that started again under its id are cut

Case 6 fails LOST: when the record of the new start arrives, entries cut the streams that this start is sending.

--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -27,6 +27,9 @@
 GRACE_S = 8
 # Size of the pieces in which a slow replica reads, in bytes.
 SLOW_PIECE = 32768
+# Events of a stream, and the time between them.
+EVENTS = 14
+EVENT_S = 0.15
 
 
 class CannotRun(Exception):
@@ -129,11 +132,15 @@
         })
 
     async def list_replica(self, replica, state="ready"):
-        await self.append("keyed.servers", replica.id, {
+        replica.seq_no += 1
+        record = {
             "service": "pool", "address": f"{replica.address[0]}:{replica.address[1]}",
             "zone": replica.zone, "version": 1, "max-batch": replica.slots, "state": state,
-            "warmup-left-ms": 0, "seq-no": 1,
-        })
+            "warmup-left-ms": 0, "seq-no": replica.seq_no,
+        }
+        if replica.born is not None:
+            record["born"] = replica.born
+        await self.append("keyed.servers", replica.id, record)
 
     async def wait_ready(self, lasts, timeout_s=15.0):
         until = time.monotonic() + timeout_s
@@ -211,13 +218,50 @@
         self.ran = []
         self.arrived = set()
         self.spoil = None
+        self.seq_no = 0
+        # Start in Unix milliseconds, for deployments in which a replica keeps its id.
+        self.born = None
+        self.streams = {}
+        self.writers = set()
         # Bytes a second that the replica reads of each request; None reads at once.
         self.read_rate = None
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, *self.address, limit=1 << 20)
 
+    def crash(self):
+        """Ends the listener and all connections at once, as the end of a process does."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.fleet.record(f"replica {self.id} of start {self.born} crashes")
+
+    async def stream(self, id, writer):
+        """Sends the events of a stream, and notes whether it was complete."""
+        born = self.born
+        self.streams[id] = (born, "running")
+        head = (f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: {self.id}.{id}\r\n"
+                "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(head.encode())
+        try:
+            for number in range(1, EVENTS + 1):
+                await asyncio.sleep(EVENT_S)
+                if writer.is_closing():
+                    raise ConnectionResetError
+                event = f"id: {number}\ndata: {id}\n\n".encode()
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+            self.streams[id] = (born, "complete")
+        except OSError:
+            crashed = "crashed" if self.born != born or not self.server.is_serving() else "cut off"
+            self.streams[id] = (born, crashed)
+            self.fleet.record(f"replica {self.id} of start {born}: stream {id} {crashed}")
+            raise
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 first, fields = await read_head(reader)
@@ -227,6 +271,7 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def read_request(self, reader, fields):
@@ -262,6 +307,9 @@
         self.ran.append(id)
         self.fleet.record(f"replica {self.id} runs {id}, body of {len(body)} bytes")
         try:
+            if first.split()[1].startswith("/stream/"):
+                await self.stream(id, writer)
+                return
             await asyncio.sleep(self.work_s)
             if self.spoil and await self.spoil(self, id, writer, first.split()[1]):
                 return
@@ -354,6 +402,45 @@
             f"{kept} connection at {request.sent:.3f}: {request.outcome} after {request.took:.3f} s")
         return request
 
+    async def stream(self, path, timeout_s=6.0):
+        """Sends a request for a stream; the outcome is `complete`, `cut` or the status."""
+        request = Request(self.last, path, "GET", self.fleet.now(), timeout_s)
+        request.kept = self.streams is not None
+        request.events = 0
+        head = (f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {request.id}\r\n"
+                f"X-Key: {KEY}\r\nX-Deadline-Ms: {int(timeout_s * 1000)}\r\n\r\n")
+
+        async def exchange():
+            if self.streams is None:
+                self.streams = await asyncio.open_connection(self.fleet.address(self.last), 8005)
+            reader, writer = self.streams
+            writer.write(head.encode())
+            await writer.drain()
+            first, fields = await read_head(reader)
+            status = int(first.split()[1])
+            if status != 200:
+                await read_body(reader, fields)
+                return status
+            while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
+                request.events += (await reader.readexactly(size + 2)).count(b"id: ")
+            await reader.readexactly(2)
+            return "complete"
+
+        try:
+            request.outcome = await asyncio.wait_for(exchange(), timeout_s + 1.0)
+        except asyncio.TimeoutError:
+            request.outcome = "no answer"
+            self.close()
+        except (OSError, asyncio.IncompleteReadError):
+            request.outcome = "cut"
+            self.close()
+        request.took = self.fleet.now() - request.sent
+        kept = "kept" if request.kept else "new"
+        self.fleet.record(f"client GET {path} {request.id} sent to entry-{self.last} on a {kept} "
+                          f"connection at {request.sent:.3f}: {request.outcome} after "
+                          f"{request.events} events and {request.took:.3f} s")
+        return request
+
     def close(self):
         if self.streams:
             self.streams[1].close()
