Review: an entry that was cut off makes others doubt a replica's removal

Case 7 fails DRAIN: entries that were never disturbed send requests to a replica up to 2.4 s after the store acknowledged its removal (bound 2 s).

--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -79,7 +79,8 @@
     def start_store(self):
         self.spawn("store", [SOAK, "store", "%s:%d" % self.store])
 
-    def start_entry(self, last, zone="a1"):
+    def start_entry(self, last, zone="a1", store=None):
+        store = store or self.store
         own = self.address(last)
         path = os.path.join(self.dir.name, f"entry-{last}.yaml")
         with open(path, "w") as file:
@@ -88,7 +89,7 @@
                 "regions: {a1: a, b1: b}\npeer_ports: [7700, 7715]\n"
                 f"seeds: ['{self.address(11)}:8000', '{self.address(12)}:8000']\n"
                 f"frontend: {own}:8005\nreadiness: {own}:8002\ndirectory: {own}:8009\n"
-                f"store: {self.store[0]}:{self.store[1]}\n"
+                f"store: {store[0]}:{store[1]}\n"
                 "repeat_ratio: 0.2\nrepeat_slack: 100\nrepeat_window_s: 10\napply_ms: 2000\n"
                 f"version_ms: 8000\ngrace_s: {GRACE_S}\nmax_ttl_s: 5\nlink_mbps: 1000\n"
             )
@@ -112,14 +113,16 @@
         return self.start_entry(last)
 
     async def append(self, topic, key, value):
-        value = json.dumps(value).encode()
+        """Writes a record; without a value it removes the key."""
+        value = json.dumps(value).encode() if value is not None else b""
         record = struct.pack(">IB", 1 + len(key) + len(value), len(key)) + key.encode() + value
         status, _, _ = await call(
             self.store, "POST", f"/log-append?topic={topic}&part=0", {}, record, 2.0
         )
         if status != 200:
             raise CannotRun(f"the store answered {status}")
-        self.record(f"operator or replica wrote {topic} {key}, acknowledged")
+        verb = "wrote" if value else "removed"
+        self.record(f"operator or replica {verb} {topic} {key}, acknowledged")
 
     async def write_config(self, version, routes, max_body_bytes=4194304):
         await self.append("keyed.op", "config", {
@@ -217,6 +220,7 @@
         self.running = 0
         self.ran = []
         self.arrived = set()
+        self.arrivals = []
         self.spoil = None
         self.seq_no = 0
         # Start in Unix milliseconds, for deployments in which a replica keeps its id.
@@ -266,6 +270,7 @@
             while True:
                 first, fields = await read_head(reader)
                 self.arrived.add(fields.get("x-attempt-id"))
+                self.arrivals.append((self.fleet.now(), fields.get("x-attempt-id")))
                 body = await self.read_request(reader, fields)
                 await self.respond(first, fields, body, writer)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -321,6 +326,51 @@
             self.running -= 1
 
 
+class Link:
+    """The path of one entry to the store. While it is cut, bytes wait, as behind a partition."""
+
+    def __init__(self, fleet, last):
+        self.fleet = fleet
+        self.last = last
+        self.address = (fleet.address(100 + last), 8007)
+        self.open = asyncio.Event()
+        self.open.set()
+        # Time of the last read of the list of replicas.
+        self.read_list_at = 0.0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, *self.address)
+
+    async def serve(self, reader, writer):
+        try:
+            await self.open.wait()
+            store_reader, store_writer = await asyncio.open_connection(*self.fleet.store)
+            await asyncio.gather(self.forward(reader, store_writer, True),
+                                 self.forward(store_reader, writer, False))
+        except (OSError, asyncio.CancelledError):
+            writer.close()
+
+    async def forward(self, reader, writer, to_store):
+        try:
+            while piece := await reader.read(65536):
+                if to_store and b"topic=keyed.servers" in piece:
+                    self.read_list_at = self.fleet.now()
+                await self.open.wait()
+                writer.write(piece)
+                await writer.drain()
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def cut(self, seconds):
+        self.fleet.record(f"entry-{self.last} is cut off from the store for {seconds} s")
+        self.open.clear()
+        await asyncio.sleep(seconds)
+        self.open.set()
+        self.fleet.record(f"entry-{self.last} reaches the store again")
+
+
 class Request:
     """One client attempt and what became of it."""
 
