--- a/review/5/case.py
+++ b/review/5/case.py
@@ -35,8 +35,8 @@
 def judge_unanswered(fleet, requests):
     """Judges CONFIG: more than half of the requests that are unanswered at their route's `timeout-ms`
     have no answer half a second later. Requests whose connection ended count as answered here."""
-    open_at = [it for it in requests if it.path == "/look/x" and LOOK_S < it.took]
-    open_later = [it for it in open_at if LOOK_S + 0.5 < it.took]
+    open_at = [it for it in requests if it.timeout_s < it.took]
+    open_later = [it for it in open_at if it.timeout_s + 0.5 < it.took]
     fleet.record(f"{len(open_at)} requests were unanswered at their route's timeout, and "
                  f"{len(open_later)} of them half a second later")
     return MIN_UNANSWERED <= len(open_at) < 2 * len(open_later)
