Log whose word a removal was, and the state of this process's own reads

Three hypotheses could not be told apart by "replica unlisted": (1) the entries read the removal late, (2) they read it in time and their own reads made them doubt it, (3) they took a doubt from a peer. The line now has the source of the record and the state of the process's own reads, and the metric `removals` counts by trust.

--- a/crates/gradeloft_gateway/src/entry/table_updates.rs
+++ b/crates/gradeloft_gateway/src/entry/table_updates.rs
@@ -16,7 +16,7 @@
 use slog::{info, warn};
 
 use super::{Entry, OldestVersions};
-use crate::{logs::Topic, node::tables::Source};
+use crate::{logs::Topic, metrics::Reason, node::tables::Source};
 
 /// Time before the deadline for new weights at which requests begin to prefer replicas with the new
 /// weights, if one has capacity, in milliseconds. The last replicas switch by this time.
@@ -205,9 +205,13 @@
         if record.value.is_none() {
             let trust = self.node.trust_in_removal(Table::Replicas, record);
             replicas.unlist(&record.key, trust);
+            let reason = trust.name();
+            let removals = &self.node.metrics.removals;
+            removals.get_or_create(&Reason { reason }).inc();
             if let Some(log) = self.node.logs.line(Topic::State) {
                 info!(log, "replica unlisted"; "replica" => &record.key, "trust" => ?trust,
-                    "position" => %record.position);
+                    "position" => %record.position, "source" => %self.node.source(),
+                    "read_state" => ?self.node.read_state(Table::Replicas));
             }
             return;
         }
--- a/crates/gradeloft_gateway/src/metrics.rs
+++ b/crates/gradeloft_gateway/src/metrics.rs
@@ -105,6 +105,8 @@
     pub records: Family<Reason, Counter>,
     /// Failed fetches of records from peers, by reason.
     pub record_fetch_failures: Family<Reason, Counter>,
+    /// Removals of replicas, by whether they were trusted at once.
+    pub removals: Family<Reason, Counter>,
     /// Records of other writers that can't be parsed, by table.
     pub unreadable_records: Family<Reason, Counter>,
     /// Seconds for which the copy of the operator's table has been behind that of peers; 0 if it is
@@ -159,6 +161,7 @@
             store_faults: Counter::default(),
             records: Family::default(),
             record_fetch_failures: Family::default(),
+            removals: Family::default(),
             unreadable_records: Family::default(),
             behind: Gauge::default(),
             config: Gauge::default(),
@@ -283,6 +286,11 @@
             "Failed fetches of records from peers, by reason",
             self.record_fetch_failures.clone(),
         );
+        it.register(
+            "removals",
+            "Removals of replicas, by trust",
+            self.removals.clone(),
+        );
         it.register(
             "unreadable_records",
             "Records that can't be parsed, by table",
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -74,7 +74,7 @@
 
 /// State of reading a table from the store.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub(super) enum ReadState {
+pub enum ReadState {
     /// The last read failed.
     Interrupted,
     /// A read failed, and reads have succeeded since this time.
@@ -101,6 +101,11 @@
         self.read_states.borrow()[index(table)] == ReadState::Standby
     }
 
+    /// Returns the state of reading a table from the store.
+    pub fn read_state(&self, table: Table) -> ReadState {
+        self.read_states.borrow()[index(table)]
+    }
+
     /// Returns whether the store serves this process, as far as the process can tell. For a moment
     /// after an interruption the process counts as unserved, as its reads are doubtful: processes
     /// without an interruption keep reading.
--- a/crates/gradeloft_policy/src/process/replicas.rs
+++ b/crates/gradeloft_policy/src/process/replicas.rs
@@ -97,6 +97,14 @@
 }
 
 impl StoreTrust {
+    /// Returns the name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            StoreTrust::Doubtful(_) => "doubtful",
+            StoreTrust::Sound => "sound",
+        }
+    }
+
     /// Returns the trust in a removal that was written at `written`: a replica that was dropped in
     /// error reappears within `back_ms` milliseconds of that time, however late the removal is
     /// read.
