Pass on reads of the store that succeeded, instead of doubts

Cause: an entry whose reads fail can't tell an outage of the store from a failure of its own path. It doubts removals for a while, which is right for itself, but it passed the doubt on as if it were a fact about the store (`sound: false`), and a peer on standby set its own deadline from it, 2.3 s after the reply. Other readers had read the store all the time, and their word came too late or wasn't asked for.

Change: only what a process observed itself is passed on. A reply vouches for its copy if the sender's own reads have succeeded for 3 s; otherwise it says nothing. Each process decides about its copy from the periods of reads that it knows (`process::store_reads`, pure): a removal is sound if reads succeeded from 1.5 s before it was written, whoever made them. An outage of the store leaves no reader whose reads succeeded, so the doubt stands and replicas whose records lapsed are kept. The wire format is the same; an older entry's `sound` means what it meant.

--- a/crates/gradeloft_gateway/src/entry/receive.rs
+++ b/crates/gradeloft_gateway/src/entry/receive.rs
@@ -301,6 +301,28 @@
     }
 }
 
+impl Entry {
+    /// Returns the other entries that read a table, those of this region first.
+    fn other_readers(&self, table: Table) -> Vec<Ipv4Addr> {
+        let settings = self.node.settings();
+        let own_region = settings.region(&settings.zone);
+        let far = self.other_regions();
+        let regions = far.len() + 1;
+        let roster = self.roster.borrow();
+        let now = self.node.clock.now();
+        let select = |region: &str| {
+            let served = roster.served(|zone| settings.region(zone) == region, now);
+            let served: Vec<Ipv4Addr> = served.collect();
+            let names: Vec<u64> = served.iter().map(roster::hash).collect();
+            let selected = readers::select(table as u64, &names, regions);
+            selected.into_iter().map(move |it| served[it])
+        };
+        let near = select(own_region);
+        let far = far.iter().flat_map(|it| select(it));
+        near.chain(far).collect()
+    }
+}
+
 impl Election for Weak<Entry> {
     fn reads(&self, table: Table) -> bool {
         let Some(entry) = self.upgrade() else {
@@ -326,6 +348,11 @@
         readers::reads(table as u64, roster::hash(&own), near, regions)
     }
 
+    fn readers(&self, table: Table) -> Vec<Ipv4Addr> {
+        self.upgrade()
+            .map_or(Vec::new(), |it| it.other_readers(table))
+    }
+
     fn pause(&self, table: Table, pause: Duration) -> Duration {
         let replicas = self.upgrade().map_or(0, |it| it.replicas.borrow().len());
         match table {
--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -7,6 +7,7 @@
 //! - [`confirmed`]: the time up to which each copy is known to be complete.
 //! - [`unreadable`]: records of other writers that can't be decoded.
 //! - [`parts`]: large values, which peers send to each other in parts.
+//! - [`removals`]: trust in removals, which may be errors of the store.
 //! - [`records`]: exchange of the tables' records with peers.
 //! - [`tables`]: copies of the tables, and reads of the store.
 
@@ -14,6 +15,7 @@
 pub mod confirmed;
 pub mod parts;
 pub mod records;
+mod removals;
 pub mod restored;
 pub mod tables;
 pub mod unreadable;
@@ -38,6 +40,7 @@
     clock::Time,
     process::{
         mirror::{Mirror, Record},
+        store_reads::{DoubtfulRemovals, ReadPeriod},
         transfer::UploadSlots,
         write_times::WriteTimes,
     },
@@ -100,6 +103,10 @@
     fn pause_after_restore(&self, pause: Duration) -> Duration {
         pause
     }
+    /// Returns the other processes that read a table, those of this region first.
+    fn readers(&self, _table: Table) -> Vec<Ipv4Addr> {
+        Vec::new()
+    }
     /// Returns the longest pause after failed reads.
     fn longest_pause(&self) -> Duration {
         tables::LONGEST_PAUSE
@@ -146,10 +153,14 @@
     /// Whether the last successful read of each table followed a failed one.
     after_interruption: Cell<[bool; 3]>,
     election: RefCell<Option<Rc<dyn Election>>>,
-    /// Time up to which removals received from peers may be errors of the store.
-    peer_doubt_until: Cell<Time>,
-    /// Set while an update is applied whose sending peer trusts its removals.
-    peer_is_sound: Cell<bool>,
+    /// Longest period in which reads of each table are known to have succeeded, by peers' replies.
+    peer_reads: RefCell<[Option<ReadPeriod>; 3]>,
+    /// Removals that may be errors of the store.
+    doubtful_removals: RefCell<DoubtfulRemovals>,
+    /// Number of tasks that ask peers about these removals.
+    verifiers: Cell<usize>,
+    /// Set while removals are applied that turned out to be sound.
+    removal_confirmed: Cell<bool>,
     abridged: RefCell<AbridgedRecords>,
     /// Source of the records that are being applied.
     source: Cell<Source>,
@@ -208,8 +219,10 @@
             read_states: RefCell::default(),
             after_interruption: Cell::default(),
             election: RefCell::default(),
-            peer_doubt_until: Cell::default(),
-            peer_is_sound: Cell::default(),
+            peer_reads: RefCell::default(),
+            doubtful_removals: RefCell::default(),
+            verifiers: Cell::default(),
+            removal_confirmed: Cell::default(),
             abridged: RefCell::default(),
             source: Cell::default(),
             initial_load: Cell::default(),
--- a/crates/gradeloft_gateway/src/node/records.rs
+++ b/crates/gradeloft_gateway/src/node/records.rs
@@ -15,7 +15,6 @@
     process::{
         mirror::Record,
         pending_update::{self, PendingUpdate},
-        replicas::StoreTrust,
         transfer::{Holders, MissingValue, Transfer},
     },
 };
@@ -30,7 +29,7 @@
 use super::{
     MAX_FRAME, Node,
     parts::PartsRequest,
-    tables::{RESTORED_MS, Source, index},
+    tables::{Source, index},
 };
 use crate::{logs::Topic, metrics::Reason, settings};
 
@@ -69,8 +68,6 @@
 /// An update that a peer announced.
 pub(super) struct Announced {
     pub(super) pending: PendingUpdate,
-    /// Whether the peer trusts the removals in the update.
-    sound: bool,
     /// Time of the call.
     requested_at: Time,
     /// Source of the update's last value.
@@ -142,7 +139,7 @@
             snapshot: update.snapshot,
             rows: rows.collect(),
             end: update.end,
-            sound: self.trust(table) == StoreTrust::Sound,
+            sound: self.vouches(table),
         };
         outgoing.finish(&reply).await;
     }
@@ -319,13 +316,16 @@
         }
         let announced = Announced {
             pending,
-            sound,
             requested_at,
             source: Source::Peer(peer),
         };
         self.with_inbox(table, |it| it.holders.note(peer, None, end, requested_at));
+        if sound {
+            self.note_vouched(table, end, requested_at);
+        }
         self.announce(table, announced);
         self.apply_complete(table);
+        self.confirm_removals(table);
         self.start_fetch(table);
         true
     }
@@ -371,25 +371,16 @@
             .fill(|want| self.value_at(table, want.position));
         let update = announced.pending.take_ready(end);
         let ahead = announced.pending.usable_ahead();
-        let (sound, requested_at, source) =
-            (announced.sound, announced.requested_at, announced.source);
+        let (requested_at, source) = (announced.requested_at, announced.source);
         if announced.pending.missing().is_some() {
             self.with_inbox(table, |it| it.pending = Some(announced));
         }
-        // A peer that reads the store without interruption is right about removals, even while this
-        // process is cut off from the store.
-        self.peer_is_sound.set(sound);
         if let Some(update) = update {
-            if !sound {
-                self.peer_doubt_until
-                    .set(self.clock.now().after_ms(RESTORED_MS));
-            }
             self.apply_update(table, update, source, requested_at);
         }
         let seen = ahead.iter().map(|it| it.position.next()).max();
         self.apply_ahead(table, ahead, source);
         self.note_peer_update(table, seen);
-        self.peer_is_sound.set(false);
     }
 
     /// Counts and logs a failed fetch from a peer; returns `false`.
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -8,7 +8,7 @@
     clock::Time,
     process::{
         mirror::{Record, Update},
-        replicas::StoreTrust,
+        store_reads::DOUBT_MS,
     },
 };
 use gradeloft_wire::{datagram::StoreAccess, frame::Table, position::Position};
@@ -32,13 +32,6 @@
 const SHORTEST_WAIT_PERCENT: u64 = 75;
 /// Pause between checks whether a process on standby has to read the store.
 const STANDBY_PAUSE: Duration = Duration::from_millis(200);
-/// Time after the reads of a table resume in which the store may still drop records of live
-/// replicas, in milliseconds.
-const DOUBT_MS: u64 = 1_500;
-/// Time after the reads resume within which dropped records of live replicas return, in
-/// milliseconds: two seconds and one read. It starts when the reads resume, not when a record is
-/// removed, so that requests to a replica that really leaves meanwhile stop in time.
-pub(super) const RESTORED_MS: u64 = 2_300;
 
 /// Source of records.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -73,19 +66,34 @@
 }
 
 /// State of reading a table from the store.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReadState {
     /// The last read failed.
     Interrupted,
+    /// Reads have succeeded since this time.
+    Reading(Time),
     /// A read failed, and reads have succeeded since this time.
     Resumed(Time),
-    /// No read has failed.
-    #[default]
-    Steady,
     /// Other processes read the table.
     Standby,
 }
 
+impl Default for ReadState {
+    fn default() -> ReadState {
+        ReadState::Reading(Time::ZERO)
+    }
+}
+
+impl ReadState {
+    /// Returns the time since which this process's own reads have succeeded.
+    pub(super) fn since(self) -> Option<Time> {
+        match self {
+            ReadState::Reading(since) | ReadState::Resumed(since) => Some(since),
+            ReadState::Interrupted | ReadState::Standby => None,
+        }
+    }
+}
+
 /// Result of a read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Progress {
@@ -106,6 +114,10 @@
         self.read_states.borrow()[index(table)]
     }
 
+    pub(super) fn set_read_state(&self, table: Table, state: ReadState) {
+        self.read_states.borrow_mut()[index(table)] = state;
+    }
+
     /// Returns whether the store serves this process, as far as the process can tell. For a moment
     /// after an interruption the process counts as unserved, as its reads are doubtful: processes
     /// without an interruption keep reading.
@@ -114,7 +126,7 @@
         let doubtful = |it: &ReadState| match it {
             ReadState::Interrupted => true,
             ReadState::Resumed(at) => now < at.after_ms(DOUBT_MS),
-            ReadState::Standby | ReadState::Steady => false,
+            ReadState::Reading(_) | ReadState::Standby => false,
         };
         if self.read_states.borrow().iter().any(doubtful) {
             StoreAccess::Unserved
@@ -128,28 +140,6 @@
         self.copies.borrow()[index(table)].loaded()
     }
 
-    /// Returns whether a removal from a table that is received now may be an error of the store.
-    pub fn trust(&self, table: Table) -> StoreTrust {
-        if self.entering_era.get() {
-            // Replicas that a restored store lacks write their records again.
-            return StoreTrust::Doubtful(self.clock.now().after_ms(RESTORED_MS));
-        }
-        if self.peer_is_sound.get() {
-            return StoreTrust::Sound;
-        }
-        let now = self.clock.now();
-        match self.read_states.borrow()[index(table)] {
-            ReadState::Interrupted => StoreTrust::Doubtful(now.after_ms(RESTORED_MS)),
-            ReadState::Resumed(at) if now < at.after_ms(DOUBT_MS) => {
-                StoreTrust::Doubtful(at.after_ms(RESTORED_MS))
-            }
-            ReadState::Standby if now < self.peer_doubt_until.get() => {
-                StoreTrust::Doubtful(self.peer_doubt_until.get())
-            }
-            ReadState::Resumed(_) | ReadState::Standby | ReadState::Steady => StoreTrust::Sound,
-        }
-    }
-
     /// Returns whether the records that are being applied are the first of their table. The times
     /// at which they were written are unknown, as peers' datagrams cover only the time since this
     /// process started.
@@ -182,7 +172,7 @@
     }
 
     /// Passes changed records to the observer.
-    fn notify_observer(&self, table: Table, changed: Vec<Record>) {
+    pub(super) fn notify_observer(&self, table: Table, changed: Vec<Record>) {
         if changed.is_empty() {
             return;
         }
@@ -354,12 +344,16 @@
         {
             info!(log, "store reader changed"; "table" => ?table, "reads_store" => reads);
         }
-        let reading = &mut self.read_states.borrow_mut()[index(table)];
-        match (reads, *reading) {
-            (false, _) => *reading = ReadState::Standby,
+        match (reads, before) {
+            (false, _) => {
+                self.keep_own_reads(table);
+                self.set_read_state(table, ReadState::Standby);
+            }
             // The store may be reachable although other readers have no access; the first read
             // shows whether it is.
-            (true, ReadState::Standby) => *reading = ReadState::Steady,
+            (true, ReadState::Standby) => {
+                self.set_read_state(table, ReadState::Reading(Time::ZERO));
+            }
             (true, _) => {}
         }
         !reads
@@ -427,9 +421,10 @@
 
     /// Notes a successful call to the store.
     fn note_store_success(&self, table: Table) {
-        let reading = &mut self.read_states.borrow_mut()[index(table)];
-        if *reading == ReadState::Interrupted {
-            *reading = ReadState::Resumed(self.clock.now());
+        let now = self.clock.now();
+        match self.read_state(table) {
+            ReadState::Interrupted => self.set_read_state(table, ReadState::Resumed(now)),
+            ReadState::Reading(_) | ReadState::Resumed(_) | ReadState::Standby => {}
         }
         if self.logged_store_fault.take().is_some()
             && let Some(log) = self.logs.line(Topic::Dependency)
@@ -441,7 +436,7 @@
     /// Notes a failed call to the store.
     fn note_store_fault(&self, table: Table, fault: &Fault) {
         self.metrics.store_faults.inc();
-        self.read_states.borrow_mut()[index(table)] = ReadState::Interrupted;
+        self.set_read_state(table, ReadState::Interrupted);
         let event = match fault {
             Fault::Lost | Fault::Unreachable => "store lost",
             _ => "store fault",
@@ -452,16 +447,6 @@
             warn!(log, "{}", event; "table" => ?table, "fault" => %fault);
         }
     }
-
-    /// Returns whether a removal may be an error of the store. The doubt counts from the time since
-    /// which the record is known to exist, but from no time before an interruption, as the doubt
-    /// would then end too soon.
-    pub fn trust_in_removal(&self, table: Table, record: &Record) -> StoreTrust {
-        let now = self.clock.now();
-        let known = self.write_times.borrow()[index(table)].known_since(record.position);
-        let written = known.map_or(now, |it| it.min(now));
-        self.trust(table).of_written(written, RESTORED_MS)
-    }
 }
 
 /// Returns the position of a table in arrays with one value per table.
--- a/crates/gradeloft_gateway/tests/entry/gossip.rs
+++ b/crates/gradeloft_gateway/tests/entry/gossip.rs
@@ -380,6 +380,8 @@
         let octet = |place: usize| 10 + order[place] as u8;
         let added = harness.add_entry(octet(2), &harness.tables).await;
         let entry = added.entry();
+        // Before, the entry has read the table for long enough to trust removals.
+        wait_until(|| async { entry.node.vouches(table) }).await;
         let store = Rc::new(Cell::new(StoreAccess::Served));
         for place in 0..2 {
             announcing_entry(octet(place), octet(2), Rc::clone(&store)).await;
--- a/crates/gradeloft_gateway/tests/entry/main.rs
+++ b/crates/gradeloft_gateway/tests/entry/main.rs
@@ -11,6 +11,7 @@
 mod quarantine;
 mod quarantine_parts;
 mod queueing;
+mod removals;
 mod replica_restarts;
 mod returns;
 mod stalled_replicas;
--- a/crates/gradeloft_gateway/tests/entry/store_outage.rs
+++ b/crates/gradeloft_gateway/tests/entry/store_outage.rs
@@ -28,6 +28,9 @@
         refusing.mode.set(StoreMode::Refusing);
         let second = harness.add_entry(2, &refusing).await;
         wait_until(|| async { get(2, 8002, "/ready").await.starts_with("HTTP/1.1 200") }).await;
+        // The peer counts as stable once it has read the table for long.
+        let peer = &harness.entry.entry().node;
+        wait_until(|| async { peer.vouches(Table::Replicas) }).await;
         harness.tables.write(Table::Replicas, "i-0", None);
         let entry = second.entry();
         let removal_received = || {
--- a/crates/gradeloft_policy/src/process/mod.rs
+++ b/crates/gradeloft_policy/src/process/mod.rs
@@ -30,6 +30,7 @@
 //! - [`roster`]: the entries that callers can be sent to.
 //! - [`signal_reports`]: schedules reports of replicas' backpressure to other entries.
 //! - [`slot_split`]: splits the slots of replicas among entries.
+//! - [`store_reads`]: trust in removals, by the reads of the store that succeeded.
 //! - [`team_shares`]: splits scarce replica time among teams.
 //! - [`transfer`]: fetches a large value from the peers that hold it.
 //! - [`write_times`]: estimates the times at which records of a table were written.
@@ -64,6 +65,7 @@
 pub mod roster;
 pub mod signal_reports;
 pub mod slot_split;
+pub mod store_reads;
 pub mod team_shares;
 pub mod transfer;
 pub mod write_times;
--- a/crates/gradeloft_policy/src/process/readers.rs
+++ b/crates/gradeloft_policy/src/process/readers.rs
@@ -77,6 +77,18 @@
 /// the other live entries of its region with access to the store, and `regions` is the number of
 /// regions.
 pub fn reads(table: u64, own: u64, others: impl Iterator<Item = u64>, regions: usize) -> bool {
-    let here = (READERS / regions.max(1)).clamp(1, MAX_PER_REGION);
-    rendezvous::rank(table, own, others) < here
+    rendezvous::rank(table, own, others) < per_region(regions)
+}
+
+/// Returns the entries of a region that read a table, by their places in `names`: the hashed names
+/// of the region's live entries with access to the store.
+pub fn select(table: u64, names: &[u64], regions: usize) -> Vec<usize> {
+    let mut order = rendezvous::order(table, names);
+    order.truncate(per_region(regions));
+    order
+}
+
+/// Returns the number of readers in each region.
+fn per_region(regions: usize) -> usize {
+    (READERS / regions.max(1)).clamp(1, MAX_PER_REGION)
 }
--- /dev/null
+++ b/crates/gradeloft_policy/src/process/store_reads.rs
@@ -0,0 +1,152 @@
+//! Periods in which reads of the platform's store succeeded, and the trust in removals that follows
+//! from them.
+//!
+//! While the store is unavailable, the records of live replicas may lapse, and they return moments
+//! after it is back. A process whose own reads failed can't tell an outage of the store from a
+//! failure of its path to the store. Reads that succeeded show that the store was available,
+//! whichever process made them. Therefore processes report to each other only which reads succeeded,
+//! never a doubt, and each process decides about its copy on its own.
+
+use gradeloft_wire::{frame::VOUCHED_MS, position::Position};
+
+use crate::{
+    clock::Time,
+    process::{mirror::Record, replicas::StoreTrust},
+};
+
+/// Time after an outage of the store in which it may still drop records of live replicas, in
+/// milliseconds.
+pub const DOUBT_MS: u64 = 1_500;
+/// Time after an outage of the store within which dropped records of live replicas return, in
+/// milliseconds: two seconds and one read. It starts when the reads resume, not when a record is
+/// removed, so that requests to a replica that really leaves meanwhile stop in time.
+pub const RESTORED_MS: u64 = 2_300;
+/// Period in which one process's reads of a table succeeded without interruption.
+///
+/// The period is shorter than the one that the process itself knows, never longer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReadPeriod {
+    /// Time of the first read.
+    pub since: Time,
+    /// Time of the last read.
+    pub until: Time,
+    /// End of the copy after the last read.
+    pub end: Position,
+}
+
+impl ReadPeriod {
+    /// Returns the period that a peer vouches for in a reply, with a copy up to `end`.
+    pub fn vouched(requested_at: Time, received_at: Time, end: Position) -> ReadPeriod {
+        let since = received_at.before_ms(VOUCHED_MS);
+        ReadPeriod {
+            since,
+            until: requested_at.max(since),
+            end,
+        }
+    }
+
+    /// Returns the period extended by a newer one, or the newer one if the store may have been
+    /// unavailable in between.
+    pub fn extended(self, newer: ReadPeriod) -> ReadPeriod {
+        if newer.end < self.end {
+            return self;
+        }
+        let adjoins = newer.since <= self.until;
+        let since = if adjoins {
+            newer.since.min(self.since)
+        } else {
+            newer.since
+        };
+        ReadPeriod { since, ..newer }
+    }
+}
+
+/// Returns whether a process may vouch for its copy of a table: its own reads have succeeded since
+/// `own_since`, for at least [`VOUCHED_MS`].
+pub fn vouches(own_since: Option<Time>, now: Time) -> bool {
+    own_since.is_some_and(|it| it.after_ms(VOUCHED_MS) <= now)
+}
+
+/// Removal of a record.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Removal {
+    /// End of the shortest copy that contains the removal.
+    pub end: Position,
+    /// Time by which the removal is known to have been written.
+    pub written: Time,
+}
+
+impl Removal {
+    /// Returns the trust in the removal. `own_since` is the time since which this process's own
+    /// reads have succeeded, and `peers` a period of another process's reads.
+    pub fn trust(
+        self,
+        own_since: Option<Time>,
+        peers: Option<ReadPeriod>,
+        now: Time,
+    ) -> StoreTrust {
+        let peers_since = peers.filter(|it| self.end <= it.end).map(|it| it.since);
+        let Some(since) = own_since.into_iter().chain(peers_since).min() else {
+            return self.doubtful(now);
+        };
+        if since.after_ms(DOUBT_MS) <= self.written {
+            StoreTrust::Sound
+        } else {
+            self.doubtful(since)
+        }
+    }
+
+    /// Returns a doubt about the removal, for reads that resumed at `resumed`.
+    fn doubtful(self, resumed: Time) -> StoreTrust {
+        StoreTrust::Doubtful(resumed.after_ms(RESTORED_MS)).of_written(self.written, RESTORED_MS)
+    }
+}
+
+/// Removal that may be an error of the store.
+#[derive(Clone, Debug)]
+struct Doubt {
+    record: Record,
+    removal: Removal,
+    /// Time from which the removal holds without confirmation.
+    until: Time,
+}
+
+/// Removals that may be errors of the store.
+#[derive(Clone, Debug, Default)]
+pub struct DoubtfulRemovals {
+    doubts: Vec<Doubt>,
+}
+
+impl DoubtfulRemovals {
+    /// Adds a removal that holds without confirmation from `until` on.
+    pub fn note(&mut self, record: Record, removal: Removal, until: Time) {
+        self.doubts.retain(|it| it.record.key != record.key);
+        self.doubts.push(Doubt {
+            record,
+            removal,
+            until,
+        });
+    }
+
+    /// Returns whether a removal is still to be confirmed.
+    pub fn any(&self, now: Time) -> bool {
+        self.doubts.iter().any(|it| now < it.until)
+    }
+
+    /// Removes and returns the removals that are sound by now. `is_listed` returns whether the store
+    /// has another record of a key again.
+    pub fn take_sound(
+        &mut self,
+        own_since: Option<Time>,
+        peers: Option<ReadPeriod>,
+        is_listed: impl Fn(&str) -> bool,
+        now: Time,
+    ) -> Vec<Record> {
+        self.doubts
+            .retain(|it| now < it.until && !is_listed(&it.record.key));
+        let is_sound =
+            |it: &mut Doubt| it.removal.trust(own_since, peers, now) == StoreTrust::Sound;
+        let sound = self.doubts.extract_if(.., is_sound);
+        sound.map(|it| it.record).collect()
+    }
+}
--- a/crates/gradeloft_policy/src/process/write_times.rs
+++ b/crates/gradeloft_policy/src/process/write_times.rs
@@ -140,6 +140,11 @@
         self.confirmed.map(|it| now.since(it).as_millis() as u64)
     }
 
+    /// Returns the time at which the last successful read ended.
+    pub fn read_at(&self) -> Option<Time> {
+        self.read_at
+    }
+
     /// Returns the latest time at which a copy that reaches up to `end` is known to have been
     /// complete, by the reads of this process and of peers.
     pub fn complete_until(&self, end: Position) -> Option<Time> {
--- /dev/null
+++ b/crates/gradeloft_policy/tests/store_reads.rs
@@ -0,0 +1,119 @@
+//! Tests of the trust in removals by the reads of the store that succeeded.
+
+use gradeloft_policy::{
+    clock::Time,
+    process::{
+        mirror::Record,
+        replicas::StoreTrust,
+        store_reads::{DoubtfulRemovals, ReadPeriod, Removal, vouches},
+    },
+};
+use gradeloft_wire::position::Position;
+use rstest::rstest;
+
+fn at(ms: u64) -> Time {
+    Time::ZERO.after_ms(ms)
+}
+
+fn end(offset: u64) -> Position {
+    Position::new(0, offset)
+}
+
+/// A removal at offset 7, written at 10 s.
+const REMOVAL: Removal = Removal {
+    end: Position::new(0, 8),
+    written: Time(10_000_000),
+};
+
+fn period(since_ms: u64, offset: u64) -> Option<ReadPeriod> {
+    Some(ReadPeriod {
+        since: at(since_ms),
+        until: at(10_000),
+        end: end(offset),
+    })
+}
+
+#[rstest]
+#[case::by_own_reads(Some(8_500), None, StoreTrust::Sound)]
+#[case::not_by_own_reads_that_just_resumed(Some(8_501), None, StoreTrust::Doubtful(at(10_801)))]
+#[case::not_without_any_reads(None, None, StoreTrust::Doubtful(at(12_300)))]
+#[case::by_a_peer_despite_own_reads_that_just_resumed(
+    Some(9_900),
+    period(8_500, 8),
+    StoreTrust::Sound
+)]
+#[case::by_a_peer_without_own_reads(None, period(8_500, 8), StoreTrust::Sound)]
+#[case::not_by_a_peer_that_lacks_it(None, period(8_500, 7), StoreTrust::Doubtful(at(12_300)))]
+#[case::not_by_a_peer_whose_reads_just_resumed(
+    None,
+    period(9_000, 8),
+    StoreTrust::Doubtful(at(11_300))
+)]
+fn a_removal_is_sound_only_if_reads_before_it_succeeded(
+    #[case] own_since_ms: Option<u64>,
+    #[case] peers: Option<ReadPeriod>,
+    #[case] trust: StoreTrust,
+) {
+    let own_since = own_since_ms.map(at);
+    assert_eq!(REMOVAL.trust(own_since, peers, at(10_100)), trust);
+}
+
+#[test]
+fn only_long_reads_of_the_process_itself_are_vouched_for() {
+    assert!(!vouches(None, at(60_000)));
+    assert!(!vouches(Some(at(1_000)), at(3_999)));
+    assert!(vouches(Some(at(1_000)), at(4_000)));
+}
+
+#[test]
+fn adjoining_periods_count_as_one() {
+    let first = ReadPeriod::vouched(at(5_000), at(5_010), end(4));
+    assert_eq!(first.since, at(2_010));
+    let adjoining = first.extended(ReadPeriod::vouched(at(8_000), at(8_000), end(6)));
+    assert_eq!(
+        (adjoining.since, adjoining.until, adjoining.end),
+        (at(2_010), at(8_000), end(6))
+    );
+    // Nobody is known to have read the store between 8 s and 8.1 s.
+    let later = adjoining.extended(ReadPeriod::vouched(at(11_100), at(11_100), end(9)));
+    assert_eq!(later.since, at(8_100));
+    let outdated = ReadPeriod::vouched(at(11_200), at(11_200), end(8));
+    assert_eq!(later.extended(outdated), later);
+}
+
+fn record(key: &str) -> Record {
+    Record {
+        key: key.to_owned(),
+        value: None,
+        position: end(7),
+    }
+}
+
+#[test]
+fn doubtful_removals_are_confirmed_by_a_period_that_covers_them() {
+    let mut doubts = DoubtfulRemovals::default();
+    doubts.note(record("gone"), REMOVAL, at(12_300));
+    doubts.note(record("back"), REMOVAL, at(12_300));
+    let listed = |key: &str| key == "back";
+    assert!(
+        doubts
+            .take_sound(None, period(8_500, 7), listed, at(10_200))
+            .is_empty()
+    );
+    assert!(doubts.any(at(10_200)));
+    let sound = doubts.take_sound(None, period(8_500, 8), listed, at(10_300));
+    assert_eq!(sound, [record("gone")]);
+    assert!(!doubts.any(at(10_300)));
+}
+
+#[test]
+fn doubts_end_by_themselves() {
+    let mut doubts = DoubtfulRemovals::default();
+    doubts.note(record("gone"), REMOVAL, at(12_300));
+    assert!(doubts.any(at(12_299)) && !doubts.any(at(12_300)));
+    assert!(
+        doubts
+            .take_sound(None, period(8_500, 8), |_| false, at(12_300))
+            .is_empty()
+    );
+}
--- a/crates/gradeloft_wire/src/frame.rs
+++ b/crates/gradeloft_wire/src/frame.rs
@@ -151,14 +151,18 @@
         rows: Vec<Row>,
         /// Position of the record after the last one.
         end: Position,
-        /// Whether the server has read the table from the store without interruption, so that it
-        /// has seen every removal.
+        /// Whether the server's own reads of the table from the store have succeeded for at least
+        /// [`VOUCHED_MS`], so that none of the removals up to `end` in this time is an error of the
+        /// store. Otherwise the server knows nothing about the store.
         sound: bool,
     },
     /// Next bytes of a record's value.
     Part(Vec<u8>),
 }
 
+/// Shortest time of uninterrupted reads for which [`Reply::Records`] is sound, in milliseconds.
+pub const VOUCHED_MS: u64 = 3_000;
+
 /// A table of the platform's store that processes copy from each other.
 #[derive(Clone, Copy, Debug, Decode, Encode, Eq, Hash, PartialEq)]
 pub enum Table {
