Count time in which a process did not read the store as unobserved

What callers would see: requests fail although replicas are alive, as entries drop replicas whose records lapsed in an outage of the store. Found by reading, while asking whose word a reader may vouch for.

Cause: a process that begins to read a table, as the readers before it lost access, counted as one whose reads had never failed, although it had read nothing: an outage that ends before its first read leaves no trace. The same holds for a process that was suspended during the outage, and for one that has just started.

Change: such a process is `Starting` until a read succeeds, and vouches for the time since. If other readers' reads are known to have succeeded until less than 2.4 s before, in which no record of a live replica lapses (three heartbeats, of which one may be due), it continues their period, so that an ordinary change of readers delays no removal. The last is what `gossip::an_entry_that_takes_over_reading_applies_removals_at_once` asks for.

--- a/crates/gradeloft_gateway/src/node/removals.rs
+++ b/crates/gradeloft_gateway/src/node/removals.rs
@@ -16,7 +16,10 @@
 use gradeloft_wire::{frame::Table, position::Position};
 use slog::info;
 
-use super::{Node, tables::index};
+use super::{
+    Node,
+    tables::{ReadState, index},
+};
 use crate::logs::Topic;
 
 /// Pause between two calls to the same reader, and before the first one to a reader of another
@@ -95,6 +98,24 @@
         *known = Some(known.map_or(newer, |it| it.extended(newer)));
     }
 
+    /// Updates the state of reading a table when a read has succeeded, before it is applied: after a
+    /// stall, this process does not know whether the store was available, and a process that begins
+    /// to read continues the reads of others.
+    pub(super) fn continue_reads(&self, table: Table, stalled: bool) {
+        if stalled && self.read_state(table).since().is_some() {
+            self.set_read_state(table, ReadState::Starting);
+        }
+        if self.read_state(table) != ReadState::Starting {
+            return;
+        }
+        let confirmed = self.confirmed_until(table);
+        let now = self.clock.now();
+        let since = store_reads::continued_since(self.peer_reads(table), confirmed, now);
+        if let Some(since) = since {
+            self.set_read_state(table, ReadState::Reading(since));
+        }
+    }
+
     /// Asks the readers of a table about the doubtful removals.
     fn verify_removals(self: &Rc<Node>, table: Table) {
         if self.verifiers.get() != 0 {
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -66,7 +66,7 @@
 }
 
 /// State of reading a table from the store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum ReadState {
     /// The last read failed.
     Interrupted,
@@ -76,12 +76,9 @@
     Resumed(Time),
     /// Other processes read the table.
     Standby,
-}
-
-impl Default for ReadState {
-    fn default() -> ReadState {
-        ReadState::Reading(Time::ZERO)
-    }
+    /// No read has succeeded since this process began to read the table, or since it was stalled.
+    #[default]
+    Starting,
 }
 
 impl ReadState {
@@ -89,7 +86,7 @@
     pub(super) fn since(self) -> Option<Time> {
         match self {
             ReadState::Reading(since) | ReadState::Resumed(since) => Some(since),
-            ReadState::Interrupted | ReadState::Standby => None,
+            ReadState::Interrupted | ReadState::Standby | ReadState::Starting => None,
         }
     }
 }
@@ -126,7 +123,7 @@
         let doubtful = |it: &ReadState| match it {
             ReadState::Interrupted => true,
             ReadState::Resumed(at) => now < at.after_ms(DOUBT_MS),
-            ReadState::Reading(_) | ReadState::Standby => false,
+            ReadState::Reading(_) | ReadState::Standby | ReadState::Starting => false,
         };
         if self.read_states.borrow().iter().any(doubtful) {
             StoreAccess::Unserved
@@ -351,9 +348,7 @@
             }
             // The store may be reachable although other readers have no access; the first read
             // shows whether it is.
-            (true, ReadState::Standby) => {
-                self.set_read_state(table, ReadState::Reading(Time::ZERO));
-            }
+            (true, ReadState::Standby) => self.set_read_state(table, ReadState::Starting),
             (true, _) => {}
         }
         !reads
@@ -424,6 +419,7 @@
         let now = self.clock.now();
         match self.read_state(table) {
             ReadState::Interrupted => self.set_read_state(table, ReadState::Resumed(now)),
+            ReadState::Starting => self.set_read_state(table, ReadState::Reading(now)),
             ReadState::Reading(_) | ReadState::Resumed(_) | ReadState::Standby => {}
         }
         if self.logged_store_fault.take().is_some()
--- a/crates/gradeloft_gateway/src/node/write_times.rs
+++ b/crates/gradeloft_gateway/src/node/write_times.rs
@@ -167,6 +167,9 @@
         let interrupted = self.read_states.borrow()[index(table)] == ReadState::Interrupted;
         self.set_after_interruption(table, interrupted);
         let activity_gaps = self.activity_gaps.borrow();
+        let last_read = self.write_times.borrow()[index(table)].read_at();
+        let last_stall = activity_gaps.ticks.last_end(received_at);
+        self.continue_reads(table, last_read.is_some() && last_read < last_stall);
         let gap = |it: &Gaps| it.gap_since(requested_at, received_at);
         let disturbed = interrupted || gap(&activity_gaps.ticks) || gap(&activity_gaps.datagrams);
         if !disturbed {
--- a/crates/gradeloft_gateway/tests/entry/removals.rs
+++ b/crates/gradeloft_gateway/tests/entry/removals.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use crate::support::{Harness, TestConfig, get, ok, run, wait_until};
+use crate::support::{Harness, Machine, TestConfig, get, ok, run, wait_until};
 use gradeloft_gateway::{
     entry::{Entry, Handle},
     node::{Election, tables::ReadState},
@@ -21,6 +21,8 @@
 const TABLE: Table = Table::Replicas;
 /// Time within which requests to a removed replica have to stop.
 const DRAIN: Duration = Duration::from_secs(2);
+/// Outage of the store in which records of live replicas lapse.
+const OUTAGE: Duration = Duration::from_millis(2_400);
 
 /// Assigns the reads of the tables, whatever the rank of the entry.
 struct Assigned {
@@ -134,6 +136,42 @@
     });
 }
 
+/// Guards against the loss of live replicas through an entry that begins to read as the store
+/// returns.
+#[test]
+fn a_reader_that_takes_over_in_an_outage_keeps_replicas_whose_records_lapsed() {
+    run(async {
+        let harness = start_reader().await;
+        let standby = add_standby(&harness, 2).await;
+        let node = &standby.entry().node;
+        lose_store(&harness.entry, &harness.tables).await;
+        let read_until = node.confirmed_until(TABLE).unwrap();
+        wait_until(|| async { read_until.after(OUTAGE) <= node.clock.now() }).await;
+        harness.tables.write(TABLE, "i-0", None);
+        harness.tables.mode.set(StoreMode::Healthy);
+        assign(&standby, true);
+        wait_until(|| async { lacks(&standby, "i-0") }).await;
+        assert_eq!(replica_count(&standby), 2);
+    });
+}
+
+/// Guards against the loss of live replicas through an entry that was suspended while the store was
+/// away, and so saw no read fail.
+#[test]
+fn a_reader_that_was_suspended_in_an_outage_keeps_replicas_whose_records_lapsed() {
+    run(async {
+        let machine = Machine::new();
+        let harness = Harness::start_on(&machine, TestConfig::of(RouteKind::Once), scripts()).await;
+        assign(&harness.entry, true);
+        let node = &harness.entry.entry().node;
+        wait_until(|| async { node.vouches(TABLE) }).await;
+        machine.suspend_ms(OUTAGE.as_millis() as u64);
+        harness.tables.write(TABLE, "i-0", None);
+        wait_until(|| async { lacks(&harness.entry, "i-0") }).await;
+        assert_eq!(replica_count(&harness.entry), 2);
+    });
+}
+
 /// Guards against replicas that stay in use for good after a doubtful removal.
 #[test]
 fn a_removal_that_no_peer_confirms_holds_after_the_doubt() {
--- a/crates/gradeloft_policy/src/process/store_reads.rs
+++ b/crates/gradeloft_policy/src/process/store_reads.rs
@@ -21,6 +21,10 @@
 /// milliseconds: two seconds and one read. It starts when the reads resume, not when a record is
 /// removed, so that requests to a replica that really leaves meanwhile stop in time.
 pub const RESTORED_MS: u64 = 2_300;
+/// Shortest outage of the store in which the record of a live replica lapses, in milliseconds: two
+/// intervals between a replica's writes, as a record lapses after three without one.
+const LAPSE_MS: u64 = 2_400;
+
 /// Period in which one process's reads of a table succeeded without interruption.
 ///
 /// The period is shorter than the one that the process itself knows, never longer.
@@ -67,6 +71,19 @@
     own_since.is_some_and(|it| it.after_ms(VOUCHED_MS) <= now)
 }
 
+/// Returns the time since which reads of a table have succeeded, for a process whose first read
+/// succeeds now after others have read the table. `confirmed` is the time up to which reads of
+/// others are known to have succeeded. Returns `None` if the store may have been unavailable
+/// meanwhile.
+pub fn continued_since(
+    peers: Option<ReadPeriod>,
+    confirmed: Option<Time>,
+    now: Time,
+) -> Option<Time> {
+    let is_recent = confirmed.is_some_and(|it| now < it.after_ms(LAPSE_MS));
+    peers.filter(|_| is_recent).map(|it| it.since)
+}
+
 /// Removal of a record.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Removal {
--- a/crates/gradeloft_policy/tests/store_reads.rs
+++ b/crates/gradeloft_policy/tests/store_reads.rs
@@ -5,7 +5,7 @@
     process::{
         mirror::Record,
         replicas::StoreTrust,
-        store_reads::{DoubtfulRemovals, ReadPeriod, Removal, vouches},
+        store_reads::{DoubtfulRemovals, ReadPeriod, Removal, continued_since, vouches},
     },
 };
 use gradeloft_wire::position::Position;
@@ -81,6 +81,18 @@
     assert_eq!(later.extended(outdated), later);
 }
 
+#[test]
+fn a_reader_that_takes_over_continues_only_reads_that_were_recent() {
+    let peers = period(1_000, 8);
+    assert_eq!(
+        continued_since(peers, Some(at(9_000)), at(11_399)),
+        Some(at(1_000))
+    );
+    assert_eq!(continued_since(peers, Some(at(9_000)), at(11_400)), None);
+    assert_eq!(continued_since(peers, None, at(11_000)), None);
+    assert_eq!(continued_since(None, Some(at(9_000)), at(9_100)), None);
+}
+
 fn record(key: &str) -> Record {
     Record {
         key: key.to_owned(),
