Log stalls of a process that its machine did not cause

Hypotheses: (1) the head is parsed again after each read, which takes ever longer; (2) the task that reads it does not yield while there is data, so that no other task and no timer runs; (3) memory; (4) requests wait for replicas that the entry wrongly avoids. The logs had nothing that tells the first two from the last: only a suspension of the machine was logged. `process stalled` and the metric `stalls` show a process whose tasks did not run.

--- a/crates/gradeloft_gateway/src/metrics.rs
+++ b/crates/gradeloft_gateway/src/metrics.rs
@@ -105,6 +105,8 @@
     pub records: Family<Reason, Counter>,
     /// Failed fetches of records from peers, by reason.
     pub record_fetch_failures: Family<Reason, Counter>,
+    /// Times in which no task of this process ran for over a second, although its machine did.
+    pub stalls: Counter,
     /// Removals of replicas, by whether they were trusted at once.
     pub removals: Family<Reason, Counter>,
     /// Records of other writers that can't be parsed, by table.
@@ -161,6 +163,7 @@
             store_faults: Counter::default(),
             records: Family::default(),
             record_fetch_failures: Family::default(),
+            stalls: Counter::default(),
             removals: Family::default(),
             unreadable_records: Family::default(),
             behind: Gauge::default(),
@@ -286,6 +289,11 @@
             "Failed fetches of records from peers, by reason",
             self.record_fetch_failures.clone(),
         );
+        it.register(
+            "stalls",
+            "Times in which no task of this process ran for over a second",
+            self.stalls.clone(),
+        );
         it.register(
             "removals",
             "Removals of replicas, by trust",
--- a/crates/gradeloft_gateway/src/node/write_times.rs
+++ b/crates/gradeloft_gateway/src/node/write_times.rs
@@ -64,15 +64,20 @@
     /// Checks whether the process was stalled a moment ago, or its machine suspended. Called before
     /// the process acts on its state, which is outdated after a stall.
     pub fn detect_stall(&self) {
-        self.activity_gaps
-            .borrow_mut()
-            .ticks
-            .note_event(self.clock.now());
+        let now = self.clock.now();
+        let ticks = &mut self.activity_gaps.borrow_mut().ticks;
+        let stalled = ticks.current(now);
+        ticks.note_event(now);
         let suspended = self.timers.check_suspension();
-        if !suspended.is_zero()
-            && let Some(log) = self.logs.line(Topic::State)
-        {
-            warn!(log, "process was suspended"; "ms" => suspended.as_millis() as u64);
+        if !suspended.is_zero() {
+            if let Some(log) = self.logs.line(Topic::State) {
+                warn!(log, "process was suspended"; "ms" => suspended.as_millis() as u64);
+            }
+        } else if let Some(stalled) = stalled {
+            self.metrics.stalls.inc();
+            if let Some(log) = self.logs.line(Topic::State) {
+                warn!(log, "process stalled"; "ms" => stalled.as_millis() as u64);
+            }
         }
     }
 
--- a/crates/gradeloft_policy/src/process/gaps.rs
+++ b/crates/gradeloft_policy/src/process/gaps.rs
@@ -4,6 +4,8 @@
 //! Data that is read right after a gap can be old, since the process was suspended or nothing
 //! reached it.
 
+use std::time::Duration;
+
 use crate::clock::Time;
 
 /// Time after a gap for which a received message may have been in the socket since before the end
@@ -19,6 +21,7 @@
 /// ticks.note_event(at(100));
 /// assert!(!ticks.gap_since(at(90), at(1_100)));
 /// assert!(ticks.gap_since(at(90), at(1_101)), "a gap may be in progress");
+/// assert_eq!(ticks.current(at(1_101)).map(|it| it.as_millis()), Some(1_001));
 /// ticks.note_event(at(4_000));
 /// assert!(ticks.gap_since(at(3_990), at(4_010)));
 /// assert!(ticks.fresh(at(4_250)) && !ticks.fresh(at(4_249)));
@@ -53,6 +56,14 @@
         self.last = Some(now);
     }
 
+    /// Returns the time since the last event if it counts as a gap.
+    pub fn current(&self, now: Time) -> Option<Duration> {
+        let last = self.last?;
+        self.gap_start()
+            .is_some_and(|it| it < now)
+            .then(|| now.since(last))
+    }
+
     /// Returns whether a gap ended at or after `requested_at`, or is in progress and was first
     /// recognised after it. A gap that was recognised earlier and still lasts is ignored, since a
     /// process without peers never receives anything.
