Bound the body of a replica's response in time, and its trailers in bytes

Cause: the next piece of a body is awaited before the deadline, in this order, and a timer is not polled while there is data. Timeouts had the same flaw: a future that uses up the budget of its task leaves none for the timer. Trailer lines were bounded one by one, but not together.

Change: `next_piece` reads for at most 200 ms past the deadline, as heads do. `Timers::timeout_at`, which also bounds the bodies of callers and the close of their connections, looks at the clock itself. Trailers of over 16 KB are malformed.

Tests, on the code before: FAIL a_request_ends_in_time_although_its_response_does_not::case_07_flooded_chunks the request is unanswered TIMEOUT [60 s] gradeloft_daemon::clock a_future_that_always_makes_progress_ends_at_its_timeout The other bodies (dripped ones, and floods that this machine relays fast enough) passed before, too. With the change 15 of 15 pass.

--- a/crates/gradeloft_daemon/src/clock.rs
+++ b/crates/gradeloft_daemon/src/clock.rs
@@ -8,7 +8,10 @@
 use std::{
     cell::Cell,
     fmt,
+    future::poll_fn,
+    pin::pin,
     sync::atomic::{AtomicU64, Ordering},
+    task::Poll,
     time::{Duration, Instant},
 };
 
@@ -117,17 +120,26 @@
         }
     }
 
-    /// Runs a future until a time at most.
+    /// Runs a future until a time at most, even if the future always makes progress without
+    /// completing.
     pub async fn timeout_at<T>(
         &self,
         time: Time,
         future: impl Future<Output = T>,
     ) -> Result<T, Elapsed> {
-        tokio::select! {
-            biased;
-            done = future => Ok(done),
-            () = self.sleep_until(time) => Err(Elapsed),
-        }
+        let mut future = pin!(future);
+        let mut sleep = pin!(self.sleep_until(time));
+        poll_fn(|context| {
+            if let Poll::Ready(done) = future.as_mut().poll(context) {
+                return Poll::Ready(Ok(done));
+            }
+            // A future that used up the budget of its task leaves none for the timer.
+            if self.clock.until(time).is_zero() {
+                return Poll::Ready(Err(Elapsed));
+            }
+            sleep.as_mut().poll(context).map(|()| Err(Elapsed))
+        })
+        .await
     }
 
     /// Runs a future for a duration at most.
--- a/crates/gradeloft_daemon/tests/clock.rs
+++ b/crates/gradeloft_daemon/tests/clock.rs
@@ -61,3 +61,18 @@
         assert!(due <= clock.now());
     });
 }
+
+/// Guards against data without an end that keeps a timeout from passing.
+#[test]
+fn a_future_that_always_makes_progress_ends_at_its_timeout() {
+    actix_rt::System::new().block_on(async {
+        let timers = Timers::new(Clock::start());
+        let always_busy = async {
+            loop {
+                tokio::task::coop::consume_budget().await;
+            }
+        };
+        let ended = timers.timeout(Duration::from_millis(20), always_busy).await;
+        assert!(ended.is_err());
+    });
+}
--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -3,7 +3,10 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::{BufMut, Bytes, BytesMut};
-use gradeloft_policy::{clock::Time, request::attempt::Failure};
+use gradeloft_policy::{
+    clock::Time,
+    request::{attempt::Failure, late_data::LateData},
+};
 
 use super::{
     Entry,
@@ -96,6 +99,7 @@
     framing: Framing,
     decoder: Decoder,
     flow: Flow,
+    late_data: LateData,
     /// Whether the connection can be reused once the response is complete.
     reusable: bool,
     mode: RelayMode,
@@ -184,6 +188,7 @@
             framing,
             decoder: Decoder::new(framing),
             flow: Flow::default(),
+            late_data: LateData::default(),
             reusable: fully_sent && head.keeps_connection() && framing != Framing::Close,
             mode: match is_stream {
                 true => RelayMode::Stream(Splitter::default()),
@@ -262,10 +267,13 @@
             ..
         } = upstream;
         loop {
+            let now = node.clock.now();
+            if self.late_data.is_over(deadline, now) {
+                return ReadOutcome::TimedOut;
+            }
             if let Some(read) = self.buffered_piece(connection) {
                 return read;
             }
-            let now = node.clock.now();
             let until = silence.map_or(deadline, |it| deadline.min(now.after(it)));
             tokio::select! {
                 biased;
--- a/crates/gradeloft_gateway/src/h1/body.rs
+++ b/crates/gradeloft_gateway/src/h1/body.rs
@@ -9,6 +9,8 @@
 
 /// Maximum length of a chunk-size line or trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 4096;
+/// Maximum length of all trailer lines, in bytes.
+const MAX_TRAILER_BYTES: usize = 16 << 10;
 
 /// Framing of a body.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -92,8 +94,8 @@
     Data(u64),
     /// At the line end after a chunk's data.
     DataEnd,
-    /// In the trailer lines after the last chunk.
-    Trailer,
+    /// In the trailer lines after the last chunk, after this number of bytes.
+    Trailer(usize),
     Done,
 }
 
@@ -166,17 +168,22 @@
                         return Ok(Piece::More);
                     };
                     self.state = match parse_chunk_size(&line)? {
-                        0 => State::Trailer,
+                        0 => State::Trailer(0),
                         size => State::Data(size),
                     };
                 }
-                State::Trailer => {
+                State::Trailer(before) => {
                     let Some(line) = take_line(buffer)? else {
                         return Ok(Piece::More);
                     };
-                    if line.is_empty() {
-                        self.state = State::Done;
+                    let bytes = before + line.len();
+                    if MAX_TRAILER_BYTES < bytes {
+                        return Err(Malformed);
                     }
+                    self.state = match line.is_empty() {
+                        true => State::Done,
+                        false => State::Trailer(bytes),
+                    };
                 }
             }
         }
--- a/crates/gradeloft_gateway/tests/entry/endless_responses.rs
+++ b/crates/gradeloft_gateway/tests/entry/endless_responses.rs
@@ -19,7 +19,12 @@
 const PAUSE: Duration = Duration::from_millis(2);
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nt-seal: s\r\nx-note: ";
+const BODY: &str = "HTTP/1.1 200 OK\r\nt-seal: s\r\n\r\n";
+const CHUNKS: &str = "HTTP/1.1 200 OK\r\nt-seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+const TRAILERS: &str = "HTTP/1.1 200 OK\r\nt-seal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
 const CONTINUE: &str = "HTTP/1.1 100 Continue\r\n\r\n";
+const EVENT: &str = "a\r\ndata: xx\n\n\r\n";
+const COMMENT: &str = "3\r\n: \n\r\n";
 
 fn endless(start: &'static str, piece: &'static str, pause: Duration) -> EndlessResponse {
     EndlessResponse {
@@ -55,6 +60,16 @@
 #[case::dripped_head(RouteKind::Once, endless(HEAD, "a", PAUSE))]
 #[case::flooded_informational_heads(RouteKind::Once, endless("", CONTINUE, NONE))]
 #[case::dripped_informational_heads(RouteKind::Once, endless("", CONTINUE, PAUSE))]
+#[case::flooded_body(RouteKind::Once, endless(BODY, "a", NONE))]
+#[case::dripped_body(RouteKind::Once, endless(BODY, "a", PAUSE))]
+#[case::flooded_chunks(RouteKind::Once, endless(CHUNKS, "1\r\na\r\n", NONE))]
+#[case::dripped_chunks(RouteKind::Once, endless(CHUNKS, "1\r\na\r\n", PAUSE))]
+#[case::flooded_trailers(RouteKind::Once, endless(TRAILERS, "a: b\r\n", NONE))]
+#[case::dripped_trailers(RouteKind::Once, endless(TRAILERS, "a: b\r\n", PAUSE))]
+#[case::flooded_events(RouteKind::Stream, endless(CHUNKS, EVENT, NONE))]
+#[case::dripped_events(RouteKind::Stream, endless(CHUNKS, EVENT, PAUSE))]
+#[case::flooded_comment(RouteKind::Stream, endless(CHUNKS, COMMENT, NONE))]
+#[case::dripped_comment(RouteKind::Stream, endless(CHUNKS, COMMENT, PAUSE))]
 fn a_request_ends_in_time_although_its_response_does_not(
     #[case] kind: RouteKind,
     #[case] response: EndlessResponse,
