Withdraw a hedge only for the whole head of a response

What callers would see: requests that a sound replica could have served end with 504, as the first replica drips a head that does not end.

Cause: while a request is hedged, any byte of the silent replica counted as its response and withdrew the hedge. The next silence found no replica that had not been tried.

Change: before its head, a replica has resumed once its head is complete; a head over the limit ends the wait like the end of the connection.

Test, on the commit before: FAIL a_request_that_may_be_repeated_is_served_by_another_replica::case_2_dripped_head HTTP/1.1 504 Gateway Timeout With the change 232 of 232 tests of the gateway pass.

--- a/crates/gradeloft_gateway/src/entry/attempt.rs
+++ b/crates/gradeloft_gateway/src/entry/attempt.rs
@@ -216,11 +216,23 @@
         Ok(())
     }
 
-    /// Waits for data from the replica; returns false if the connection ends first.
+    /// Waits for data from the replica, before the head of its response for a whole head; returns
+    /// false if the connection ends first, or what it sends is not a head.
     pub async fn wait_for_data(&mut self) -> bool {
-        tokio::select! {
-            read = self.connection.wire.fill() => matches!(read, Ok(1..)),
-            () = self.in_flight.wait_for_restart() => false,
+        loop {
+            let read = tokio::select! {
+                read = self.connection.wire.fill() => matches!(read, Ok(1..)),
+                () = self.in_flight.wait_for_restart() => false,
+            };
+            let is_head_expected = matches!(self.stage, Stage::AwaitingHead(_));
+            if !read || !is_head_expected {
+                return read;
+            }
+            match head::is_complete(&self.connection.wire.buffer) {
+                Ok(false) => {}
+                Ok(true) => return true,
+                Err(_) => return false,
+            }
         }
     }
 
--- a/crates/gradeloft_gateway/src/h1/head.rs
+++ b/crates/gradeloft_gateway/src/h1/head.rs
@@ -10,6 +10,9 @@
 /// Largest head of a response, in bytes; four times the usual limit for requests.
 const MAX_RESPONSE_BYTES: usize = 32 << 10;
 
+/// End of a head.
+const END: &[u8] = b"\r\n\r\n";
+
 /// Hop-by-hop headers, which are never forwarded.
 const HOP_BY_HOP: [&str; 8] = [
     "connection",
@@ -155,6 +158,16 @@
     }))
 }
 
+/// Returns whether `buffer` begins with a complete head. A head that exceeds the largest size of a
+/// response's head is malformed.
+pub fn is_complete(buffer: &[u8]) -> Result<bool, Malformed> {
+    let complete = buffer.windows(END.len()).any(|it| it == END);
+    match complete {
+        false if MAX_RESPONSE_BYTES < buffer.len() => Err(Malformed),
+        complete => Ok(complete),
+    }
+}
+
 /// Takes the head of a response from the front of `buffer`; returns `None` while it is incomplete. A
 /// head that exceeds its largest size is malformed.
 pub fn response(buffer: &mut BytesMut) -> Result<Option<Response>, Malformed> {
--- a/crates/gradeloft_gateway/tests/entry/endless_responses.rs
+++ b/crates/gradeloft_gateway/tests/entry/endless_responses.rs
@@ -92,3 +92,20 @@
         wait_until(|| async { replica.ended() == 1 }).await;
     });
 }
+
+/// Guards against requests that a sound replica could have served, as a faulty one was taken to have
+/// resumed its response.
+#[rstest]
+#[case::flooded_head(endless(HEAD, "a", NONE))]
+#[case::dripped_head(endless(HEAD, "a", PAUSE))]
+#[case::flooded_informational_heads(endless("", CONTINUE, NONE))]
+#[case::dripped_informational_heads(endless("", CONTINUE, PAUSE))]
+fn a_request_that_may_be_repeated_is_served_by_another_replica(#[case] response: EndlessResponse) {
+    run(async {
+        let work = Duration::from_millis(100);
+        let script = vec![Step::Read, Step::Wait(work), ok("from the sound replica")];
+        let (harness, _replica) = start(RouteKind::Idempotent, 4_000, response, script).await;
+        let response = harness.send(&request("GET", "")).await;
+        assert!(response.ends_with("from the sound replica"), "{response}");
+    });
+}
