Bound the bodies of responses to the platform's HTTP client in time

What callers would see: an agent that stops loading weights, or an entry that stops reading the store, as one refusal (409, or 503 without a pause) announces a body that never ends. The same class on a related path, found by reading.

Cause: the time limit of a call ends with the head of the response. The body of a refusal, of JSON and of content had a limit in bytes only.

Change: 0.5 s for the reason in a refusal, after which the call fails without one; 30 s for other bodies, beside the shorter limits that the adapter has for its own calls.

--- a/crates/gradeloft_platform/src/http.rs
+++ b/crates/gradeloft_platform/src/http.rs
@@ -16,6 +16,10 @@
 
 /// Limit for a JSON response body, in bytes.
 const MAX_JSON_BYTES: usize = 8 << 20;
+/// Time limit for a body, which is far above the transfer of a large one over a slow link.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time limit for the body of a refusal, which holds a short reason.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay before a retry if the response names none, in milliseconds.
 const DEFAULT_RETRY_AFTER_MS: u64 = 1000;
 
@@ -98,6 +102,7 @@
             .map_err(send_error)?;
         error_for_status(res)
             .await?
+            .timeout(BODY_TIMEOUT)
             .body()
             .limit(max_bytes)
             .await
@@ -121,7 +126,7 @@
 }
 
 /// Returns the response if its status is a success, or else the matching fault.
-pub async fn error_for_status<S>(mut res: ClientResponse<S>) -> Result<ClientResponse<S>, Fault>
+pub async fn error_for_status<S>(res: ClientResponse<S>) -> Result<ClientResponse<S>, Fault>
 where
     S: Stream<Item = Result<Bytes, PayloadError>> + Unpin + 'static,
 {
@@ -138,6 +143,7 @@
             })
         }
         (StatusCode::CONFLICT | StatusCode::SERVICE_UNAVAILABLE, _) => {
+            let mut res = res.timeout(REFUSAL_TIMEOUT);
             let body = res.body().limit(MAX_JSON_BYTES).await.unwrap_or_default();
             Err(Fault::Refused(refusal_reason(&body)))
         }
@@ -155,12 +161,13 @@
     }
 }
 
-async fn decode_json<T, S>(mut res: ClientResponse<S>) -> Result<T, Fault>
+async fn decode_json<T, S>(res: ClientResponse<S>) -> Result<T, Fault>
 where
     T: DeserializeOwned,
     S: Stream<Item = Result<Bytes, PayloadError>> + Unpin + 'static,
 {
-    res.json()
+    res.timeout(BODY_TIMEOUT)
+        .json()
         .limit(MAX_JSON_BYTES)
         .await
         .map_err(|it| match it {
