--- a/crates/gradeloft_emulator/src/lib.rs
+++ b/crates/gradeloft_emulator/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`load`]: parameters of a run.
 //! - [`outcome`]: outcomes of the callers' requests.
 //! - [`entry`]: view and decisions of one entry.
+//! - [`removals`]: removal of a replica after a cut or an outage of the store.
 //! - [`rollout`]: rollout of a version, with pauses of agents and corrupt chunks.
 //! - [`simulation`]: event loop of a run.
 
@@ -16,6 +17,7 @@
 pub mod entry;
 pub mod load;
 pub mod outcome;
+pub mod removals;
 pub mod rollout;
 pub mod simulation;
 
