Let a process count reads before its own start

What callers would see: while all entries restart in turn, requests reach a removed replica for up to 2.3 s instead of 2 s.

What a peer vouches for was cut off at the start of the receiver's clock, so a vouch that it had got at its start covered nothing, and a reader that started began anew. And a reader whose reads had resumed 2.3 s before said nothing, although no replica comes back that late.

Change: `store_reads::Since` may lie before the start of the process, so that a process which starts and gets its copy from a peer goes on with the period of that peer. Readers vouch after 2 s of reads rather than 3 s, which still covers the 1.5 s before a removal that was written in the last half second; a period that began less than 1.5 s before the removal ends the doubt 2.3 s after its start.

--- a/crates/gradeloft_emulator/src/removals.rs
+++ b/crates/gradeloft_emulator/src/removals.rs
@@ -9,7 +9,7 @@
         mirror::Record,
         readers,
         replicas::StoreTrust,
-        store_reads::{self, DOUBT_MS, DoubtfulRemovals, RESTORED_MS, ReadPeriod, Removal},
+        store_reads::{self, DOUBT_MS, DoubtfulRemovals, RESTORED_MS, ReadPeriod, Removal, Since},
     },
 };
 use gradeloft_wire::position::Position;
@@ -91,7 +91,7 @@
     region: usize,
     name: u64,
     /// Time since which its own reads have succeeded; `None` for entries that don't read.
-    own_since: Option<Time>,
+    own_since: Option<Since>,
     /// Time at which its next read succeeds, if it reads.
     next_read: Option<Time>,
     cut_off: bool,
@@ -195,13 +195,13 @@
     fn disrupt(&mut self) {
         let healed = ms(DISRUPTED_MS + self.run.for_ms);
         let before = ReadPeriod {
-            since: Time::ZERO,
+            since: Time::ZERO.into(),
             until: ms(DISRUPTED_MS),
             end: REMOVAL,
         };
         for region in 0..self.run.regions {
             for reader in self.readers(region, None) {
-                self.entries[reader].own_since = Some(Time::ZERO);
+                self.entries[reader].own_since = Some(Time::ZERO.into());
             }
         }
         let noticed = DETECTION_MS <= self.run.for_ms;
@@ -213,7 +213,7 @@
                 // Without reads that succeed, all entries begin to read.
                 Disruption::Outage => {
                     if entry.own_since.is_some() || noticed {
-                        entry.own_since = Some(resumed);
+                        entry.own_since = Some(resumed.into());
                     }
                 }
                 Disruption::Cut => {}
@@ -225,7 +225,9 @@
         for idx in 0..self.entries.len() {
             let pause_ms = self.read_pause_ms();
             let entry = &mut self.entries[idx];
-            entry.next_read = entry.own_since.map(|it| it.max(ms(DISRUPTED_MS)));
+            entry.next_read = entry
+                .own_since
+                .map(|it| it.after_ms(0).max(ms(DISRUPTED_MS)));
             entry.next_read = entry.next_read.map(|it| it.after_ms(pause_ms));
         }
     }
@@ -239,7 +241,7 @@
         };
         let resumed = healed.after_ms(self.rng.random_range(0..BACKOFF_MS));
         self.entries[cut].cut_off = true;
-        self.entries[cut].own_since = Some(resumed);
+        self.entries[cut].own_since = Some(resumed.into());
         for reader in self.readers(region, Some(cut)) {
             if self.entries[reader].own_since.is_none() && noticed {
                 let took_over = ms(DISRUPTED_MS + DETECTION_MS);
@@ -248,7 +250,7 @@
                 let confirmed = has_others.then_some(took_over);
                 let peers = self.entries[reader].peers;
                 let since = store_reads::continued_since(peers, confirmed, took_over);
-                self.entries[reader].own_since = since.or(Some(took_over));
+                self.entries[reader].own_since = since.or(Some(took_over.into()));
             }
         }
     }
@@ -390,9 +392,10 @@
             }
             let entry = &mut self.entries[idx];
             let is_listed = entry.has_listing;
-            let sound = entry
-                .doubts
-                .take_sound(entry.own_since, entry.peers, |_| is_listed, now);
+            let sound =
+                entry
+                    .doubts
+                    .take_confirmed(entry.own_since, entry.peers, |_| is_listed, now);
             if !sound.is_empty() {
                 entry.gone_at = Some(now);
             }
--- a/crates/gradeloft_gateway/src/node/removals.rs
+++ b/crates/gradeloft_gateway/src/node/removals.rs
@@ -87,7 +87,7 @@
         let read_at = self.write_times.borrow()[index(table)].read_at();
         let own = ReadPeriod {
             since,
-            until: read_at.unwrap_or(since),
+            until: read_at.unwrap_or_default(),
             end: self.end(table),
         };
         self.extend_peer_reads(table, own);
@@ -153,16 +153,16 @@
         let own_since = self.read_state(table).since();
         let is_listed = |key: &str| self.has_key(table, key);
         let mut doubts = self.doubtful_removals.borrow_mut();
-        let sound = doubts.take_sound(own_since, self.peer_reads(table), is_listed, now);
+        let confirmed = doubts.take_confirmed(own_since, self.peer_reads(table), is_listed, now);
         drop(doubts);
-        for record in &sound {
+        for record in &confirmed {
             if let Some(log) = self.logs.line(Topic::State) {
                 info!(log, "removal confirmed"; "replica" => &record.key,
                     "position" => %record.position);
             }
         }
         self.removal_confirmed.set(true);
-        self.notify_observer(table, sound);
+        self.notify_observer(table, confirmed);
         self.removal_confirmed.set(false);
     }
 }
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -8,7 +8,7 @@
     clock::Time,
     process::{
         mirror::{Record, Update},
-        store_reads::DOUBT_MS,
+        store_reads::{DOUBT_MS, Since},
     },
 };
 use gradeloft_wire::{datagram::StoreAccess, frame::Table, position::Position};
@@ -71,7 +71,7 @@
     /// The last read failed.
     Interrupted,
     /// Reads have succeeded since this time.
-    Reading(Time),
+    Reading(Since),
     /// A read failed, and reads have succeeded since this time.
     Resumed(Time),
     /// Other processes read the table.
@@ -83,9 +83,10 @@
 
 impl ReadState {
     /// Returns the time since which this process's own reads have succeeded.
-    pub(super) fn since(self) -> Option<Time> {
+    pub(super) fn since(self) -> Option<Since> {
         match self {
-            ReadState::Reading(since) | ReadState::Resumed(since) => Some(since),
+            ReadState::Reading(since) => Some(since),
+            ReadState::Resumed(at) => Some(at.into()),
             ReadState::Interrupted | ReadState::Standby | ReadState::Starting => None,
         }
     }
@@ -419,7 +420,7 @@
         let now = self.clock.now();
         match self.read_state(table) {
             ReadState::Interrupted => self.set_read_state(table, ReadState::Resumed(now)),
-            ReadState::Starting => self.set_read_state(table, ReadState::Reading(now)),
+            ReadState::Starting => self.set_read_state(table, ReadState::Reading(now.into())),
             ReadState::Reading(_) | ReadState::Resumed(_) | ReadState::Standby => {}
         }
         if self.logged_store_fault.take().is_some()
--- a/crates/gradeloft_policy/src/process/store_reads.rs
+++ b/crates/gradeloft_policy/src/process/store_reads.rs
@@ -25,13 +25,47 @@
 /// intervals between a replica's writes, as a record lapses after three without one.
 const LAPSE_MS: u64 = 2_400;
 
+/// Time since which reads have succeeded, which may be before the start of this process.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Since(
+    /// Microseconds from the start of this process.
+    i64,
+);
+
+impl Since {
+    /// Returns the time `ms` milliseconds before `time`.
+    pub fn before_ms(time: Time, ms: u64) -> Since {
+        Since(Since::from(time).0 - micros(ms))
+    }
+
+    /// Returns whether the reads have succeeded for `ms` milliseconds at `time`.
+    fn lasts_ms(self, ms: u64, time: Time) -> bool {
+        self.0 + micros(ms) <= Since::from(time).0
+    }
+
+    /// Returns the time `ms` milliseconds later, at least the start of this process.
+    pub fn after_ms(self, ms: u64) -> Time {
+        Time(u64::try_from(self.0 + micros(ms)).unwrap_or_default())
+    }
+}
+
+impl From<Time> for Since {
+    fn from(time: Time) -> Since {
+        Since(i64::try_from(time.0).unwrap_or(i64::MAX / 2))
+    }
+}
+
+fn micros(ms: u64) -> i64 {
+    i64::try_from(ms.saturating_mul(1_000)).unwrap_or(i64::MAX / 4)
+}
+
 /// Period in which one process's reads of a table succeeded without interruption.
 ///
 /// The period is shorter than the one that the process itself knows, never longer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ReadPeriod {
     /// Time of the first read.
-    pub since: Time,
+    pub since: Since,
     /// Time of the last read.
     pub until: Time,
     /// End of the copy after the last read.
@@ -41,10 +75,9 @@
 impl ReadPeriod {
     /// Returns the period that a peer vouches for in a reply, with a copy up to `end`.
     pub fn vouched(requested_at: Time, received_at: Time, end: Position) -> ReadPeriod {
-        let since = received_at.before_ms(VOUCHED_MS);
         ReadPeriod {
-            since,
-            until: requested_at.max(since),
+            since: Since::before_ms(received_at, VOUCHED_MS),
+            until: requested_at,
             end,
         }
     }
@@ -55,7 +88,7 @@
         if newer.end < self.end {
             return self;
         }
-        let adjoins = newer.since <= self.until;
+        let adjoins = newer.since <= Since::from(self.until);
         let since = if adjoins {
             newer.since.min(self.since)
         } else {
@@ -67,8 +100,8 @@
 
 /// Returns whether a process may vouch for its copy of a table: its own reads have succeeded since
 /// `own_since`, for at least [`VOUCHED_MS`].
-pub fn vouches(own_since: Option<Time>, now: Time) -> bool {
-    own_since.is_some_and(|it| it.after_ms(VOUCHED_MS) <= now)
+pub fn vouches(own_since: Option<Since>, now: Time) -> bool {
+    own_since.is_some_and(|it| it.lasts_ms(VOUCHED_MS, now))
 }
 
 /// Returns the time since which reads of a table have succeeded, for a process whose first read
@@ -79,7 +112,7 @@
     peers: Option<ReadPeriod>,
     confirmed: Option<Time>,
     now: Time,
-) -> Option<Time> {
+) -> Option<Since> {
     let is_recent = confirmed.is_some_and(|it| now < it.after_ms(LAPSE_MS));
     peers.filter(|_| is_recent).map(|it| it.since)
 }
@@ -98,15 +131,15 @@
     /// reads have succeeded, and `peers` a period of another process's reads.
     pub fn trust(
         self,
-        own_since: Option<Time>,
+        own_since: Option<Since>,
         peers: Option<ReadPeriod>,
         now: Time,
     ) -> StoreTrust {
         let peers_since = peers.filter(|it| self.end <= it.end).map(|it| it.since);
         let Some(since) = own_since.into_iter().chain(peers_since).min() else {
-            return self.doubtful(now);
+            return self.doubtful(now.into());
         };
-        if since.after_ms(DOUBT_MS) <= self.written {
+        if since.lasts_ms(DOUBT_MS, self.written) {
             StoreTrust::Sound
         } else {
             self.doubtful(since)
@@ -114,7 +147,7 @@
     }
 
     /// Returns a doubt about the removal, for reads that resumed at `resumed`.
-    fn doubtful(self, resumed: Time) -> StoreTrust {
+    fn doubtful(self, resumed: Since) -> StoreTrust {
         StoreTrust::Doubtful(resumed.after_ms(RESTORED_MS)).of_written(self.written, RESTORED_MS)
     }
 }
@@ -150,20 +183,23 @@
         self.doubts.iter().any(|it| now < it.until)
     }
 
-    /// Removes and returns the removals that are sound by now. `is_listed` returns whether the store
+    /// Removes and returns the removals that hold by now. `is_listed` returns whether the store
     /// has another record of a key again.
-    pub fn take_sound(
+    pub fn take_confirmed(
         &mut self,
-        own_since: Option<Time>,
+        own_since: Option<Since>,
         peers: Option<ReadPeriod>,
         is_listed: impl Fn(&str) -> bool,
         now: Time,
     ) -> Vec<Record> {
         self.doubts
             .retain(|it| now < it.until && !is_listed(&it.record.key));
-        let is_sound =
-            |it: &mut Doubt| it.removal.trust(own_since, peers, now) == StoreTrust::Sound;
-        let sound = self.doubts.extract_if(.., is_sound);
-        sound.map(|it| it.record).collect()
+        // Reads that resumed earlier than was known end a doubt earlier.
+        let holds = |it: &mut Doubt| match it.removal.trust(own_since, peers, now) {
+            StoreTrust::Doubtful(until) => until <= now,
+            StoreTrust::Sound => true,
+        };
+        let confirmed = self.doubts.extract_if(.., holds);
+        confirmed.map(|it| it.record).collect()
     }
 }
--- a/crates/gradeloft_wire/src/frame.rs
+++ b/crates/gradeloft_wire/src/frame.rs
@@ -161,7 +161,7 @@
 }
 
 /// Shortest time of uninterrupted reads for which [`Reply::Records`] is sound, in milliseconds.
-pub const VOUCHED_MS: u64 = 3_000;
+pub const VOUCHED_MS: u64 = 2_000;
 
 /// A table of the platform's store that processes copy from each other.
 #[derive(Clone, Copy, Debug, Decode, Encode, Eq, Hash, PartialEq)]
