--- a/crates/gradeloft_emulator/src/load.rs
+++ b/crates/gradeloft_emulator/src/load.rs
@@ -85,6 +85,9 @@
     pub exchange_interval_ms: u64,
     /// Temporary outages of replicas.
     pub outages: Vec<Outage>,
+    /// Times in which responses of some replicas do not end, so that requests there end at their
+    /// deadlines.
+    pub endless: Vec<Outage>,
     /// Temporary changes of the rate.
     pub surges: Vec<Surge>,
     /// Time from which the reports of entries no longer reach the others, in milliseconds.
@@ -125,6 +128,7 @@
             caller_timeout_ms: 6_000,
             exchange_interval_ms: 125,
             outages: Vec::new(),
+            endless: Vec::new(),
             surges: Vec::new(),
             silent_from_ms: None,
         };
--- a/crates/gradeloft_emulator/src/simulation.rs
+++ b/crates/gradeloft_emulator/src/simulation.rs
@@ -14,7 +14,7 @@
 use crate::{
     engine::{Engine, Job, Progress},
     entry::{Decision, Entry, InFlight, IncomingRequest},
-    load::Load,
+    load::{Load, Outage},
     outcome::{Outcome, RunResult},
 };
 
@@ -44,6 +44,8 @@
         replica: usize,
         rank: u32,
     },
+    /// A request whose response does not end reaches its deadline.
+    Expired(usize),
     /// Entries send their views to each other.
     ViewsSent,
     /// Views arrive at the other entries.
@@ -211,6 +213,7 @@
                 replica,
                 rank,
             } => self.arrive_at_replica(request, replica, rank),
+            Event::Expired(request) => self.lose_request(request),
             Event::ViewsSent => {
                 let in_flight = self.entries.iter().map(Entry::in_flight).collect();
                 let demands = self.entries.iter().map(|it| it.demands(self.now));
@@ -303,6 +306,11 @@
             return;
         }
         let caller = &self.callers[request];
+        if self.is_endless(replica) {
+            let deadline = caller.first_sent.after_ms(self.load.caller_timeout_ms);
+            self.push(deadline.max(self.now), Event::Expired(request));
+            return;
+        }
         let job = Job {
             id: request,
             rank,
@@ -313,6 +321,16 @@
         self.schedule_pass_end(replica, pass);
     }
 
+    /// Returns whether a response that a replica begins now does not end.
+    fn is_endless(&self, replica: usize) -> bool {
+        let includes = |it: &Outage| {
+            let start = Time::ZERO.after_ms(it.start_ms);
+            let end = start.after_ms(it.duration_ms);
+            replica < it.replicas && start <= self.now && self.now < end
+        };
+        self.load.endless.iter().any(includes)
+    }
+
     fn schedule_pass_end(&mut self, replica: usize, pass_ms: Option<f64>) {
         if let Some(pass_ms) = pass_ms {
             let at = self.now.after(Duration::from_secs_f64(pass_ms / 1000.0));
