Let a reader that starts continue the reads of others

Change: until it can vouch, a reader whose period begins asks the other readers every 0.4 s. If their period overlaps its own reads, the store has served one or the other without interruption since the beginning of theirs.

--- a/crates/gradeloft_gateway/src/node/removals.rs
+++ b/crates/gradeloft_gateway/src/node/removals.rs
@@ -25,6 +25,9 @@
 /// Pause between two calls to the same reader, and before the first one to a reader of another
 /// region.
 const VERIFY_PAUSE: Duration = Duration::from_millis(200);
+/// Pause before each call to the other readers about their periods. After the first one, a process that
+/// has just started knows some peers.
+const JOIN_PAUSE: Duration = Duration::from_millis(400);
 
 impl Node {
     /// Returns whether a removal may be an error of the store. A doubtful one is confirmed later if
@@ -75,8 +78,40 @@
     /// Notes that a peer vouched for its copy of a table, in reply to a call made at
     /// `requested_at`.
     pub(super) fn note_vouched(&self, table: Table, end: Position, requested_at: Time) {
-        let now = self.clock.now();
-        self.extend_peer_reads(table, ReadPeriod::vouched(requested_at, now, end));
+        let period = ReadPeriod::vouched(requested_at, self.clock.now(), end);
+        self.extend_peer_reads(table, period);
+        let own_since = match self.read_state(table) {
+            ReadState::Reading(own_since) => own_since,
+            _ => return,
+        };
+        if let Some(since) = self.peer_reads(table).and_then(|it| it.joined(own_since)) {
+            self.set_read_state(table, ReadState::Reading(since));
+        }
+    }
+
+    /// Asks the other readers of a table until the period of this process's reads continues theirs, or
+    /// is long enough by itself.
+    pub(super) fn join_reads(self: &Rc<Node>, table: Table) {
+        if table != Table::Replicas {
+            return;
+        }
+        let node = Rc::clone(self);
+        self.scope.spawn(async move {
+            while !node.vouches(table) && node.read_state(table).since().is_some() {
+                actix_rt::time::sleep(JOIN_PAUSE).await;
+                for peer in node.other_readers(table) {
+                    node.fetch_records(peer, table).await;
+                    if node.vouches(table) {
+                        return;
+                    }
+                }
+            }
+        });
+    }
+
+    fn other_readers(&self, table: Table) -> Vec<Ipv4Addr> {
+        let election = self.election.borrow().clone();
+        election.map_or(Vec::new(), |it| it.readers(table))
     }
 
     /// Keeps the period of this process's own reads, before it leaves reading a table to others.
@@ -121,9 +156,7 @@
         if self.verifiers.get() != 0 {
             return;
         }
-        let election = self.election.borrow().clone();
-        let readers = election.map_or(Vec::new(), |it| it.readers(table));
-        for peer in readers {
+        for peer in self.other_readers(table) {
             self.verifiers.set(self.verifiers.get() + 1);
             let node = Rc::clone(self);
             self.scope.spawn(async move {
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -292,7 +292,11 @@
             match read {
                 Ok(progress) => {
                     failures = 0;
+                    let begins = self.read_state(table) == ReadState::Starting;
                     self.note_store_success(table);
+                    if begins {
+                        self.join_reads(table);
+                    }
                     let election = self.election.borrow().clone();
                     let pause = election.map_or(pause, |it| match progress {
                         Progress::Applied => it.pause(table, pause),
--- a/crates/gradeloft_gateway/tests/entry/removals.rs
+++ b/crates/gradeloft_gateway/tests/entry/removals.rs
@@ -6,17 +6,20 @@
     time::Duration,
 };
 
-use crate::support::{Harness, Machine, TestConfig, get, ok, run, wait_until};
+use crate::support::{Harness, Machine, TestConfig, address, get, ok, run, wait_until};
 use gradeloft_gateway::{
     entry::{Entry, Handle},
     node::{Election, tables::ReadState},
 };
-use gradeloft_policy::process::{document::RouteKind, store_reads::RESTORED_MS};
+use gradeloft_policy::{
+    clock::Time,
+    process::{document::RouteKind, store_reads::RESTORED_MS},
+};
 use gradeloft_standin::{
     scripted::Step,
     tables::{StoreMode, Tables},
 };
-use gradeloft_wire::frame::Table;
+use gradeloft_wire::frame::{Table, VOUCHED_MS};
 
 const TABLE: Table = Table::Replicas;
 /// Time within which requests to a removed replica have to stop.
@@ -172,6 +175,24 @@
     });
 }
 
+/// Guards against doubtful removals while entries restart in turn.
+#[test]
+fn a_reader_that_has_just_started_continues_the_reads_of_others() {
+    run(async {
+        let harness = start_reader().await;
+        let first = &harness.entry.entry().node;
+        wait_until(|| async { first.vouches(TABLE) }).await;
+        let own_row = address(1).to_string();
+        harness.tables.write(Table::Entries, &own_row, Some("z"));
+        // A seed reads the table before it hears of others.
+        let started = harness.add_entry_with_seed(2, 2, &harness.tables).await;
+        let node = &started.entry().node;
+        wait_until(|| async { node.vouches(TABLE) }).await;
+        // Its own reads alone last too short a time.
+        assert!(node.clock.now() < Time::ZERO.after_ms(VOUCHED_MS));
+    });
+}
+
 /// Guards against replicas that stay in use for good after a doubtful removal.
 #[test]
 fn a_removal_that_no_peer_confirms_holds_after_the_doubt() {
--- a/crates/gradeloft_policy/src/process/store_reads.rs
+++ b/crates/gradeloft_policy/src/process/store_reads.rs
@@ -82,6 +82,13 @@
         }
     }
 
+    /// Returns the time since which this period and reads since `own_since` succeeded together, if they
+    /// overlap and the period began earlier.
+    pub fn joined(self, own_since: Since) -> Option<Since> {
+        let overlap = own_since <= Since::from(self.until);
+        (overlap && self.since < own_since).then_some(self.since)
+    }
+
     /// Returns the period extended by a newer one, or the newer one if the store may have been
     /// unavailable in between.
     pub fn extended(self, newer: ReadPeriod) -> ReadPeriod {
--- a/crates/gradeloft_policy/tests/store_reads.rs
+++ b/crates/gradeloft_policy/tests/store_reads.rs
@@ -81,6 +81,14 @@
     assert_eq!(later.extended(vouched(9_200, 8)), later);
 }
 
+#[test]
+fn reads_join_a_period_that_overlaps_them() {
+    let peers = period(1_000, 8).unwrap();
+    assert_eq!(peers.joined(at(9_000).into()), Some(at(1_000).into()));
+    assert_eq!(peers.joined(at(10_001).into()), None);
+    assert_eq!(peers.joined(at(900).into()), None);
+}
+
 /// Guards against removals that are doubtful at a process because it has just started.
 #[test]
 fn a_peer_vouches_for_the_time_before_the_start_of_this_process() {
