--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -15,7 +15,7 @@
 pub mod confirmed;
 pub mod parts;
 pub mod records;
-mod removals;
+pub mod removals;
 pub mod restored;
 pub mod tables;
 pub mod unreadable;
