Endless responses at each place of the protocol; wording

22 further cases, flooded and dripped: status line, header fields, a huge length, chunk extensions, chunks with extensions, events that were relayed before, bodies and heads for another request, bodies of a refusal and of a failure, bytes after a response.

Doc comments and names of the new code use the field's terms (report, receive, distinguish).

--- a/crates/gradeloft_emulator/src/removals.rs
+++ b/crates/gradeloft_emulator/src/removals.rs
@@ -44,7 +44,7 @@
     Outage,
 }
 
-/// What entries tell each other about a removal.
+/// Content of the reports about a removal between entries.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Passing {
     /// Doubts, by which the receiver sets a deadline of its own.
@@ -68,7 +68,7 @@
     pub for_ms: u64,
     /// Time from the end of the disruption to the removal, in milliseconds.
     pub removed_after_ms: u64,
-    /// What entries tell each other.
+    /// Content of the reports between entries.
     pub passing: Passing,
     /// Seed.
     pub seed: u64,
@@ -343,7 +343,7 @@
                 continue;
             }
             let vouched = match self.run.passing {
-                Passing::Reads => self.hear(idx, peer, now),
+                Passing::Reads => self.receive_vouch(idx, peer, now),
                 Passing::Doubts => {
                     let since = self.entries[peer].own_since;
                     since.is_none_or(|it| it.after_ms(DOUBT_MS) <= now)
@@ -354,7 +354,7 @@
     }
 
     /// Notes the reads for which a peer vouches in a reply; returns whether it does.
-    fn hear(&mut self, idx: usize, peer: usize, now: Time) -> bool {
+    fn receive_vouch(&mut self, idx: usize, peer: usize, now: Time) -> bool {
         let peer = &self.entries[peer];
         let vouches = store_reads::vouches(peer.own_since, now);
         let end = match peer.has_removal {
@@ -386,7 +386,7 @@
                 for peer in self.served_readers[other].clone() {
                     if peer != idx {
                         self.outcome.calls += 1;
-                        self.hear(idx, peer, now);
+                        self.receive_vouch(idx, peer, now);
                     }
                 }
             }
--- a/crates/gradeloft_gateway/src/node/records.rs
+++ b/crates/gradeloft_gateway/src/node/records.rs
@@ -330,8 +330,7 @@
         true
     }
 
-    /// Replaces the previously announced update by a newer one, which takes over the earlier
-    /// values.
+    /// Replaces the announced update by a newer one, which takes over the values that have arrived.
     fn announce(&self, table: Table, mut announced: Announced) {
         self.with_inbox(table, |it| {
             let before = it.pending.take();
--- a/crates/gradeloft_gateway/tests/entry/endless_responses.rs
+++ b/crates/gradeloft_gateway/tests/entry/endless_responses.rs
@@ -26,6 +26,19 @@
 const EVENT: &str = "a\r\ndata: xx\n\n\r\n";
 const COMMENT: &str = "3\r\n: \n\r\n";
 
+const STATUS: &str = "HTTP/1.1 200 ";
+const FIELDS: &str = "HTTP/1.1 200 OK\r\n";
+const LENGTH: &str = "HTTP/1.1 200 OK\r\nt-seal: s\r\nContent-Length: 18446744073709551615\r\n\r\n";
+const EXTENSION: &str = "HTTP/1.1 200 OK\r\nt-seal: s\r\nTransfer-Encoding: chunked\r\n\r\n1;a=";
+const EXTENSIONS: &str = "1;a=aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\nx\r\n";
+const REPEATED: &str = "b\r\nid: 1\ndata\n\n\r\n";
+const STALE: &str =
+    "HTTP/1.1 200 OK\r\nt-request: other\r\nt-seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+const STALE_HEAD: &str = "HTTP/1.1 200 OK\r\nt-request: other\r\nContent-Length: 0\r\n\r\n";
+const REFUSED: &str = "HTTP/1.1 503 Full\r\nt-not-run: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+const FAILED: &str = "HTTP/1.1 500 Oops\r\nt-seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+const TAIL: &str = "HTTP/1.1 200 OK\r\nt-seal: s\r\nContent-Length: 1\r\n\r\nx";
+
 fn endless(start: &'static str, piece: &'static str, pause: Duration) -> EndlessResponse {
     EndlessResponse {
         start,
@@ -70,6 +83,28 @@
 #[case::dripped_events(RouteKind::Stream, endless(CHUNKS, EVENT, PAUSE))]
 #[case::flooded_comment(RouteKind::Stream, endless(CHUNKS, COMMENT, NONE))]
 #[case::dripped_comment(RouteKind::Stream, endless(CHUNKS, COMMENT, PAUSE))]
+#[case::flooded_status_line(RouteKind::Once, endless(STATUS, "a", NONE))]
+#[case::dripped_status_line(RouteKind::Once, endless(STATUS, "a", PAUSE))]
+#[case::flooded_fields(RouteKind::Once, endless(FIELDS, "a: b\r\n", NONE))]
+#[case::dripped_fields(RouteKind::Once, endless(FIELDS, "a: b\r\n", PAUSE))]
+#[case::flooded_body_of_a_huge_length(RouteKind::Once, endless(LENGTH, "a", NONE))]
+#[case::dripped_body_of_a_huge_length(RouteKind::Once, endless(LENGTH, "a", PAUSE))]
+#[case::flooded_chunk_extension(RouteKind::Once, endless(EXTENSION, "a", NONE))]
+#[case::dripped_chunk_extension(RouteKind::Once, endless(EXTENSION, "a", PAUSE))]
+#[case::flooded_chunks_with_extensions(RouteKind::Once, endless(CHUNKS, EXTENSIONS, NONE))]
+#[case::dripped_chunks_with_extensions(RouteKind::Once, endless(CHUNKS, EXTENSIONS, PAUSE))]
+#[case::flooded_repeated_events(RouteKind::ResumableStream, endless(CHUNKS, REPEATED, NONE))]
+#[case::dripped_repeated_events(RouteKind::ResumableStream, endless(CHUNKS, REPEATED, PAUSE))]
+#[case::flooded_body_to_another_request(RouteKind::Once, endless(STALE, "1\r\na\r\n", NONE))]
+#[case::dripped_body_to_another_request(RouteKind::Once, endless(STALE, "1\r\na\r\n", PAUSE))]
+#[case::flooded_heads_to_other_requests(RouteKind::Once, endless("", STALE_HEAD, NONE))]
+#[case::dripped_heads_to_other_requests(RouteKind::Once, endless("", STALE_HEAD, PAUSE))]
+#[case::flooded_body_of_a_refusal(RouteKind::Once, endless(REFUSED, "1\r\na\r\n", NONE))]
+#[case::dripped_body_of_a_refusal(RouteKind::Once, endless(REFUSED, "1\r\na\r\n", PAUSE))]
+#[case::flooded_body_of_a_failure(RouteKind::Idempotent, endless(FAILED, "1\r\na\r\n", NONE))]
+#[case::dripped_body_of_a_failure(RouteKind::Idempotent, endless(FAILED, "1\r\na\r\n", PAUSE))]
+#[case::flooded_bytes_after_a_response(RouteKind::Once, endless(TAIL, "a", NONE))]
+#[case::dripped_bytes_after_a_response(RouteKind::Once, endless(TAIL, "a", PAUSE))]
 fn a_request_ends_in_time_although_its_response_does_not(
     #[case] kind: RouteKind,
     #[case] response: EndlessResponse,
--- a/crates/gradeloft_policy/src/process/store_reads.rs
+++ b/crates/gradeloft_policy/src/process/store_reads.rs
@@ -2,8 +2,8 @@
 //! from them.
 //!
 //! While the store is unavailable, the records of live replicas may lapse, and they return moments
-//! after it is back. A process whose own reads failed can't tell an outage of the store from a
-//! failure of its path to the store. Reads that succeeded show that the store was available,
+//! after it is back. A process whose own reads failed can't distinguish an outage of the store
+//! from a failure of its path to the store. Reads that succeeded show that the store was available,
 //! whichever process made them. Therefore processes report to each other only which reads succeeded,
 //! never a doubt, and each process decides about its copy on its own.
 
