--- a/crates/gradeloft_daemon/tests/support/mod.rs
+++ b/crates/gradeloft_daemon/tests/support/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test file uses some of the helpers")]
 
+pub(crate) mod daemons;
+
 use std::fmt::Display;
 
 use gradeloft_standin::{
--- a/crates/gradeloft_standin/src/lib.rs
+++ b/crates/gradeloft_standin/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! - [`caller`]: a client of the entries.
 //! - [`engine`]: a model engine.
+//! - [`crowd`]: clients that do not behave.
 //! - [`fleet`]: a whole deployment with entries and agents in one process.
 //! - [`crashing_replica`]: a replica that marked requests crash.
+//! - [`footprint`]: memory and descriptors of a process.
 //! - [`link`]: network links with limited bandwidth.
 //! - [`list`]: the list of instances.
 //! - [`log`]: the append-only log.
@@ -18,8 +20,10 @@
 
 pub mod caller;
 pub mod crashing_replica;
+pub mod crowd;
 pub mod engine;
 pub mod fleet;
+pub mod footprint;
 pub mod link;
 pub mod list;
 pub mod log;
