--- a/crates/gradeloft_daemon/src/agent/mod.rs
+++ b/crates/gradeloft_daemon/src/agent/mod.rs
@@ -32,7 +32,7 @@
     time::Duration,
 };
 
-use gradeloft_http::server;
+use gradeloft_http::{intake::Refusal, server};
 use gradeloft_platform::endpoint::{Engine, HttpEngine, HttpService, Service};
 use gradeloft_policy::{
     connection::pace::Pacer,
@@ -347,6 +347,10 @@
         });
     }
 
+    fn refused(&self, refusal: Refusal) {
+        self.0.node.record_refusal("peers", refusal);
+    }
+
     fn malformed(&self) {
         self.0.node.metrics.malformed.inc();
     }
--- a/crates/gradeloft_daemon/src/entry/api.rs
+++ b/crates/gradeloft_daemon/src/entry/api.rs
@@ -142,6 +142,11 @@
             Err(Failure::with_detail(Kind::BadRequest, "the body broke off"))
         }
         Err(BodyError::TooLarge) => Err(Kind::TooLarge.into()),
+        Err(BodyError::NoMemory) => Err(Kind::Overloaded.into()),
+        Err(BodyError::TimedOut) => Err(Failure::with_detail(
+            Kind::BadRequest,
+            "the body did not arrive in time",
+        )),
     }
 }
 
--- a/crates/gradeloft_daemon/src/entry/mod.rs
+++ b/crates/gradeloft_daemon/src/entry/mod.rs
@@ -24,6 +24,7 @@
 
 use futures_util::FutureExt;
 use gradeloft_http::{
+    intake::Refusal,
     message::{HttpResponse, Request},
     server::{self, Handler},
 };
@@ -41,7 +42,7 @@
 
 use self::api::Failure;
 use crate::{
-    node::{Node, admin, calls, config, peers},
+    node::{Node, admin, calls, config, peers, shares},
     transport::{self, server::Outgoing},
 };
 
@@ -213,15 +214,19 @@
 async fn listen_public(entry: &Rc<Entry>) -> std::io::Result<server::Server> {
     let node = &entry.node;
     let address = node.settings.listen.public.clone().unwrap_or_default();
+    let share = shares::public(&node.settings);
+    let body_bytes = node.limits.body_bytes as usize;
     let limits = server::Limits {
         header_bytes: node.limits.header_bytes as usize,
-        body_bytes: node.limits.body_bytes as usize,
-        connections: node.limits.connections as usize,
+        body_bytes,
+        connections: share.connections(server::CONNECTION_BYTES),
         idle: node.idle_timeout(),
+        shared_bytes: share.shared_bytes(body_bytes * server::BODY_COPIES),
     };
+    let observer = node.refusal_observer("public");
     let entry = Rc::clone(entry);
     let handler: Handler = Rc::new(move |request| handle(Rc::clone(&entry), request).boxed_local());
-    server::Server::start(&address, limits, handler).await
+    server::Server::start_observed(&address, limits, handler, observer).await
 }
 
 async fn handle(entry: Rc<Entry>, request: Request) -> HttpResponse {
@@ -282,6 +287,10 @@
     fn malformed(&self) {
         self.0.node.metrics.malformed.inc();
     }
+
+    fn refused(&self, refusal: Refusal) {
+        self.0.node.record_refusal("peers", refusal);
+    }
 }
 
 async fn listen_peers(entry: &Rc<Entry>) -> std::io::Result<SocketAddr> {
--- a/crates/gradeloft_daemon/src/metrics.rs
+++ b/crates/gradeloft_daemon/src/metrics.rs
@@ -51,6 +51,17 @@
     pub reason: &'static str,
 }
 
+/// Connections and requests that ended in favour of others.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct RefusalLabels {
+    /// `public`, `peers` or `admin`.
+    pub listener: &'static str,
+    /// `connections` or `memory`.
+    pub shortage: &'static str,
+    /// State of the connection.
+    pub activity: &'static str,
+}
+
 /// All metrics of a process.
 pub struct Metrics {
     registry: Registry,
@@ -82,6 +93,8 @@
     pub bundles_refused: Counter,
     /// Failed calls to the platform.
     pub platform_faults: Family<Reason, Counter>,
+    /// Connections and requests of clients that ended in favour of others.
+    pub refused: Family<RefusalLabels, Counter>,
 }
 
 impl Metrics {
@@ -103,6 +116,7 @@
             bundle: Gauge::default(),
             bundles_refused: Counter::default(),
             platform_faults: Family::default(),
+            refused: Family::default(),
         };
         metrics.register();
         metrics
@@ -118,6 +132,11 @@
 
     fn register(&mut self) {
         let it = &mut self.registry;
+        it.register(
+            "refused_clients",
+            "Connections and requests ended in favour of others, by listener, shortage and state",
+            self.refused.clone(),
+        );
         it.register("requests", "Requests by outcome", self.requests.clone());
         it.register(
             "first_token_seconds",
--- a/crates/gradeloft_daemon/src/node/admin.rs
+++ b/crates/gradeloft_daemon/src/node/admin.rs
@@ -5,14 +5,14 @@
 use futures_util::FutureExt;
 use gradeloft_http::{
     message::{HttpResponse, Request, bytes_of, json, text},
-    server::{Handler, Limits, Server},
+    server::{self, Handler, Limits, Server},
 };
 use gradeloft_wire::border::{
     caller::{BundleStatus, Status, VersionStatus},
     settings::Role,
 };
 
-use super::Node;
+use super::{Node, shares};
 
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -29,17 +29,20 @@
 /// Starts the listener of the admin port.
 pub async fn start(node: Rc<Node>, report: Rc<dyn Report>) -> std::io::Result<Server> {
     let address = node.settings.listen.admin.clone();
+    let share = shares::admin(&node.settings);
     let limits = Limits {
         header_bytes: node.limits.header_bytes as usize,
         body_bytes: 0,
-        connections: node.limits.connections as usize,
+        connections: share.connections(server::CONNECTION_BYTES),
         idle: node.idle_timeout(),
+        shared_bytes: share.shared_bytes(0),
     };
+    let observer = node.refusal_observer("admin");
     let handler: Handler = Rc::new(move |request| {
         let res = respond(&node, &*report, &request);
         async { res }.boxed_local()
     });
-    Server::start(&address, limits, handler).await
+    Server::start_observed(&address, limits, handler, observer).await
 }
 
 fn respond(node: &Node, report: &dyn Report, request: &Request) -> HttpResponse {
--- a/crates/gradeloft_daemon/src/node/calls.rs
+++ b/crates/gradeloft_daemon/src/node/calls.rs
@@ -4,15 +4,21 @@
 
 use gradeloft_wire::frame::{Call, Reply};
 
-use super::{Node, config, peers};
-use crate::transport::server::{Handler, Limits, Outgoing, Server};
+use super::{Node, config, peers, shares};
+use crate::transport::server::{self, Handler, Limits, Outgoing, Server};
+
+/// Copies of a call while it is received.
+const CALL_COPIES: usize = 2;
 
 /// Starts a node's listener for peers.
 pub async fn listen(node: &Rc<Node>, handler: Rc<dyn Handler>) -> std::io::Result<SocketAddr> {
+    let share = shares::peers(&node.settings);
     let limits = Limits {
         frame_bytes: node.limits.frame_bytes as usize,
         streams: node.limits.streams_per_connection,
         connections: node.limits.connections as usize,
+        shared_bytes: share.shared_bytes(node.limits.frame_bytes as usize * CALL_COPIES),
+        buffers: server::LARGE_BUFFERS,
     };
     let scope = Rc::clone(&node.scope);
     let server = Server::start(&node.settings.listen.peer, limits, scope, handler).await?;
--- a/crates/gradeloft_daemon/src/node/mod.rs
+++ b/crates/gradeloft_daemon/src/node/mod.rs
@@ -4,11 +4,13 @@
 //! - [`calls`]: calls of peers that both roles serve in the same way.
 //! - [`config`]: synchronization of the bundle in force.
 //! - [`peers`]: the list of instances, connections to peers, and notices.
+//! - [`shares`]: shares of the listeners in the memory that clients take.
 
 pub mod admin;
 pub mod calls;
 pub mod config;
 pub mod peers;
+pub mod shares;
 
 use std::{
     cell::{Cell, RefCell},
@@ -16,6 +18,7 @@
     time::Duration,
 };
 
+use gradeloft_http::intake::{Observer, Refusal};
 use gradeloft_platform::{list, log, weights};
 use gradeloft_policy::{clock::Time, process::membership::Membership, version::chain::Chain};
 use gradeloft_wire::{
@@ -25,12 +28,12 @@
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use slog::Logger;
+use slog::{Logger, info};
 use tokio::sync::watch;
 
 use crate::{
     clock::Clock,
-    metrics::{Metrics, Reason},
+    metrics::{Metrics, Reason, RefusalLabels},
     scope::Scope,
     transport::{self, client::Pool},
 };
@@ -195,6 +198,32 @@
         use_rng(&mut self.rng.borrow_mut())
     }
 
+    /// Counts and logs a connection or request of a listener that ended in favour of others.
+    pub fn record_refusal(&self, listener: &'static str, refusal: Refusal) {
+        let labels = RefusalLabels {
+            listener,
+            shortage: refusal.shortage.name(),
+            activity: refusal.activity.name(),
+        };
+        let count = self.metrics.refused.get_or_create(&labels).inc();
+        // Under a crowd there are thousands a second; each power of two is logged.
+        if (count + 1).is_power_of_two() {
+            info!(self.log, "client refused"; "listener" => listener,
+                "shortage" => refusal.shortage.name(), "activity" => refusal.activity.name(),
+                "bytes" => refusal.bytes, "so_far" => count + 1);
+        }
+    }
+
+    /// Returns an observer that records the refusals of a listener.
+    pub fn refusal_observer(self: &Rc<Node>, listener: &'static str) -> Observer {
+        let node = Rc::downgrade(self);
+        Rc::new(move |refusal| {
+            if let Some(node) = node.upgrade() {
+                node.record_refusal(listener, refusal);
+            }
+        })
+    }
+
     /// Counts a failed call to the platform.
     pub fn count_platform_failure(&self, service: &'static str) {
         self.metrics
--- a/crates/gradeloft_daemon/tests/sessions.rs
+++ b/crates/gradeloft_daemon/tests/sessions.rs
@@ -7,8 +7,9 @@
 use futures_util::StreamExt;
 use gradeloft_daemon::{
     scope::Scope,
-    transport::server::{Handler, Limits, Outgoing, Server},
+    transport::server::{Handler, Limits, Outgoing, SMALL_BUFFERS, Server},
 };
+use gradeloft_http::intake::Refusal;
 use gradeloft_standin::fleet::{MODEL, SERVICE, TEAM, TOKEN, digest, team, wait_until};
 use gradeloft_wire::{
     border::platform::{Instance, InstanceRole, InstanceState},
@@ -199,6 +200,8 @@
         });
     }
 
+    fn refused(&self, _: Refusal) {}
+
     fn malformed(&self) {}
 }
 
@@ -214,6 +217,8 @@
         frame_bytes: 1 << 20,
         streams: 64,
         connections: 8,
+        shared_bytes: 16 << 20,
+        buffers: SMALL_BUFFERS,
     };
     let handler = Rc::clone(&refusing_agent) as Rc<dyn Handler>;
     let server = Server::start("127.0.0.1:0", limits, Rc::clone(&scope), handler)
--- a/crates/gradeloft_daemon/tests/transport.rs
+++ b/crates/gradeloft_daemon/tests/transport.rs
@@ -7,9 +7,10 @@
     scope::Scope,
     transport::{
         client::{Lane, Pool},
-        server::{Handler, Limits, Outgoing, Server},
+        server::{Handler, Limits, Outgoing, SMALL_BUFFERS, Server},
     },
 };
+use gradeloft_http::intake::Refusal;
 use gradeloft_wire::{
     frame::{Absence, Call, Reply},
     id::Digest,
@@ -25,6 +26,8 @@
     frame_bytes: 1 << 20,
     streams: 8,
     connections: 8,
+    shared_bytes: 16 << 20,
+    buffers: SMALL_BUFFERS,
 };
 
 /// Handler that answers every call.
@@ -37,6 +40,8 @@
         });
     }
 
+    fn refused(&self, _: Refusal) {}
+
     fn malformed(&self) {
         panic!("malformed call");
     }
--- a/crates/gradeloft_gateway/src/agent/upload.rs
+++ b/crates/gradeloft_gateway/src/agent/upload.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashSet, rc::Rc, time::Duration};
 
 use gradeloft_daemon::transport::server::{Handler, Outgoing};
+use gradeloft_http::intake::Refusal;
 use gradeloft_wire::{
     frame::{Absence, Call, Reply},
     id::Digest,
@@ -43,6 +44,10 @@
         });
     }
 
+    fn refused(&self, refusal: Refusal) {
+        self.0.node.record_refusal("peers", refusal);
+    }
+
     fn malformed(&self) {
         if let Some(log) = self.0.node.logs.line(Topic::State) {
             warn!(log, "peer sent no frame");
--- a/crates/gradeloft_gateway/src/entry/attempt.rs
+++ b/crates/gradeloft_gateway/src/entry/attempt.rs
@@ -22,6 +22,7 @@
     h1::{
         body::{Decoder, Framing, Piece},
         head::{self, Response, put_header},
+        segments::{Body, FIRST_SEGMENT_BYTES},
         wire::{Transfer, Wire},
     },
     pool::ReplicaConnection,
@@ -93,7 +94,7 @@
 struct AwaitingHead {
     /// Id under which the replica is listed.
     id: Rc<str>,
-    request: Bytes,
+    request: EncodedRequest,
     /// Number of request bytes sent.
     sent: usize,
     /// Number of responses to earlier requests that were skipped.
@@ -355,7 +356,7 @@
             tokio::select! {
                 biased;
                 () = caller.closed() => return Err(AttemptOutcome::Aborted(AbortReason::CallerLeft)),
-                transfer = connection.wire.exchange(&awaiting.request[awaiting.sent..]) => match transfer {
+                transfer = connection.wire.exchange(awaiting.request.part_at(awaiting.sent)) => match transfer {
                     Ok(Transfer::Sent(count)) => awaiting.sent += count,
                     Ok(Transfer::Read(0)) | Err(_) =>
                         return Err(connection_failure(connection, awaiting.sent)),
@@ -503,11 +504,34 @@
     }
 }
 
+/// A request as it is sent to a replica. Its body is shared with other attempts.
+struct EncodedRequest {
+    head: Bytes,
+    body: Body,
+}
+
+impl EncodedRequest {
+    fn len(&self) -> usize {
+        self.head.len() + self.body.len()
+    }
+
+    /// Returns bytes from `offset` on; empty at the end of the request.
+    fn part_at(&self, offset: usize) -> &[u8] {
+        match offset.checked_sub(self.head.len()) {
+            None => &self.head[offset..],
+            Some(offset) => self.body.part_at(offset),
+        }
+    }
+}
+
 /// Encodes the request for a replica.
-fn encode_request(entry: &Entry, job: &Job, id: &str) -> Bytes {
+fn encode_request(entry: &Entry, job: &Job, id: &str) -> EncodedRequest {
     let headers = &entry.node.platform.headers;
     let received = &job.received;
-    let mut out = BytesMut::with_capacity(512 + received.body.len());
+    // A small body is sent together with the head.
+    let is_small = received.body.len() <= FIRST_SEGMENT_BYTES;
+    let joined = if is_small { received.body.len() } else { 0 };
+    let mut out = BytesMut::with_capacity(512 + joined);
     out.put_slice(&received.head.method);
     out.put_slice(b" ");
     out.put_slice(&received.head.target);
@@ -548,6 +572,14 @@
         set("Content-Length", &received.body.len().to_string());
     }
     out.put_slice(b"\r\n");
-    out.put_slice(&received.body);
-    out.freeze()
+    if is_small {
+        received.body.segments().for_each(|it| out.put_slice(it));
+    }
+    EncodedRequest {
+        head: out.freeze(),
+        body: match is_small {
+            true => Body::default(),
+            false => received.body.clone(),
+        },
+    }
 }
--- a/crates/gradeloft_gateway/src/entry/connection.rs
+++ b/crates/gradeloft_gateway/src/entry/connection.rs
@@ -2,16 +2,33 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
-use gradeloft_policy::{clock::Time, process::document::CallerLimits};
+use gradeloft_http::{
+    intake::{Place, Reserve},
+    listener::Buffers,
+};
+use gradeloft_policy::{
+    clock::Time,
+    connection::intake::{Activity, Content, Shortage},
+    process::document::CallerLimits,
+};
 use tokio::net::TcpStream;
 
 use super::{Entry, forward, refusal::Refusal};
 use crate::h1::{
     body::{Decoder, Framing, Piece},
     head::{self, Request},
-    wire::Wire,
+    segments::{Body, Buffer, FIRST_SEGMENT_BYTES},
+    wire::{READ_CHUNK_BYTES, Wire},
+};
+
+/// Buffers of the kernel for each connection of a caller.
+pub const BUFFERS: Buffers = Buffers {
+    receive: 16 << 10,
+    send: Some(8 << 10),
 };
+/// Memory that a connection may take without shared memory, in bytes: the kernel's buffers of the caller's
+/// connection and of two replicas', the state of a request, its head and an ordinary body.
+pub const CONNECTION_BYTES: usize = 128 << 10;
 
 /// Limits that apply until a configuration is known.
 const UNCONFIGURED: CallerLimits = CallerLimits {
@@ -22,8 +39,22 @@
 };
 /// Time limit for receiving a request body: the longest time that callers wait for a response.
 const BODY_TIMEOUT: Duration = Duration::from_secs(6);
-/// Time limit for a caller to close its side of a connection.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Part of a body that is read before a refusal by its head is sent, so that the connection can be reused, in
+/// bytes.
+const DISCARDED_BYTES: usize = 64 << 10;
+/// Bytes around the chunks of a body that are allowed beside [`OVERHEAD_PER_BYTE`].
+const OVERHEAD_BYTES: usize = 64 << 10;
+/// Bytes around the chunks of a body that are allowed for each of its bytes; chunks of one byte have five.
+const OVERHEAD_PER_BYTE: usize = 8;
+/// Response to a caller that waits with its body until it is accepted.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// Bounds on what is read before a connection closes.
+const DRAIN: Drain = Drain {
+    bytes: 64 << 10,
+    time: Duration::from_secs(1),
+};
+/// Time for which the rest of a refused body is read, so that its caller reads the refusal.
+const BODY_DRAIN_TIME: Duration = Duration::from_secs(2);
 /// Time limit for sending a refusal.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -36,33 +67,59 @@
     Keep,
 }
 
+/// Bounds on what is read from a caller before its connection closes. A close with unread bytes is a reset,
+/// on which the kernel drops the response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Drain {
+    bytes: usize,
+    time: Duration,
+}
+
+impl Drain {
+    /// Returns the bounds after a refused body.
+    fn of_body(limits: CallerLimits) -> Drain {
+        Drain {
+            bytes: limits.body_bytes + DRAIN.bytes,
+            time: BODY_DRAIN_TIME,
+        }
+    }
+}
+
 /// A completely received request.
 #[derive(Debug)]
 pub struct ReceivedRequest {
     /// Head.
     pub head: Request,
     /// Body.
-    pub body: Bytes,
+    pub body: Body,
     /// Whether the head announced a body, possibly an empty one.
     pub has_body: bool,
     /// Time at which the head was complete.
     pub at: Time,
+    /// Place of the connection.
+    pub place: Rc<Place>,
+    /// Memory of the head and the body.
+    _memory: Reserve,
 }
 
 /// Serves a connection until it closes.
-pub async fn serve(entry: Rc<Entry>, stream: TcpStream) {
+pub async fn serve(entry: Rc<Entry>, stream: TcpStream, place: Rc<Place>) {
     let mut wire = Wire::accepted(stream);
-    serve_requests(&entry, &mut wire).await;
-    // A caller that has not closed its side within `CLOSE_TIMEOUT` has read the response or has
-    // disconnected.
+    let drain = tokio::select! {
+        biased;
+        () = place.wait_for(Shortage::Connections) => return,
+        drain = serve_requests(&entry, &mut wire, &place) => drain,
+    };
+    place.set_activity(Activity::Closing);
+    // A caller that has not closed its side in time has read the response or has disconnected.
     entry
         .closing_connections
         .set(entry.closing_connections.get() + 1);
-    let _ = entry
-        .node
-        .timers
-        .timeout(CLOSE_TIMEOUT, wire.close_gracefully())
-        .await;
+    let closing = wire.close_gracefully(drain.bytes);
+    tokio::select! {
+        _ = entry.node.timers.timeout(drain.time, closing) => {}
+        () = place.wait_for(Shortage::Connections) => {}
+    }
     entry
         .closing_connections
         .set(entry.closing_connections.get() - 1);
@@ -71,43 +128,61 @@
     }
 }
 
-/// Serves the requests of a connection, one after the other.
-async fn serve_requests(entry: &Rc<Entry>, wire: &mut Wire) {
+/// Serves the requests of a connection, one after the other. Returns what is read before it closes.
+async fn serve_requests(entry: &Rc<Entry>, wire: &mut Wire, place: &Rc<Place>) -> Drain {
     loop {
-        let head = match read_head(entry, wire).await {
+        place.set_activity(Activity::Idle);
+        let mut memory = Reserve::new(place, READ_CHUNK_BYTES + FIRST_SEGMENT_BYTES);
+        let head = match read_head(entry, wire, &mut memory).await {
             Ok(Some(head)) => head,
-            Ok(None) => return,
+            Ok(None) => return DRAIN,
             Err(refusal) => {
                 let refusal = refusal.adjusted_for(entry.freshness());
                 refuse(entry, wire, refusal, None, true).await;
-                return;
+                return DRAIN;
             }
         };
+        place.set_activity(Activity::Receiving);
         entry.node.detect_stall();
         let at = entry.node.clock.now();
         let keep_alive = head.keeps_connection();
         let limits = caller_limits(entry);
-        let reading = read_body(wire, &head, limits.body_bytes);
+        if let Err(refusal) = forward::check_head(entry, &head) {
+            let reading = discard_body(wire, &head, place);
+            let read = entry.node.timers.timeout(BODY_TIMEOUT, reading).await;
+            let keep = keep_alive && matches!(read, Ok(true));
+            let reuse = forward::deny(entry, wire, &head, refusal, keep).await;
+            if reuse == ConnectionReuse::Close || !keep {
+                return Drain::of_body(limits);
+            }
+            continue;
+        }
+        let reading = read_body(wire, &head, limits.body_bytes, &mut memory);
         let body = entry.node.timers.timeout(BODY_TIMEOUT, reading).await;
-        let (body, has_body) = match body {
-            Ok(Ok(body)) => body,
-            Ok(Err(Some(refusal))) => {
+        let (body, has_body) = match body.unwrap_or(Err(BodyFault::Refused(Refusal::BodyTimedOut)))
+        {
+            Ok(body) => body,
+            Err(BodyFault::Refused(refusal)) => {
+                // The rest of the body is read without being kept.
+                drop(memory);
                 let refusal = refusal.adjusted_for(entry.freshness());
-                refuse(entry, wire, refusal, Some(&head), true).await;
-                return;
+                forward::deny(entry, wire, &head, refusal, false).await;
+                return Drain::of_body(limits);
             }
-            // The caller disconnected or stalled in the middle of the body.
-            Ok(Err(None)) | Err(_) => return,
+            Err(BodyFault::CallerLeft) => return DRAIN,
         };
+        place.set_activity(Activity::Serving);
         let received = ReceivedRequest {
             head,
             body,
             has_body,
             at,
+            place: Rc::clone(place),
+            _memory: memory,
         };
         let reuse = forward::forward(entry, wire, received, keep_alive).await;
-        if reuse == ConnectionReuse::Close || !keep_alive {
-            return;
+        if reuse == ConnectionReuse::Close || !keep_alive || place.is_awaited() {
+            return DRAIN;
         }
     }
 }
@@ -146,7 +221,12 @@
 }
 
 /// Reads the next request head; returns `None` if the connection closes instead.
-async fn read_head(entry: &Entry, wire: &mut Wire) -> Result<Option<Request>, Refusal> {
+async fn read_head(
+    entry: &Entry,
+    wire: &mut Wire,
+    memory: &mut Reserve,
+) -> Result<Option<Request>, Refusal> {
+    let place = Rc::clone(memory.place());
     let idle_since = entry.node.clock.now();
     let mut begun = None;
     loop {
@@ -159,7 +239,13 @@
             if limits.head_bytes < wire.buffer.len() {
                 return Err(Refusal::HeadTooLarge);
             }
-            begun = begun.or(Some(entry.node.clock.now()));
+            if begun.is_none() {
+                begun = Some(entry.node.clock.now());
+                place.set_activity(Activity::Receiving);
+            }
+            if !memory.cover(wire.buffer.capacity(), Content::Other).await {
+                return Err(Refusal::Overloaded);
+            }
         }
         let until = match begun {
             Some(at) => at.after_ms(limits.head_ms),
@@ -175,34 +261,110 @@
             },
             () = entry.node.timers.sleep_until(until) => {}
             () = entry.drain_started.notified(), if begun.is_none() => {}
+            () = place.wait_for(Shortage::Memory) => return Err(Refusal::Overloaded),
         }
     }
 }
 
-/// Reads a request body; returns `Err(None)` if the caller disconnects in the middle of it.
+/// Reason why a body can't be read.
+enum BodyFault {
+    /// The caller disconnected in the middle of the body.
+    CallerLeft,
+    Refused(Refusal),
+}
+
+impl From<Refusal> for BodyFault {
+    fn from(refusal: Refusal) -> BodyFault {
+        BodyFault::Refused(refusal)
+    }
+}
+
+/// Reads a request body. Returns it, and whether the head announced any.
 async fn read_body(
     wire: &mut Wire,
     head: &Request,
     max_bytes: usize,
-) -> Result<(Bytes, bool), Option<Refusal>> {
-    let framing = Framing::of_request(head).map_err(|_| Some(Refusal::Malformed))?;
+    memory: &mut Reserve,
+) -> Result<(Body, bool), BodyFault> {
+    let framing = Framing::of_request(head).map_err(|_| Refusal::Malformed)?;
+    let announced = match framing {
+        Framing::Length(length) if (max_bytes as u64) < length => {
+            return Err(Refusal::BodyTooLarge.into());
+        }
+        Framing::Length(length) => Some(length as usize),
+        Framing::Chunked | Framing::Close => None,
+    };
     let has_body = head.fields.get("content-length").is_some() || framing == Framing::Chunked;
+    let awaits_approval = has_body && head.fields.has_token("expect", "100-continue");
+    if awaits_approval && wire.buffer.is_empty() {
+        let sent = wire.send(CONTINUE).await;
+        sent.map_err(|_| BodyFault::CallerLeft)?;
+    }
     let mut decoder = Decoder::new(framing);
-    let mut body = BytesMut::new();
+    let mut body = Buffer::new(announced);
     loop {
-        let piece = decoder.take(&mut wire.buffer);
-        match piece.map_err(|_| Some(Refusal::Malformed))? {
+        match decoder
+            .take(&mut wire.buffer)
+            .map_err(|_| Refusal::Malformed)?
+        {
             Piece::Data(data) => {
                 if max_bytes < body.len() + data.len() {
-                    return Err(Some(Refusal::BodyTooLarge));
+                    return Err(Refusal::BodyTooLarge.into());
                 }
-                body.extend_from_slice(&data);
+                append(&mut body, &data, memory).await?;
             }
-            Piece::End => return Ok((body.freeze(), has_body)),
-            Piece::More => match wire.fill().await {
-                Ok(0) | Err(_) => return Err(None),
-                Ok(_) => {}
-            },
+            Piece::End => return Ok((body.finish(), has_body)),
+            Piece::More => receive(wire, memory.place()).await?,
+        }
+        if OVERHEAD_BYTES + OVERHEAD_PER_BYTE * body.len() < decoder.overhead() {
+            return Err(Refusal::Malformed.into());
+        }
+    }
+}
+
+/// Appends to a body as far as there is memory.
+async fn append(body: &mut Buffer, mut data: &[u8], memory: &mut Reserve) -> Result<(), Refusal> {
+    loop {
+        data = body.fill(data);
+        if data.is_empty() {
+            return Ok(());
+        }
+        let needed = READ_CHUNK_BYTES + body.allocated() + body.next_segment();
+        if !memory.cover(needed, Content::Body).await {
+            return Err(Refusal::Overloaded);
+        }
+        body.add_segment();
+    }
+}
+
+/// Waits for more bytes, unless the request ends in favour of others.
+async fn receive(wire: &mut Wire, place: &Place) -> Result<(), BodyFault> {
+    tokio::select! {
+        read = wire.fill() => match read {
+            Ok(0) | Err(_) => Err(BodyFault::CallerLeft),
+            Ok(_) => Ok(()),
+        },
+        () = place.wait_for(Shortage::Memory) => Err(Refusal::Overloaded.into()),
+    }
+}
+
+/// Reads a small body and discards it; returns whether it is complete.
+async fn discard_body(wire: &mut Wire, head: &Request, place: &Place) -> bool {
+    let framing = match Framing::of_request(head) {
+        Ok(Framing::Length(length)) if DISCARDED_BYTES as u64 <= length => return false,
+        Ok(framing) => framing,
+        Err(_) => return false,
+    };
+    let mut decoder = Decoder::new(framing);
+    let mut discarded = 0;
+    while discarded + decoder.overhead() <= DISCARDED_BYTES {
+        match decoder.take(&mut wire.buffer) {
+            Ok(Piece::Data(data)) => discarded += data.len(),
+            Ok(Piece::End) => return true,
+            Ok(Piece::More) if receive(wire, place).await.is_err() => return false,
+            Ok(Piece::More) => {}
+            Err(_) => return false,
         }
     }
+    false
 }
--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -41,7 +41,7 @@
 };
 use crate::{
     events::Cursor,
-    h1::wire::Wire,
+    h1::{head::Request, wire::Wire},
     logs::Topic,
     metrics::{self, Metrics, Reason},
 };
@@ -133,7 +133,8 @@
             let text = |it| std::str::from_utf8(it).unwrap_or_default();
             let host = head.fields.get("host").unwrap_or_default();
             let place = [host, text(&head.method), text(&head.target)];
-            Fingerprint::of(self.team.as_deref(), place, &self.received.body)
+            let body = self.received.body.segments();
+            Fingerprint::of_segments(self.team.as_deref(), place, body)
         })
     }
 
@@ -193,15 +194,63 @@
         Err(refused) => {
             let (refusal, received) = *refused;
             let close = !keep_alive || entry.node.draining.get() || refusal.requires_reconnect();
-            count(entry, "-", refusal.error_response().name);
-            log_refusal(entry, &received, refusal);
-            let sent = refuse(entry, caller, refusal, Some(&received.head), close).await;
-            return keep_or_close(sent && !close);
+            return send_denial(entry, caller, &received.head, refusal, close).await;
         }
     };
     run_attempts(entry, caller, job).await
 }
 
+/// Responds to a request that is refused by its head alone.
+pub(super) async fn deny(
+    entry: &Entry,
+    caller: &mut Wire,
+    head: &Request,
+    refusal: Refusal,
+    keep_alive: bool,
+) -> ConnectionReuse {
+    let keep_alive = keep_alive && head.is_http_1_1;
+    let close = !keep_alive || entry.node.draining.get() || refusal.requires_reconnect();
+    send_denial(entry, caller, head, refusal, close).await
+}
+
+async fn send_denial(
+    entry: &Entry,
+    caller: &mut Wire,
+    head: &Request,
+    refusal: Refusal,
+    close: bool,
+) -> ConnectionReuse {
+    count(entry, "-", refusal.error_response().name);
+    log_refusal(entry, head, refusal);
+    let sent = refuse(entry, caller, refusal, Some(head), close).await;
+    keep_or_close(sent && !close)
+}
+
+/// Decides by the head of a request whether the configuration in force allows it.
+pub(super) fn check_head(entry: &Entry, head: &Request) -> Result<(), Refusal> {
+    let Some(config) = entry.config.borrow().clone() else {
+        return Err(Refusal::NoConfig);
+    };
+    let freshness = entry.freshness();
+    if freshness == Freshness::Stale {
+        return Err(Refusal::Behind);
+    }
+    let host = head.fields.get("host").unwrap_or_default();
+    let key = head.fields.get(entry.node.platform.headers.api_key);
+    let route = config.route(host, head.path());
+    let allowed = route.and_then(|it| config.team(it, key));
+    allowed.map(|_| ()).map_err(|it| denial(it, freshness))
+}
+
+fn denial(denied: Denied, freshness: Freshness) -> Refusal {
+    let refusal = match denied {
+        Denied::NoRoute => Refusal::NoRoute,
+        Denied::NoService => Refusal::NoService,
+        Denied::UnknownKey => Refusal::UnknownKey,
+    };
+    refusal.adjusted_for(freshness)
+}
+
 fn prepare(
     entry: &Rc<Entry>,
     received: ReceivedRequest,
@@ -230,18 +279,7 @@
                 _ => Ok(job),
             }
         }
-        Err(Denied::NoRoute) => Err(Box::new((
-            Refusal::NoRoute.adjusted_for(freshness),
-            received,
-        ))),
-        Err(Denied::NoService) => Err(Box::new((
-            Refusal::NoService.adjusted_for(freshness),
-            received,
-        ))),
-        Err(Denied::UnknownKey) => Err(Box::new((
-            Refusal::UnknownKey.adjusted_for(freshness),
-            received,
-        ))),
+        Err(denied) => Err(Box::new((denial(denied, freshness), received))),
     }
 }
 
@@ -623,18 +661,23 @@
     job.route.kind == RouteKind::ResumableStream && job.head_sent && 1 < job.tried.len()
 }
 
-fn log_refusal(entry: &Entry, received: &ReceivedRequest, refusal: Refusal) {
+/// Logs a request that got no route.
+pub(super) fn log_refusal(entry: &Entry, head: &Request, refusal: Refusal) {
     let Some(log) = entry.node.logs.line(Topic::Failed) else {
         return;
     };
-    info!(log, "request"; "request" => request_id(entry, received), "outcome" => refusal.error_response().name,
+    info!(log, "request"; "request" => id_of(entry, head), "outcome" => refusal.error_response().name,
         "status" => refusal.error_response().status, "config" => entry.config_version(),
         "behind_ms" => behind_ms(entry),
-        "host" => received.head.fields.get("host").unwrap_or("-"),
-        "path" => received.head.path());
+        "host" => head.fields.get("host").unwrap_or("-"),
+        "path" => head.path());
 }
 
 fn request_id<'a>(entry: &Entry, received: &'a ReceivedRequest) -> &'a str {
+    id_of(entry, &received.head)
+}
+
+fn id_of<'a>(entry: &Entry, head: &'a Request) -> &'a str {
     let name = entry.node.platform.headers.attempt_id;
-    received.head.fields.get(name).unwrap_or("-")
+    head.fields.get(name).unwrap_or("-")
 }
--- a/crates/gradeloft_gateway/src/entry/maintenance.rs
+++ b/crates/gradeloft_gateway/src/entry/maintenance.rs
@@ -94,6 +94,7 @@
         self.node.update_behind_metric();
         self.log_freshness();
         self.node.log_traffic();
+        self.note_callers();
         for id in self.replicas.borrow_mut().expire(now) {
             if let Some(log) = self.node.logs.line(Topic::State) {
                 info!(log, "replica gone"; "replica" => &*id);
--- a/crates/gradeloft_gateway/src/entry/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/mod.rs
@@ -58,7 +58,11 @@
 use gradeloft_daemon::transport::server::{
     self as peer_server, Handler as PeerHandler, Outgoing, Server as PeerServer,
 };
-use gradeloft_http::server::Server;
+use gradeloft_http::{
+    intake::{Intake, Refusal},
+    listener,
+    server::Server,
+};
 use gradeloft_platform::fleet::Lookup;
 use gradeloft_policy::{
     clock::Time,
@@ -91,10 +95,7 @@
     quarantine::QuarantineState, queue::Queues, uncertainty::ServiceRates,
 };
 use crate::{
-    logs::Topic,
-    node::{MAX_FRAME, Node},
-    pool::Pool,
-    settings::Role,
+    logs::Topic, metrics::Reason, node::Node, pool::Pool, settings::Role, shares::Shares,
     traffic::Purpose,
 };
 
@@ -124,12 +125,10 @@
 const CONNECTIONS_SHARE: f64 = 0.85;
 /// Pause between checks whether a draining entry may exit.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Limits of the listener for peers.
-const PEER_LIMITS: peer_server::Limits = peer_server::Limits {
-    frame_bytes: MAX_FRAME,
-    streams: 64,
-    connections: 512,
-};
+/// Maximum size of a call of a peer, in bytes. Only replies are larger.
+const MAX_CALL_BYTES: usize = 16 << 10;
+/// Maximum number of concurrent calls on one connection of a peer.
+const PEER_STREAMS: u32 = 64;
 
 /// Oldest versions of weights that a request may run on.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -150,6 +149,8 @@
     pub replicas: RefCell<Replicas>,
     /// Connections to replicas.
     pub pool: Pool,
+    /// Connections of callers, and the memory that they hold.
+    callers: Rc<Intake>,
     /// Notified when the process starts to drain.
     pub drain_started: Notify,
     /// Requests that wait for a replica with room.
@@ -222,8 +223,15 @@
         let Role::Entry { frontend, .. } = node.settings().role else {
             return Err(io::Error::other("the settings have no entry role"));
         };
+        let clock = node.clock;
+        let callers = Intake::new(
+            Shares::of(&node.settings()).callers,
+            Rc::new(move || clock.now()),
+            node.refusal_observer("callers"),
+        );
         let entry = Rc::new(Entry {
             pool: Pool::new(node.clock),
+            callers,
             node,
             config: RefCell::default(),
             replicas: RefCell::default(),
@@ -265,7 +273,7 @@
         entry.node.set_election(Rc::new(Rc::downgrade(&entry)));
         let peers = peer_listener(&entry.node, Rc::new(PeerCalls(Rc::clone(&entry.node)))).await?;
         let servers = lookup::start(&entry).await?;
-        let listener = TcpListener::bind(frontend).await?;
+        let listener = listener::listen(frontend, connection::BUFFERS)?;
         entry.spawn_tasks(listener);
         Ok(Handle {
             entry,
@@ -374,6 +382,17 @@
             .collect()
     }
 
+    /// Records what callers hold, for the metrics.
+    fn note_callers(&self) {
+        let metrics = &self.node.metrics;
+        metrics.callers.set(self.callers.connections() as i64);
+        let (now, most) = self.callers.shared_bytes();
+        for (reason, bytes) in [("now", now), ("most", most)] {
+            let gauge = metrics.caller_bytes.get_or_create(&Reason { reason });
+            gauge.set(bytes as i64);
+        }
+    }
+
     /// Returns the version of the configuration in force; 0 for none.
     pub fn config_version(&self) -> u64 {
         let config = self.config.borrow();
@@ -520,8 +539,17 @@
     node: &Rc<Node>,
     handler: Rc<dyn PeerHandler>,
 ) -> io::Result<PeerServer> {
-    let address = node.peer_address(node.settings().address);
-    PeerServer::start(&address, PEER_LIMITS, Rc::clone(&node.scope), handler).await
+    let settings = node.settings();
+    let address = node.peer_address(settings.address);
+    let share = Shares::of(&settings).peers;
+    let limits = peer_server::Limits {
+        frame_bytes: MAX_CALL_BYTES,
+        streams: PEER_STREAMS,
+        connections: share.connections,
+        shared_bytes: share.shared_bytes,
+        buffers: peer_server::SMALL_BUFFERS,
+    };
+    PeerServer::start(&address, limits, Rc::clone(&node.scope), handler).await
 }
 
 /// Serves calls of peers.
@@ -535,6 +563,10 @@
         scope.spawn(async move { node.serve_call(call, outgoing).await });
     }
 
+    fn refused(&self, refusal: Refusal) {
+        self.0.record_refusal("peers", refusal);
+    }
+
     fn malformed(&self) {
         if let Some(log) = self.0.logs.line(Topic::State) {
             warn!(log, "peer sent no frame");
@@ -549,10 +581,12 @@
             actix_rt::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
+        let place = Rc::new(entry.callers.open().await);
         entry.open_connections.set(entry.open_connections.get() + 1);
+        entry.note_callers();
         let serving = Rc::clone(&entry);
         entry.node.scope.spawn(async move {
-            connection::serve(Rc::clone(&serving), stream).await;
+            connection::serve(Rc::clone(&serving), stream, place).await;
             serving
                 .open_connections
                 .set(serving.open_connections.get() - 1);
--- a/crates/gradeloft_gateway/src/entry/refusal.rs
+++ b/crates/gradeloft_gateway/src/entry/refusal.rs
@@ -13,6 +13,8 @@
     /// This entry's configuration is behind that of other entries, which may be able to serve the
     /// request.
     Behind,
+    /// The body did not arrive in time.
+    BodyTimedOut,
     /// The body is larger than allowed.
     BodyTooLarge,
     /// The head is larger than allowed.
@@ -32,6 +34,8 @@
     NoRoute,
     /// The configuration names no service for the route.
     NoService,
+    /// This process has no memory for the request at present.
+    Overloaded,
     /// The request is suspected of crashing replicas; it may be retried after this time.
     Quarantined(Duration),
     /// The deadline passed after the request was sent to a replica.
@@ -61,6 +65,10 @@
 /// time in which an entry loads the configuration.
 const RETRY_AFTER_MS: u64 = 250;
 
+/// Retry delay after refusals for lack of memory, in milliseconds: about the time in which bodies that are
+/// being received arrive.
+const OVERLOAD_RETRY_AFTER_MS: u64 = 500;
+
 impl Refusal {
     /// Returns the contents of the error response.
     pub fn error_response(self) -> ErrorResponse {
@@ -81,6 +89,7 @@
         };
         match self {
             Refusal::Behind => retry_later("behind"),
+            Refusal::BodyTimedOut => response(408, "Request Timeout", "body_timed_out"),
             Refusal::BodyTooLarge => response(413, "Content Too Large", "body_too_large"),
             Refusal::HeadTooLarge => {
                 response(431, "Request Header Fields Too Large", "head_too_large")
@@ -98,6 +107,10 @@
             },
             Refusal::NoRoute => response(404, "Not Found", "no_route"),
             Refusal::NoService => retry_later("no_service"),
+            Refusal::Overloaded => ErrorResponse {
+                retry_after_ms: Some(OVERLOAD_RETRY_AFTER_MS),
+                ..response(503, "Service Unavailable", "overloaded")
+            },
             Refusal::Quarantined(back) => ErrorResponse {
                 retry_after_ms: Some(back.as_millis() as u64),
                 ..response(503, "Service Unavailable", "quarantined")
--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -3,8 +3,10 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::{BufMut, Bytes, BytesMut};
+use gradeloft_http::intake::Reserve;
 use gradeloft_policy::{
     clock::Time,
+    connection::intake::Content,
     request::{attempt::Failure, late_data::LateData},
 };
 
@@ -29,6 +31,8 @@
 /// Maximum size of a response that is buffered completely before it is sent, in bytes. A larger one
 /// is sent as it arrives.
 const MAX_BUFFERED: usize = 512 << 10;
+/// Maximum size of a response body that takes no shared memory and is copied behind its head, in bytes.
+const JOINED_BYTES: usize = 8 << 10;
 /// Pause in a stream after which another replica is selected to continue it. Callers give up after
 /// two seconds.
 const STREAM_SILENCE_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -42,6 +46,7 @@
 pub struct BufferedResponse {
     head: Response,
     body: Bytes,
+    _memory: Reserve,
 }
 
 impl BufferedResponse {
@@ -52,21 +57,27 @@
 
     /// Sends the response to the caller; returns whether that succeeded.
     pub async fn send(&self, entry: &Entry, caller: &mut Wire, job: &Job, close: bool) -> bool {
-        let bytes = self.encode(close);
         let min_deadline = entry.node.clock.now().after(MIN_SEND_TIME);
-        send(entry, caller, &bytes, job.deadline.max(min_deadline)).await
+        let deadline = job.deadline.max(min_deadline);
+        let mut head = self.encode_head(close);
+        // A small body is sent together with the head, a large one is not copied.
+        if self.body.len() <= JOINED_BYTES {
+            head.put_slice(&self.body);
+            return send(entry, caller, &head, deadline).await;
+        }
+        send(entry, caller, &head, deadline).await
+            && send(entry, caller, &self.body, deadline).await
     }
 
-    fn encode(&self, close: bool) -> Bytes {
-        let mut out = BytesMut::with_capacity(512 + self.body.len());
+    fn encode_head(&self, close: bool) -> BytesMut {
+        let mut out = BytesMut::with_capacity(512 + self.body.len().min(JOINED_BYTES));
         put_head(&mut out, &self.head, close);
         if !matches!(self.head.status, 204 | 304) {
             let length = self.body.len().to_string();
             put_header(&mut out, b"Content-Length", length.as_bytes());
         }
         out.put_slice(b"\r\n");
-        out.put_slice(&self.body);
-        out.freeze()
+        out
     }
 }
 
@@ -103,6 +114,8 @@
     /// Whether the connection can be reused once the response is complete.
     reusable: bool,
     mode: RelayMode,
+    /// Memory of the buffered part.
+    memory: Reserve,
 }
 
 /// Time for which data of a response is received before it counts as flowing. A request that crashes
@@ -194,6 +207,7 @@
                 true => RelayMode::Stream(Splitter::default()),
                 false => RelayMode::Buffered(BytesMut::new()),
             },
+            memory: Reserve::new(&job.received.place, JOINED_BYTES),
             head,
         })
     }
@@ -335,7 +349,9 @@
             let ReadOutcome::Data(data) = read else { break };
             count_response_bytes(entry, job, upstream.connection, data.len());
             body.extend_from_slice(&data);
-            if MAX_BUFFERED < body.len() {
+            // The buffer has up to twice the size of its content.
+            let has_memory = self.memory.cover_now(2 * body.len(), Content::Other);
+            if MAX_BUFFERED < body.len() || !has_memory {
                 return self
                     .switch_to_unbuffered(entry, caller, job, upstream)
                     .await;
@@ -344,9 +360,11 @@
         let RelayMode::Buffered(body) = &mut self.mode else {
             return AttemptOutcome::Failed(Failure::Broken, None);
         };
+        let no_memory = Reserve::new(&job.received.place, JOINED_BYTES);
         let response = BufferedResponse {
             head: self.head.clone(),
             body: body.split().freeze(),
+            _memory: std::mem::replace(&mut self.memory, no_memory),
         };
         if 500 <= response.status() && job.route.kind.repeatable() {
             return AttemptOutcome::Failed(Failure::Failed, Some(response));
--- a/crates/gradeloft_gateway/src/h1/body.rs
+++ b/crates/gradeloft_gateway/src/h1/body.rs
@@ -9,6 +9,8 @@
 
 /// Maximum length of a chunk-size line or trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 4096;
+/// Line ends of the size and the data of a chunk, in bytes.
+const CHUNK_LINE_ENDS: usize = 4;
 /// Maximum length of all trailer lines, in bytes.
 const MAX_TRAILER_BYTES: usize = 16 << 10;
 
@@ -114,6 +116,8 @@
 pub struct Decoder {
     framing: Framing,
     state: State,
+    /// Bytes that were taken and are not part of the body.
+    overhead: usize,
 }
 
 impl Decoder {
@@ -125,7 +129,16 @@
             Framing::Length(0) => State::Done,
             Framing::Length(length) => State::Data(length),
         };
-        Decoder { framing, state }
+        Decoder {
+            framing,
+            state,
+            overhead: 0,
+        }
+    }
+
+    /// Returns the number of bytes so far that are not part of the body.
+    pub fn overhead(&self) -> usize {
+        self.overhead
     }
 
     /// Returns whether the body has been read completely.
@@ -167,6 +180,7 @@
                     let Some(line) = take_line(buffer)? else {
                         return Ok(Piece::More);
                     };
+                    self.overhead += line.len() + CHUNK_LINE_ENDS;
                     self.state = match parse_chunk_size(&line)? {
                         0 => State::Trailer(0),
                         size => State::Data(size),
--- a/crates/gradeloft_gateway/src/h1/mod.rs
+++ b/crates/gradeloft_gateway/src/h1/mod.rs
@@ -6,10 +6,12 @@
 //!
 //! - [`body`]: framing of bodies.
 //! - [`head`]: heads of requests and responses.
+//! - [`segments`]: bodies in segments.
 //! - [`wire`]: a connection and its read buffer.
 
 pub mod body;
 pub mod head;
+pub mod segments;
 pub mod wire;
 
 /// Error for bytes that are not valid HTTP.
--- a/crates/gradeloft_gateway/src/h1/wire.rs
+++ b/crates/gradeloft_gateway/src/h1/wire.rs
@@ -10,9 +10,12 @@
 };
 
 /// Buffer space reserved for each read, in bytes.
-const READ_CHUNK_BYTES: usize = 8 << 10;
+pub const READ_CHUNK_BYTES: usize = 8 << 10;
 /// Size of the read buffer from which a caller that pipelines requests is no longer read, in bytes.
-const MAX_PIPELINED_BYTES: usize = 64 << 10;
+const MAX_PIPELINED_BYTES: usize = 8 << 10;
+/// Sizes of the kernel's buffers of a connection to a replica, in bytes. The kernel keeps up to twice as
+/// much, for each caller that does not read its response.
+const REPLICA_BUFFER_BYTES: u32 = 16 << 10;
 /// Time after which a connection to a replica fails if its instance does not acknowledge sent data.
 const REPLICA_ACK_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time after which a connection to a caller fails if the caller does not acknowledge sent data. It
@@ -48,6 +51,8 @@
     /// Connects to a replica.
     pub async fn connect(address: SocketAddr) -> io::Result<Wire> {
         let socket = TcpSocket::new_v4()?;
+        socket.set_recv_buffer_size(REPLICA_BUFFER_BYTES)?;
+        socket.set_send_buffer_size(REPLICA_BUFFER_BYTES)?;
         let stream = socket.connect(address).await?;
         Ok(Wire::new(stream, REPLICA_ACK_TIMEOUT))
     }
@@ -64,16 +69,18 @@
     }
 
     /// Closes the connection gracefully, so that all sent bytes are delivered, and waits until the
-    /// peer has closed it too. Received bytes are drained: a close with unread bytes is a reset, on
-    /// which the kernel drops undelivered data.
-    pub async fn close_gracefully(&mut self) {
+    /// peer has closed it too. Up to `max_bytes` received bytes are drained: a close with unread bytes
+    /// is a reset, on which the kernel drops undelivered data.
+    pub async fn close_gracefully(&mut self, max_bytes: usize) {
         if self.stream.shutdown().await.is_err() {
             return;
         }
-        loop {
+        let mut drained = 0;
+        while drained <= max_bytes {
             self.buffer.clear();
-            if !matches!(self.fill().await, Ok(1..)) {
-                return;
+            match self.fill().await {
+                Ok(0) | Err(_) => return,
+                Ok(read) => drained += read,
             }
         }
     }
--- a/crates/gradeloft_gateway/src/lib.rs
+++ b/crates/gradeloft_gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod node;
 pub mod pool;
 pub mod settings;
+pub mod shares;
 pub mod suspects;
 pub mod traffic;
 pub mod watch;
--- a/crates/gradeloft_gateway/src/logs.rs
+++ b/crates/gradeloft_gateway/src/logs.rs
@@ -15,6 +15,8 @@
 pub enum Topic {
     /// Requests that were answered.
     Answered,
+    /// Clients that were refused in favour of others.
+    Clients,
     /// A dependency was lost or is back.
     Dependency,
     /// Requests that failed.
@@ -31,7 +33,7 @@
     fn per_second(self) -> u32 {
         match self {
             Topic::Answered | Topic::Failed => 60,
-            Topic::Dependency => 20,
+            Topic::Clients | Topic::Dependency => 20,
             Topic::State | Topic::Weights => 40,
         }
     }
@@ -39,6 +41,7 @@
     fn name(self) -> &'static str {
         match self {
             Topic::Answered => "answered",
+            Topic::Clients => "clients",
             Topic::Dependency => "dependency",
             Topic::Failed => "failed",
             Topic::State => "state",
--- a/crates/gradeloft_gateway/src/metrics.rs
+++ b/crates/gradeloft_gateway/src/metrics.rs
@@ -48,6 +48,17 @@
     pub reason: &'static str,
 }
 
+/// Labels of connections and requests that ended in favour of others.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct RefusalLabels {
+    /// Listener, from a fixed set.
+    pub listener: &'static str,
+    /// `connections` or `memory`.
+    pub shortage: &'static str,
+    /// State of the connection.
+    pub activity: &'static str,
+}
+
 /// Labels of the requests for a service at one precedence.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct AdmissionLabels {
@@ -77,6 +88,12 @@
     pub cut: Family<Reason, Counter>,
     /// Connections of callers that were closed with unread bytes.
     pub closed_unread: Counter,
+    /// Connections and requests of clients that ended in favour of others.
+    pub refused_clients: Family<RefusalLabels, Counter>,
+    /// Open connections of callers.
+    pub callers: Gauge,
+    /// Bytes that callers hold beyond the allowances of their connections, now and at most.
+    pub caller_bytes: Family<Reason, Gauge>,
     /// Seconds until a response begins.
     pub first_byte: Timing,
     /// Seconds until a response is complete.
@@ -152,6 +169,9 @@
             first_byte: Family::new_with_constructor(seconds as fn() -> Histogram),
             whole_answer: Family::new_with_constructor(seconds as fn() -> Histogram),
             attempts: Family::default(),
+            refused_clients: Family::default(),
+            callers: Gauge::default(),
+            caller_bytes: Family::default(),
             repeats: Counter::default(),
             returns: Family::default(),
             connections: Counter::default(),
@@ -227,6 +247,21 @@
             "Connections of callers that were closed with unread bytes",
             self.closed_unread.clone(),
         );
+        it.register(
+            "refused_clients",
+            "Connections and requests ended in favour of others, by listener, shortage and state",
+            self.refused_clients.clone(),
+        );
+        it.register(
+            "open_callers",
+            "Open connections of callers",
+            self.callers.clone(),
+        );
+        it.register(
+            "caller_bytes",
+            "Bytes that callers hold in shared memory, now and at most",
+            self.caller_bytes.clone(),
+        );
         it.register(
             "first_byte_seconds",
             "Time until a response begins",
--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -35,6 +35,7 @@
     scope::Scope,
     transport::client::Pool,
 };
+use gradeloft_http::intake::{self, Refusal};
 use gradeloft_platform::fleet::{Decoder, Directory, Engine, Headers, Origin, Store};
 use gradeloft_policy::{
     clock::Time,
@@ -52,7 +53,7 @@
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use slog::warn;
+use slog::{info, warn};
 use tokio::{net::UdpSocket, sync::Notify};
 
 use abridged::AbridgedRecords;
@@ -63,7 +64,7 @@
 
 use crate::{
     logs::{Logs, Topic},
-    metrics::{Metrics, Reason},
+    metrics::{Metrics, Reason, RefusalLabels},
     settings::Settings,
     traffic::{Purpose, Reach, Traffic},
 };
@@ -324,6 +325,31 @@
         }
     }
 
+    /// Counts and logs a connection or a request of a listener that ended in favour of others.
+    pub fn record_refusal(&self, listener: &'static str, refusal: Refusal) {
+        let labels = RefusalLabels {
+            listener,
+            shortage: refusal.shortage.name(),
+            activity: refusal.activity.name(),
+        };
+        let count = self.metrics.refused_clients.get_or_create(&labels).inc() + 1;
+        if let Some(log) = self.logs.line(Topic::Clients) {
+            info!(log, "client refused"; "listener" => listener,
+                "shortage" => refusal.shortage.name(), "activity" => refusal.activity.name(),
+                "bytes" => refusal.bytes, "so_far" => count);
+        }
+    }
+
+    /// Returns an observer that records the refusals of a listener.
+    pub fn refusal_observer(self: &Rc<Node>, listener: &'static str) -> intake::Observer {
+        let node = Rc::downgrade(self);
+        Rc::new(move |refusal| {
+            if let Some(node) = node.upgrade() {
+                node.record_refusal(listener, refusal);
+            }
+        })
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, table: Table) {
         let reason = unreadable::table_name(table);
--- a/crates/gradeloft_gateway/src/settings.rs
+++ b/crates/gradeloft_gateway/src/settings.rs
@@ -38,6 +38,10 @@
     pub max_ttl_s: u64,
     /// Bandwidth of the instance's link in each direction, in bytes per second.
     pub link_bytes_per_s: u64,
+    /// Memory that the process may take, in bytes.
+    pub memory_bytes: usize,
+    /// Descriptors that the process may open.
+    pub max_descriptors: usize,
     /// Role of the process.
     pub role: Role,
 }
--- a/crates/gradeloft_gateway/tests/agents/support.rs
+++ b/crates/gradeloft_gateway/tests/agents/support.rs
@@ -514,6 +514,8 @@
         grace_ms: 1_000,
         max_ttl_s: 5,
         link_bytes_per_s: 10_000_000,
+        memory_bytes: 128 << 20,
+        max_descriptors: 2_048,
         role: Role::Agent {
             replica: replica(last),
             service: "m".to_owned(),
--- a/crates/gradeloft_gateway/tests/entry/support/mod.rs
+++ b/crates/gradeloft_gateway/tests/entry/support/mod.rs
@@ -308,6 +308,8 @@
         grace_ms: 2_000,
         max_ttl_s: 5,
         link_bytes_per_s: 1_000_000,
+        memory_bytes: 260 << 20,
+        max_descriptors: 4_200,
         role: Role::Entry {
             frontend: at(8005),
             readiness: at(8002),
--- a/crates/gradeloft_http/src/lib.rs
+++ b/crates/gradeloft_http/src/lib.rs
@@ -1,5 +1,7 @@
 //! Single-threaded HTTP/1 server with bounded resources, on top of `actix-http`.
 //!
+//! - [`intake`]: connections within the limits of a listener.
+//! - [`listener`]: listening sockets.
 //! - [`message`]: the requests and responses of handlers.
 //! - [`server`]: the listener.
 //!
@@ -15,5 +17,8 @@
 //! }).unwrap();
 //! ```
 
+pub mod intake;
+pub mod listener;
 pub mod message;
+mod metered;
 pub mod server;
--- a/crates/gradeloft_http/src/message.rs
+++ b/crates/gradeloft_http/src/message.rs
@@ -12,9 +12,15 @@
 use serde::Serialize;
 use tokio::sync::Notify;
 
+use crate::intake::Reserve;
+
 /// Reason why a request body can't be read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BodyError {
+    /// The process has no memory for the body at present.
+    NoMemory,
+    /// The body did not arrive in time.
+    TimedOut,
     /// The body was truncated.
     Truncated,
     /// The body exceeds the limit.
@@ -53,6 +59,8 @@
     pub connection: Connection,
     /// Whether the path and the headers are within the limit.
     pub head_fits: bool,
+    /// Shared memory of the listener that the body takes.
+    pub(crate) _memory: Option<Reserve>,
 }
 
 impl Request {
--- a/crates/gradeloft_wire/src/border/settings.rs
+++ b/crates/gradeloft_wire/src/border/settings.rs
@@ -119,6 +119,9 @@
     #[doc = "Largest chunk of weights, in bytes."]
     #[serde(default = "defaults::default_u64::<u64, 16777216>")]
     pub chunk_bytes: u64,
+    #[doc = "Memory that clients of all ports may make the process hold, in bytes."]
+    #[serde(default = "defaults::default_u64::<u64, 134217728>")]
+    pub client_memory_bytes: u64,
     #[doc = "Connections open at once on one port."]
     #[serde(default = "defaults::default_u64::<u64, 1024>")]
     pub connections: u64,
@@ -146,6 +149,7 @@
         Self {
             body_bytes: defaults::default_u64::<u64, 1048576>(),
             chunk_bytes: defaults::default_u64::<u64, 16777216>(),
+            client_memory_bytes: defaults::default_u64::<u64, 134217728>(),
             connections: defaults::default_u64::<u64, 1024>(),
             drain_ms: defaults::default_u64::<u64, 30000>(),
             frame_bytes: defaults::default_u64::<u64, 2097152>(),
--- a/crates/gradeloft_wire/src/error.rs
+++ b/crates/gradeloft_wire/src/error.rs
@@ -143,6 +143,8 @@
     Mismatch "mismatch" 502 Unknown IfRepeatable false None, "The endpoint's answer belonged to another request or version, and was dropped.";
     /// The endpoint responded with an error.
     EndpointFailed "endpoint_failed" 502 Unknown IfRepeatable false None, "The endpoint answered with an error of its own.";
+    /// The process has no memory for the body.
+    Overloaded "overloaded" 503 No Never true Some(1), "The entry has no memory for the body at present; come back after `Retry-After`.";
 }
 
 impl Kind {
--- a/crates/gradeloft_wire/src/id.rs
+++ b/crates/gradeloft_wire/src/id.rs
@@ -83,12 +83,37 @@
     /// assert_ne!(one, Fingerprint::of(None, target, b"body"));
     /// ```
     pub fn of(team: Option<&str>, target: [&str; 3], body: &[u8]) -> Fingerprint {
+        Fingerprint::of_segments(team, target, std::iter::once(body))
+    }
+
+    /// Returns the fingerprint of a request whose body is in segments.
+    ///
+    /// ```
+    /// use gradeloft_wire::id::Fingerprint;
+    /// let target = ["host", "POST", "/notes"];
+    /// let segments = [&b"bo"[..], b"dy"];
+    /// let one = Fingerprint::of_segments(None, target, segments.into_iter());
+    /// assert_eq!(one, Fingerprint::of(None, target, b"body"));
+    /// ```
+    pub fn of_segments<'a>(
+        team: Option<&str>,
+        target: [&str; 3],
+        body: impl Iterator<Item = &'a [u8]> + Clone,
+    ) -> Fingerprint {
         let [host, method, path] = target.map(str::as_bytes);
         let has_team = [u8::from(team.is_some())];
         let team = team.unwrap_or_default().as_bytes();
-        Fingerprint::truncating(Digest::of_parts(&[
-            &has_team, team, host, method, path, body,
-        ]))
+        let mut hasher = blake3::Hasher::new();
+        for part in [&has_team, team, host, method, path] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let length: usize = body.clone().map(<[u8]>::len).sum();
+        hasher.update(&(length as u64).to_le_bytes());
+        body.for_each(|it| {
+            hasher.update(it);
+        });
+        Fingerprint::truncating(Digest(hasher.finalize().into()))
     }
 
     /// Returns the fingerprint of a part of a prompt, by the id that callers give it. Unlike that of a
