--- a/crates/gradeloft_gateway/src/entry/connection.rs
+++ b/crates/gradeloft_gateway/src/entry/connection.rs
@@ -54,6 +54,8 @@
     bytes: 64 << 10,
     time: Duration::from_secs(1),
 };
+/// Time for which a connection that ends in favour of others stays open to refuse a request.
+const EVICTION_TIME: Duration = Duration::from_millis(100);
 /// Time for which the rest of a refused body is read, so that its caller reads the refusal.
 const BODY_DRAIN_TIME: Duration = Duration::from_secs(2);
 /// Time limit for sending a refusal.
@@ -108,7 +110,12 @@
     let mut wire = Wire::accepted(stream);
     let drain = tokio::select! {
         biased;
-        () = place.wait_for(Shortage::Connections) => return,
+        () = place.wait_for(Shortage::Connections) => {
+            let ending = refuse_unread(&entry, &mut wire);
+            // A caller that takes longer does not read the refusal.
+            let _ = entry.node.timers.timeout(EVICTION_TIME, ending).await;
+            return;
+        }
         drain = serve_requests(&entry, &mut wire, &place) => drain,
     };
     place.set_activity(Activity::Closing);
@@ -129,6 +136,17 @@
     }
 }
 
+/// Refuses a request that was not read, or not completely, before its connection ends in favour of others.
+async fn refuse_unread(entry: &Entry, wire: &mut Wire) {
+    if !wire.has_unread_data() {
+        return;
+    }
+    if matches!(wire.fill().await, Ok(1..)) {
+        refuse(entry, wire, Refusal::Overloaded, None, true).await;
+        wire.close_gracefully(DRAIN.bytes).await;
+    }
+}
+
 /// Serves the requests of a connection, one after the other. Returns what is read before it closes.
 async fn serve_requests(entry: &Rc<Entry>, wire: &mut Wire, place: &Rc<Place>) -> Drain {
     loop {
--- a/crates/gradeloft_http/src/intake.rs
+++ b/crates/gradeloft_http/src/intake.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     fmt,
     rc::Rc,
+    time::Duration,
 };
 
 use gradeloft_policy::{
@@ -11,7 +12,10 @@
     connection::intake::{self, Activity, ConnectionKey, Content, Growth, Limits, Shortage},
 };
 use slotmap::SecondaryMap;
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::timeout};
+
+/// Interval between attempts to admit a connection.
+const RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Connection or request that ended in favour of others.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -70,7 +74,7 @@
     }
 
     /// Admits a connection, in favour of which another one ends if there are too many. Waits while all
-    /// others are being served.
+    /// others are being served or have just been opened.
     pub async fn open(self: &Rc<Intake>) -> Place {
         loop {
             let freed = self.freed.notified();
@@ -86,7 +90,8 @@
                     signal,
                 };
             }
-            freed.await;
+            // In vain if all are still new.
+            let _ = timeout(RETRY_INTERVAL, freed).await;
         }
     }
 
--- a/crates/gradeloft_policy/src/connection/intake.rs
+++ b/crates/gradeloft_policy/src/connection/intake.rs
@@ -5,8 +5,9 @@
 //! holds beyond its allowance, such as a large body, counts towards memory that all connections share.
 //!
 //! When either is exhausted, the connections that keep others waiting go first: those that only wait for
-//! the client to close, then those whose request stays incomplete, then idle ones. A connection whose
-//! request is being served is never ended.
+//! the client to close, then those whose request stays incomplete, then those that have been idle or
+//! incomplete for longest. A connection whose request is being served is never ended, nor is a new one
+//! before its client has had time to send a request.
 
 use std::cmp::Reverse;
 
@@ -17,6 +18,9 @@
 /// Time for which a request may be incomplete before its connection goes ahead of idle ones, in
 /// milliseconds: ordinary requests arrive whole.
 const INCOMPLETE_MS: u64 = 1_000;
+/// Time in which a connection is not ended after it was opened or its last request was responded to, in
+/// milliseconds: several round trips between regions.
+const MIN_MS: u64 = 100;
 
 new_key_type! {
     /// Key of an open connection.
@@ -139,7 +143,7 @@
     }
 
     /// Adds an idle connection. At the limit, another connection ends in its favour; returns `None` if
-    /// all others are being served.
+    /// all others are being served or have just been opened.
     pub fn open(&mut self, now: Time) -> Option<(ConnectionKey, Option<Victim>)> {
         let victim = if self.connections.len() < self.limits.connections {
             None
@@ -242,11 +246,10 @@
     /// Removes the connection that goes first when there are too many.
     fn remove_first(&mut self, now: Time) -> Option<Victim> {
         let rank = |it: &Connection| match it.activity {
-            Activity::Closing => Some(3),
-            Activity::Receiving if it.since.after_ms(INCOMPLETE_MS) <= now => Some(2),
-            Activity::Idle => Some(1),
-            Activity::Receiving => Some(0),
-            Activity::Serving => None,
+            Activity::Closing => Some(2),
+            Activity::Receiving if it.since.after_ms(INCOMPLETE_MS) <= now => Some(1),
+            Activity::Idle | Activity::Receiving if it.since.after_ms(MIN_MS) <= now => Some(0),
+            Activity::Idle | Activity::Receiving | Activity::Serving => None,
         };
         let ranked = self.connections.iter();
         let ranked = ranked.filter_map(|(key, it)| Some((rank(it)?, Reverse(it.since), key)));
--- a/crates/gradeloft_standin/src/footprint.rs
+++ b/crates/gradeloft_standin/src/footprint.rs
@@ -75,7 +75,8 @@
     }
 }
 
-fn sample(pid: u32, address: Ipv4Addr) -> io::Result<Footprint> {
+/// Returns the memory and the descriptors that a process takes now; `address` as in [`Sampler::start`].
+pub fn sample(pid: u32, address: Ipv4Addr) -> io::Result<Footprint> {
     Ok(Footprint {
         memory_bytes: resident_bytes(pid)?
             + queued_bytes(&fs::read_to_string("/proc/net/tcp")?, address),
