--- a/crates/gradeloft_daemon/src/transport/server.rs
+++ b/crates/gradeloft_daemon/src/transport/server.rs
@@ -38,7 +38,7 @@
     receive: 8 << 10,
     send: Some(16 << 10),
 };
-/// Buffers of the kernel for fast links. Of what a peer does not read, [`NOT_SENT_LOWAT`] bytes are kept.
+/// Buffers of the kernel for fast links. Of what a peer does not read, the kernel keeps 64 KB.
 pub const LARGE_BUFFERS: Buffers = Buffers {
     receive: 32 << 10,
     send: None,
