Close a connection that pipelines when a new one waits at a port of gradeloft_http

The ports for lookups, readiness and metrics share the code.

Cause: a place is taken only from a connection that was idle or incomplete for 0.1 s. A connection whose next request has arrived already never is, and the server did not end it after a response while a newcomer waited, as an entry does. Change: the first connection that ends a response while a newcomer waits announces the close; one for each attempt to admit (entries closed all that ended a response in that time). Requests that the parser had taken before are no longer handled, so that none runs behind an announced close.

Evidence: a_client_that_pipelines_makes_room_for_a_new_one, a port for one connection. Ruled out: responses that nobody reads (a deaf client's connection is idle once its response waits, and goes after 0.1 s).

--- a/crates/gradeloft_gateway/src/entry/connection.rs
+++ b/crates/gradeloft_gateway/src/entry/connection.rs
@@ -200,7 +200,7 @@
             _memory: memory,
         };
         let reuse = forward::forward(entry, wire, received, keep_alive).await;
-        if reuse == ConnectionReuse::Close || !keep_alive || place.is_awaited() {
+        if reuse == ConnectionReuse::Close || !keep_alive || place.must_yield() {
             return DRAIN;
         }
     }
--- a/crates/gradeloft_http/src/intake.rs
+++ b/crates/gradeloft_http/src/intake.rs
@@ -40,7 +40,7 @@
     signals: RefCell<SecondaryMap<ConnectionKey, Rc<Signal>>>,
     /// Notified when a connection is closed or no longer served.
     freed: Notify,
-    /// Whether a new connection waits for one that is no longer served.
+    /// Whether a new connection waits, and none has ended in its favour since its last attempt.
     is_awaited: Cell<bool>,
     now: Now,
     observer: Observer,
@@ -100,6 +100,11 @@
         self.state.borrow().connections()
     }
 
+    /// Returns whether a new connection waits, and no other one has ended in its favour yet.
+    pub fn is_awaited(&self) -> bool {
+        self.is_awaited.get()
+    }
+
     /// Returns the shared memory that is held now and that was held at most, in bytes.
     pub fn shared_bytes(&self) -> (usize, usize) {
         let state = self.state.borrow();
@@ -169,10 +174,11 @@
         });
     }
 
-    /// Returns whether a new connection waits for this one to end. All others are being served, and a client
-    /// that sends one request after the other would keep its place for ever.
-    pub fn is_awaited(&self) -> bool {
-        self.intake.is_awaited.get()
+    /// Returns whether this connection has to end in favour of a new one, which waits. All are being served,
+    /// and a client that sends one request after the other would keep its place for ever. One connection
+    /// ends for each attempt to admit the new one.
+    pub fn must_yield(&self) -> bool {
+        self.intake.is_awaited.take()
     }
 
     /// Returns the resource in favour of which this connection or its request ended.
--- a/crates/gradeloft_http/src/server.rs
+++ b/crates/gradeloft_http/src/server.rs
@@ -181,6 +181,8 @@
     meter: Rc<Meter>,
     handle: Connection,
     is_serving: Cell<bool>,
+    /// Whether a response has announced that the connection closes.
+    is_closing: Cell<bool>,
     /// Memory of the last response, until it was sent.
     response: RefCell<Option<Reserve>>,
 }
@@ -192,6 +194,7 @@
             meter: Meter::new(2 * limits.header_bytes + ALLOWANCE_BYTES),
             handle: Connection::default(),
             is_serving: Cell::default(),
+            is_closing: Cell::default(),
             response: RefCell::default(),
         }
     }
@@ -275,6 +278,10 @@
         .meter
         .begin_request(head_bytes(&request), has_body);
     connection.meter.wait_unblocked().await;
+    if connection.is_closing.get() {
+        // The parser had taken this request before the response that announced the close.
+        return connection.handle.abort().await;
+    }
     let request = read(request, shared.limits, connection, peer.map(|it| it.ip())).await;
     connection.meter.end_body();
     connection.begin_serving();
@@ -291,8 +298,9 @@
         );
     }
     // What follows a body in chunks can't be told from it before it is parsed.
-    let closes = shared.closing.get() || connection.place.shortage().is_some();
-    if closes || is_chunked {
+    let closes = shared.closing.get() || connection.place.shortage().is_some() || is_chunked;
+    if closes || connection.place.must_yield() {
+        connection.is_closing.set(true);
         response
             .head_mut()
             .set_connection_type(ConnectionType::Close);
