Bound what datagrams of anybody make a process keep

Addresses that were only named were never forgotten, and each pass over the entries, several a second and one for each status, takes as long as there are entries.

Change: every table that datagrams fill has a bound, well over twice the design size (CAPACITY.md), and a rule who goes first. - Roster: 2,048 entries. An entry that sends its own status displaces one that was only named, then a relayed one, then the one that was silent for longest; relayed ones displace only named ones; a named one displaces none. The platform's settings name all zones. Entries at an agent: 2,048. Versions at an agent: those of its own service's models.

Ruled out: a bound on datagrams a second, which shuts out real peers in the same measure.

--- a/crates/gradeloft_gateway/src/agent/receive.rs
+++ b/crates/gradeloft_gateway/src/agent/receive.rs
@@ -1,11 +1,15 @@
 //! Datagrams from entries, and the decision when to request records from an entry or the store.
 
 use std::{
+    collections::HashMap,
+    net::Ipv4Addr,
     rc::{Rc, Weak},
     time::Duration,
 };
 
-use gradeloft_policy::{clock::Time, rendezvous, version::waves::SwitchProgress};
+use gradeloft_policy::{
+    clock::Time, process::roster::MAX_ENTRIES, rendezvous, version::waves::SwitchProgress,
+};
 use gradeloft_wire::{
     datagram::{Sender, StoreAccess, SwitchedReplicas},
     frame::Table,
@@ -36,6 +40,17 @@
 /// is reachable.
 const MAX_BACKOFF: Duration = Duration::from_secs(8);
 
+/// Forgets the entry that has been silent for longest if there is no room for another one.
+fn make_room(entries: &mut HashMap<Ipv4Addr, KnownEntry>) {
+    if MAX_ENTRIES <= entries.len() {
+        let silent = entries
+            .iter()
+            .min_by_key(|(address, it)| (it.received_at, **address))
+            .map(|(address, _)| *address);
+        silent.map(|it| entries.remove(&it));
+    }
+}
+
 impl Agent {
     /// Returns whether to request records now from an entry whose copy of the operator's table ends
     /// at `end`: if this agent has no copy or does not know a version that the entry reports, or if
@@ -58,9 +73,19 @@
         due
     }
 
+    /// Returns whether this agent's service runs the model with a hash.
+    fn serves_model(&self, hash: u64) -> bool {
+        let config = self.config.borrow();
+        let services = config.iter().flat_map(|it| &it.services);
+        let mut models = services
+            .filter(|it| *it.name == *self.service)
+            .flat_map(|it| &it.models);
+        models.any(|it| rendezvous::hash(it.as_bytes()) == hash)
+    }
+
     fn update_progress(&self, models: &[SwitchedReplicas]) {
         let mut switch_progress = self.switch_progress.borrow_mut();
-        for model in models {
+        for model in models.iter().filter(|it| self.serves_model(it.model)) {
             let progress = SwitchProgress {
                 version: model.version,
                 replicas: usize::from(model.replicas),
@@ -128,6 +153,9 @@
                         store,
                         near,
                     };
+                    if is_new {
+                        make_room(&mut entries);
+                    }
                     entries.insert(from, entry);
                 }
                 let end = datagram.ends[Table::Operator as usize];
--- a/crates/gradeloft_gateway/src/metrics.rs
+++ b/crates/gradeloft_gateway/src/metrics.rs
@@ -88,6 +88,8 @@
     pub cut: Family<Reason, Counter>,
     /// Connections of callers that were closed with unread bytes.
     pub closed_unread: Counter,
+    /// Datagrams of zones that were not read, as too many zones are not in the settings.
+    pub unlisted_zones: Counter,
     /// Requests that were refused in favour of callers that do not pipeline.
     pub made_way: Counter,
     /// Connections and requests of clients that ended in favour of others.
@@ -171,6 +173,7 @@
             first_byte: Family::new_with_constructor(seconds as fn() -> Histogram),
             whole_answer: Family::new_with_constructor(seconds as fn() -> Histogram),
             attempts: Family::default(),
+            unlisted_zones: Counter::default(),
             made_way: Counter::default(),
             refused_clients: Family::default(),
             callers: Gauge::default(),
@@ -250,6 +253,11 @@
             "Connections of callers that were closed with unread bytes",
             self.closed_unread.clone(),
         );
+        it.register(
+            "unlisted_zones",
+            "Datagrams that were not read, as too many zones are not in the settings",
+            self.unlisted_zones.clone(),
+        );
         it.register(
             "made_way",
             "Requests refused in favour of callers that do not pipeline",
--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -23,7 +23,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
     io,
     net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     rc::Rc,
@@ -41,9 +40,11 @@
     clock::Time,
     process::{
         mirror::{Mirror, Record},
+        peer_regions::PeerRegions,
         store_reads::{DoubtfulRemovals, ReadPeriod},
         transfer::UploadSlots,
         write_times::WriteTimes,
+        zones::Zones,
     },
 };
 use gradeloft_wire::{
@@ -175,7 +176,8 @@
     logged_store_fault: Cell<Option<&'static str>>,
     observer: RefCell<Option<Observer>>,
     /// Whether each peer that sent datagrams is in this process's region.
-    near_peers: RefCell<HashMap<Ipv4Addr, bool>>,
+    near_peers: RefCell<PeerRegions>,
+    zones: RefCell<Zones>,
     /// Counts of bytes.
     traffic: Traffic,
     socket: UdpSocket,
@@ -232,6 +234,7 @@
             logged_store_fault: Cell::default(),
             observer: RefCell::default(),
             near_peers: RefCell::default(),
+            zones: RefCell::default(),
             traffic: Traffic::default(),
             socket,
             incarnation,
@@ -312,7 +315,7 @@
         for address in to {
             let to = SocketAddrV4::new(address, port);
             let _ = self.socket.try_send_to(&bytes, to.into());
-            let known = self.near_peers.borrow().get(&address).copied();
+            let known = self.near_peers.borrow().is_near(address);
             match known.map_or(reach, Reach::of) {
                 Reach::Far => far += bytes.len(),
                 Reach::Near => near += bytes.len(),
@@ -375,6 +378,12 @@
         self.traffic.show(&self.logs.root, &self.metrics, now);
     }
 
+    fn admits_zone(&self, zone: &str) -> bool {
+        let settings = self.settings.borrow();
+        let is_listed = settings.zone == zone || settings.regions.contains_key(zone);
+        self.zones.borrow_mut().admit(zone, is_listed)
+    }
+
     /// Waits for the next datagram, and returns it with its sender's address.
     pub async fn next_datagram(&self) -> (Ipv4Addr, Datagram) {
         let mut buffer = [0; MAX_BYTES];
@@ -386,11 +395,15 @@
                 continue;
             };
             if let Ok(datagram) = codec::decode_body::<Datagram>(&buffer[..length]) {
+                if !self.admits_zone(&datagram.zone) {
+                    self.metrics.unlisted_zones.inc();
+                    continue;
+                }
                 if matches!(datagram.sender, Sender::Entry { .. }) {
                     self.note_holder(*from.ip(), &datagram.zone, datagram.ends);
                 }
                 let near = self.near(&datagram.zone);
-                self.near_peers.borrow_mut().insert(*from.ip(), near);
+                self.near_peers.borrow_mut().note(*from.ip(), near);
                 return (*from.ip(), datagram);
             }
         }
--- a/crates/gradeloft_gateway/src/node/tables.rs
+++ b/crates/gradeloft_gateway/src/node/tables.rs
@@ -239,7 +239,7 @@
 
     /// Returns whether a peer is known to be in this process's region.
     pub fn is_near_peer(&self, peer: Ipv4Addr) -> bool {
-        self.near_peers.borrow().get(&peer) == Some(&true)
+        self.near_peers.borrow().is_near(peer) == Some(true)
     }
 
     /// Applies records beyond the end of the copy while a large record before them is still being
--- a/crates/gradeloft_policy/src/process/mod.rs
+++ b/crates/gradeloft_policy/src/process/mod.rs
@@ -18,6 +18,7 @@
 //! - [`membership`]: the peers, by the platform's list and by the state of connections.
 //! - [`mirror`]: a copy of a table of the platform's store.
 //! - [`occupancy`]: requests at a replica that no known entry accounts for.
+//! - [`peer_regions`]: whether the processes that send datagrams are in the own region.
 //! - [`pending_update`]: a table update from a peer whose large values are still being fetched.
 //! - [`rate_leases`]: splits the rate limit of a team among entries by leases.
 //! - [`rate_share`]: splits the request rate that a replica accepts among entries.
@@ -34,6 +35,7 @@
 //! - [`team_shares`]: splits scarce replica time among teams.
 //! - [`transfer`]: fetches a large value from the peers that hold it.
 //! - [`write_times`]: estimates the times at which records of a table were written.
+//! - [`zones`]: availability zones that datagrams name.
 
 pub mod address;
 pub mod allowed_regions;
@@ -53,6 +55,7 @@
 pub mod membership;
 pub mod mirror;
 pub mod occupancy;
+pub mod peer_regions;
 pub mod pending_update;
 pub mod rate_leases;
 pub mod rate_share;
@@ -69,3 +72,4 @@
 pub mod team_shares;
 pub mod transfer;
 pub mod write_times;
+pub mod zones;
--- a/crates/gradeloft_policy/src/process/remote_loads.rs
+++ b/crates/gradeloft_policy/src/process/remote_loads.rs
@@ -8,6 +8,14 @@
 
 use crate::{clock::Time, request::contention::Precedence};
 
+/// Maximum number of senders, five times the entries of the largest fleet that is designed for.
+const MAX_SENDERS: usize = 2_048;
+/// Maximum number of rows of all reports: at twice the largest fleet that is designed for, the reports of
+/// all regions have 32,000 and those of a region's entries 3,000.
+const MAX_ROWS: usize = 65_536;
+/// Number of rows that take as much memory as a part without any.
+const PART_ROWS: usize = 4;
+
 /// Requests at one replica.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
@@ -50,31 +58,58 @@
     pub loads: Vec<Load>,
 }
 
+impl Part {
+    /// Returns the number of rows that the part counts as.
+    fn rows(&self) -> usize {
+        PART_ROWS + self.demands.len() + self.loads.len()
+    }
+}
+
 /// The last report of each sender.
 #[derive(Clone, Debug)]
 pub struct RemoteLoads<K> {
+    /// Reports of at most [`MAX_SENDERS`].
     reports: HashMap<K, HashMap<u16, Part>>,
+    /// Sum over all parts; at most [`MAX_ROWS`].
+    rows: usize,
 }
 
 impl<K> Default for RemoteLoads<K> {
     fn default() -> RemoteLoads<K> {
         RemoteLoads {
             reports: HashMap::new(),
+            rows: 0,
         }
     }
 }
 
 impl<K: Eq + Hash> RemoteLoads<K> {
-    /// Stores a part of the report of `sender`.
+    /// Stores a part of the report of `sender`, unless there is no room for it: anybody can send reports, and
+    /// those that are not repeated expire.
     pub fn receive(&mut self, sender: K, part: Part) {
+        if !self.reports.contains_key(&sender) && MAX_SENDERS <= self.reports.len() {
+            return;
+        }
         let parts = self.reports.entry(sender).or_default();
-        parts.retain(|number, it| *number <= part.last_part && it.last_part == part.last_part);
-        parts.insert(part.part, part);
+        let replaced = |number: u16, it: &Part| {
+            number == part.part || part.last_part < number || it.last_part != part.last_part
+        };
+        let (rows, number) = (part.rows(), part.part);
+        let freed: usize = parts
+            .extract_if(|number, it| replaced(*number, it))
+            .map(|(_, it)| it.rows())
+            .sum();
+        self.rows -= freed;
+        if self.rows + rows <= MAX_ROWS {
+            self.rows += rows;
+            parts.insert(number, part);
+        }
     }
 
     /// Drops the reports of the senders for which `keep` returns `false`.
     pub fn retain(&mut self, keep: impl Fn(&K) -> bool) {
         self.reports.retain(|sender, _| keep(sender));
+        self.count_rows();
     }
 
     /// Drops the parts that were received before a time.
@@ -83,6 +118,11 @@
             parts.retain(|_, it| before <= it.at);
         }
         self.reports.retain(|_, parts| !parts.is_empty());
+        self.count_rows();
+    }
+
+    fn count_rows(&mut self) {
+        self.rows = self.parts().map(Part::rows).sum();
     }
 
     /// Returns whether there is a report of `sender`.
--- a/crates/gradeloft_policy/src/process/roster.rs
+++ b/crates/gradeloft_policy/src/process/roster.rs
@@ -17,6 +17,9 @@
 const RELAYED_SILENCE_MS: u64 = 4_000;
 /// Silence after which an entry is forgotten, in milliseconds.
 const FORGET_MS: u64 = 60_000;
+/// Maximum number of known entries, five times the largest fleet that is designed for: anybody can send
+/// datagrams that name others.
+pub const MAX_ENTRIES: usize = 2_048;
 /// Most entries in one lookup response; the platform reads no more.
 const MAX_OFFERED: usize = 64;
 /// Number of entries up to which those of the caller's availability zone are supplemented by
@@ -51,8 +54,20 @@
     Starting,
 }
 
+/// Strongest evidence that there is an entry at an address.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Evidence {
+    /// Somebody named the address.
+    Named,
+    /// Another entry relayed the entry's status.
+    Relayed,
+    /// The status came from the address itself.
+    Direct,
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
+    evidence: Evidence,
     zone: String,
     state: State,
     incarnation: u64,
@@ -84,7 +99,10 @@
 /// The other entries.
 #[derive(Debug, Default)]
 pub struct Roster {
+    /// At most [`MAX_ENTRIES`].
     entries: HashMap<Ipv4Addr, Entry>,
+    /// Number of entries of which only the address is known.
+    named: usize,
     /// Highest number of entries known at once, including this one.
     peak: usize,
 }
@@ -92,7 +110,27 @@
 impl Roster {
     /// Records that there may be an entry at an address, and its availability zone if known.
     pub fn learn(&mut self, address: Ipv4Addr, zone: Option<&str>) {
+        let Some(entry) = self.entry(address, Evidence::Named) else {
+            return;
+        };
+        if let Some(zone) = zone.filter(|_| entry.zone.is_empty()) {
+            zone.clone_into(&mut entry.zone);
+        }
+    }
+
+    /// Returns the entry at an address, added if it is new; `None` if there is no room for it.
+    fn entry(&mut self, address: Ipv4Addr, evidence: Evidence) -> Option<&mut Entry> {
+        let known = self.entries.get(&address).map(|it| it.evidence);
+        if known.is_none() && MAX_ENTRIES <= self.entries.len() {
+            let replaced = self.least_known(evidence)?;
+            let removed = self.entries.remove(&replaced)?;
+            self.named -= usize::from(removed.evidence == Evidence::Named);
+        }
+        let evidence = known.map_or(evidence, |it| it.max(evidence));
+        self.named -= usize::from(known == Some(Evidence::Named));
+        self.named += usize::from(evidence == Evidence::Named);
         let entry = self.entries.entry(address).or_insert(Entry {
+            evidence,
             zone: String::new(),
             state: State::Starting,
             incarnation: 0,
@@ -101,24 +139,45 @@
             seen: None,
             alive_until: Time::ZERO,
         });
-        if let Some(zone) = zone.filter(|_| entry.zone.is_empty()) {
-            zone.clone_into(&mut entry.zone);
+        entry.evidence = evidence;
+        Some(entry)
+    }
+
+    /// Returns the entry that a new one with some evidence replaces: one of which only the address is known,
+    /// or the one with least evidence if the new one has sent its status itself.
+    fn least_known(&self, evidence: Evidence) -> Option<Ipv4Addr> {
+        if evidence == Evidence::Named || (evidence == Evidence::Relayed && self.named == 0) {
+            return None;
         }
+        let least = self
+            .entries
+            .iter()
+            .min_by_key(|(address, it)| (it.evidence, it.seen, **address));
+        least.map(|(address, _)| *address)
     }
 
     /// Applies the status of an entry, unless it is from an earlier start of that entry.
     pub fn receive(&mut self, address: Ipv4Addr, status: Status<'_>, now: Time) {
-        self.apply_status(address, status, SILENCE_MS, now);
+        self.apply_status(address, status, Evidence::Direct, now);
     }
 
     /// Applies the status of an entry that another entry relayed.
     pub fn receive_relayed(&mut self, address: Ipv4Addr, status: Status<'_>, now: Time) {
-        self.apply_status(address, status, RELAYED_SILENCE_MS, now);
+        self.apply_status(address, status, Evidence::Relayed, now);
     }
 
-    fn apply_status(&mut self, address: Ipv4Addr, status: Status<'_>, silence_ms: u64, now: Time) {
-        self.learn(address, Some(status.zone));
-        let Some(entry) = self.entries.get_mut(&address) else {
+    fn apply_status(
+        &mut self,
+        address: Ipv4Addr,
+        status: Status<'_>,
+        evidence: Evidence,
+        now: Time,
+    ) {
+        let silence_ms = match evidence {
+            Evidence::Direct => SILENCE_MS,
+            Evidence::Named | Evidence::Relayed => RELAYED_SILENCE_MS,
+        };
+        let Some(entry) = self.entry(address, evidence) else {
             return;
         };
         if status.incarnation < entry.incarnation {
@@ -131,8 +190,7 @@
         entry.end = status.end;
         entry.seen = Some(now);
         entry.alive_until = entry.alive_until.max(now.after_ms(silence_ms));
-        let known = self.entries.values().filter(|it| it.seen.is_some());
-        self.peak = self.peak.max(known.count() + 1);
+        self.peak = self.peak.max(self.entries.len() - self.named + 1);
     }
 
     /// Iterates over the entries whose availability zone is known and accepted by `fits`.
@@ -285,6 +343,8 @@
             let recent = it.seen.is_some_and(|at| now < at.after_ms(FORGET_MS));
             recent || it.seen.is_none() || keep(*address)
         });
+        let named = self.entries.values();
+        self.named = named.filter(|it| it.evidence == Evidence::Named).count();
     }
 }
 
