Count quarantined subjects once a second, and forget the writes of evicted suspects

What callers saw: an entry that receives datagrams with made-up suspects answers nobody: 40,000 of them are not handled within 60 s (debug build), all of it processor time of one thread.

Cause: the metric of quarantined subjects, which takes a look at all pairs of up to 1,024, was counted for each changed suspect and in each round, and each look counted the crashes of both again (perf: 73 % in Suspect::count, below Quarantine::quarantined). Beside it, the schedule of writes to the store kept suspects that others had displaced, without a bound. Change: the metric is counted once a second, a suspect keeps its count, and the schedule keeps only subjects that are known or stored.

--- a/crates/gradeloft_gateway/src/entry/quarantine/mod.rs
+++ b/crates/gradeloft_gateway/src/entry/quarantine/mod.rs
@@ -101,6 +101,8 @@
     /// Times at which crashes that are missing in the store are due to be written.
     pending_writes: RefCell<HashMap<Subject, Time>>,
     write_in_progress: Cell<bool>,
+    /// Time of the next count of quarantined subjects, for the metric.
+    count_at: Cell<Time>,
     /// Era of the store for which the writes of lost records were scheduled last.
     era: Cell<u32>,
     /// Time at which this entry writes the records that a restore of the store may have lost; `None`
@@ -245,10 +247,6 @@
     fn suspect_changed(&self, subject: Subject, source: Source, now: Time) {
         let known = self.quarantine.known.borrow();
         let crashes = known.crashes(subject);
-        self.node
-            .metrics
-            .quarantined
-            .set(known.quarantined() as i64);
         if (QUARANTINE_CRASHES <= crashes || source == Source::Own)
             && let Some(log) = self.node.logs.line(Topic::State)
         {
@@ -288,11 +286,20 @@
     /// Settles lost requests, expires old suspects, and writes missing records to the store.
     pub(super) fn maintain_quarantine(self: &Rc<Entry>, now: Time) {
         self.settle_lost_requests(now);
+        self.forget_evicted_suspects();
         self.expire_suspects(now);
         self.rewrite_lost_suspects(now);
         self.write_due_suspects(now);
     }
 
+    /// Drops the writes of suspects that others have displaced.
+    fn forget_evicted_suspects(&self) {
+        let known = self.quarantine.known.borrow();
+        let stored = self.quarantine.stored.borrow();
+        let mut pending_writes = self.quarantine.pending_writes.borrow_mut();
+        pending_writes.retain(|it, _| known.contains(*it) || stored.contains_key(it));
+    }
+
     /// Sends the suspects that are due to other entries.
     pub(super) fn send_suspects(&self) {
         let now = self.node.clock.now();
--- a/crates/gradeloft_gateway/src/entry/quarantine/store.rs
+++ b/crates/gradeloft_gateway/src/entry/quarantine/store.rs
@@ -34,6 +34,9 @@
 /// Bounds of the random delay, in milliseconds, before an entry deletes an expired record. They are
 /// far apart, so that most entries find the record deleted already.
 const DELETE_DELAY_MS: (u64, u64) = (1_000, 120_000);
+/// Interval between counts of the quarantined subjects, each of which takes a look at all pairs of subjects,
+/// in milliseconds.
+const COUNT_INTERVAL_MS: u64 = 1_000;
 /// Maximum number of records per write.
 const MAX_RECORDS_PER_WRITE: usize = 32;
 
@@ -45,10 +48,13 @@
             return;
         }
         known.expire(now);
-        self.node
-            .metrics
-            .quarantined
-            .set(known.quarantined() as i64);
+        if self.quarantine.count_at.get() <= now || known.is_empty() {
+            self.quarantine
+                .count_at
+                .set(now.after_ms(COUNT_INTERVAL_MS));
+            let quarantined = known.quarantined();
+            self.node.metrics.quarantined.set(quarantined as i64);
+        }
         let stored = self.quarantine.stored.borrow();
         let mut pending_writes = self.quarantine.pending_writes.borrow_mut();
         for subject in stored.keys().filter(|it| !known.contains(**it)) {
--- a/crates/gradeloft_policy/src/request/quarantine/suspect.rs
+++ b/crates/gradeloft_policy/src/request/quarantine/suspect.rs
@@ -36,6 +36,8 @@
     subject: Subject,
     /// Crashes sorted by start, each start once.
     crashes: Vec<Crash>,
+    /// Number of crashes that count. All suspects are compared by it.
+    count: usize,
     /// Time of the latest known crash.
     pub(super) crashed_at: Time,
     /// Attempts at this entry that are running or whose outcome isn't clear yet.
@@ -47,6 +49,7 @@
         Suspect {
             subject,
             crashes: Vec::new(),
+            count: 0,
             crashed_at: Time::ZERO,
             attempts: 0,
         }
@@ -64,7 +67,7 @@
 
     /// Returns the number of crashes that count.
     pub(super) fn count(&self) -> usize {
-        self.counted().count()
+        self.count
     }
 
     /// Returns whether the crash of a start counts.
@@ -88,6 +91,7 @@
             self.crashed_at = self.crashed_at.max(crashed_at);
             changed |= self.merge_crash(crash);
         }
+        self.count = self.counted().count();
         changed
     }
 
@@ -138,6 +142,7 @@
             crash.void = true;
             changed = true;
         }
+        self.count = self.counted().count();
         changed
     }
 
