--- a/crates/gradeloft_policy/src/process/remote_loads.rs
+++ b/crates/gradeloft_policy/src/process/remote_loads.rs
@@ -11,7 +11,7 @@
 /// Maximum number of senders, five times the entries of the largest fleet that is designed for.
 const MAX_SENDERS: usize = 2_048;
 /// Maximum number of rows of all reports: at twice the largest fleet that is designed for, the reports of
-/// all regions have 32,000 and those of a region's entries 3,000.
+/// all other regions have 29,000.
 const MAX_ROWS: usize = 65_536;
 /// Number of rows that take as much memory as a part without any.
 const PART_ROWS: usize = 4;
