Take a response whose status is outside 100 to 599 as broken

Cause: the parser of heads takes any three digits, and nothing above it asked for more; a status below 200 that is not 1xx and one above 599 passed every later check. Change: such a head is malformed, where heads of responses are parsed, so that the attempt fails like one with bytes that are no response: 502 if the request may run only once, another replica otherwise.

a_malformed_head_is_no_response, 12 heads with both kinds of requests.

--- a/crates/gradeloft_gateway/src/h1/head.rs
+++ b/crates/gradeloft_gateway/src/h1/head.rs
@@ -1,5 +1,7 @@
 //! Heads of requests and responses.
 
+use std::ops::RangeInclusive;
+
 use bytes::{BufMut, Bytes, BytesMut};
 
 use super::Malformed;
@@ -7,6 +9,8 @@
 /// Maximum number of headers in one head.
 const MAX_HEADERS: usize = 96;
 
+/// Statuses of HTTP.
+const STATUSES: RangeInclusive<u16> = 100..=599;
 /// Largest head of a response, in bytes; four times the usual limit for requests.
 const MAX_RESPONSE_BYTES: usize = 32 << 10;
 
@@ -169,7 +173,7 @@
 }
 
 /// Takes the head of a response from the front of `buffer`; returns `None` while it is incomplete. A
-/// head that exceeds its largest size is malformed.
+/// head that exceeds its largest size, or whose status has no meaning in HTTP, is malformed.
 pub fn response(buffer: &mut BytesMut) -> Result<Option<Response>, Malformed> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Response::new(&mut headers);
@@ -180,7 +184,10 @@
     };
     let reason = span(buffer, parsed.reason.unwrap_or_default().as_bytes());
     let is_http_1_1 = parsed.version == Some(1);
-    let status = parsed.code.unwrap_or_default();
+    let status = parsed
+        .code
+        .filter(|it| STATUSES.contains(it))
+        .ok_or(Malformed)?;
     let spans = spans(buffer, parsed.headers);
     let bytes = buffer.split_to(length).freeze();
     Ok(Some(Response {
--- a/crates/gradeloft_gateway/tests/entry/forward.rs
+++ b/crates/gradeloft_gateway/tests/entry/forward.rs
@@ -87,6 +87,41 @@
     });
 }
 
+/// Guards against a head of a replica in trouble that reaches the caller as a response.
+#[rstest]
+#[case::of_zeros("HTTP/1.1 000 Nothing\r\nt-seal: s")]
+#[case::below_the_range("HTTP/1.1 099 Early\r\nt-seal: s")]
+#[case::beyond_the_range("HTTP/1.1 600 Late\r\nt-seal: s")]
+#[case::of_nines("HTTP/1.1 999 Last\r\nt-seal: s")]
+#[case::with_two_digits("HTTP/1.1 20 OK\r\nt-seal: s")]
+#[case::with_a_blank_in_a_name("HTTP/1.1 200 OK\r\nt-seal: s\r\nbad name: v")]
+#[case::with_a_blank_after_a_name("HTTP/1.1 200 OK\r\nt-seal: s\r\nname : v")]
+#[case::with_a_control_byte_in_a_name("HTTP/1.1 200 OK\r\nt-seal: s\r\nna\u{1}me: v")]
+#[case::with_a_nul_in_a_name("HTTP/1.1 200 OK\r\nt-seal: s\r\nna\0me: v")]
+#[case::with_an_empty_name("HTTP/1.1 200 OK\r\nt-seal: s\r\n: v")]
+#[case::with_a_folded_line("HTTP/1.1 200 OK\r\nt-seal: s\r\nname: v\r\n folded")]
+#[case::with_a_control_byte_in_a_value("HTTP/1.1 200 OK\r\nt-seal: s\r\nname: v\u{1}")]
+fn a_malformed_head_is_no_response(
+    #[case] head: &str,
+    #[values((RouteKind::Once, "502", 1), (RouteKind::Idempotent, "200", 2))] outcome: (
+        RouteKind,
+        &str,
+        usize,
+    ),
+) {
+    let (kind, status, request_count) = outcome;
+    let head = format!("{head}\r\nt-request: abc\r\nContent-Length: 4\r\n\r\nbody");
+    run(async {
+        let first = one_connection(vec![Step::Read, Step::Send(head)]);
+        let harness = Harness::start(TestConfig::of(kind), vec![first, ok_script("second")]).await;
+        let response = harness.send(&request("POST", "form")).await;
+        let expected = format!("HTTP/1.1 {status} ");
+        assert!(response.starts_with(&expected), "{response}");
+        assert!(!response.ends_with("body"), "{response}");
+        assert_eq!(harness.request_count(), request_count);
+    });
+}
+
 #[test]
 fn an_unsent_request_that_may_run_only_once_goes_to_another_replica() {
     run(async {
