--- a/crates/gradeloft_gateway/src/agent/receive.rs
+++ b/crates/gradeloft_gateway/src/agent/receive.rs
@@ -40,15 +40,17 @@
 /// is reachable.
 const MAX_BACKOFF: Duration = Duration::from_secs(8);
 
-/// Forgets the entry that has been silent for longest if there is no room for another one.
-fn make_room(entries: &mut HashMap<Ipv4Addr, KnownEntry>) {
-    if MAX_ENTRIES <= entries.len() {
-        let silent = entries
-            .iter()
-            .min_by_key(|(address, it)| (it.received_at, **address))
-            .map(|(address, _)| *address);
-        silent.map(|it| entries.remove(&it));
+/// Forgets the entry that has been silent for longest if there is no room for another one; returns
+/// whether it did.
+fn make_room(entries: &mut HashMap<Ipv4Addr, KnownEntry>) -> bool {
+    if entries.len() < MAX_ENTRIES {
+        return false;
     }
+    let silent = entries
+        .iter()
+        .min_by_key(|(address, it)| (it.received_at, **address))
+        .map(|(address, _)| *address);
+    silent.is_some_and(|it| entries.remove(&it).is_some())
 }
 
 impl Agent {
@@ -153,8 +155,8 @@
                         store,
                         near,
                     };
-                    if is_new {
-                        make_room(&mut entries);
+                    if is_new && make_room(&mut entries) {
+                        self.node.count_unkept("entries", 1);
                     }
                     entries.insert(from, entry);
                 }
--- a/crates/gradeloft_gateway/src/entry/maintenance.rs
+++ b/crates/gradeloft_gateway/src/entry/maintenance.rs
@@ -95,6 +95,7 @@
         self.log_freshness();
         self.node.log_traffic();
         self.note_callers();
+        self.count_unkept();
         for id in self.replicas.borrow_mut().expire(now) {
             if let Some(log) = self.node.logs.line(Topic::State) {
                 info!(log, "replica gone"; "replica" => &*id);
@@ -118,6 +119,15 @@
         self.count_restricted_replicas(now);
     }
 
+    /// Counts the content of datagrams that was not kept since the last round.
+    fn count_unkept(&self) {
+        let entries = self.roster.borrow_mut().take_unkept();
+        let near = self.near_loads.borrow_mut().take_unkept();
+        let far = self.far_loads.borrow_mut().take_unkept();
+        self.node.count_unkept("entries", entries);
+        self.node.count_unkept("reports", near + far);
+    }
+
     /// Sums the requests that other entries have at each replica.
     fn sum_other_loads(&self, now: Time) {
         let roster = self.roster.borrow();
--- a/crates/gradeloft_gateway/src/metrics.rs
+++ b/crates/gradeloft_gateway/src/metrics.rs
@@ -88,8 +88,8 @@
     pub cut: Family<Reason, Counter>,
     /// Connections of callers that were closed with unread bytes.
     pub closed_unread: Counter,
-    /// Datagrams of zones that were not read, as too many zones are not in the settings.
-    pub unlisted_zones: Counter,
+    /// Content of datagrams that was not kept for lack of room, by table.
+    pub unkept: Family<Reason, Counter>,
     /// Requests that were refused in favour of callers that do not pipeline.
     pub made_way: Counter,
     /// Connections and requests of clients that ended in favour of others.
@@ -173,7 +173,7 @@
             first_byte: Family::new_with_constructor(seconds as fn() -> Histogram),
             whole_answer: Family::new_with_constructor(seconds as fn() -> Histogram),
             attempts: Family::default(),
-            unlisted_zones: Counter::default(),
+            unkept: Family::default(),
             made_way: Counter::default(),
             refused_clients: Family::default(),
             callers: Gauge::default(),
@@ -254,9 +254,9 @@
             self.closed_unread.clone(),
         );
         it.register(
-            "unlisted_zones",
-            "Datagrams that were not read, as too many zones are not in the settings",
-            self.unlisted_zones.clone(),
+            "unkept_datagram_content",
+            "Content of datagrams that was not kept for lack of room, by table",
+            self.unkept.clone(),
         );
         it.register(
             "made_way",
--- a/crates/gradeloft_gateway/src/node/mod.rs
+++ b/crates/gradeloft_gateway/src/node/mod.rs
@@ -378,6 +378,18 @@
         self.traffic.show(&self.logs.root, &self.metrics, now);
     }
 
+    /// Counts and logs content of datagrams that was not kept for lack of room in a table.
+    pub fn count_unkept(&self, table: &'static str, count: u64) {
+        if count == 0 {
+            return;
+        }
+        let label = Reason { reason: table };
+        let so_far = self.metrics.unkept.get_or_create(&label).inc_by(count) + count;
+        if let Some(log) = self.logs.line(Topic::Clients) {
+            info!(log, "datagram content not kept"; "table" => table, "count" => count, "so_far" => so_far);
+        }
+    }
+
     fn admits_zone(&self, zone: &str) -> bool {
         let settings = self.settings.borrow();
         let is_listed = settings.zone == zone || settings.regions.contains_key(zone);
@@ -396,14 +408,16 @@
             };
             if let Ok(datagram) = codec::decode_body::<Datagram>(&buffer[..length]) {
                 if !self.admits_zone(&datagram.zone) {
-                    self.metrics.unlisted_zones.inc();
+                    self.count_unkept("zones", 1);
                     continue;
                 }
                 if matches!(datagram.sender, Sender::Entry { .. }) {
                     self.note_holder(*from.ip(), &datagram.zone, datagram.ends);
                 }
                 let near = self.near(&datagram.zone);
-                self.near_peers.borrow_mut().note(*from.ip(), near);
+                if !self.near_peers.borrow_mut().note(*from.ip(), near) {
+                    self.count_unkept("senders", 1);
+                }
                 return (*from.ip(), datagram);
             }
         }
--- a/crates/gradeloft_policy/src/process/peer_regions.rs
+++ b/crates/gradeloft_policy/src/process/peer_regions.rs
@@ -14,13 +14,16 @@
 }
 
 impl PeerRegions {
-    /// Records a process. One that is new may replace any other one, which sends again within a second.
-    pub fn note(&mut self, address: Ipv4Addr, is_near: bool) {
-        if MAX_PEERS <= self.near.len() && !self.near.contains_key(&address) {
+    /// Records a process; returns whether there was room for it. If there was not, it replaces any other one,
+    /// which sends again within a second.
+    pub fn note(&mut self, address: Ipv4Addr, is_near: bool) -> bool {
+        let has_room = self.near.len() < MAX_PEERS || self.near.contains_key(&address);
+        if !has_room {
             let replaced = self.near.keys().next().copied();
             replaced.map(|it| self.near.remove(&it));
         }
         self.near.insert(address, is_near);
+        has_room
     }
 
     /// Returns whether a process is in the own region; `None` if it is not known.
--- a/crates/gradeloft_policy/src/process/remote_loads.rs
+++ b/crates/gradeloft_policy/src/process/remote_loads.rs
@@ -72,6 +72,8 @@
     reports: HashMap<K, HashMap<u16, Part>>,
     /// Sum over all parts; at most [`MAX_ROWS`].
     rows: usize,
+    /// Number of parts that were not kept for lack of room.
+    unkept: u64,
 }
 
 impl<K> Default for RemoteLoads<K> {
@@ -79,6 +81,7 @@
         RemoteLoads {
             reports: HashMap::new(),
             rows: 0,
+            unkept: 0,
         }
     }
 }
@@ -88,6 +91,7 @@
     /// those that are not repeated expire.
     pub fn receive(&mut self, sender: K, part: Part) {
         if !self.reports.contains_key(&sender) && MAX_SENDERS <= self.reports.len() {
+            self.unkept += 1;
             return;
         }
         let parts = self.reports.entry(sender).or_default();
@@ -103,9 +107,16 @@
         if self.rows + rows <= MAX_ROWS {
             self.rows += rows;
             parts.insert(number, part);
+        } else {
+            self.unkept += 1;
         }
     }
 
+    /// Returns the number of parts since the last call that were not kept for lack of room.
+    pub fn take_unkept(&mut self) -> u64 {
+        std::mem::take(&mut self.unkept)
+    }
+
     /// Drops the reports of the senders for which `keep` returns `false`.
     pub fn retain(&mut self, keep: impl Fn(&K) -> bool) {
         self.reports.retain(|sender, _| keep(sender));
--- a/crates/gradeloft_policy/src/process/roster.rs
+++ b/crates/gradeloft_policy/src/process/roster.rs
@@ -105,6 +105,8 @@
     named: usize,
     /// Highest number of entries known at once, including this one.
     peak: usize,
+    /// Number of entries that were not kept for lack of room.
+    unkept: u64,
 }
 
 impl Roster {
@@ -122,6 +124,7 @@
     fn entry(&mut self, address: Ipv4Addr, evidence: Evidence) -> Option<&mut Entry> {
         let known = self.entries.get(&address).map(|it| it.evidence);
         if known.is_none() && MAX_ENTRIES <= self.entries.len() {
+            self.unkept += 1;
             let replaced = self.least_known(evidence)?;
             let removed = self.entries.remove(&replaced)?;
             self.named -= usize::from(removed.evidence == Evidence::Named);
@@ -337,6 +340,11 @@
         near
     }
 
+    /// Returns the number of entries since the last call that were not kept for lack of room.
+    pub fn take_unkept(&mut self) -> u64 {
+        std::mem::take(&mut self.unkept)
+    }
+
     /// Forgets entries that have been silent for long, unless `keep` returns `true`.
     pub fn forget(&mut self, keep: impl Fn(Ipv4Addr) -> bool, now: Time) {
         self.entries.retain(|address, it| {
--- a/crates/gradeloft_policy/tests/made_up_peers.rs
+++ b/crates/gradeloft_policy/tests/made_up_peers.rs
@@ -45,6 +45,8 @@
     assert!(roster.alive(real(), Time::ZERO));
     let all = roster.addresses_in(|_| true).count();
     assert!(all <= MAX_ENTRIES, "{all}");
+    assert!(u64::from(MADE_UP) < roster.take_unkept());
+    assert_eq!(roster.take_unkept(), 0);
 }
 
 #[test]
@@ -108,6 +110,7 @@
     }
     assert!(loads.len() < 3_000, "{} senders", loads.len());
     assert!(replicas(&loads) < 70_000, "{} rows", replicas(&loads));
+    assert!(u64::from(MADE_UP) < loads.take_unkept());
     let now = Time::ZERO.after_ms(10_000);
     loads.expire(now);
     assert_eq!(replicas(&loads), 0);
