Log how each response of a replica ended

`response_ends` in the line of a request has for each response that a replica began its framing, how its end was reached (framed, truncated, reset, malformed, restarted) and the last event that was relayed; where the connection closed in order without a length or chunks, it has what the replica's port did then (accepting, refusing, unlisted, unreachable). No decision changes: only a refusing port counts as a failure, as before.

--- a/crates/gradeloft_gateway/src/entry/attempt.rs
+++ b/crates/gradeloft_gateway/src/entry/attempt.rs
@@ -261,6 +261,21 @@
         matches!(&self.stage, Stage::Relaying(relay) if relay.ended_with_connection())
     }
 
+    /// Returns how reading the response ended: its framing, the end, and the last event that was
+    /// relayed. `None` if no response began, or reading did not end.
+    pub(super) fn response_end(&self, job: &Job) -> Option<String> {
+        let Stage::Relaying(relay) = &self.stage else {
+            return None;
+        };
+        let (framing, end) = relay.end()?;
+        let event = job.cursor.last().map(|it| format!("@{it}"));
+        Some(format!(
+            "{framing}:{}{}",
+            end.name(),
+            event.unwrap_or_default()
+        ))
+    }
+
     /// Aborts the connection, so that the replica stops at once.
     pub fn abort(self) {
         self.connection.wire.abort();
--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -117,6 +117,8 @@
     pub(super) queue_position: Option<usize>,
     fingerprint: OnceCell<Fingerprint>,
     subjects: OnceCell<Subjects>,
+    /// How responses of replicas ended, for the log.
+    pub(super) response_ends: Vec<String>,
     /// Whether the last response ended with its connection, without a declared length.
     pub(super) ended_with_connection: bool,
     /// Whether the request made way for callers that do not pipeline.
@@ -370,6 +372,7 @@
         subjects: OnceCell::new(),
         made_way: false,
         blamed: None,
+        response_ends: Vec::new(),
         ended_with_connection: false,
         exclusive_attempt: None,
     }
@@ -651,6 +654,7 @@
         "fingerprint" => suspect_fingerprint(job, outcome).map_or_else(String::new, |it| it.to_string()),
         "blamed" => job.blamed.map_or_else(String::new, |it| it.to_string()),
         "parts" => suspect_parts(entry, job, outcome), "ended_with_connection" => job.ended_with_connection,
+        "response_ends" => job.response_ends.join(","),
         "age_ms" => job.age.as_millis() as u64, "returned" => job.returned,
         "retry_after_ms" => job.return_answer.map_or(-1, |it| it.retry_after.as_millis() as i64),
         "booked" => job.return_answer.is_some_and(|it| it.booked),
--- a/crates/gradeloft_gateway/src/entry/hedge.rs
+++ b/crates/gradeloft_gateway/src/entry/hedge.rs
@@ -49,7 +49,10 @@
     mut attempt: Attempt,
 ) -> RunOutcome {
     loop {
-        match attempt.drive(entry, caller, job).await {
+        let outcome = attempt.drive(entry, caller, job).await;
+        let response_end = attempt.response_end(job);
+        job.response_ends.extend(response_end);
+        match outcome {
             AttemptOutcome::Answered(status) => {
                 job.ended_with_connection = attempt.ended_with_connection();
                 entry.record_answer(job, &attempt, status);
--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -16,6 +16,7 @@
     attempt::{AttemptOutcome, FirstTokenForecast},
     forward::Job,
     in_flight::InFlightGuard,
+    quarantine::PortState,
 };
 use crate::{
     events::Splitter,
@@ -104,11 +105,44 @@
     }
 }
 
+/// How reading a response ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum ResponseEnd {
+    /// The connection closed in order; only a response without a length or chunks may end so.
+    Closed(PortState),
+    /// The length or the last chunk was received.
+    Framed,
+    /// What was received is not a body.
+    Malformed,
+    /// Reading failed, as the connection was reset.
+    Reset,
+    /// The replica has restarted.
+    Restarted,
+    /// The connection closed in order before the length or the last chunk.
+    Truncated,
+}
+
+impl ResponseEnd {
+    /// Returns the name in logs.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            ResponseEnd::Closed(port) => port.name(),
+            ResponseEnd::Framed => "framed",
+            ResponseEnd::Malformed => "malformed",
+            ResponseEnd::Reset => "reset",
+            ResponseEnd::Restarted => "restarted",
+            ResponseEnd::Truncated => "truncated",
+        }
+    }
+}
+
 /// A replica's response while it is relayed.
 pub(super) struct Relay {
     head: Response,
     framing: Framing,
     decoder: Decoder,
+    /// How reading ended, if it has.
+    end: Option<ResponseEnd>,
     flow: Flow,
     late_data: LateData,
     /// Whether the connection can be reused once the response is complete.
@@ -200,6 +234,7 @@
         Ok(Relay {
             framing,
             decoder: Decoder::new(framing),
+            end: None,
             flow: Flow::default(),
             late_data: LateData::default(),
             reusable: fully_sent && head.keeps_connection() && framing != Framing::Close,
@@ -222,6 +257,11 @@
         self.framing == Framing::Close && self.decoder.is_done()
     }
 
+    /// Returns how reading the response ended, for the log: its framing and the end.
+    pub(super) fn end(&self) -> Option<(&'static str, ResponseEnd)> {
+        Some((self.framing.name(), self.end?))
+    }
+
     /// Returns whether the response has been flowing for a while.
     pub(super) fn is_flowing(&self) -> bool {
         self.flow.is_steady
@@ -294,16 +334,19 @@
                 read = connection.wire.fill() => match read {
                     Ok(0) if self.decoder.finish_at_eof() => {
                         // A replica that crashes may close its connections in order.
-                        return match entry.refuses_connections(connection.replica()).await {
-                            true => ReadOutcome::Broken,
-                            false => ReadOutcome::End,
+                        let port = entry.port_state(connection.replica()).await;
+                        self.end = Some(ResponseEnd::Closed(port));
+                        return match port {
+                            PortState::Refusing => ReadOutcome::Broken,
+                            _ => ReadOutcome::End,
                         };
                     }
-                    Ok(0) | Err(_) => return ReadOutcome::Broken,
+                    Ok(0) => return self.broken(ResponseEnd::Truncated),
+                    Err(_) => return self.broken(ResponseEnd::Reset),
                     Ok(_) => {}
                 },
                 () = caller.closed() => return ReadOutcome::CallerGone,
-                () = in_flight.wait_for_restart() => return ReadOutcome::Broken,
+                () = in_flight.wait_for_restart() => return self.broken(ResponseEnd::Restarted),
                 () = node.timers.sleep_until(until) => {
                     if deadline <= node.clock.now() {
                         return ReadOutcome::TimedOut;
@@ -322,12 +365,21 @@
     fn buffered_piece(&mut self, connection: &mut ReplicaConnection) -> Option<ReadOutcome> {
         match self.decoder.take(&mut connection.wire.buffer) {
             Ok(Piece::Data(data)) => Some(ReadOutcome::Data(data)),
-            Ok(Piece::End) => Some(ReadOutcome::End),
-            Err(_) => Some(ReadOutcome::Broken),
+            Ok(Piece::End) => {
+                self.end.get_or_insert(ResponseEnd::Framed);
+                Some(ReadOutcome::End)
+            }
+            Err(_) => Some(self.broken(ResponseEnd::Malformed)),
             Ok(Piece::More) => None,
         }
     }
 
+    /// Records how the response ended, which is not complete.
+    fn broken(&mut self, end: ResponseEnd) -> ReadOutcome {
+        self.end = Some(end);
+        ReadOutcome::Broken
+    }
+
     async fn relay_buffered(
         &mut self,
         entry: &Rc<Entry>,
--- a/crates/gradeloft_gateway/src/h1/body.rs
+++ b/crates/gradeloft_gateway/src/h1/body.rs
@@ -26,6 +26,15 @@
 }
 
 impl Framing {
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Framing::Chunked => "chunked",
+            Framing::Close => "close",
+            Framing::Length(_) => "length",
+        }
+    }
+
     /// Returns the framing of a request body. An ambiguous one is malformed.
     pub fn of_request(head: &Request) -> Result<Framing, Malformed> {
         let chunked = is_chunked(&head.fields)?;
