--- /dev/null
+++ b/crates/gradeloft_gateway/tests/entry/early_ends.rs
@@ -0,0 +1,243 @@
+//! Responses without a length or chunks, which end with their connections.
+
+use std::{net::SocketAddr, time::Duration};
+
+use gradeloft_policy::process::document::RouteKind;
+use gradeloft_standin::scripted::Step;
+use gradeloft_wire::frame::Table;
+use rstest::rstest;
+
+use crate::support::{
+    ClosingReplica, ClosingResponse, Harness, Successor, TestConfig, address, closing_replica, ok,
+    request, response, run, wait_until,
+};
+
+const EVENTS: &str = "HTTP/1.1 200 OK\r\nt-request: abc\r\nt-seal: s1\r\nConnection: close\r\n\r\n\
+                      id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+const BODY: &str =
+    "HTTP/1.1 200 OK\r\nt-request: abc\r\nt-seal: s1\r\nConnection: close\r\n\r\nfirst half, ";
+
+const LAST_CHUNK: &str = "0\r\n\r\n";
+
+/// Returns the script of a replica that sends the rest of the stream.
+fn rest_of_stream() -> Vec<Vec<Step>> {
+    let events = "id: 3\ndata: c\n\n";
+    let head = "HTTP/1.1 200 OK\r\nt-request: abc\r\nt-seal: s2\r\nContent-Length:";
+    let rest = Step::Send(format!("{head} {}\r\n\r\n{events}", events.len()));
+    vec![vec![Step::Read, rest]]
+}
+
+/// Starts an entry that sends its first request to the replica, and further ones to one with the script.
+/// `is_distinct` is whether each start of a replica has an id of its own.
+async fn start(
+    kind: RouteKind,
+    replica: &ClosingReplica,
+    is_distinct: bool,
+    script: Vec<Vec<Step>>,
+) -> Harness {
+    let harness = Harness::start_unready(TestConfig::of(kind), vec![Vec::new(), script]).await;
+    harness.set_address(0, replica.address);
+    if !is_distinct {
+        harness.set_start_time(0, closing_replica::BORN);
+    }
+    harness.make_ready().await
+}
+
+fn closing(bytes: &'static str, successor: Successor) -> ClosingReplica {
+    let response = ClosingResponse {
+        bytes,
+        resets: false,
+        successor,
+    };
+    ClosingReplica::start(replica_address(), response)
+}
+
+fn replica_address() -> SocketAddr {
+    SocketAddr::from((address(90), 8540))
+}
+
+#[rstest]
+fn a_stream_whose_replica_ended_is_continued_by_another(
+    #[values(
+        Successor::Stopped,
+        Successor::Nobody,
+        Successor::NobodySoon,
+        Successor::NoMachine,
+        Successor::OtherId,
+        Successor::SameId,
+        Successor::OtherService,
+        Successor::OtherProtocol
+    )]
+    successor: Successor,
+) {
+    run(async {
+        let replica = closing(EVENTS, successor);
+        let is_distinct = successor != Successor::SameId;
+        let kind = RouteKind::ResumableStream;
+        let harness = start(kind, &replica, is_distinct, rest_of_stream()).await;
+        let response = harness.send(&request("POST", "form")).await;
+        assert!(response.contains("data: c\n\n"), "{response}");
+        assert!(response.ends_with(LAST_CHUNK), "{response}");
+    });
+}
+
+#[rstest]
+fn a_stream_that_nobody_continues_does_not_look_complete_once_its_replica_ended(
+    #[values(
+        Successor::Stopped,
+        Successor::Nobody,
+        Successor::NobodySoon,
+        Successor::NoMachine,
+        Successor::OtherId,
+        Successor::SameId,
+        Successor::OtherService,
+        Successor::OtherProtocol
+    )]
+    successor: Successor,
+) {
+    run(async {
+        let replica = closing(EVENTS, successor);
+        let is_distinct = successor != Successor::SameId;
+        let harness = start(RouteKind::Stream, &replica, is_distinct, rest_of_stream()).await;
+        let response = harness.send(&request("POST", "form")).await;
+        assert!(response.contains("data: b\n\n"), "{response}");
+        assert!(!response.ends_with(LAST_CHUNK), "{response}");
+    });
+}
+
+#[rstest]
+fn a_cut_body_is_not_passed_on_as_whole(
+    #[values(
+        Successor::Stopped,
+        Successor::Nobody,
+        Successor::NobodySoon,
+        Successor::NoMachine,
+        Successor::OtherId,
+        Successor::SameId,
+        Successor::OtherService,
+        Successor::OtherProtocol
+    )]
+    successor: Successor,
+    #[values((RouteKind::Idempotent, "200", "whole"), (RouteKind::Once, "502", ""))] expected: (
+        RouteKind,
+        &str,
+        &str,
+    ),
+) {
+    run(async {
+        let replica = closing(BODY, successor);
+        let is_distinct = successor != Successor::SameId;
+        let (kind, status, body) = expected;
+        let script = vec![vec![Step::Read, ok("whole")]];
+        let harness = start(kind, &replica, is_distinct, script).await;
+        let response = harness.send(&request("POST", "form")).await;
+        assert!(!response.contains("first half"), "{response}");
+        assert!(
+            response.starts_with(&format!("HTTP/1.1 {status} ")),
+            "{response}"
+        );
+        assert!(response.ends_with(body), "{response}");
+    });
+}
+
+/// Guards against mistaking the end of a whole response for a failure.
+#[rstest]
+fn a_response_whose_replica_runs_is_complete_at_the_close(
+    #[values(RouteKind::ResumableStream, RouteKind::Stream)] kind: RouteKind,
+    #[values(true, false)] is_distinct: bool,
+) {
+    run(async {
+        let replica = closing(EVENTS, Successor::Itself);
+        let harness = start(kind, &replica, is_distinct, rest_of_stream()).await;
+        let response = harness.send(&request("POST", "form")).await;
+        assert!(response.ends_with(LAST_CHUNK), "{response}");
+        assert_eq!(harness.request_count(), 0);
+    });
+}
+
+#[rstest]
+fn a_body_whose_replica_runs_is_whole_at_the_close(
+    #[values(RouteKind::Idempotent, RouteKind::Once)] kind: RouteKind,
+    #[values(true, false)] is_distinct: bool,
+) {
+    run(async {
+        let replica = closing(BODY, Successor::Itself);
+        let harness = start(kind, &replica, is_distinct, rest_of_stream()).await;
+        let response = harness.send(&request("POST", "form")).await;
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+        assert!(response.ends_with("first half, "), "{response}");
+        assert_eq!(harness.request_count(), 0);
+    });
+}
+
+/// Plays a stream whose replica is removed from the table before the response ends, and which no other
+/// replica may continue.
+async fn play_unlisted(successor: Successor) -> String {
+    let response = ClosingResponse {
+        bytes: EVENTS,
+        resets: false,
+        successor,
+    };
+    let replica = ClosingReplica::start_held(replica_address(), response);
+    let harness = start(RouteKind::Stream, &replica, true, rest_of_stream()).await;
+    let text = request("POST", "form");
+    let removed = async {
+        wait_until(|| async { replica.has_begun() }).await;
+        let (tables, entry) = (&harness.tables, harness.entry.entry());
+        tables.write(Table::Replicas, closing_replica::ID, None);
+        let is_listed = || entry.replicas.borrow().key(closing_replica::ID).is_some();
+        wait_until(|| async { !is_listed() }).await;
+        replica.end_response();
+    };
+    let (response, ()) = tokio::join!(harness.send(&text), removed);
+    assert!(response.contains("data: b\n\n"), "{response}");
+    response
+}
+
+#[rstest]
+#[case::nobody(Successor::Nobody)]
+#[case::no_machine(Successor::NoMachine)]
+#[case::other_service(Successor::OtherService)]
+fn a_stream_does_not_look_complete_once_its_unlisted_replica_ended(#[case] successor: Successor) {
+    run(async {
+        let response = play_unlisted(successor).await;
+        assert!(!response.ends_with(LAST_CHUNK), "{response}");
+    });
+}
+
+#[test]
+fn a_stream_whose_replica_runs_on_unlisted_is_complete_at_the_close() {
+    run(async {
+        let response = play_unlisted(Successor::Itself).await;
+        assert!(response.ends_with(LAST_CHUNK), "{response}");
+    });
+}
+
+/// Guards against a second read of a connection that was reset, which looks like an orderly close.
+#[test]
+fn a_reset_while_a_hedge_waits_does_not_look_like_the_end_of_a_stream() {
+    run(async {
+        let response_start = ClosingResponse {
+            bytes: EVENTS,
+            resets: true,
+            successor: Successor::Itself,
+        };
+        let replica = ClosingReplica::start_held(replica_address(), response_start);
+        // The hedge fails after the reset, so that the first attempt goes on.
+        let full = response("503 Full", "t-not-run: 1\r\n", "");
+        let script = vec![vec![
+            Step::Read,
+            Step::Wait(Duration::from_millis(300)),
+            full,
+        ]];
+        let harness = start(RouteKind::ResumableStream, &replica, true, script).await;
+        let text = request("POST", "form");
+        let hedged = async {
+            wait_until(|| async { harness.request_count() == 1 }).await;
+            replica.end_response();
+        };
+        let (response, ()) = tokio::join!(harness.send(&text), hedged);
+        assert!(response.contains("data: b\n\n"), "{response}");
+        assert!(!response.ends_with(LAST_CHUNK), "{response}");
+    });
+}
--- a/crates/gradeloft_gateway/tests/entry/main.rs
+++ b/crates/gradeloft_gateway/tests/entry/main.rs
@@ -3,6 +3,7 @@
 mod backpressure;
 mod caller_disconnects;
 mod draining;
+mod early_ends;
 mod endless_responses;
 mod forward;
 mod gossip;
--- a/crates/gradeloft_gateway/tests/entry/support/mod.rs
+++ b/crates/gradeloft_gateway/tests/entry/support/mod.rs
@@ -1,5 +1,6 @@
 //! Test harness: an entry with scripted replicas, on addresses private to the test process.
 
+pub(crate) mod closing_replica;
 pub(crate) mod crashing_fleet;
 mod endless_replica;
 mod machine;
@@ -44,6 +45,7 @@
 };
 
 pub(crate) use self::{
+    closing_replica::{ClosingReplica, ClosingResponse, Successor},
     endless_replica::{EndlessReplica, EndlessResponse},
     machine::Machine,
     responses::{last_chunk, ok, response, stream},
