Report the reset of a connection on each read

Cause: the kernel reports a reset once; the next read returns 0, an orderly end. Attempt::wait_for_data reads and drops the error while a hedge waits for its head, and Wire::has_pending_data, has_unread_data and is_closed take it with a peek. If the hedge fails, the first attempt goes on, reads 0, and a response without a length counts as complete.

Wire keeps that its connection has failed, and each later read, write and peek fails.

--- a/crates/gradeloft_gateway/src/h1/wire.rs
+++ b/crates/gradeloft_gateway/src/h1/wire.rs
@@ -1,6 +1,6 @@
 //! A connection and its read buffer.
 
-use std::{io, mem::MaybeUninit, net::SocketAddr, time::Duration};
+use std::{cell::Cell, io, mem::MaybeUninit, net::SocketAddr, time::Duration};
 
 use bytes::BytesMut;
 use socket2::SockRef;
@@ -29,6 +29,9 @@
     stream: TcpStream,
     /// Bytes that were received and not consumed yet.
     pub buffer: BytesMut,
+    /// Whether the connection has failed. The kernel reports a failure once, and an orderly end after
+    /// it.
+    failed: Cell<bool>,
 }
 
 impl Wire {
@@ -45,6 +48,7 @@
         Wire {
             stream,
             buffer: BytesMut::new(),
+            failed: Cell::new(false),
         }
     }
 
@@ -57,15 +61,44 @@
         Ok(Wire::new(stream, REPLICA_ACK_TIMEOUT))
     }
 
-    /// Reads available bytes into the buffer; returns 0 at the end of the connection.
+    /// Reads available bytes into the buffer; returns 0 at the end of the connection. Fails on each
+    /// call once the connection has failed.
     pub async fn fill(&mut self) -> io::Result<usize> {
+        self.check()?;
         self.buffer.reserve(READ_CHUNK_BYTES);
-        self.stream.read_buf(&mut self.buffer).await
+        let read = self.stream.read_buf(&mut self.buffer).await;
+        self.note_failure(read)
+    }
+
+    fn check(&self) -> io::Result<()> {
+        match self.failed.get() {
+            true => Err(io::ErrorKind::ConnectionReset.into()),
+            false => Ok(()),
+        }
+    }
+
+    /// Records whether the result of a call shows that the connection has failed.
+    fn note_failure<T>(&self, result: io::Result<T>) -> io::Result<T> {
+        let passes = |kind| matches!(kind, io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted);
+        if result.as_ref().is_err_and(|it| !passes(it.kind())) {
+            self.failed.set(true);
+        }
+        result
+    }
+
+    /// Looks at the next byte without taking it; returns 0 at the end of the connection.
+    fn peek(&self) -> io::Result<usize> {
+        self.check()?;
+        let mut byte = [MaybeUninit::uninit(); 1];
+        let peeked = SockRef::from(&self.stream).peek(&mut byte);
+        self.note_failure(peeked)
     }
 
     /// Sends all of `bytes`.
     pub async fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.stream.write_all(bytes).await
+        self.check()?;
+        let sent = self.stream.write_all(bytes).await;
+        self.note_failure(sent)
     }
 
     /// Closes the connection gracefully, so that all sent bytes are delivered, and waits until the
@@ -110,8 +143,7 @@
     /// Returns whether the peer is known to have closed the connection, without waiting. Peeks at
     /// the socket, as the runtime notices a close only when it next polls for events.
     pub fn is_closed(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit(); 1];
-        match SockRef::from(&self.stream).peek(&mut byte) {
+        match self.peek() {
             Ok(read) => read == 0,
             Err(error) => error.kind() != io::ErrorKind::WouldBlock,
         }
@@ -121,17 +153,14 @@
     /// Peeks at the socket, as the runtime notices data or an end only when it next polls for
     /// events.
     pub fn has_pending_data(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit(); 1];
-        let peeked = SockRef::from(&self.stream).peek(&mut byte);
-        peeked.map_or_else(|error| error.kind() != io::ErrorKind::WouldBlock, |_| true)
+        let is_blocked = |it: &io::Error| it.kind() == io::ErrorKind::WouldBlock;
+        !self.peek().is_err_and(|it| is_blocked(&it))
     }
 
     /// Returns whether received bytes have not been consumed, so that a close would reset the
     /// connection.
     pub fn has_unread_data(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit(); 1];
-        let peeked = SockRef::from(&self.stream).peek(&mut byte);
-        !self.buffer.is_empty() || matches!(peeked, Ok(1..))
+        !self.buffer.is_empty() || matches!(self.peek(), Ok(1..))
     }
 
     /// Returns whether the connection is open and nothing was received since the last response,
@@ -142,6 +171,7 @@
         }
         let mut byte = [0; 1];
         let read = self.stream.try_read(&mut byte);
+        let read = self.note_failure(read);
         read.is_err_and(|it| it.kind() == io::ErrorKind::WouldBlock)
     }
 
@@ -155,16 +185,19 @@
         };
         // The calls below do not count towards the budget of the task.
         tokio::task::coop::consume_budget().await;
+        self.check()?;
         loop {
             if !pending.is_empty() {
-                match self.stream.try_write(pending) {
+                let sent = self.stream.try_write(pending);
+                match self.note_failure(sent) {
                     Ok(sent) => return Ok(Transfer::Sent(sent)),
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                     Err(error) => return Err(error),
                 }
             }
             self.buffer.reserve(READ_CHUNK_BYTES);
-            match self.stream.try_read_buf(&mut self.buffer) {
+            let read = self.stream.try_read_buf(&mut self.buffer);
+            match self.note_failure(read) {
                 Ok(read) => return Ok(Transfer::Read(read)),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Err(error),
