Send the events that were received before a stream broke

Cause: relay_stream moves complete events from the splitter to its output, which advances the position after which another replica continues, and collects further pieces that have been received already before it sends. If the next of them is not a piece (bytes that are no chunk, or a last chunk behind part of an event), it returned at once, and the output was dropped while the position stayed. The second replica was asked to continue after events that no caller had got; where they were the last ones, it had nothing left, and the stream ended as complete.

--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -526,9 +526,6 @@
                         .await
                 }
             };
-            if let Some(ended) = read.attempt_outcome() {
-                return ended;
-            }
             let RelayMode::Stream(splitter) = &mut self.mode else {
                 return AttemptOutcome::Failed(Failure::Broken, None);
             };
@@ -539,25 +536,25 @@
                     entry.clear_parts(job, upstream.sent_at);
                 }
             }
-            let complete = matches!(read, ReadOutcome::End);
+            let at_end = matches!(read, ReadOutcome::End);
             // A close without any event is the end only of the rest of a stream.
             let is_empty_at_close = self.framing == Framing::Close
                 && self.flow.began.is_none()
                 && job.cursor.last().is_none();
-            if job.cursor.relay_events(splitter, &mut out).is_err()
-                || (complete && splitter.has_partial_event())
-                || (complete && is_empty_at_close)
-            {
-                return AttemptOutcome::Failed(Failure::Broken, None);
-            }
-            // Events that have been received already are sent together.
-            buffered = if complete {
-                None
-            } else {
-                self.buffered_piece(upstream.connection)
+            let is_broken = job.cursor.relay_events(splitter, &mut out).is_err()
+                || (at_end && (splitter.has_partial_event() || is_empty_at_close));
+            let ended = match is_broken {
+                true => Some(AttemptOutcome::Failed(Failure::Broken, None)),
+                false => read.attempt_outcome(),
             };
-            if buffered.is_some() {
-                continue;
+            let complete = at_end && ended.is_none();
+            // Events that have been received already are sent together, and none is left unsent at the
+            // end: another replica continues after the last one.
+            if !at_end && ended.is_none() {
+                buffered = self.buffered_piece(upstream.connection);
+                if buffered.is_some() {
+                    continue;
+                }
             }
             let mut bytes = BytesMut::new();
             if !job.head_sent && (complete || !out.is_empty()) {
@@ -574,6 +571,9 @@
             if !bytes.is_empty() && !send(entry, caller, &bytes, job.deadline).await {
                 return AttemptOutcome::Aborted(AbortReason::CallerStalled);
             }
+            if let Some(ended) = ended {
+                return ended;
+            }
             if complete {
                 return AttemptOutcome::Answered(self.head.status);
             }
--- a/crates/gradeloft_gateway/tests/entry/early_ends.rs
+++ b/crates/gradeloft_gateway/tests/entry/early_ends.rs
@@ -259,3 +259,40 @@
         assert!(!response.ends_with(LAST_CHUNK), "{response}");
     });
 }
+
+/// Returns the bytes of a chunked stream: chunks with these contents, and then `end`.
+fn chunked_stream(chunks: &[&str], end: &str) -> Step {
+    let head =
+        "HTTP/1.1 200 OK\r\nt-request: abc\r\nt-seal: s1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let chunks = chunks
+        .iter()
+        .map(|it| format!("{:x}\r\n{it}\r\n", it.len()));
+    Step::Send(format!("{head}{}{end}", chunks.collect::<String>()))
+}
+
+/// Guards against events that are counted as relayed and never sent: they arrive together with the end of
+/// a response that is not complete.
+#[rstest]
+#[case::part_of_an_event(&["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\nid: 3\nda"], LAST_CHUNK)]
+#[case::part_of_an_event_in_a_chunk_of_its_own(&["id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 3\nda"], LAST_CHUNK)]
+#[case::no_chunk(&["id: 1\ndata: a\n\nid: 2\ndata: b\n\n"], "nonsense\r\n")]
+#[case::no_line_end(&["id: 1\ndata: a\n\nid: 2\ndata: b\n\n"], "3\r\nid:id")]
+#[case::close(&["id: 1\ndata: a\n\nid: 2\ndata: b\n\n"], "")]
+fn a_broken_stream_is_continued_after_the_last_event_that_was_sent(
+    #[case] chunks: &[&str],
+    #[case] end: &str,
+) {
+    run(async {
+        let first = vec![Step::Read, chunked_stream(chunks, end), Step::Close];
+        let scripts = vec![vec![first], rest_of_stream()];
+        let config = TestConfig::of(RouteKind::ResumableStream);
+        let harness = Harness::start(config, scripts).await;
+        let response = harness.send(&request("POST", "form")).await;
+        for event in ["data: a\n\n", "data: b\n\n", "data: c\n\n"] {
+            assert_eq!(response.matches(event).count(), 1, "{response}");
+        }
+        assert!(response.ends_with(LAST_CHUNK), "{response}");
+        let continued = harness.replicas[1].requests().remove(0);
+        assert!(continued.contains("Last-Event-Id: 2\r\n"), "{continued}");
+    });
+}
