Take a confirmed end of a response for an answer, and not for a lost request

Cause: a response that ended with its connection was kept among the lost requests for 300 ms, and cleared once anybody accepted a connection at the replica's address, which the next start or another service does as well; in the meantime it counted as a loss when many replicas seem to fail at once.

The replica has confirmed by then that it runs, so the response clears its request like any other. a_response_that_ended_with_its_connection_is_no_lost_request: 1 unsettled request before, 0 now.

--- a/crates/gradeloft_gateway/src/entry/quarantine/crash.rs
+++ b/crates/gradeloft_gateway/src/entry/quarantine/crash.rs
@@ -70,12 +70,8 @@
 /// A request whose connection to a replica ended.
 pub(super) struct LostRequest {
     subjects: Subjects,
-    /// Time at which the request was sent.
-    sent_at: Time,
     /// Whether the response had been flowing for a while.
     was_flowing: bool,
-    /// Whether the response counts as complete if the replica proves to be alive.
-    is_complete: bool,
     /// Held until it is certain whether the replica crashed.
     _exclusive: Option<ExclusiveAttempt>,
 }
@@ -102,38 +98,19 @@
         })
     }
 
-    /// Records a request that was lost with its connection, and probes whether the replica has crashed.
-    pub(in crate::entry) fn record_lost_request(
-        self: &Rc<Entry>,
-        job: &mut Job,
-        attempt: &Attempt,
-    ) {
-        self.record_connection_end(job, attempt, false);
-    }
-
     /// Records that a replica answered a request, which shows that the request does not crash replicas.
-    /// A response that ended with its connection shows this only if the replica lives on.
-    pub(in crate::entry) fn record_answer(
-        self: &Rc<Entry>,
-        job: &mut Job,
-        attempt: &Attempt,
-        status: u16,
-    ) {
-        if attempt.ended_with_connection() {
-            self.record_connection_end(job, attempt, true);
-            return;
-        }
+    pub(in crate::entry) fn record_answer(&self, job: &Job, attempt: &Attempt, status: u16) {
         let is_success = (200..300).contains(&status);
         let is_cleared = |it| is_success || matches!(it, Subject::Request(_));
         self.clear(job, attempt.sent_at, is_cleared);
     }
 
-    /// Records that the connection of a request ended, unless the replica's end is planned.
-    fn record_connection_end(
+    /// Records a request that was lost with its connection, unless the replica's end is planned, and probes
+    /// whether the replica has crashed.
+    pub(in crate::entry) fn record_lost_request(
         self: &Rc<Entry>,
         job: &mut Job,
         attempt: &Attempt,
-        is_complete: bool,
     ) {
         let Some(start) = attempt.start else {
             return;
@@ -154,9 +131,7 @@
         lost.since = now;
         lost.requests.push(LostRequest {
             subjects: job.subjects(&self.node.platform.headers).clone(),
-            sent_at: attempt.sent_at,
             was_flowing: attempt.is_flowing(),
-            is_complete,
             _exclusive: job.exclusive_attempt.take(),
         });
         let probe = !std::mem::replace(&mut lost.probing, true);
@@ -200,7 +175,6 @@
     /// Probes whether a replica that lost a request still accepts connections, unless it proves to
     /// be alive first.
     async fn probe_replica(self: Rc<Entry>, start: ReplicaStart, lost_at: Time) {
-        let mut is_open = false;
         for after in PROBE_DELAYS {
             self.node.timers.sleep_until(lost_at.after(after)).await;
             if self.is_alive(start.key) {
@@ -208,16 +182,12 @@
                 return;
             }
             let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(start.address)).await;
-            is_open = matches!(&connected, Ok(Ok(_)));
             let refused = |it: &std::io::Error| it.kind() == ErrorKind::ConnectionRefused;
             if matches!(&connected, Ok(Err(error)) if refused(error)) {
                 self.replica_ended(start.key, Evidence::Refused);
                 return;
             }
         }
-        if is_open {
-            self.complete_responses(start.key);
-        }
         if let Some(lost) = self.quarantine.lost.borrow_mut().get_mut(&start.key) {
             lost.probing = false;
         }
@@ -226,25 +196,10 @@
     /// Forgets the requests that were lost at a replica which proves to be alive: only connections
     /// failed.
     fn replica_lives(&self, key: ReplicaKey) {
-        self.complete_responses(key);
         let lost = self.quarantine.lost.borrow_mut().remove(&key);
         drop(lost);
     }
 
-    /// Clears the requests whose responses ended with their connections at a replica that runs.
-    fn complete_responses(&self, key: ReplicaKey) {
-        let mut all = self.quarantine.lost.borrow_mut();
-        let Some(lost) = all.get_mut(&key) else {
-            return;
-        };
-        let complete = lost.requests.extract_if(.., |it| it.is_complete);
-        let complete: Vec<LostRequest> = complete.collect();
-        drop(all);
-        for request in &complete {
-            self.clear_subjects(request.subjects.iter(), request.sent_at);
-        }
-    }
-
     /// Returns whether a replica has sent data since it lost requests.
     fn is_alive(&self, key: ReplicaKey) -> bool {
         let lost = self.quarantine.lost.borrow();
--- a/crates/gradeloft_gateway/tests/entry/early_ends.rs
+++ b/crates/gradeloft_gateway/tests/entry/early_ends.rs
@@ -260,6 +260,18 @@
     });
 }
 
+/// Guards against whole responses that count as losses, which hide whether one replica or many crashed.
+#[test]
+fn a_response_that_ended_with_its_connection_is_no_lost_request() {
+    run(async {
+        let replica = closing(BODY, Successor::Itself);
+        let harness = start(RouteKind::Idempotent, &replica, true, rest_of_stream()).await;
+        let response = harness.send(&request("POST", "form")).await;
+        assert!(response.ends_with("first half, "), "{response}");
+        assert_eq!(harness.entry.entry().unsettled(), 0);
+    });
+}
+
 /// Returns the bytes of a chunked stream: chunks with these contents, and then `end`.
 fn chunked_stream(chunks: &[&str], end: &str) -> Step {
     let head =
