Take an id for a start only where starts have no times

Cause: an entry learns the time of a start from the replica's record or from its agent's report. Until the report, where records have no time, it knew none, and took the id of the next start for the same one.

A replica of a model is asked for its state first. If that names the time of a start while none is known, the answer does not tell. an_id_does_not_confirm_a_start_whose_time_is_not_known_yet failed before and passes.

--- a/crates/gradeloft_gateway/src/entry/liveness.rs
+++ b/crates/gradeloft_gateway/src/entry/liveness.rs
@@ -100,6 +100,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Answer {
     answerer: Answerer,
+    /// Whether it has the time of the start that gives it.
+    names_start: bool,
     /// Whether the connection can carry another request.
     reusable: bool,
     /// Keep-alive timeout that the answer declares, in milliseconds.
@@ -163,9 +165,7 @@
                 return Some(Liveness::Confirmed);
             }
         }
-        // Without a time of its start, a replica's state does not tell whose it is.
-        let tells = |it: &&Path| start.born.is_some() || matches!(it, Path::Health(_));
-        let mut paths = start.paths.iter().filter(tells);
+        let mut paths = start.paths.iter();
         let mut connection: Option<ReplicaConnection> = None;
         loop {
             let Some(path) = paths.next() else {
@@ -188,6 +188,8 @@
                     return Some(Liveness::Confirmed);
                 }
                 Answerer::Other => return Some(Liveness::Replaced),
+                // Starts have times, and that of the known one has not been learned.
+                Answerer::Unknown if answer.names_start => return Some(Liveness::Unconfirmed),
                 Answerer::Unknown => connection = answer.reusable.then_some(current),
             }
         }
@@ -265,6 +267,7 @@
         let is_reusable = head.keeps_connection() && framing != Framing::Close;
         Some(Answer {
             answerer,
+            names_start: said.born.is_some(),
             reusable: is_reusable && wire.buffer.is_empty(),
             keep_alive_ms: head.keep_alive_ms(),
         })
--- a/crates/gradeloft_policy/src/process/replica_starts.rs
+++ b/crates/gradeloft_policy/src/process/replica_starts.rs
@@ -41,7 +41,8 @@
 
 impl Identity<'_> {
     /// Compares what is said at a replica's address with the known start of the replica. Where starts
-    /// have times, an id may be used again, and does not tell by itself.
+    /// have times, an id may be used again, and does not tell by itself, also if the time of the known
+    /// start has not been learned yet.
     ///
     /// ```
     /// use gradeloft_policy::process::replica_starts::{Answerer, Identity};
@@ -51,6 +52,9 @@
     /// assert_eq!(said(Some("i-7"), Some(3_000)), Answerer::Other);
     /// assert_eq!(said(Some("i-8"), None), Answerer::Other);
     /// assert_eq!(said(Some("i-7"), None), Answerer::Unknown);
+    /// let unknown_time = Identity { born: None, ..known };
+    /// let later = Identity { id: Some("i-7"), born: Some(3_000) };
+    /// assert_eq!(unknown_time.compare(later), Answerer::Unknown);
     /// ```
     pub fn compare(self, said: Identity<'_>) -> Answerer {
         if said.id.is_some() && self.id != said.id {
@@ -59,7 +63,7 @@
         match (self.born, said.born) {
             (Some(known), Some(said)) if known == said => Answerer::Same,
             (Some(_), Some(_)) => Answerer::Other,
-            (None, _) if said.id.is_some() => Answerer::Same,
+            (None, None) if said.id.is_some() => Answerer::Same,
             _ => Answerer::Unknown,
         }
     }
