Emulator: verdicts on responses that end with their connections

Replicas end before, during and after such responses; the next start takes the address at once or after a time in which nobody, no machine or another service has it, under the same id or another. Some are unlisted before, some stand still, and some entries are suspended as the response closes. Entries ask as in entry::liveness, and compare by replica_starts::Identity. Responses with a length are not played, as their end needs no verdict. Counted are cut responses taken for whole, and whole ones taken for cut: those whose replica could answer, those whose replica ended or stood still, and those of a start under the same id whose record the entry had not read.

--- a/crates/gradeloft_emulator/src/lib.rs
+++ b/crates/gradeloft_emulator/src/lib.rs
@@ -5,6 +5,7 @@
 //! speed that an operator publishes. A run is determined by its load and its seed, and takes a small
 //! fraction of the time that it simulates.
 //!
+//! - [`ends`]: ends of responses without a length.
 //! - [`engine`]: queue and passes of a replica.
 //! - [`load`]: parameters of a run.
 //! - [`outcome`]: outcomes of the callers' requests.
@@ -13,6 +14,7 @@
 //! - [`rollout`]: rollout of a version, with pauses of agents and corrupt chunks.
 //! - [`simulation`]: event loop of a run.
 
+pub mod ends;
 pub mod engine;
 pub mod entry;
 pub mod load;
