A close is confirmed by an id before the time of a start is known: 2 red tests

The entries' lines say response_ends="close:confirmed", and the replica was killed and runs again under its id.

Cause: an entry that has read a record without a start time, and no report yet, keeps the start without a time. Entry::ask_start then asks for the health only, and Identity::compare takes the id for the same start, although the state of this replica would name a time.

So the time has to be known earlier.

--- a/crates/gradeloft_emulator/tests/ends.rs
+++ b/crates/gradeloft_emulator/tests/ends.rs
@@ -30,6 +30,19 @@
     }
 }
 
+/// Guards against an id that confirms a later start, while the time of the known one is not known yet.
+#[test]
+fn no_cut_response_is_taken_for_whole_before_start_times_are_reported() {
+    for (entries, seed) in [2, 7, 110, 410]
+        .into_iter()
+        .flat_map(|it| (0..SEEDS).map(move |seed| (it, seed)))
+    {
+        let outcome = simulate(entries, Naming::LateTimes, Evidence::Answer, seed);
+        let context = format!("{entries} entries, seed {seed}: {outcome:?}");
+        assert_eq!(outcome.cut_as_whole, 0, "{context}");
+    }
+}
+
 /// Shows that the ends of [`each_end_is_taken_for_what_it_is`] include those that look like whole
 /// responses, and whole responses whose replicas can't answer.
 #[rstest]
--- a/crates/gradeloft_gateway/tests/entry/early_ends.rs
+++ b/crates/gradeloft_gateway/tests/entry/early_ends.rs
@@ -140,6 +140,26 @@
     });
 }
 
+/// Guards against an id that confirms a later start: the entry has read the record of the replica, and no
+/// report with the time of its start yet.
+#[test]
+fn an_id_does_not_confirm_a_start_whose_time_is_not_known_yet() {
+    run(async {
+        let replica = closing(EVENTS, Successor::SameId);
+        let harness = Harness::start_unready(
+            TestConfig::of(RouteKind::Stream),
+            vec![Vec::new(), Vec::new()],
+        )
+        .await;
+        harness.set_address(0, replica.address);
+        harness.set_weights_version(0, 1);
+        let harness = harness.make_ready().await;
+        let response = harness.send(&request("POST", "form")).await;
+        assert!(response.contains("data: b\n\n"), "{response}");
+        assert!(!response.ends_with(LAST_CHUNK), "{response}");
+    });
+}
+
 /// Guards against mistaking the end of a whole response for a failure.
 #[rstest]
 fn a_response_whose_replica_runs_is_complete_at_the_close(
