--- a/crates/gradeloft_emulator/src/ends.rs
+++ b/crates/gradeloft_emulator/src/ends.rs
@@ -98,7 +98,7 @@
 #[derive(Clone, Debug)]
 struct Start {
     id: String,
-    born: u64,
+    born: Option<u64>,
     unlisted_ms: Option<u64>,
     /// Time in which the start stands still.
     stall: (u64, u64),
@@ -150,7 +150,7 @@
             let start = Start {
                 id: format!("i-{replica}-{renames}"),
                 // A clock may be set back between two starts, and shows each of them another time.
-                born: rng.random(),
+                born: (naming != Naming::Ids).then(|| rng.random()),
                 unlisted_ms: rng.random_bool(0.3).then_some(unlisted_ms),
                 stall: match rng.random_bool(0.3) {
                     true => (stalled_ms, stalled_ms + stall_ms),
@@ -253,17 +253,17 @@
     /// an id, with a known start.
     fn answerer(&self, known: Identity<'_>) -> Answerer {
         let (id, born) = match self {
-            Occupant::Start(start) => (Some(start.id.as_str()), Some(start.born)),
+            Occupant::Start(start) => (Some(start.id.as_str()), start.born),
             Occupant::OtherService { id } => (*id, None),
             Occupant::Nobody | Occupant::NoMachine => (None, None),
         };
         let state = Identity { id: None, born };
         let health = Identity { id, born: None };
-        let asks_state = known.born.is_some();
-        let answers = asks_state.then_some(state).into_iter().chain([health]);
-        let mut answerers = answers.map(|it| known.compare(it));
-        let told = answerers.find(|it| *it != Answerer::Unknown);
-        told.unwrap_or(Answerer::Unknown)
+        match known.compare(state) {
+            // A state with a time shows that starts have times, so that an id does not tell.
+            Answerer::Unknown if born.is_none() => known.compare(health),
+            answerer => answerer,
+        }
     }
 }
 
@@ -306,9 +306,8 @@
         return;
     };
     let born = match run.naming {
-        Naming::Ids => None,
         Naming::LateTimes if is_known && sent_ms < reported_ms => None,
-        Naming::LateTimes | Naming::Times => Some(known_start.born),
+        Naming::Ids | Naming::LateTimes | Naming::Times => known_start.born,
     };
     let mut end_ms = sent_ms + between(rng, RESPONSE_MS);
     if sent_ms < start.stall.1 && start.stall.0 < end_ms {
