--- a/crates/gradeloft_gateway/tests/entry/main.rs
+++ b/crates/gradeloft_gateway/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod backpressure;
 mod caller_disconnects;
+mod cut_heads;
 mod draining;
 mod early_ends;
 mod endless_responses;
