Lose a reply whose stream ends within a frame or that has an error status

Callers saw nothing of it: each reader of a reply takes its end for a failure unless the reply's own last frame came. But Incoming::next promises `None` at the regular end of the reply only, and gave it for a stream that ended in order within a frame, and for a response with status 500.

Cause: the end of the stream was passed on without a look at what the decoder still holds, and the status was not read. Decoder::has_partial_message tells the first, also after the length of a frame, which its codec takes out of the buffer. Both are CallError::Lost now.

--- a/crates/gradeloft_daemon/src/transport/client.rs
+++ b/crates/gradeloft_daemon/src/transport/client.rs
@@ -16,6 +16,7 @@
     frame::{Call, Reply},
 };
 use h2::{Reason, RecvStream, SendStream, client::SendRequest};
+use http::StatusCode;
 use socket2::SockRef;
 use tokio::{
     net::TcpSocket,
@@ -297,11 +298,14 @@
         self.decoder.pop().map_err(|_| CallError::Lost)
     }
 
-    /// Waits for more data. Returns `false` at the end of the reply.
+    /// Waits for more data. Returns `false` at the end of the reply, which is not within a frame.
     async fn read_more(&mut self) -> Result<bool, CallError> {
         if let Some(head) = &mut self.head {
             let response = head.await.map_err(|it| call_error(&it))?;
             self.last_received.set(self.clock.now());
+            if response.status() != StatusCode::OK {
+                return Err(CallError::Lost);
+            }
             self.head = None;
             self.body = Some(response.into_body());
         }
@@ -316,6 +320,7 @@
                 Ok(true)
             }
             Some(Err(_)) => Err(CallError::Lost),
+            None if self.decoder.has_partial_message() => Err(CallError::Lost),
             None => Ok(false),
         }
     }
--- a/crates/gradeloft_wire/src/codec.rs
+++ b/crates/gradeloft_wire/src/codec.rs
@@ -62,6 +62,8 @@
     codec: LengthDelimitedCodec,
     /// Received bytes; at most one allowed frame plus the bytes of one read.
     buffer: BytesMut,
+    /// Whether bytes were received that no message has used.
+    is_partial: bool,
 }
 
 impl Decoder {
@@ -73,18 +75,28 @@
         Decoder {
             codec,
             buffer: BytesMut::new(),
+            is_partial: false,
         }
     }
 
     /// Adds received bytes.
     pub fn feed(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
+        self.is_partial |= !bytes.is_empty();
+    }
+
+    /// Returns whether a message has begun to arrive that was not returned.
+    pub fn has_partial_message(&self) -> bool {
+        self.is_partial
     }
 
     /// Removes and returns the next message, if it has arrived completely.
     pub fn pop<T: Decode<()>>(&mut self) -> Result<Option<T>, Malformed> {
         match self.codec.decode(&mut self.buffer) {
-            Ok(Some(body)) => decode_body(&body).map(Some),
+            Ok(Some(body)) => {
+                self.is_partial = !self.buffer.is_empty();
+                decode_body(&body).map(Some)
+            }
             Ok(None) => Ok(None),
             Err(_) => Err(Malformed::Length),
         }
