--- a/crates/gradeloft_gateway/tests/entry/main.rs
+++ b/crates/gradeloft_gateway/tests/entry/main.rs
@@ -3,6 +3,7 @@
 mod backpressure;
 mod caller_disconnects;
 mod cut_heads;
+mod cut_requests;
 mod draining;
 mod early_ends;
 mod endless_responses;
