--- a/crates/gradeloft_standin/src/fleet.rs
+++ b/crates/gradeloft_standin/src/fleet.rs
@@ -58,6 +58,8 @@
     pub engines: usize,
     /// Number of service endpoints, each with its own agent.
     pub services: usize,
+    /// URL that the agents call instead of their service endpoints.
+    pub service_url: Option<String>,
     /// Number of availability zones, assigned round-robin.
     pub zones: usize,
     /// Top-level YAML lines added to the settings of every process.
@@ -76,6 +78,7 @@
             entries: 2,
             engines: 4,
             services: 1,
+            service_url: None,
             zones: 2,
             settings: String::new(),
             agent_settings: String::new(),
@@ -143,7 +146,8 @@
         }
         for idx in 0..config.services {
             let service = Service::start().await?;
-            let (id, url) = (format!("service-{idx}"), service.url());
+            let url = config.service_url.clone().unwrap_or(service.url());
+            let id = format!("service-{idx}");
             let replica = fleet
                 .start_replica(id, idx, service, "service", url)
                 .await?;
