Refuse a manifest with fewer digests than the version has chunks

A replica loaded a version without the chunk whose digest its manifest lacked: agents fetched, verified and loaded what the manifest named, and took that for the version.

Cause: any manifest with one digest counted as whole, from the origin and from peers, which pass it on.

Agents compare the number of digests with the number of chunks in the configuration's layout. A manifest that has fewer is asked for again, elsewhere or later. Where no layout is configured only an empty one is refused, as before.

--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -34,7 +34,7 @@
     connection::pace::Pacer,
     process::{
         api_keys::ApiKeys,
-        document::{Document, Service},
+        document::{Document, Layout, Service},
         mirror::Record,
         refresh::Refresh,
         replica_starts,
@@ -253,12 +253,17 @@
         self.staged_chunks.borrow().version.as_ref() != Some(version)
     }
 
-    /// Returns the size of a chunk, in bytes.
-    pub fn chunk_bytes(&self) -> u64 {
+    /// Returns the division of the service's weights into chunks, if it is configured.
+    pub fn layout(&self) -> Option<Layout> {
         let config = self.config.borrow();
         let services = config.iter().flat_map(|it| &it.services);
         let mut own_service = services.filter(|it| *it.name == *self.service);
-        let layout = own_service.find_map(|it| it.layout);
+        own_service.find_map(|it| it.layout)
+    }
+
+    /// Returns the size of a chunk, in bytes.
+    pub fn chunk_bytes(&self) -> u64 {
+        let layout = self.layout();
         layout.map_or(DEFAULT_CHUNK_BYTES, |it| u64::from(it.chunk_bytes))
     }
 
--- a/crates/gradeloft_gateway/src/agent/staging.rs
+++ b/crates/gradeloft_gateway/src/agent/staging.rs
@@ -227,8 +227,7 @@
         return Ok(digests);
     }
     let mut last_error = match manifest_from_origin(agent, version).await {
-        Ok(digests) if !digests.is_empty() => return Ok(digests),
-        Ok(_) => "the manifest is empty".to_owned(),
+        Ok(digests) => return Ok(digests),
         Err(error) => error,
     };
     let others = members
@@ -236,8 +235,7 @@
         .filter(|it| it.address.ip() != agent.replica.ip());
     for member in others.take(MANIFEST_PEERS) {
         match manifest_from_peer(agent, version, member.address).await {
-            Ok(digests) if !digests.is_empty() => return Ok(digests),
-            Ok(_) => "the manifest is empty".clone_into(&mut last_error),
+            Ok(digests) => return Ok(digests),
             Err(error) => last_error = error,
         }
     }
@@ -257,7 +255,7 @@
         manifest_from_readers(agent, version, others).await
     };
     tokio::select! {
-        Ok(digests) = manifest_from_origin(agent, version) => Some(digests).filter(|it| !it.is_empty()),
+        Ok(digests) = manifest_from_origin(agent, version) => Some(digests),
         Some(digests) = from_others => Some(digests),
         else => None,
     }
@@ -276,9 +274,7 @@
         if until <= agent.node.clock.now() {
             break;
         }
-        if let Ok(digests) = manifest_from_peer(agent, version, *address).await
-            && !digests.is_empty()
-        {
+        if let Ok(digests) = manifest_from_peer(agent, version, *address).await {
             return Some(digests);
         }
         actix_rt::time::sleep(READER_PAUSE).await;
@@ -291,8 +287,22 @@
     let origin = &agent.node.platform.origin;
     let read = origin.manifest(address, &version.model, version.number);
     let read = timeout(REQUEST_TIMEOUT, read).await;
-    read.map_err(|_| "the origin did not respond in time")?
-        .map_err(|it| it.to_string())
+    let digests = read
+        .map_err(|_| "the origin did not respond in time")?
+        .map_err(|it| it.to_string())?;
+    check_length(agent, digests)
+}
+
+/// Fails for a manifest that lacks digests: a version without their chunks would count as whole.
+fn check_length(agent: &Agent, digests: Vec<Digest>) -> Result<Vec<Digest>, String> {
+    let expected = agent.layout().map_or(1, |it| (it.chunks as usize).max(1));
+    if digests.len() < expected {
+        return Err(format!(
+            "the manifest has {} of {expected} digests",
+            digests.len()
+        ));
+    }
+    Ok(digests)
 }
 
 async fn manifest_from_peer(
@@ -307,7 +317,7 @@
     let peer = address.to_string();
     let calling = agent.node.peers.call(&peer, Lane::Live, &call);
     match timeout(REQUEST_TIMEOUT, calling).await {
-        Ok(Ok(Reply::Pieces(digests))) => Ok(digests),
+        Ok(Ok(Reply::Pieces(digests))) => check_length(agent, digests),
         other => Err(format!("peer {address}: {}", describe_failure(&other))),
     }
 }
