Keep what is known of staged chunks when their listing fails

After one failed listing an agent fetched a version again that was staged whole, 12 of 12 chunks from the origin; and an agent that had restarted counted all chunks of the version in service as missing, uploaded none of them, and asked no more until the next version.

Cause: verify_chunks took a failed listing for an empty one, and recover had made the version the known one before.

--- a/crates/gradeloft_gateway/src/agent/staging.rs
+++ b/crates/gradeloft_gateway/src/agent/staging.rs
@@ -51,7 +51,8 @@
     // Staged chunks that are known to be of another version are not read; only chunks of unknown
     // version are verified.
     if select_version(agent, version, &members).await? == StagedVersion::Unknown {
-        verify_chunks(agent, version).await;
+        let listed = list_staged(agent, version).await?;
+        verify_chunks(agent, version, &listed).await;
     }
     let fetched = fetch::run(agent, version, &members).await?;
     if let Some(log) = agent.node.logs.line(Topic::Weights) {
@@ -70,7 +71,8 @@
     // The last poll may have failed, or may be older than the replica's last restart.
     agent.update_state().await;
     let state = agent.state().ok_or("the replica does not respond")?;
-    verify_chunks(agent, version).await;
+    let listed = list_staged(agent, version).await?;
+    verify_chunks(agent, version, &listed).await;
     let chunks = agent.staged_chunks.borrow();
     let bad = chunks.staged.iter().filter(|it| !**it).count();
     if let Some(log) = agent.node.logs.line(Topic::Weights) {
@@ -90,12 +92,13 @@
     let members = members(agent).await;
     let before = agent.staged_chunks.borrow().version.clone();
     let digests = manifest(agent, version, &members).await?;
+    let listed = list_staged(agent, version).await?;
     // The deployment of a newer version may have started in the meantime.
     if agent.staged_chunks.borrow().version != before || agent.target().as_ref() != Some(version) {
         return Err("another version is being deployed".to_owned());
     }
     reset_chunks(agent, version, digests);
-    verify_chunks(agent, version).await;
+    verify_chunks(agent, version, &listed).await;
     let chunks = agent.staged_chunks.borrow();
     let held = chunks.staged.iter().filter(|it| **it).count();
     if let Some(log) = agent.node.logs.line(Topic::Weights) {
@@ -330,19 +333,20 @@
     }
 }
 
-/// Reads back all staged chunks, and marks those that match their digests. Stops if another version
-/// is selected in the meantime, as the marks do not apply to its chunks.
-async fn verify_chunks(agent: &Agent, version: &Version) {
+/// Returns the positions of the chunks that are staged at the replica, whatever their content.
+async fn list_staged(agent: &Agent, version: &Version) -> Result<Vec<u32>, String> {
     let staged = agent.engine.staged(&version.model).await;
-    let staged = match staged {
-        Ok(staged) => staged,
-        Err(fault) => {
-            if let Some(log) = agent.node.logs.line(Topic::Weights) {
-                warn!(log, "failed to list staged chunks"; "fault" => %fault);
-            }
-            Vec::new()
+    staged.map_err(|fault| {
+        if let Some(log) = agent.node.logs.line(Topic::Weights) {
+            warn!(log, "failed to list staged chunks"; "fault" => %fault);
         }
-    };
+        format!("failed to list staged chunks: {fault}")
+    })
+}
+
+/// Reads back all staged chunks, and marks those that match their digests. Stops if another version
+/// is selected in the meantime, as the marks do not apply to its chunks.
+async fn verify_chunks(agent: &Agent, version: &Version, staged: &[u32]) {
     let digests = agent.staged_chunks.borrow().digests.clone();
     for (digest, idx) in digests.iter().zip(0..) {
         let good = staged.contains(&idx) && read_back(agent, version, idx, *digest).await.is_some();
