--- a/crates/gradeloft_gateway/tests/entry/caller_disconnects.rs
+++ b/crates/gradeloft_gateway/tests/entry/caller_disconnects.rs
@@ -6,6 +6,7 @@
 use gradeloft_policy::process::document::RouteKind;
 use gradeloft_standin::scripted::Step;
 use gradeloft_wire::frame::Table;
+use rstest::rstest;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpSocket, TcpStream},
@@ -39,6 +40,37 @@
     });
 }
 
+/// Guards against a request that runs with a part of its body. The caller still reads, as it would the
+/// response to a whole request.
+#[rstest]
+#[case::length("Content-Length: 9\r\n\r\nhalf")]
+#[case::no_body("Content-Length: 9\r\n\r\n")]
+#[case::inside_a_chunk("Transfer-Encoding: chunked\r\n\r\n9\r\nhalf")]
+#[case::no_chunk("Transfer-Encoding: chunked\r\n\r\n")]
+#[case::no_last_chunk("Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")]
+#[case::part_of_the_last_chunk("Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n")]
+fn a_request_whose_body_is_cut_reaches_no_replica(#[case] rest: &str) {
+    run(async {
+        let harness =
+            Harness::start(TestConfig::of(RouteKind::Idempotent), vec![ok_script()]).await;
+        let whole = request("POST", "half");
+        let (head, _) = whole.split_once("Content-Length").expect("a length");
+        let mut caller = harness.connect().await;
+        caller.write_all(head.as_bytes()).await.unwrap();
+        caller.write_all(rest.as_bytes()).await.unwrap();
+        caller.shutdown().await.unwrap();
+        let mut received = Vec::new();
+        // The entry may reset the connection.
+        let _ = caller.read_to_end(&mut received).await;
+        assert!(
+            !received.starts_with(b"HTTP/1.1 200"),
+            "{}",
+            String::from_utf8_lossy(&received)
+        );
+        assert_eq!(harness.request_count(), 0);
+    });
+}
+
 #[test]
 fn a_disconnect_during_the_connect_to_a_replica_ends_the_wait_and_all_retries() {
     run(async {
