Take a reply that ends inside a frame for lost

A reply whose stream ends inside a frame read as a reply that had ended in order, without its last frame.

Cause: the decoder has no message then, as between two frames, and the pool took that for the end. Evidence: a_reply_that_ends_inside_a_frame_is_lost fails in its three cases on the code before.

The decoder tells whether a part of a message has arrived, and such a reply is lost like one that is reset. No caller was seen to be hurt: generations and responses of services have a closing frame, and all other calls take one frame.

--- a/crates/gradeloft_daemon/src/transport/client.rs
+++ b/crates/gradeloft_daemon/src/transport/client.rs
@@ -315,8 +315,8 @@
                 self.decoder.feed(&bytes);
                 Ok(true)
             }
-            Some(Err(_)) => Err(CallError::Lost),
-            None => Ok(false),
+            None if self.decoder.is_empty() => Ok(false),
+            Some(Err(_)) | None => Err(CallError::Lost),
         }
     }
 }
--- a/crates/gradeloft_wire/src/codec.rs
+++ b/crates/gradeloft_wire/src/codec.rs
@@ -62,6 +62,8 @@
     codec: LengthDelimitedCodec,
     /// Received bytes; at most one allowed frame plus the bytes of one read.
     buffer: BytesMut,
+    /// Number of received bytes that belong to no removed message.
+    unread: usize,
 }
 
 impl Decoder {
@@ -73,20 +75,30 @@
         Decoder {
             codec,
             buffer: BytesMut::new(),
+            unread: 0,
         }
     }
 
     /// Adds received bytes.
     pub fn feed(&mut self, bytes: &[u8]) {
+        self.unread += bytes.len();
         self.buffer.extend_from_slice(bytes);
     }
 
     /// Removes and returns the next message, if it has arrived completely.
     pub fn pop<T: Decode<()>>(&mut self) -> Result<Option<T>, Malformed> {
         match self.codec.decode(&mut self.buffer) {
-            Ok(Some(body)) => decode_body(&body).map(Some),
+            Ok(Some(body)) => {
+                self.unread -= LENGTH_BYTES + body.len();
+                decode_body(&body).map(Some)
+            }
             Ok(None) => Ok(None),
             Err(_) => Err(Malformed::Length),
         }
     }
+
+    /// Returns whether all received messages were removed, and no part of one has arrived.
+    pub fn is_empty(&self) -> bool {
+        self.unread == 0
+    }
 }
