--- a/crates/gradeloft_cli/tests/cli.rs
+++ b/crates/gradeloft_cli/tests/cli.rs
@@ -10,9 +10,11 @@
 use gradeloft_policy::version::bundle::canonical;
 use gradeloft_standin::{
     fleet::{Fleet, FleetConfig, MODEL, SIGNER, digest},
+    scripted::{ScriptedServer, Step},
     weights::Version,
 };
 use gradeloft_wire::{border::bundle::Bundle, schema::Schema};
+use rstest::rstest;
 
 /// Creates a separate folder for a test.
 fn create_folder(name: &str) -> PathBuf {
@@ -307,3 +309,75 @@
         signed
     );
 }
+
+/// Starts a log or a list that sends the same bytes on each connection and closes it.
+async fn start_platform(length: usize, body: &str) -> ScriptedServer {
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json";
+    let response = format!("{head}\r\nContent-Length: {length}\r\n\r\n{body}");
+    let script = vec![Step::Read, Step::Send(response), Step::Close];
+    let server = ScriptedServer::start("127.0.0.1:0", vec![script]).await;
+    server.expect("the server starts")
+}
+
+const EMPTY_LOG: &str = r#"{"records":[],"oldest":0,"next":0}"#;
+const NO_INSTANCES: &str = r#"{"instances":[]}"#;
+
+/// Guards against answers that are printed as whole: no bundle in force, no node that lags.
+#[rstest]
+#[case::log_cut(EMPTY_LOG.len() + 9, EMPTY_LOG, NO_INSTANCES.len(), "bundle status", 4)]
+#[case::list_cut(EMPTY_LOG.len(), EMPTY_LOG, NO_INSTANCES.len() + 9, "bundle status", 4)]
+#[case::history_cut(EMPTY_LOG.len() + 9, EMPTY_LOG, NO_INSTANCES.len(), "bundle history", 4)]
+#[case::fleet_cut(EMPTY_LOG.len(), EMPTY_LOG, NO_INSTANCES.len() + 9, "fleet status", 4)]
+#[case::records_missing(
+    34, r#"{"records":[],"oldest":0,"next":5}"#, NO_INSTANCES.len(), "bundle status", 4
+)]
+#[case::records_deleted(
+    34, r#"{"records":[],"oldest":5,"next":5}"#, NO_INSTANCES.len(), "bundle status", 0
+)]
+#[case::no_instances(EMPTY_LOG.len(), EMPTY_LOG, NO_INSTANCES.len(), "fleet status", 1)]
+#[actix_rt::test]
+async fn an_answer_that_is_cut_or_lacks_its_content_is_no_success(
+    #[case] log_length: usize,
+    #[case] log: &str,
+    #[case] list_length: usize,
+    #[case] command: &str,
+    #[case] exit_code: i32,
+) {
+    let folder = create_folder("partial");
+    let log = start_platform(log_length, log).await;
+    let list = start_platform(list_length, NO_INSTANCES).await;
+    let env = [
+        ("GRADELOFT_LOG", format!("http://{}", log.address)),
+        ("GRADELOFT_LIST", format!("http://{}", list.address)),
+    ];
+    let args: Vec<&str> = command.split(' ').collect();
+    let text = run_with_fleet(&folder, &env, &args).await;
+    assert!(text.ends_with(&format!("exit {exit_code}\n")), "{text}");
+}
+
+/// Guards against a bundle that is reported in force although no node was seen.
+#[actix_rt::test]
+async fn a_bundle_is_in_force_on_no_node_if_none_is_listed() {
+    let folder = create_folder("alone");
+    let config = FleetConfig {
+        entries: 0,
+        engines: 0,
+        services: 0,
+        ..FleetConfig::default()
+    };
+    let fleet = Fleet::start(config).await.expect("the fleet starts");
+    let env = [
+        ("GRADELOFT_LOG", fleet.log.url()),
+        ("GRADELOFT_LIST", fleet.list.url()),
+        (
+            "GRADELOFT_TRUST",
+            format!("{SIGNER}={}", fleet.key.public()),
+        ),
+    ];
+    let bundle = fleet.bundle(1, None, &Version::new(MODEL, "v1", 1, 1024));
+    let signed = gradeloft_cli::bundles::signed_text(&fleet.key.sign(&bundle, SIGNER));
+    write(&folder, "first.signed", &signed);
+    let publish = ["bundle", "publish", "first.signed", "--wait", "1"];
+    let text = run_with_fleet(&folder, &env, &publish).await;
+    assert!(text.ends_with("exit 3\n"), "{text}");
+}
