Call no fleet healthy and no bundle in force without a live instance

The CLI called a fleet healthy, and a bundle "in force on 0 nodes", exit code 0, when the list had no live instance.

Cause: both asked whether any node fails the check, and no node means none. Evidence: case_7_no_instances and a_bundle_is_in_force_on_no_node_if_none_is_listed fail on the code before.

A fleet needs a live instance to be healthy (else exit code 1), and a bundle is waited for until one is listed that has it (else exit code 3 at the end of the wait).

--- a/crates/gradeloft_cli/src/command.rs
+++ b/crates/gradeloft_cli/src/command.rs
@@ -329,13 +329,14 @@
         Ok(progress) => progress,
         Err(fault) => return unreachable("list", &fault),
     };
+    let is_complete = progress.is_complete();
     let Progress {
         reached,
         nodes,
         lagging,
     } = progress;
     let json = json!({ "number": number, "reached": reached, "nodes": nodes, "lagging": lagging });
-    if lagging.is_empty() {
+    if is_complete {
         return Output::success(format!("number {number} in force on {reached} nodes"), json);
     }
     let text = format!(
@@ -423,7 +424,8 @@
         Err(fault) => return unreachable("list", &fault),
     };
     let lines: Vec<String> = members.iter().map(status_line).collect();
-    let healthy = members.iter().filter(|it| it.is_live()).all(is_healthy);
+    let live: Vec<&Member> = members.iter().filter(|it| it.is_live()).collect();
+    let healthy = !live.is_empty() && live.into_iter().all(is_healthy);
     let json = json!({ "healthy": healthy, "nodes": members });
     let exit_status = if healthy {
         ExitStatus::Success
--- a/crates/gradeloft_cli/src/publish.rs
+++ b/crates/gradeloft_cli/src/publish.rs
@@ -82,6 +82,13 @@
     pub lagging: Vec<String>,
 }
 
+impl Progress {
+    /// Returns whether the bundle is in force on every live node, of which there has to be one.
+    pub fn is_complete(&self) -> bool {
+        0 < self.nodes && self.reached == self.nodes
+    }
+}
+
 /// Waits at most `timeout` until a bundle is in force on every live node; calls `on_progress` after
 /// each poll.
 pub async fn wait_until_in_force(
@@ -106,7 +113,7 @@
             lagging,
         };
         on_progress(&progress);
-        if progress.reached == nodes || deadline <= tokio::time::Instant::now() {
+        if progress.is_complete() || deadline <= tokio::time::Instant::now() {
             return Ok(progress);
         }
         actix_rt::time::sleep(POLL_INTERVAL).await;
