Use no connection again whose response did not show its end

A call got the response to the call before it as its own: the store's reads, the agent's GET, POST and PUT to its replica, and get, post, bytes and stage of the shared client.

Cause: the HTTP library takes an informational head for the response of its call, and a response of HTTP/1.1 without a length or chunks for one without content. In both cases it returns the connection to its pool at once, and what the server sends next counts as the response to the next request. Its look for unread bytes before the reuse helps only if they have arrived by then.

The library offers no way to drop one connection after its head, so http::Connections replaces all of a client's connections after such a head; calls that are under way keep theirs. A call whose response is an informational head still fails.

--- a/crates/gradeloft_platform/src/endpoint.rs
+++ b/crates/gradeloft_platform/src/endpoint.rs
@@ -109,13 +109,9 @@
     fn stage(&self, digest: Digest, content: Bytes) -> CallFuture<'_, ()> {
         async move {
             let url = self.0.url(&format!("/v1/content/{digest}"));
-            let res = self
-                .0
-                .client()
-                .put(url)
-                .send_body(content)
-                .await
-                .map_err(send_error)?;
+            let connections = self.0.connections();
+            let request = connections.client().put(url);
+            let res = connections.response(request.send_body(content)).await?;
             error_for_status(res).await.map(|_| ())
         }
         .boxed_local()
@@ -134,8 +130,9 @@
 
     fn order<'a>(&'a self, order: &'a Order) -> CallFuture<'a, ()> {
         async move {
-            let request = self.0.client().post(self.0.url("/v1/orders"));
-            let res = request.send_json(order).await.map_err(send_error)?;
+            let connections = self.0.connections();
+            let request = connections.client().post(self.0.url("/v1/orders"));
+            let res = connections.response(request.send_json(order)).await?;
             error_for_status(res).await.map(|_| ())
         }
         .boxed_local()
@@ -143,8 +140,9 @@
 
     fn generate<'a>(&'a self, request: &'a EngineRequest) -> CallFuture<'a, GenerationStream> {
         async move {
-            let call = self.0.client().post(self.0.url("/v1/generate"));
-            let res = call.send_json(request).await.map_err(send_error)?;
+            let connections = self.0.connections();
+            let call = connections.client().post(self.0.url("/v1/generate"));
+            let res = connections.response(call.send_json(request)).await?;
             let events = error_for_status(res).await?.eventsource();
             let events =
                 events.map(|it| it.map_err(|_| Fault::Lost).and_then(|it| decode_event(&it)));
@@ -182,6 +180,7 @@
             let method = method.map_err(|_| Fault::Unreachable)?;
             let mut call = self
                 .0
+                .connections()
                 .client()
                 .request(method.clone(), self.0.url(&request.path))
                 .insert_header((REQUEST_ID, request.id.to_string()));
@@ -217,13 +216,9 @@
 
     fn check_health(&self) -> CallFuture<'_, ()> {
         async move {
-            let res = self
-                .0
-                .client()
-                .get(self.0.url("/healthz"))
-                .send()
-                .await
-                .map_err(send_error)?;
+            let connections = self.0.connections();
+            let request = connections.client().get(self.0.url("/healthz"));
+            let res = connections.response(request.send()).await?;
             error_for_status(res).await.map(|_| ())
         }
         .boxed_local()
--- a/crates/gradeloft_platform/src/http.rs
+++ b/crates/gradeloft_platform/src/http.rs
@@ -1,9 +1,9 @@
 //! HTTP client shared by the adapters.
 
-use std::{net::IpAddr, time::Duration};
+use std::{cell::RefCell, net::IpAddr, rc::Rc, time::Duration};
 
 use awc::{
-    Client, ClientResponse,
+    Client, ClientResponse, SendClientRequest,
     error::{ConnectError, JsonPayloadError, PayloadError, SendRequestError},
     http::{Method, StatusCode, header},
 };
@@ -33,10 +33,49 @@
     PerCall,
 }
 
+/// Connections of an HTTP client, which are all replaced if one of them must not carry another request.
+#[derive(Clone)]
+pub struct Connections {
+    client: Rc<RefCell<Client>>,
+    create: Rc<dyn Fn() -> Client>,
+}
+
+impl Connections {
+    /// Creates connections; `create` returns a client without any.
+    pub fn new(create: impl Fn() -> Client + 'static) -> Connections {
+        Connections {
+            client: Rc::new(RefCell::new(create())),
+            create: Rc::new(create),
+        }
+    }
+
+    /// Returns the client for the next call.
+    pub fn client(&self) -> Client {
+        self.client.borrow().clone()
+    }
+
+    /// Makes further calls use other connections.
+    pub fn replace(&self) {
+        self.client.replace((self.create)());
+    }
+
+    /// Sends a request, which is not a HEAD request, and returns the response once its head has
+    /// arrived.
+    pub async fn response(&self, sending: SendClientRequest) -> Result<ClientResponse, Fault> {
+        let res = sending.await.map_err(send_error)?;
+        // The HTTP library takes an informational head for the response, and a body without framing
+        // for empty, so that what follows would count as the response to the next request.
+        if res.status().is_informational() || check_framing(&Method::GET, &res).is_err() {
+            self.replace();
+        }
+        Ok(res)
+    }
+}
+
 /// An HTTP client for one base URL.
 #[derive(Clone)]
 pub struct BaseClient {
-    client: Client,
+    connections: Connections,
     url: String,
 }
 
@@ -54,26 +93,26 @@
         reuse: ConnectionReuse,
         source: Option<IpAddr>,
     ) -> BaseClient {
-        let mut connector = connector().timeout(timeout).limit(0);
-        if let Some(source) = source {
-            connector = connector.local_address(source);
-        }
-        if reuse == ConnectionReuse::PerCall {
-            connector = connector.conn_keep_alive(Duration::ZERO);
-        }
-        let client = Client::builder()
-            .connector(connector)
-            .timeout(timeout)
-            .finish();
+        let create = move || {
+            let mut connector = connector().timeout(timeout).limit(0);
+            if let Some(source) = source {
+                connector = connector.local_address(source);
+            }
+            if reuse == ConnectionReuse::PerCall {
+                connector = connector.conn_keep_alive(Duration::ZERO);
+            }
+            let builder = Client::builder().connector(connector);
+            builder.timeout(timeout).finish()
+        };
         BaseClient {
-            client,
+            connections: Connections::new(create),
             url: url.trim_end_matches('/').to_owned(),
         }
     }
 
-    /// Returns the HTTP client, for calls without JSON.
-    pub fn client(&self) -> &Client {
-        &self.client
+    /// Returns the connections, for calls without JSON.
+    pub fn connections(&self) -> &Connections {
+        &self.connections
     }
 
     /// Returns the URL of `path`, which begins with a slash.
@@ -83,23 +122,15 @@
 
     /// Sends a GET request and decodes the JSON response.
     pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Fault> {
-        let res = self
-            .client
-            .get(self.url(path))
-            .send()
-            .await
-            .map_err(send_error)?;
+        let request = self.connections.client().get(self.url(path));
+        let res = self.connections.response(request.send()).await?;
         decode_json(&Method::GET, error_for_status(res).await?).await
     }
 
     /// Sends a GET request and returns the response body of at most `max_bytes`.
     pub async fn bytes(&self, path: &str, max_bytes: usize) -> Result<Bytes, Fault> {
-        let res = self
-            .client
-            .get(self.url(path))
-            .send()
-            .await
-            .map_err(send_error)?;
+        let request = self.connections.client().get(self.url(path));
+        let res = self.connections.response(request.send()).await?;
         let res = error_for_status(res).await?;
         check_framing(&Method::GET, &res)?;
         res.timeout(BODY_TIMEOUT)
@@ -115,12 +146,8 @@
         path: &str,
         body: &impl Serialize,
     ) -> Result<T, Fault> {
-        let res = self
-            .client
-            .post(self.url(path))
-            .send_json(body)
-            .await
-            .map_err(send_error)?;
+        let request = self.connections.client().post(self.url(path));
+        let res = self.connections.response(request.send_json(body)).await?;
         decode_json(&Method::POST, error_for_status(res).await?).await
     }
 }
