Relay no stream after the head of a response to a HEAD request

Callers that sent a HEAD request to a route with streams and kept the connection found `0\r\n\r\n` before their next response.

Cause: the entry sends what has the status 200 on such a route in chunks. A response to a HEAD request has none, and the last chunk was sent nevertheless. Such a response is no stream now, and ends with its head.

--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -22,7 +22,7 @@
     events::Splitter,
     h1::{
         body::{Decoder, Framing, LAST_CHUNK, Piece, put_chunk},
-        head::{Response, put_header},
+        head::{Response, ends_with_head, put_header},
         wire::Wire,
     },
     pool::ReplicaConnection,
@@ -229,7 +229,8 @@
     pub(super) fn of(job: &Job, head: Response, fully_sent: bool) -> Result<Relay, AttemptOutcome> {
         let framing = Framing::of_response(&head, &job.received.head.method)
             .map_err(|_| AttemptOutcome::Failed(Failure::Broken, None))?;
-        let is_stream = job.route.kind.streams() && head.status == 200;
+        let has_body = !ends_with_head(&job.received.head.method);
+        let is_stream = job.route.kind.streams() && head.status == 200 && has_body;
         if job.head_sent && !is_stream {
             // Only another stream can continue a stream.
             return Err(AttemptOutcome::Failed(Failure::Failed, None));
--- a/crates/gradeloft_gateway/src/h1/body.rs
+++ b/crates/gradeloft_gateway/src/h1/body.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Malformed,
-    head::{Fields, Request, Response},
+    head::{Fields, Request, Response, ends_with_head},
 };
 
 /// Maximum length of a chunk-size line or trailer line, in bytes.
@@ -49,7 +49,7 @@
     /// Returns the framing of a response body.
     pub fn of_response(head: &Response, method: &[u8]) -> Result<Framing, Malformed> {
         let empty = matches!(head.status, 100..200 | 204 | 304);
-        if empty || method.eq_ignore_ascii_case(b"HEAD") {
+        if empty || ends_with_head(method) {
             return Ok(Framing::Length(0));
         }
         if is_chunked(&head.fields)? {
--- a/crates/gradeloft_gateway/src/h1/head.rs
+++ b/crates/gradeloft_gateway/src/h1/head.rs
@@ -104,6 +104,11 @@
     }
 }
 
+/// Returns whether responses to a method end with their heads, whatever their headers say.
+pub fn ends_with_head(method: &[u8]) -> bool {
+    method.eq_ignore_ascii_case(b"HEAD")
+}
+
 /// Head of a response.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Response {
