Send no body with the refusal of a HEAD request

Callers that sent a HEAD request and kept the connection found the body of a refusal before their next response, e.g. the 32 bytes of `{"error":"lost","ran":"unknown"}`.

Cause: Refusal::encode writes the body for each method. It is left out for HEAD now; the length stays, as that of the body which another method would get.

--- a/crates/gradeloft_gateway/src/entry/connection.rs
+++ b/crates/gradeloft_gateway/src/entry/connection.rs
@@ -16,7 +16,7 @@
 use super::{Entry, forward, refusal::Refusal};
 use crate::h1::{
     body::{Decoder, Framing, Piece},
-    head::{self, Request},
+    head::{self, Request, ends_with_head},
     segments::{Body, Buffer, FIRST_SEGMENT_BYTES},
     wire::{READ_CHUNK_BYTES, Wire},
 };
@@ -216,7 +216,8 @@
 ) -> bool {
     let name = entry.node.platform.headers.attempt_id;
     let id = head.and_then(|it| it.fields.get(name));
-    let bytes = refusal.encode(id.map(|it| (name, it)), close);
+    let has_body = !head.is_some_and(|it| ends_with_head(&it.method));
+    let bytes = refusal.encode(id.map(|it| (name, it)), close, has_body);
     let sent = entry
         .node
         .timers
--- a/crates/gradeloft_gateway/src/entry/refusal.rs
+++ b/crates/gradeloft_gateway/src/entry/refusal.rs
@@ -140,8 +140,8 @@
         matches!(self, Refusal::Behind | Refusal::Leaving)
     }
 
-    /// Encodes the complete HTTP response.
-    pub fn encode(self, request: Option<(&str, &str)>, close: bool) -> BytesMut {
+    /// Encodes the HTTP response, which ends with its head if `has_body` is false.
+    pub fn encode(self, request: Option<(&str, &str)>, close: bool, has_body: bool) -> BytesMut {
         let response = self.error_response();
         let ran = match response.ran {
             Ran::No => "no",
@@ -167,7 +167,9 @@
             out.put_slice(b"Connection: close\r\n");
         }
         out.put_slice(b"\r\n");
-        out.put_slice(body.as_bytes());
+        if has_body {
+            out.put_slice(body.as_bytes());
+        }
         out
     }
 }
