--- a/crates/gradeloft_platform/src/endpoint.rs
+++ b/crates/gradeloft_platform/src/endpoint.rs
@@ -5,7 +5,10 @@
 use awc::http::{Method, header};
 use bytes::Bytes;
 use eventsource_stream::{Event, Eventsource};
-use futures_util::{FutureExt, StreamExt, stream::LocalBoxStream};
+use futures_util::{
+    FutureExt, StreamExt, future,
+    stream::{self, LocalBoxStream},
+};
 use gradeloft_wire::{
     border::platform::{EngineEnd, EngineRequest, EngineState, EngineToken, Order},
     id::{Digest, RequestId},
@@ -13,7 +16,9 @@
 
 use crate::{
     CallFuture, Fault,
-    http::{BaseClient, ConnectionReuse, error_for_status, requested_pause, send_error},
+    http::{
+        BaseClient, ConnectionReuse, check_framing, error_for_status, requested_pause, send_error,
+    },
 };
 
 /// Header with the request id, sent to an endpoint and echoed in its response.
@@ -104,13 +109,9 @@
     fn stage(&self, digest: Digest, content: Bytes) -> CallFuture<'_, ()> {
         async move {
             let url = self.0.url(&format!("/v1/content/{digest}"));
-            let res = self
-                .0
-                .client()
-                .put(url)
-                .send_body(content)
-                .await
-                .map_err(send_error)?;
+            let connections = self.0.connections();
+            let request = connections.client().put(url);
+            let res = connections.response(request.send_body(content)).await?;
             error_for_status(res).await.map(|_| ())
         }
         .boxed_local()
@@ -129,8 +130,9 @@
 
     fn order<'a>(&'a self, order: &'a Order) -> CallFuture<'a, ()> {
         async move {
-            let request = self.0.client().post(self.0.url("/v1/orders"));
-            let res = request.send_json(order).await.map_err(send_error)?;
+            let connections = self.0.connections();
+            let request = connections.client().post(self.0.url("/v1/orders"));
+            let res = connections.response(request.send_json(order)).await?;
             error_for_status(res).await.map(|_| ())
         }
         .boxed_local()
@@ -138,8 +140,9 @@
 
     fn generate<'a>(&'a self, request: &'a EngineRequest) -> CallFuture<'a, GenerationStream> {
         async move {
-            let call = self.0.client().post(self.0.url("/v1/generate"));
-            let res = call.send_json(request).await.map_err(send_error)?;
+            let connections = self.0.connections();
+            let call = connections.client().post(self.0.url("/v1/generate"));
+            let res = connections.response(call.send_json(request)).await?;
             let events = error_for_status(res).await?.eventsource();
             let events =
                 events.map(|it| it.map_err(|_| Fault::Lost).and_then(|it| decode_event(&it)));
@@ -177,8 +180,9 @@
             let method = method.map_err(|_| Fault::Unreachable)?;
             let mut call = self
                 .0
+                .connections()
                 .client()
-                .request(method, self.0.url(&request.path))
+                .request(method.clone(), self.0.url(&request.path))
                 .insert_header((REQUEST_ID, request.id.to_string()));
             if !request.content_type.is_empty() {
                 call = call.insert_header((header::CONTENT_TYPE, request.content_type));
@@ -194,7 +198,11 @@
             let content_type = header_text(header::CONTENT_TYPE.as_str()).to_owned();
             let status = res.status().as_u16();
             let pause = requested_pause(&res);
-            let body = res.map(|it| it.map_err(|_| Fault::Lost)).boxed_local();
+            // The status and the headers are whole in any case.
+            let body = match check_framing(&method, &res) {
+                Ok(()) => res.map(|it| it.map_err(|_| Fault::Lost)).boxed_local(),
+                Err(fault) => stream::once(future::ready(Err(fault))).boxed_local(),
+            };
             Ok(ServiceResponse {
                 status,
                 content_type,
@@ -208,13 +216,9 @@
 
     fn check_health(&self) -> CallFuture<'_, ()> {
         async move {
-            let res = self
-                .0
-                .client()
-                .get(self.0.url("/healthz"))
-                .send()
-                .await
-                .map_err(send_error)?;
+            let connections = self.0.connections();
+            let request = connections.client().get(self.0.url("/healthz"));
+            let res = connections.response(request.send()).await?;
             error_for_status(res).await.map(|_| ())
         }
         .boxed_local()
