Take a head with a line feed alone as malformed

A request to the public port with such a line lost its later fields and its body in the same way.

Cause: the parser of heads takes a line feed for the end of a line, and an empty line that ends so for the end of the head. Every other byte that is no part of a name was refused before. Change: a head in which a line feed follows anything but a carriage return is malformed, for responses (first attempts, hedges, continued streams and the question whether a replica runs share this parser) and requests. HTTP/1.1 lets a recipient take either, and no sender may write it.

--- a/crates/gradeloft_gateway/src/h1/head.rs
+++ b/crates/gradeloft_gateway/src/h1/head.rs
@@ -141,11 +141,20 @@
     }
 }
 
+/// Returns whether a line of a head ends with a line feed alone. The parser would take such a byte at the
+/// start of a field's name for the end of the head, and the fields after it for the body.
+fn has_bare_line_feed(head: &[u8]) -> bool {
+    head.windows(2).any(|it| it[1] == b'\n' && it[0] != b'\r')
+}
+
 /// Takes the head of a request from the front of `buffer`; returns `None` while it is incomplete.
 pub fn request(buffer: &mut BytesMut) -> Result<Option<Request>, Malformed> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Request::new(&mut headers);
     let length = match parsed.parse(buffer).map_err(|_| Malformed)? {
+        httparse::Status::Complete(length) if has_bare_line_feed(&buffer[..length]) => {
+            return Err(Malformed);
+        }
         httparse::Status::Complete(length) => length,
         httparse::Status::Partial => return Ok(None),
     };
@@ -178,6 +187,9 @@
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Response::new(&mut headers);
     let length = match parsed.parse(buffer).map_err(|_| Malformed)? {
+        httparse::Status::Complete(length) if has_bare_line_feed(&buffer[..length]) => {
+            return Err(Malformed);
+        }
         httparse::Status::Complete(length) => length,
         httparse::Status::Partial if MAX_RESPONSE_BYTES < buffer.len() => return Err(Malformed),
         httparse::Status::Partial => return Ok(None),
--- a/crates/gradeloft_gateway/tests/framing.rs
+++ b/crates/gradeloft_gateway/tests/framing.rs
@@ -4,6 +4,7 @@
 use gradeloft_gateway::{
     events::{Cursor, Splitter},
     h1::{
+        Malformed,
         body::{Decoder, Framing, Piece},
         head,
     },
@@ -91,6 +92,72 @@
     assert!(!short.finish_at_eof());
 }
 
+/// Returns whether a byte may stand in the name of a field.
+fn is_token(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
+/// Returns heads with a line of `byte` at the start of a name of `length` bytes, inside it and after it.
+fn spoilt_names(start: &str, byte: u8, length: usize) -> impl Iterator<Item = BytesMut> {
+    let start = start.to_owned();
+    [0, length / 2, length].into_iter().flat_map(move |at| {
+        let mut line = vec![b'n'; length];
+        line.insert(at, byte);
+        line.extend_from_slice(b": v\r\n");
+        let length: &[u8] = b"Content-Length: 4\r\n";
+        let orders = [[&line[..], length], [length, &line]];
+        orders.map(|it| BytesMut::from(&[start.as_bytes(), &it.concat(), b"\r\nbody"].concat()[..]))
+    })
+}
+
+/// Guards against a line that is passed on, or ends the head, so that the body is not the sender's.
+#[test]
+fn names_with_bytes_that_are_no_part_of_a_token_are_malformed() {
+    let spoiling = (0..=u8::MAX).filter(|it| !is_token(*it) && *it != b':');
+    for (byte, length) in spoiling.flat_map(|it| [2, 15, 16, 31, 32, 64].map(|length| (it, length)))
+    {
+        for mut head in spoilt_names("HTTP/1.1 200 OK\r\n", byte, length) {
+            assert_eq!(
+                head::response(&mut head),
+                Err(Malformed),
+                "{byte:#x} {length}"
+            );
+        }
+        for mut head in spoilt_names("POST / HTTP/1.1\r\n", byte, length) {
+            assert_eq!(
+                head::request(&mut head),
+                Err(Malformed),
+                "{byte:#x} {length}"
+            );
+        }
+    }
+}
+
+/// Guards against a line that is passed on, or ends the head, so that the body is not the sender's.
+#[rstest]
+#[case::without_a_colon("name v\r\n")]
+#[case::of_one_word("name\r\n")]
+#[case::folded("name: v\r\n folded: w\r\n")]
+#[case::folded_by_a_tab("name: v\r\n\tfolded: w\r\n")]
+#[case::ended_by_a_carriage_return("name: v\rother: w\r\n")]
+#[case::ended_by_a_line_feed("name: v\nother: w\r\n")]
+#[case::empty_up_to_a_line_feed("name:\nother: w\r\n")]
+#[case::of_a_line_feed("\n")]
+#[case::of_a_blank(" \r\n")]
+#[case::with_a_nul_in_its_value("name: \0\r\n")]
+#[case::with_a_delete_in_its_value("name: \u{7f}\r\n")]
+fn heads_with_a_line_that_is_no_field_are_malformed(
+    #[case] line: &str,
+    #[values("", "Content-Length: 4\r\n")] before: &str,
+    #[values("", "Content-Length: 4\r\n")] after: &str,
+) {
+    let lines = format!("{before}{line}{after}\r\nbody");
+    let mut response = BytesMut::from(&format!("HTTP/1.1 200 OK\r\n{lines}")[..]);
+    assert_eq!(head::response(&mut response), Err(Malformed));
+    let mut request = BytesMut::from(&format!("POST / HTTP/1.1\r\n{lines}")[..]);
+    assert_eq!(head::request(&mut request), Err(Malformed));
+}
+
 /// Returns the bytes of a stream's events from number `from` to `to`.
 fn events(from: u64, to: u64) -> Vec<u8> {
     let event = |it: u64| format!("id: {it}\ndata: {}\n\n", "x".repeat(it as usize % 5));
