--- a/crates/gradeloft_gateway/tests/entry/draining.rs
+++ b/crates/gradeloft_gateway/tests/entry/draining.rs
@@ -29,6 +29,8 @@
 const LONG_MS: u64 = 60_000;
 /// Time for which a caller reads nothing before it continues.
 const STALL: Duration = Duration::from_secs(5);
+/// Time from SIGTERM to SIGKILL in the settings of [`Harness`], in milliseconds.
+const GRACE_MS_OF_HARNESS: u64 = 2_000;
 /// Time from SIGTERM to SIGKILL, in milliseconds.
 const GRACE_MS: u64 = 5_000;
 
@@ -136,6 +138,68 @@
     });
 }
 
+/// How a request reaches a draining entry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Arrival {
+    /// On a connection that was opened before the drain, after the response to another request.
+    Kept,
+    /// On a new connection.
+    New,
+    /// On a new connection, together with the next request.
+    Pipelined,
+}
+
+/// Guards against requests that are passed on late in a drain and cut at its end without a response.
+#[rstest]
+fn a_request_late_in_a_drain_is_refused_or_answered_before_its_end(
+    #[values(
+        RouteKind::Idempotent,
+        RouteKind::Once,
+        RouteKind::ResumableStream,
+        RouteKind::Stream
+    )]
+    kind: RouteKind,
+    #[values(Arrival::Kept, Arrival::New, Arrival::Pipelined)] arrival: Arrival,
+) {
+    run(async {
+        let silent = || vec![vec![Step::Read, Step::WaitForDisconnect]; 16];
+        let harness = Harness::start(TestConfig::of(kind), vec![silent(), silent()]).await;
+        let end_ms = GRACE_MS_OF_HARNESS * 9 / 10;
+        let deadlines = (0..12).map(|it| end_ms + 10 - 5 * it);
+        let mut callers = Vec::new();
+        for deadline_ms in deadlines {
+            let mut caller = connect().await;
+            if arrival == Arrival::Kept {
+                let unknown = b"GET /none HTTP/1.1\r\nHost: h\r\n\r\n";
+                caller.write_all(unknown).await.unwrap();
+                let response = read_until(&mut caller, "}").await;
+                assert!(response.starts_with("HTTP/1.1 404 "), "{response}");
+            }
+            callers.push((deadline_ms, caller));
+        }
+        start_drain(harness).await;
+        for (deadline_ms, caller) in &mut callers {
+            if arrival != Arrival::Kept {
+                *caller = connect().await;
+            }
+            let requests = if arrival == Arrival::Pipelined { 2 } else { 1 };
+            let request = keep_alive_request(*deadline_ms).repeat(requests);
+            caller.write_all(request.as_bytes()).await.unwrap();
+        }
+        for (deadline_ms, mut caller) in callers {
+            let (response, closed_cleanly) = read_all(&mut caller).await;
+            let is_refused =
+                response.starts_with("HTTP/1.1 503 ") && response.contains(r#""ran":"no""#);
+            assert!(
+                is_refused || response.starts_with("HTTP/1.1 504 "),
+                "{deadline_ms} {response}"
+            );
+            assert!(closed_cleanly, "{deadline_ms} {response}");
+            assert!(response.contains("Connection: close\r\n"), "{response}");
+        }
+    });
+}
+
 /// Other entries have taken over the slots of a draining entry, so requests that it forwards would
 /// wait behind theirs.
 #[test]
