Bound the number of prompt tokens that a request declares

What callers saw: one request that declares "inf", 1.7e308 or a number of a thousand digits as its prompt's tokens, while requests wait for a replica of a model, is closed without a response. After one with "-inf", every later request gets 503, also those of others: the sum of the waiting tokens at the replica is not a number any more, and no replica passes the comparison. Any caller may send it.

Cause: the number was parsed as a float without a range. It was converted to a duration, which panics beyond the range of durations, and added to and subtracted from sums. Change: what is not finite or negative counts as no tokens, and at most 10,000,000 count, in whole numbers, whose sums are exact.

a_prompt_of_an_impossible_length_affects_no_other_request, 8 numbers with ranked and unranked requests.

--- a/crates/gradeloft_gateway/src/entry/forward.rs
+++ b/crates/gradeloft_gateway/src/entry/forward.rs
@@ -46,6 +46,9 @@
     metrics::{self, Metrics, Reason},
 };
 
+/// Largest number of prompt tokens that a request may declare; several times the longest contexts of models.
+const MAX_PROMPT_TOKENS: f64 = 10_000_000.0;
+
 /// A request that is being forwarded, and its state so far.
 pub struct Job {
     /// Request as the caller sent it.
@@ -378,13 +381,15 @@
     }
 }
 
-/// Returns the number of prompt tokens that the caller declares.
+/// Returns the number of prompt tokens that the caller declares, at most [`MAX_PROMPT_TOKENS`]; zero for
+/// what is no number of tokens.
 fn prompt_tokens(entry: &Entry, received: &ReceivedRequest) -> f64 {
     let declared = received.head.fields.get(entry.node.platform.headers.tokens);
     let prompt = declared.and_then(|it| it.split(',').next());
-    prompt
-        .and_then(|it| it.trim().parse().ok())
-        .unwrap_or_default()
+    let prompt = prompt.and_then(|it| it.trim().parse::<f64>().ok());
+    let prompt = prompt.filter(|it| it.is_finite()).unwrap_or_default();
+    // Sums of whole numbers of this size are exact, so that a request that ends leaves nothing behind.
+    prompt.round().clamp(0.0, MAX_PROMPT_TOKENS)
 }
 
 async fn run_attempts(entry: &Rc<Entry>, caller: &mut Wire, mut job: Job) -> ConnectionReuse {
--- a/crates/gradeloft_gateway/tests/entry/queueing.rs
+++ b/crates/gradeloft_gateway/tests/entry/queueing.rs
@@ -5,6 +5,7 @@
 use gradeloft_daemon::clock::Clock;
 use gradeloft_policy::process::document::RouteKind;
 use gradeloft_standin::scripted::Step;
+use rstest::rstest;
 
 use tokio::io::AsyncWriteExt;
 
@@ -87,6 +88,41 @@
     });
 }
 
+/// Guards against a number of prompt tokens that ends the entry, or counts against all later requests.
+#[rstest]
+#[case::infinite("inf,1")]
+#[case::negative_and_infinite("-inf,1")]
+#[case::not_a_number("NaN,1")]
+#[case::largest("1.7e308,1")]
+#[case::beyond_the_largest("1e400,1")]
+#[case::smallest("-1.7e308,1")]
+#[case::negative("-5,1")]
+#[case::of_a_thousand_digits(&"9".repeat(1_000))]
+fn a_prompt_of_an_impossible_length_affects_no_other_request(
+    #[case] tokens: &str,
+    #[values(config(3_000), ranked(3_000))] config: TestConfig,
+) {
+    run(async {
+        let script = slow_answers(HELD, 4);
+        let harness = Harness::start(config, vec![vec![script]]).await;
+        let ordinary = request("POST", "form");
+        let impossible = ordinary.replace("Content-", &format!("t-tokens: {tokens}\r\nContent-"));
+        let waiting = async {
+            wait_until(|| async { harness.request_count() == 1 }).await;
+            harness.send(&impossible).await
+        };
+        let (first, waiting) = tokio::join!(harness.send(&ordinary), waiting);
+        assert!(first.starts_with("HTTP/1.1 200 "), "{first}");
+        assert!(waiting.starts_with("HTTP/1.1 "), "{waiting}");
+        let alone = harness.send(&impossible).await;
+        assert!(alone.starts_with("HTTP/1.1 "), "{alone}");
+        let after = harness.send(&ordinary).await;
+        assert!(after.starts_with("HTTP/1.1 200 "), "{after}");
+        let replicas = harness.entry.entry().replicas.borrow();
+        assert!(replicas.iter().all(|(_, it)| it.own_waiting_tokens == 0.0));
+    });
+}
+
 /// The slot never becomes free: the caller gets a refusal once the latency objective has passed,
 /// long before the deadline.
 #[test]
