Take a replica's record with more than 65,535 requests at once as unreadable

What callers saw: another writer leaves records among those of the replicas whose `max-batch` is 2,147,483,647 or more. In a build with overflow checks each pass over the replicas panics at their sum, and requests are closed without a response; without the checks the sum wraps, and slots of all replicas of the model are split by a wrong total.

Cause: the number had no range, and sums of slots are 32 bits wide. Change: entries report requests of a replica in 16 bits, so a record with more is unreadable, for records of the store and of peers alike. The sums in slot_split stop at the largest number, as the number of replicas has no bound.

requests_are_answered_beside_a_replica_of_any_number_of_slots, two such records beside two sound ones, four numbers, ranked and unranked. Before: 6 of 8 fail, 4 of them by the panic, 2 as the record is taken; after: 8 pass. no_more_slots_are_assigned_than_replicas_have_at_the_largest_numbers: 0 of 2 before, 2 after.

--- a/crates/gradeloft_gateway/src/node/unreadable.rs
+++ b/crates/gradeloft_gateway/src/node/unreadable.rs
@@ -16,6 +16,8 @@
 
 /// Longest name of an availability zone in the table of entries, in bytes.
 const MAX_ZONE_BYTES: usize = 256;
+/// Largest number of requests that a replica runs at once: datagrams count them in 16 bits.
+const MAX_SLOTS: u32 = u16::MAX as u32;
 /// Most characters of a key in a log line: replicas' ids and addresses are shorter.
 const MAX_LOGGED_KEY: usize = 64;
 
@@ -55,7 +57,12 @@
             }
             Table::Entries => std::str::from_utf8(value).err().map(|it| it.to_string()),
             Table::Operator => None,
-            Table::Replicas => self.platform.decoder.listing(record).err(),
+            Table::Replicas => match self.platform.decoder.listing(record) {
+                Ok(listing) if MAX_SLOTS < listing.slots => {
+                    Some("more requests at once than entries can count".to_owned())
+                }
+                listing => listing.err(),
+            },
         }
     }
 
--- a/crates/gradeloft_gateway/tests/entry/queueing.rs
+++ b/crates/gradeloft_gateway/tests/entry/queueing.rs
@@ -3,8 +3,9 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use gradeloft_daemon::clock::Clock;
-use gradeloft_policy::process::document::RouteKind;
+use gradeloft_policy::process::{document::RouteKind, replicas::Listing};
 use gradeloft_standin::scripted::Step;
+use gradeloft_wire::frame::Table;
 use rstest::rstest;
 
 use tokio::io::AsyncWriteExt;
@@ -123,6 +124,69 @@
     });
 }
 
+/// Guards against an entry that ends, or stops following the tables, at numbers that nobody can mean.
+#[rstest]
+#[case::largest(u32::from(u16::MAX), true)]
+#[case::beyond_the_largest(u32::from(u16::MAX) + 1, false)]
+#[case::half_of_all(u32::MAX / 2, false)]
+#[case::all(u32::MAX, false)]
+fn requests_are_answered_beside_a_replica_of_any_number_of_slots(
+    #[case] slots: u32,
+    #[case] is_listed: bool,
+    #[values(config(3_000), ranked(3_000))] config: TestConfig,
+) {
+    run(async {
+        let script = || vec![slow_answers(HELD, 4); 2];
+        let harness = Harness::start(config, vec![script(), script()]).await;
+        let entry = harness.entry.entry();
+        wait_until(|| async { entry.replicas.borrow().len() == 2 }).await;
+        let listed = entry
+            .replicas
+            .borrow()
+            .iter()
+            .next()
+            .unwrap()
+            .1
+            .listing
+            .clone();
+        for id in ["odd-1", "odd-2"] {
+            let id = id.into();
+            harness.list_replica(Listing {
+                id,
+                slots,
+                ..listed.clone()
+            });
+        }
+        let (replicas, unreadable) = if is_listed { (4, 0) } else { (2, 2) };
+        wait_until(|| async {
+            let text = entry.node.metrics.text();
+            let name = r#"unreadable_records_total{reason="replicas"} "#;
+            let count = text
+                .lines()
+                .find_map(|it| it.split_once(name))
+                .map_or("0", |it| it.1);
+            entry.replicas.borrow().len() == replicas && count == unreadable.to_string()
+        })
+        .await;
+        answers_and_follows(&harness).await;
+    });
+}
+
+/// Sends requests that compete for a replica, and expects responses, and that the next configuration
+/// is applied.
+async fn answers_and_follows(harness: &Harness) {
+    let request = request("POST", "form");
+    let responses = tokio::join!(harness.send(&request), harness.send(&request));
+    for response in [responses.0, responses.1, harness.send(&request).await] {
+        assert!(response.starts_with("HTTP/1.1 "), "{response}");
+    }
+    harness.tables.write(Table::Operator, "config", Some("2"));
+    let entry = harness.entry.entry();
+    wait_until(|| async { entry.config_version() == 2 }).await;
+    let response = harness.send(&request).await;
+    assert!(response.starts_with("HTTP/1.1 "), "{response}");
+}
+
 /// The slot never becomes free: the caller gets a refusal once the latency objective has passed,
 /// long before the deadline.
 #[test]
--- a/crates/gradeloft_policy/src/process/slot_split.rs
+++ b/crates/gradeloft_policy/src/process/slot_split.rs
@@ -45,14 +45,14 @@
 /// assert_eq!((0..4).map(|it| of(it)[0]).sum::<u32>(), 16);
 /// ```
 pub fn parts(own: usize, entries: &[u64], replicas: &[ReplicaSlots]) -> Vec<u32> {
-    let slots = replicas.iter().map(|it| it.slots).sum();
+    let slots = total(replicas);
     matched(own, &equal_claims(entries, slots, 0), replicas)
 }
 
 /// Returns for each entry the number of slots of each replica that are assigned to it, like
 /// [`parts`].
 pub fn all_parts(entries: &[u64], replicas: &[ReplicaSlots]) -> Vec<Vec<u32>> {
-    let slots = replicas.iter().map(|it| it.slots).sum();
+    let slots = total(replicas);
     let mut parts = vec![vec![0; replicas.len()]; entries.len()];
     let claims = equal_claims(entries, slots, 0);
     match_slots(&claims, replicas, |it| {
@@ -222,14 +222,16 @@
     parts_by_region
 }
 
-fn total(area: &RegionSlots) -> u32 {
-    area.replicas.iter().map(|it| it.slots).sum()
+/// Returns the number of slots of replicas, at most the largest number there is.
+fn total(replicas: &[ReplicaSlots]) -> u32 {
+    let slots = replicas.iter().map(|it| it.slots);
+    slots.fold(0, u32::saturating_add)
 }
 
 /// Returns the number of slots that each region needs, by its share of the total demand.
 fn needs(areas: &[RegionSlots]) -> Vec<f64> {
     let serving = |it: &&RegionSlots| !it.entries.is_empty();
-    let slots: u32 = areas.iter().map(total).sum();
+    let slots: f64 = areas.iter().map(|it| f64::from(total(&it.replicas))).sum();
     let demand: f64 = areas.iter().filter(serving).map(|it| it.demand).sum();
     let entries: usize = areas.iter().map(|it| it.entries.len()).sum();
     let part = |area: &RegionSlots| match area.entries.len() {
@@ -239,7 +241,7 @@
         entries_here if demand < MIN_DEMAND => entries_here as f64 / entries.max(1) as f64,
         _ => area.demand / demand,
     };
-    areas.iter().map(|it| f64::from(slots) * part(it)).collect()
+    areas.iter().map(|it| slots * part(it)).collect()
 }
 
 /// Returns the number of slots that each region lends.
@@ -247,14 +249,14 @@
     let needs = needs(areas);
     let surplus = areas.iter().zip(&needs);
     surplus
-        .map(|(area, need)| (f64::from(total(area)) - need).max(0.0).round() as u32)
+        .map(|(area, need)| (f64::from(total(&area.replicas)) - need).max(0.0).round() as u32)
         .collect()
 }
 
 /// Spreads a number of lent slots evenly over replicas. A change of the number by one changes one
 /// replica.
 fn spread(replicas: &[ReplicaSlots], lent: u32) -> Vec<ReplicaSlots> {
-    let all: u32 = replicas.iter().map(|it| it.slots).sum();
+    let all = total(replicas);
     let part = |it: &ReplicaSlots| u64::from(it.slots) * u64::from(lent) / u64::from(all.max(1));
     let mut spread: Vec<ReplicaSlots> = replicas
         .iter()
@@ -263,7 +265,7 @@
             ..*it
         })
         .collect();
-    let left = lent - spread.iter().map(|it| it.slots).sum::<u32>();
+    let left = lent.saturating_sub(total(&spread));
     let mut order: Vec<usize> = (0..replicas.len()).collect();
     order.sort_unstable_by_key(|it| (replicas[*it].key, *it));
     let has_more = |it: &usize| spread[*it].slots < replicas[*it].slots;
@@ -287,10 +289,11 @@
     let shortages = areas
         .iter()
         .zip(&needs)
-        .map(|(area, need)| (need - f64::from(total(area))).max(0.0));
+        .map(|(area, need)| (need - f64::from(total(&area.replicas))).max(0.0));
     let shortages: Vec<f64> = shortages.collect();
     let shortage: f64 = shortages.iter().sum();
-    let all: u32 = lent.iter().flatten().map(|it| it.slots).sum();
+    let replicas: Vec<ReplicaSlots> = lent.iter().flatten().copied().collect();
+    let all = total(&replicas);
     let at = |up_to: f64| (up_to / shortage.max(f64::MIN_POSITIVE) * f64::from(all)).round() as u32;
     let mut before = 0.0;
     let claims = (0_u64..).zip(&shortages).map(|(region, short)| {
@@ -302,7 +305,6 @@
         }
     });
     let claims: Vec<Claim> = claims.collect();
-    let replicas: Vec<ReplicaSlots> = lent.iter().flatten().copied().collect();
     let of_region = matched(home, &claims, &replicas).into_iter();
     let of_region: Vec<ReplicaSlots> = of_region
         .zip(&replicas)
@@ -310,7 +312,7 @@
         .collect();
     // The remainder goes to the entries after those that got an additional slot of the region's own.
     let entries = &areas[home].entries;
-    let claims = equal_claims(entries, claims[home].slots, total(&areas[home]));
+    let claims = equal_claims(entries, claims[home].slots, total(&areas[home].replicas));
     let mut parts = matched(own, &claims, &of_region).into_iter();
     let regions = areas.iter();
     regions
--- a/crates/gradeloft_policy/tests/regions.rs
+++ b/crates/gradeloft_policy/tests/regions.rs
@@ -488,6 +488,32 @@
     regions.collect()
 }
 
+/// Guards against a sum of slots that wraps: replicas would have more slots assigned than they have.
+#[rstest]
+#[case::in_one_region([2, 0, 0])]
+#[case::in_all_regions([3, 2, 1])]
+fn no_more_slots_are_assigned_than_replicas_have_at_the_largest_numbers(
+    #[case] replicas: [usize; 3],
+) {
+    let regions: Vec<RegionSlots> = (0..3_u8)
+        .zip(replicas)
+        .map(|(seed, count)| region_of(u64::from(seed), 2, 100.0, &vec![u32::MAX; count]))
+        .collect();
+    let mut assigned: HashMap<(usize, usize), u64> = HashMap::new();
+    for (home, own) in (0..3).flat_map(|home| [(home, 0), (home, 1)]) {
+        let parts = slot_split::parts_by_region(&regions, home, own);
+        for (region, parts) in parts.iter().enumerate() {
+            for (replica, part) in parts.iter().enumerate() {
+                *assigned.entry((region, replica)).or_default() += u64::from(*part);
+            }
+        }
+    }
+    assert!(assigned.values().any(|it| 0 < *it));
+    for ((region, replica), slots) in assigned {
+        assert!(slots <= u64::from(u32::MAX), "{region} {replica} {slots}");
+    }
+}
+
 /// Guards against slots that have two owners while replicas open, crash or load and demand moves: the
 /// new owner fills them at once, while requests of the previous one still run.
 #[rstest]
