Leave callers time to read a response before their connection ends in favour of a new one

A connection that was refused with the rest of its body unread is closing, and went first, at once, when a new one came. With bytes unread that is a reset, on which the refusal that was just sent may be discarded.

Change: a closing connection stays for the 0.1 s that an idle or incomplete one has, then goes first as before.

a_crowd_of_newcomers_leaves_each_the_time_to_read_its_response, at the account of the listener. Before: the connection that began to close 99 ms ago ends; after: it stays, and ends at 100 ms. On loopback the refusal reaches a caller before the reset, so no test at an entry shows the loss.

--- a/crates/gradeloft_policy/src/connection/intake.rs
+++ b/crates/gradeloft_policy/src/connection/intake.rs
@@ -7,7 +7,8 @@
 //! When either is exhausted, the connections that keep others waiting go first: those that only wait for
 //! the client to close, then those whose request stays incomplete, then those that have been idle or
 //! incomplete for longest. A connection whose request is being served is never ended, nor is a new one
-//! before its client has had time to send a request.
+//! before its client has had time to send a request, nor one whose last response was just sent before its
+//! client has had time to read it.
 
 use std::cmp::Reverse;
 
@@ -246,10 +247,11 @@
     /// Removes the connection that goes first when there are too many.
     fn remove_first(&mut self, now: Time) -> Option<Victim> {
         let rank = |it: &Connection| match it.activity {
+            Activity::Serving => None,
+            _ if now < it.since.after_ms(MIN_MS) => None,
             Activity::Closing => Some(2),
             Activity::Receiving if it.since.after_ms(INCOMPLETE_MS) <= now => Some(1),
-            Activity::Idle | Activity::Receiving if it.since.after_ms(MIN_MS) <= now => Some(0),
-            Activity::Idle | Activity::Receiving | Activity::Serving => None,
+            Activity::Idle | Activity::Receiving => Some(0),
         };
         let ranked = self.connections.iter();
         let ranked = ranked.filter_map(|(key, it)| Some((rank(it)?, Reverse(it.since), key)));
--- a/crates/gradeloft_policy/tests/intake.rs
+++ b/crates/gradeloft_policy/tests/intake.rs
@@ -63,6 +63,26 @@
     assert_eq!(intake.open(at(100)), None);
 }
 
+/// Guards against a refusal that is lost, as its connection is reset right after it was sent.
+#[test]
+fn a_crowd_of_newcomers_leaves_each_the_time_to_read_its_response() {
+    use Activity::{Closing, Idle, Serving};
+    let (mut intake, keys) = intake(&[Serving, Closing, Serving, Serving]);
+    intake.set_activity(keys[0], Closing, at(1_000));
+    let (_, victim) = intake.open(at(1_099)).expect("a connection ends");
+    assert_eq!(victim.map(|it| it.key), Some(keys[1]));
+    assert_eq!(intake.open(at(1_099)), None);
+    let (_, victim) = intake.open(at(1_100)).expect("a connection ends");
+    assert_eq!(
+        victim.map(|it| (it.key, it.activity)),
+        Some((keys[0], Closing))
+    );
+    // A newcomer that sends nothing goes before one that was just responded to.
+    intake.set_activity(keys[2], Closing, at(1_150));
+    let (_, victim) = intake.open(at(1_200)).expect("a connection ends");
+    assert_eq!(victim.map(|it| it.activity), Some(Idle));
+}
+
 #[test]
 fn an_old_incomplete_body_makes_room_for_a_new_one() {
     let (mut intake, keys) = intake(&[Activity::Receiving; 3]);
