Read staged chunks again that the engine did not send back

After its own restart an agent counted staged chunks as missing until the next version, and did not upload them, because the engine had not responded when they were read back.

Cause: a chunk that could not be read counted like one that is not staged or is corrupt, and a recovery was not repeated.

Agents keep which positions were not read, and a recovery is due while there are any; it reads only these again. Before a load nothing changes: a chunk that was not read is not verified, and is fetched again.

--- a/crates/gradeloft_gateway/src/agent/mod.rs
+++ b/crates/gradeloft_gateway/src/agent/mod.rs
@@ -19,7 +19,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     io,
     net::{Ipv4Addr, SocketAddr},
     rc::Rc,
@@ -105,6 +105,8 @@
     pub positions: HashMap<Digest, u32>,
     /// Whether each chunk is staged and matched its digest when last checked.
     pub staged: Vec<bool>,
+    /// Positions of chunks that could not be read back when last checked.
+    pub unread: BTreeSet<u32>,
 }
 
 /// State of an entry according to its newest datagram.
@@ -250,7 +252,8 @@
 
     /// Returns whether it is unknown which chunks of a version are staged.
     pub fn needs_recovery(&self, version: &Version) -> bool {
-        self.staged_chunks.borrow().version.as_ref() != Some(version)
+        let chunks = self.staged_chunks.borrow();
+        chunks.version.as_ref() != Some(version) || !chunks.unread.is_empty()
     }
 
     /// Returns the division of the service's weights into chunks, if it is configured.
@@ -286,6 +289,7 @@
             && let Some(staged) = chunks.staged.get_mut(idx as usize)
         {
             *staged = true;
+            chunks.unread.remove(&idx);
         }
         drop(chunks);
         self.chunk_staged.notify_waiters();
--- a/crates/gradeloft_gateway/src/agent/staging.rs
+++ b/crates/gradeloft_gateway/src/agent/staging.rs
@@ -1,9 +1,15 @@
 //! Staging and verification of a version's chunks.
 
-use std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use gradeloft_daemon::transport::client::Lane;
+use gradeloft_platform::Fault;
 use gradeloft_policy::{rendezvous, version::verification::Verification};
 use gradeloft_wire::{
     frame::{Call, Reply, Table},
@@ -91,23 +97,35 @@
 pub async fn recover(agent: &Rc<Agent>, version: &Version) -> Result<(), String> {
     let members = members(agent).await;
     let before = agent.staged_chunks.borrow().version.clone();
-    let digests = manifest(agent, version, &members).await?;
+    let digests = match before.as_ref() == Some(version) {
+        true => None,
+        false => Some(manifest(agent, version, &members).await?),
+    };
     let listed = list_staged(agent, version).await?;
     // The deployment of a newer version may have started in the meantime.
     if agent.staged_chunks.borrow().version != before || agent.target().as_ref() != Some(version) {
         return Err("another version is being deployed".to_owned());
     }
-    reset_chunks(agent, version, digests);
-    verify_chunks(agent, version, &listed).await;
+    if let Some(digests) = digests {
+        reset_chunks(agent, version, digests);
+        verify_chunks(agent, version, &listed).await;
+    } else {
+        let unread = agent.staged_chunks.borrow().unread.clone();
+        verify_positions(agent, version, &listed, unread).await;
+    }
     let chunks = agent.staged_chunks.borrow();
     let held = chunks.staged.iter().filter(|it| **it).count();
     if let Some(log) = agent.node.logs.line(Topic::Weights) {
         info!(log, "staged chunks recovered"; "version" => version.number, "held" => held,
             "pieces" => chunks.staged.len(), "holding" => ?chunks.version);
     }
+    let unread = chunks.unread.len();
     drop(chunks);
     agent.chunk_staged.notify_waiters();
-    Ok(())
+    match unread {
+        0 => Ok(()),
+        _ => Err(format!("{unread} staged chunks could not be read back")),
+    }
 }
 
 /// Returns the agents of the service, including this one.
@@ -200,6 +218,7 @@
         positions: positions.collect(),
         staged: vec![false; digests.len()],
         digests,
+        unread: BTreeSet::new(),
     });
     agent.chunk_staged.notify_waiters();
     before.version
@@ -346,28 +365,55 @@
 
 /// Reads back all staged chunks, and marks those that match their digests. Stops if another version
 /// is selected in the meantime, as the marks do not apply to its chunks.
-async fn verify_chunks(agent: &Agent, version: &Version, staged: &[u32]) {
+async fn verify_chunks(agent: &Agent, version: &Version, listed: &[u32]) {
+    let count = agent.staged_chunks.borrow().digests.len() as u32;
+    verify_positions(agent, version, listed, 0..count).await;
+}
+
+/// Reads back the staged chunks at some positions, as [`verify_chunks`] does.
+async fn verify_positions(
+    agent: &Agent,
+    version: &Version,
+    listed: &[u32],
+    positions: impl IntoIterator<Item = u32>,
+) {
     let digests = agent.staged_chunks.borrow().digests.clone();
-    for (digest, idx) in digests.iter().zip(0..) {
-        let good = staged.contains(&idx) && read_back(agent, version, idx, *digest).await.is_some();
+    for idx in positions {
+        let Some(digest) = digests.get(idx as usize) else {
+            return;
+        };
+        let read = match listed.contains(&idx) {
+            true => read_back(agent, version, idx, *digest).await,
+            false => Ok(None),
+        };
         let mut chunks = agent.staged_chunks.borrow_mut();
         if chunks.version.as_ref() != Some(version) {
             return;
         }
         if let Some(is_staged) = chunks.staged.get_mut(idx as usize) {
-            *is_staged = good;
+            *is_staged = matches!(read, Ok(Some(_)));
         }
+        match read {
+            Ok(_) => chunks.unread.remove(&idx),
+            Err(_) => chunks.unread.insert(idx),
+        };
     }
 }
 
-/// Returns the content of a staged chunk, if it matches its digest.
+/// Returns the content of a staged chunk; `None` if it is not staged or does not match its digest.
+/// Fails if the engine does not tell.
 pub async fn read_back(
     agent: &Agent,
     version: &Version,
     idx: u32,
     digest: Digest,
-) -> Option<Bytes> {
-    let content = agent.engine.chunk(&version.model, idx).await.ok()?;
-    let good = agent.node.platform.origin.digest(&content) == digest;
-    good.then_some(content)
+) -> Result<Option<Bytes>, Fault> {
+    match agent.engine.chunk(&version.model, idx).await {
+        Ok(content) => {
+            let good = agent.node.platform.origin.digest(&content) == digest;
+            Ok(good.then_some(content))
+        }
+        Err(Fault::Malformed | Fault::Missing | Fault::Status(_) | Fault::TooLarge) => Ok(None),
+        Err(fault) => Err(fault),
+    }
 }
--- a/crates/gradeloft_gateway/src/agent/upload.rs
+++ b/crates/gradeloft_gateway/src/agent/upload.rs
@@ -78,7 +78,7 @@
         outgoing.finish(&Reply::Absent(Absence::Busy)).await;
         return;
     };
-    let Some(content) = read_back(agent, &version, idx, digest).await else {
+    let Ok(Some(content)) = read_back(agent, &version, idx, digest).await else {
         outgoing.finish(&Reply::Absent(Absence::NotHeld)).await;
         return;
     };
