Answers that are cut at each byte, at the CLI: 4 tests

The log's answer to `bundle history` is cut at each byte of its head and its body, with a length and in chunks, then closed or reset.

--- a/crates/gradeloft_cli/tests/cli.rs
+++ b/crates/gradeloft_cli/tests/cli.rs
@@ -381,3 +381,40 @@
     let text = run_with_fleet(&folder, &env, &publish).await;
     assert!(text.ends_with("exit 3\n"), "{text}");
 }
+
+/// Guards against a log that is printed as empty or as whole although its answer is cut.
+#[rstest]
+#[case::length("Content-Length: 34\r\n\r\n", "")]
+#[case::chunks("Transfer-Encoding: chunked\r\n\r\n22\r\n", "\r\n0\r\n\r\n")]
+#[actix_rt::test]
+async fn an_answer_that_is_cut_at_any_byte_is_no_success(
+    #[case] before: &str,
+    #[case] after: &str,
+    #[values(Step::Close, Step::Reset)] end: Step,
+) {
+    let folder = create_folder("cut");
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+    let answer = format!("{head}{before}{EMPTY_LOG}{after}");
+    let cut = |at| vec![Step::Read, Step::Send(answer[..at].to_owned()), end.clone()];
+    let scripts = (0..=answer.len()).map(cut).collect();
+    let server = ScriptedServer::start("127.0.0.1:0", scripts).await;
+    let log = server.expect("the server starts");
+    let list = start_platform(NO_INSTANCES.len(), NO_INSTANCES).await;
+    let env = [
+        ("GRADELOFT_LOG", format!("http://{}", log.address)),
+        ("GRADELOFT_LIST", format!("http://{}", list.address)),
+    ];
+    for at in 0..answer.len() {
+        let text = run_with_fleet(&folder, &env, &["bundle", "history"]).await;
+        assert!(
+            text.ends_with("exit 4\n"),
+            "{at} of {}: {text}",
+            answer.len()
+        );
+        assert_eq!(log.recording.borrow().connections, at + 1);
+    }
+    if end == Step::Close {
+        let text = run_with_fleet(&folder, &env, &["bundle", "history"]).await;
+        assert!(text.ends_with("exit 0\n"), "{text}");
+    }
+}
