--- a/crates/gradeloft_gateway/src/entry/attempt.rs
+++ b/crates/gradeloft_gateway/src/entry/attempt.rs
@@ -15,7 +15,7 @@
     abort::AbortReason,
     forward::Job,
     in_flight::InFlightGuard,
-    liveness::Start,
+    liveness::Target,
     quarantine::ReplicaStart,
     relay::{self, BufferedResponse, Relay, Upstream},
 };
@@ -69,8 +69,8 @@
     pub replica: ReplicaKey,
     /// Start of the replica that gets the request.
     pub(super) start: Option<ReplicaStart>,
-    /// The same start, to ask whether it runs.
-    asked: Start,
+    /// The same start, for probes of whether it runs.
+    target: Target,
     /// Whether the replica's silence was counted as a failure.
     pub silence_counted: bool,
     pub(super) connection: ReplicaConnection,
@@ -114,7 +114,7 @@
         job: &mut Job,
         replica: ReplicaKey,
     ) -> Result<Attempt, AttemptOutcome> {
-        let Some(asked) = entry.start_of(replica) else {
+        let Some(target) = entry.probe_target(replica) else {
             return Err(AttemptOutcome::Failed(Failure::Unsent, None));
         };
         // The caller may have disconnected before its request was read, or during an earlier
@@ -125,7 +125,7 @@
         let start = entry.replica_start(replica);
         let forecast = forecast_first_token(entry, job, replica);
         let in_flight = entry.track_in_flight(replica, job.prompt_tokens);
-        let connection = connect(entry, caller, job, replica, asked.address).await?;
+        let connection = connect(entry, caller, job, replica, target.address).await?;
         let now = entry.node.clock.now();
         // This process may have been paused since the connection was established.
         if job.deadline <= now {
@@ -138,12 +138,12 @@
             entry.pool.release(connection, None);
             return Err(AttemptOutcome::Failed(Failure::Withheld, None));
         }
-        let request = encode_request(entry, job, &asked.id);
+        let request = encode_request(entry, job, &target.id);
         entry.count_to_replica(Purpose::Requests, replica, request.len());
         Ok(Attempt {
             replica,
             start,
-            asked,
+            target,
             silence_counted: false,
             connection,
             in_flight,
@@ -180,7 +180,7 @@
                     connection: &mut self.connection,
                     in_flight: &self.in_flight,
                     forecast: &mut self.forecast,
-                    start: &self.asked,
+                    target: &self.target,
                     sent_at: self.sent_at,
                 };
                 relay
@@ -206,7 +206,7 @@
             return Ok(());
         };
         let fully_sent = awaiting.sent == awaiting.request.len();
-        if let Some(failure) = not_executed_failure(entry, &head, &self.asked.id) {
+        if let Some(failure) = not_executed_failure(entry, &head, &self.target.id) {
             self.stage = Stage::NotExecuted { head, fully_sent };
             return Err(AttemptOutcome::Failed(failure, None));
         }
--- a/crates/gradeloft_gateway/src/entry/liveness.rs
+++ b/crates/gradeloft_gateway/src/entry/liveness.rs
@@ -37,7 +37,7 @@
 
 /// One start of a replica, which can be probed also when it is no longer listed.
 #[derive(Clone, Debug)]
-pub(super) struct Start {
+pub(super) struct Target {
     key: ReplicaKey,
     /// Address at which the replica is listed.
     pub(super) address: SocketAddr,
@@ -112,7 +112,7 @@
 
 impl Entry {
     /// Returns the current start of a replica; `None` if the replica is not listed.
-    pub(super) fn start_of(&self, key: ReplicaKey) -> Option<Start> {
+    pub(super) fn probe_target(&self, key: ReplicaKey) -> Option<Target> {
         let replicas = self.replicas.borrow();
         let replica = replicas.get(key)?;
         let listing = &replica.listing;
@@ -122,7 +122,7 @@
         let state_path = state_path.filter(|_| listing.has_model || replica.born().is_some());
         let health_path = service.and_then(|it| it.health_path.clone());
         let paths = state_path.map(|it| Path::State(it.to_owned())).into_iter();
-        Some(Start {
+        Some(Target {
             key,
             address: listing.address,
             id: Rc::clone(&listing.id),
@@ -134,12 +134,12 @@
 
     /// Probes whether a start of a replica runs; `sent_at` is the time at which a request was sent
     /// that it has answered.
-    pub(super) async fn confirm_liveness(&self, start: &Start, sent_at: Time) -> Liveness {
+    pub(super) async fn confirm_liveness(&self, target: &Target, sent_at: Time) -> Liveness {
         let timers = &self.node.timers;
         let until = self.node.clock.now().after(CONFIRM_TIMEOUT);
         let probing = async {
             loop {
-                if let Some(liveness) = self.probe_start(start, sent_at).await {
+                if let Some(liveness) = self.probe_once(target, sent_at).await {
                     return liveness;
                 }
                 let again_at = self.node.clock.now().after(RETRY_PAUSE);
@@ -158,27 +158,27 @@
 
     /// Probes once; `None` if a connection failed or the replica refused the probe, so that another
     /// probe may tell.
-    async fn probe_start(&self, start: &Start, sent_at: Time) -> Option<Liveness> {
-        let Some(first) = start.paths.first() else {
+    async fn probe_once(&self, target: &Target, sent_at: Time) -> Option<Liveness> {
+        let Some(first) = target.paths.first() else {
             return Some(Liveness::Unconfirmed);
         };
         // The process at the other end of a connection from before the request is the one that had it.
-        while let Some(mut connection) = self.pool.take_older(start.key, sent_at) {
-            let response = self.probe(&mut connection, start, first).await;
+        while let Some(mut connection) = self.pool.take_older(target.key, sent_at) {
+            let response = self.probe(&mut connection, target, first).await;
             if response.is_some_and(|it| it.served && it.answerer != Answerer::Other) {
                 return Some(Liveness::Confirmed);
             }
         }
         self.node.metrics.connections.inc();
-        let mut connection = match self.pool.connect(start.key, start.address).await {
+        let mut connection = match self.pool.connect(target.key, target.address).await {
             Ok(connection) => connection,
             Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
                 return Some(Liveness::Refused);
             }
             Err(_) => return None,
         };
-        for path in &start.paths {
-            let response = self.probe(&mut connection, start, path).await?;
+        for path in &target.paths {
+            let response = self.probe(&mut connection, target, path).await?;
             match response.answerer {
                 Answerer::Same => {
                     if response.reusable {
@@ -191,7 +191,7 @@
                 // Starts have times, and that of the known one has not been learned.
                 Answerer::Unknown if response.has_start_time => break,
                 // The state of a model's replica tells whether starts have times.
-                Answerer::Unknown if !response.served && start.has_model => break,
+                Answerer::Unknown if !response.served && target.has_model => break,
                 Answerer::Unknown if !response.reusable => break,
                 Answerer::Unknown => {}
             }
@@ -204,16 +204,16 @@
     async fn probe(
         &self,
         connection: &mut ReplicaConnection,
-        start: &Start,
+        target: &Target,
         path: &Path,
     ) -> Option<ProbeResponse> {
         let headers = &self.node.platform.headers;
         let request = format!(
             "GET {} HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n\r\n",
             path.text(),
-            start.address,
+            target.address,
             headers.target_replica,
-            start.id
+            target.id
         );
         let wire = &mut connection.wire;
         wire.send(request.as_bytes()).await.ok()?;
@@ -257,8 +257,8 @@
             _ => None,
         };
         let known = Identity {
-            id: Some(&start.id),
-            born: start.born,
+            id: Some(&target.id),
+            born: target.born,
         };
         // A replica that is not the one which a request names responds with this status.
         let answerer = match head.status {
--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -16,7 +16,7 @@
     attempt::{AttemptOutcome, FirstTokenForecast},
     forward::Job,
     in_flight::InFlightGuard,
-    liveness::{Liveness, Start},
+    liveness::{Liveness, Target},
 };
 use crate::{
     events::Splitter,
@@ -193,7 +193,7 @@
     /// Forecast of the time at which the response begins; taken out once it has begun.
     pub(super) forecast: &'a mut Option<FirstTokenForecast>,
     /// Start of the replica that has the request.
-    pub(super) start: &'a Start,
+    pub(super) target: &'a Target,
     /// Time at which the request was sent.
     pub(super) sent_at: Time,
 }
@@ -322,7 +322,7 @@
         let Upstream {
             connection,
             in_flight,
-            start,
+            target,
             sent_at,
             ..
         } = upstream;
@@ -339,7 +339,7 @@
                 biased;
                 read = connection.wire.fill() => match read {
                     Ok(0) if self.decoder.may_end_at_eof() => {
-                        let confirming = entry.confirm_liveness(start, *sent_at);
+                        let confirming = entry.confirm_liveness(target, *sent_at);
                         let liveness = tokio::select! {
                             biased;
                             () = caller.closed() => return ReadOutcome::CallerGone,
