Take no close behind a head for an empty response

Streams count a response that has not begun as broken already; bodies do now, too: an empty body has to have a length.

a_close_behind_a_head_is_not_an_empty_response (2 cases) failed before.

--- a/crates/gradeloft_gateway/src/entry/relay.rs
+++ b/crates/gradeloft_gateway/src/entry/relay.rs
@@ -428,9 +428,14 @@
                     .await;
             }
         }
+        let ends_at_close = self.framing == Framing::Close;
         let RelayMode::Buffered(body) = &mut self.mode else {
             return AttemptOutcome::Failed(Failure::Broken, None);
         };
+        // A replica that runs may close the connection of a response that it has lost.
+        if ends_at_close && body.is_empty() {
+            return AttemptOutcome::Failed(Failure::Broken, None);
+        }
         let no_memory = Reserve::new(&job.received.place, JOINED_BYTES);
         let response = BufferedResponse {
             head: self.head.clone(),
