Take the id for a start of replicas that serve health only

Replicas without a model do not serve their state there, and their health names no time, which the known start has. For them the id in the health decides. A replica without a model that is back under its id before the probe is taken for the same start.

a_replica_that_serves_health_only_confirms_the_end_of_a_response failed before.

--- a/crates/gradeloft_gateway/src/entry/liveness.rs
+++ b/crates/gradeloft_gateway/src/entry/liveness.rs
@@ -256,9 +256,11 @@
             Path::State(_) if served => decode_born(&body),
             _ => None,
         };
+        // Replicas without a model may not serve their state. Their health has no time to compare.
+        let compares_times = target.has_model || matches!(path, Path::State(_));
         let known = Identity {
             id: Some(&target.id),
-            born: target.born,
+            born: target.born.filter(|_| compares_times),
         };
         // A replica that is not the one which a request names responds with this status.
         let answerer = match head.status {
--- a/crates/gradeloft_gateway/tests/entry/early_ends.rs
+++ b/crates/gradeloft_gateway/tests/entry/early_ends.rs
@@ -308,6 +308,54 @@
     });
 }
 
+/// Guards against a lost response of a replica that runs, which callers take for an empty one.
+#[rstest]
+#[case::idempotent(RouteKind::Idempotent, "200", "whole")]
+#[case::once(RouteKind::Once, "502", "}")]
+fn a_close_behind_a_head_is_not_an_empty_response(
+    #[case] kind: RouteKind,
+    #[case] status: &str,
+    #[case] body: &str,
+) {
+    run(async {
+        let head = "HTTP/1.1 200 OK\r\nt-request: abc\r\nt-seal: s1\r\n\r\n";
+        let replica = closing(head, Successor::Itself);
+        let script = vec![vec![Step::Read, ok("whole")]];
+        let harness = start(kind, &replica, true, script).await;
+        let response = harness.send(&request("POST", "form")).await;
+        assert!(
+            response.starts_with(&format!("HTTP/1.1 {status} ")),
+            "{response}"
+        );
+        assert!(response.ends_with(body), "{response}");
+    });
+}
+
+/// Guards against cutting whole responses of replicas whose records have the time of their start, and that
+/// do not serve their state.
+#[test]
+fn a_replica_that_serves_health_only_confirms_the_end_of_a_response() {
+    run(async {
+        let unknown = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+        let scripts = vec![
+            vec![Step::Read, Step::Send(BODY.to_owned()), Step::Close],
+            vec![
+                Step::Read,
+                Step::Send(unknown.to_owned()),
+                Step::Read,
+                healthy(),
+            ],
+        ];
+        let config = TestConfig::of(RouteKind::Once);
+        let harness = Harness::start_unready(config, vec![scripts]).await;
+        harness.set_start_time(0, closing_replica::BORN);
+        let harness = harness.make_ready().await;
+        let response = harness.send(&request("POST", "form")).await;
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+        assert!(response.ends_with("first half, "), "{response}");
+    });
+}
+
 /// Plays a stream that ends with its connection while an older connection to its replica is idle, on which
 /// the next bytes are `answer`. Further connections are reset.
 async fn play_older_connection(answer: &str) -> String {
