--- a/crates/gradeloft_policy/src/clock.rs
+++ b/crates/gradeloft_policy/src/clock.rs
@@ -6,7 +6,7 @@
 /// within the range of [`Time`].
 const LONGEST_MS: f64 = 1e12;
 
-/// Returns a duration of a number of milliseconds, from zero to [`LONGEST_MS`]; zero for what is no
+/// Returns a duration of a number of milliseconds, from zero to some thirty years; zero for what is no
 /// number.
 ///
 /// ```
